--- /dev/null
+++ b/chain/agree.go
@@ -0,0 +1,369 @@
+package chain
+
+import (
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+)
+
+type Ballot struct {
+	Number   int64  `json:"number"`
+	Round    int64  `json:"round"`
+	Identity string `json:"identity"`
+}
+
+func (ballot Ballot) Before(other Ballot) bool {
+	if ballot.Round != other.Round {
+		return ballot.Round < other.Round
+	}
+	return ballot.Identity < other.Identity
+}
+
+type Proposal struct {
+	Ballot Ballot        `json:"ballot"`
+	View   contract.View `json:"view"`
+}
+
+type Prepare struct {
+	Ballot Ballot             `json:"ballot"`
+	Node   contract.CoreNode  `json:"node"`
+	Base   contract.View      `json:"base"`
+	Suffix []contract.Version `json:"suffix"`
+}
+
+type Promise struct {
+	Ballot   Ballot            `json:"ballot"`
+	Node     contract.CoreNode `json:"node"`
+	Vote     bool              `json:"vote"`
+	Refused  Ballot            `json:"refused"`
+	Accepted *Proposal         `json:"accepted,omitempty"`
+	Top      int64             `json:"top"`
+	Digest   string            `json:"digest"`
+	Lacks    int64             `json:"lacks"`
+	Fit      bool              `json:"fit"`
+}
+
+type Accept struct {
+	Proposal Proposal          `json:"proposal"`
+	Node     contract.CoreNode `json:"node"`
+	Base     contract.View     `json:"base"`
+}
+
+type campaign struct {
+	ballot   Ballot
+	started  time.Duration
+	asked    int
+	promises map[string]Promise
+	proposal *Proposal
+	votes    map[string]bool
+}
+
+const suffixSize = 8
+
+func (owner *Owner) tickAgree(now time.Duration) {
+	if owner.campaign != nil {
+		owner.driveCampaign(now)
+	}
+	if owner.rank() < 0 || !owner.wantsView(now) {
+		owner.needed = -1
+		return
+	}
+	if owner.needed < 0 {
+		owner.needed = now
+	}
+	turn := time.Duration(0)
+	for _, identity := range owner.view.Chain[:owner.rank()] {
+		if node, there := owner.view.Node(identity); there && owner.aliveCore(node) {
+			turn++
+		}
+	}
+	if now-owner.needed < owner.bounds.Round()/2*(1+2*turn) || now < owner.retry || owner.campaign != nil {
+		return
+	}
+	owner.startCampaign(now)
+}
+
+func (owner *Owner) aliveCore(node contract.CoreNode) bool {
+	if node.Identity() == owner.self.Identity() {
+		return true
+	}
+	for _, member := range owner.seen.Members {
+		if member.Name == node.Name && member.Boot == node.Boot {
+			return true
+		}
+	}
+	return false
+}
+
+func (owner *Owner) fitCore(node contract.CoreNode) bool {
+	if node.Identity() == owner.self.Identity() {
+		return owner.fit
+	}
+	for _, member := range owner.seen.Members {
+		if member.Name == node.Name && member.Boot == node.Boot {
+			return member.Core
+		}
+	}
+	return false
+}
+
+// strangers are live core machines that the view does not know by this boot.
+func (owner *Owner) strangers() []contract.CoreNode {
+	strangers := []contract.CoreNode{}
+	for _, member := range owner.seen.Members {
+		node := contract.CoreNode{Name: member.Name, Boot: member.Boot, Address: member.Address}
+		if _, there := owner.view.Node(node.Identity()); member.Core && !there {
+			strangers = append(strangers, node)
+		}
+	}
+	return strangers
+}
+
+func (owner *Owner) wantsView(now time.Duration) bool {
+	if owner.sealed && owner.campaign == nil {
+		return true
+	}
+	owner.doubtSuccessor(now)
+	living := 0
+	for _, node := range owner.view.Core {
+		if owner.aliveCore(node) {
+			living++
+		}
+	}
+	if living < owner.view.Majority() {
+		return false
+	}
+	for _, node := range owner.view.Core {
+		rank, fit := owner.view.Rank(node.Identity()), owner.fitCore(node)
+		_, doubted := owner.doubts[node.Identity()]
+		if rank >= 0 && (!fit || doubted) && living > 1 {
+			return len(owner.view.Chain) > 1 || fit
+		}
+		if rank < 0 && fit && !doubted {
+			return true
+		}
+	}
+	return living < len(owner.view.Core) && len(owner.strangers()) > 0
+}
+
+func (owner *Owner) doubtSuccessor(now time.Duration) {
+	if owner.stuck < 0 || now-owner.stuck < owner.bounds.Commit()/2 || len(owner.view.Chain) < 2 {
+		return
+	}
+	owner.doubts[owner.view.Chain[1]] = now + owner.bounds.Return()/2
+	owner.stuck = -1
+}
+
+func (owner *Owner) startCampaign(now time.Duration) {
+	round := owner.promised.Round + 1
+	ballot := Ballot{Number: owner.view.Number + 1, Round: round, Identity: owner.self.Identity()}
+	owner.campaign = &campaign{ballot: ballot, started: now, promises: map[string]Promise{}, votes: map[string]bool{}}
+	suffix := []contract.Version{}
+	for revision := max(1, owner.top-suffixSize+1); revision <= owner.top; revision++ {
+		if version, there := owner.versions[revision]; there {
+			suffix = append(suffix, version)
+		}
+	}
+	prepare := Prepare{Ballot: ballot, Node: owner.self, Base: owner.view, Suffix: suffix}
+	targets := append(append([]contract.CoreNode{}, owner.view.Core...), owner.strangers()...)
+	owner.campaign.asked = len(targets)
+	for _, node := range targets {
+		owner.send(node, LetterPrepare, prepare)
+	}
+	owner.emit(contract.Count{Name: "view_campaigns", By: 1})
+}
+
+func (owner *Owner) prepare(now time.Duration, prepare Prepare) {
+	owner.adopt(now, prepare.Base)
+	if prepare.Base.Number < owner.view.Number {
+		owner.send(prepare.Node, LetterNews, owner.view)
+		return
+	}
+	_, vote := owner.view.Node(owner.self.Identity())
+	answer := Promise{Ballot: prepare.Ballot, Node: owner.self, Vote: vote, Fit: owner.fit}
+	if vote {
+		if prepare.Ballot.Before(owner.promised) {
+			answer.Vote, answer.Refused = false, owner.promised
+			owner.send(prepare.Node, LetterPromise, answer)
+			return
+		}
+		owner.promised, owner.sealed, answer.Accepted = prepare.Ballot, true, owner.accepted
+	}
+	tell := func(time.Duration) {
+		answer.Top, answer.Fit = owner.top, owner.fit
+		answer.Digest = owner.versions[owner.top].Digest
+		answer.Lacks, _ = owner.lacks()
+		owner.send(prepare.Node, LetterPromise, answer)
+	}
+	if owner.rank() >= 0 || len(prepare.Suffix) == 0 || prepare.Suffix[0].Place.Revision > owner.top+1 {
+		tell(now)
+		return
+	}
+	owner.persist(now, job{versions: prepare.Suffix, after: func(now time.Duration) {
+		for _, version := range prepare.Suffix {
+			owner.install(version)
+		}
+		tell(now)
+	}})
+}
+
+func (owner *Owner) promise(now time.Duration, from string, promise Promise) {
+	campaign := owner.campaign
+	if campaign == nil || promise.Ballot != campaign.ballot || campaign.proposal != nil {
+		return
+	}
+	if campaign.ballot.Before(promise.Refused) {
+		owner.promised.Round = max(owner.promised.Round, promise.Refused.Round)
+		owner.endCampaign(now)
+		return
+	}
+	campaign.promises[from] = promise
+	if len(campaign.promises) == campaign.asked {
+		owner.propose(now)
+	}
+}
+
+func (owner *Owner) endCampaign(now time.Duration) {
+	owner.campaign = nil
+	owner.retry = now + owner.bounds.Round() + time.Duration(owner.random.Int64N(int64(owner.bounds.Round())))
+}
+
+func (owner *Owner) driveCampaign(now time.Duration) {
+	age := now - owner.campaign.started
+	if owner.campaign.proposal == nil && age > owner.bounds.Round()*2/3 {
+		owner.propose(now)
+	}
+	if owner.campaign != nil && age > owner.bounds.Round()*2 {
+		owner.endCampaign(now)
+	}
+}
+
+func (owner *Owner) propose(now time.Duration) {
+	campaign := owner.campaign
+	votes := 0
+	var earlier *Proposal
+	for _, promise := range campaign.promises {
+		if !promise.Vote {
+			continue
+		}
+		votes++
+		if promise.Accepted != nil && (earlier == nil || earlier.Ballot.Before(promise.Accepted.Ballot)) {
+			earlier = promise.Accepted
+		}
+	}
+	if votes < owner.view.Majority() {
+		return
+	}
+	view, fine := owner.compose()
+	if earlier != nil {
+		view, fine = earlier.View, true
+	}
+	if !fine {
+		owner.endCampaign(now)
+		return
+	}
+	campaign.proposal = &Proposal{Ballot: campaign.ballot, View: view}
+	for _, node := range owner.view.Core {
+		owner.send(node, LetterAccept, Accept{Proposal: *campaign.proposal, Node: owner.self, Base: owner.view})
+	}
+}
+
+// compose builds the next view: survivors keep their order, missing core machines give place, those caught up join at the tail.
+func (owner *Owner) compose() (contract.View, bool) {
+	promises := owner.campaign.promises
+	fits := func(identity string) bool {
+		_, doubted := owner.doubts[identity]
+		promise, answered := promises[identity]
+		return answered && promise.Fit && !doubted
+	}
+	view := contract.View{Number: owner.view.Number + 1}
+	for _, identity := range owner.view.Chain {
+		if promise := promises[identity]; fits(identity) && promise.Vote {
+			view.Chain = append(view.Chain, identity)
+		}
+	}
+	if len(view.Chain) == 0 {
+		return view, false
+	}
+	strangers := []contract.CoreNode{}
+	for _, stranger := range owner.strangers() {
+		if promise, answered := promises[stranger.Identity()]; answered && owner.caughtUp(promise) {
+			strangers = append(strangers, stranger)
+		}
+	}
+	for _, node := range owner.view.Core {
+		if _, answered := promises[node.Identity()]; !answered && !owner.aliveCore(node) && len(strangers) > 0 {
+			place := 0
+			for index, stranger := range strangers {
+				if stranger.Name == node.Name {
+					place = index
+				}
+			}
+			node = strangers[place]
+			strangers = append(strangers[:place], strangers[place+1:]...)
+		}
+		view.Core = append(view.Core, node)
+	}
+	for _, node := range view.Core {
+		identity := node.Identity()
+		if owner.view.Rank(identity) < 0 && fits(identity) && owner.caughtUp(promises[identity]) {
+			view.Chain = append(view.Chain, identity)
+		}
+	}
+	return view, true
+}
+
+func (owner *Owner) caughtUp(promise Promise) bool {
+	lacks, _ := owner.lacks()
+	return promise.Fit && promise.Top >= owner.top && promise.Digest == owner.versions[owner.top].Digest && promise.Lacks <= lacks
+}
+
+func (owner *Owner) accept(now time.Duration, accept Accept) {
+	owner.adopt(now, accept.Base)
+	if accept.Base.Number != owner.view.Number || !owner.Member() || accept.Proposal.Ballot.Before(owner.promised) {
+		return
+	}
+	proposal := accept.Proposal
+	owner.promised, owner.sealed, owner.accepted = proposal.Ballot, true, &proposal
+	owner.send(accept.Node, LetterAccepted, proposal.Ballot)
+}
+
+func (owner *Owner) acceptedBy(now time.Duration, from string, ballot Ballot) {
+	campaign := owner.campaign
+	if campaign == nil || campaign.proposal == nil || campaign.ballot != ballot {
+		return
+	}
+	campaign.votes[from] = true
+	if len(campaign.votes) < owner.view.Majority() {
+		return
+	}
+	old, view := owner.view, campaign.proposal.View
+	owner.endCampaign(now)
+	owner.adopt(now, view)
+	for _, node := range append(append([]contract.CoreNode{}, old.Core...), view.Core...) {
+		if node.Identity() != owner.self.Identity() {
+			owner.send(node, LetterNews, view)
+		}
+	}
+}
+
+// adopt takes a committed view; numbers only rise, and the old view's promises end with it.
+func (owner *Owner) adopt(now time.Duration, view contract.View) {
+	if view.Number <= owner.view.Number {
+		return
+	}
+	if accepted := owner.foundAccepted; accepted != nil && accepted.View.Number == view.Number && sameCore(accepted.View, view) {
+		owner.begin(now, *accepted)
+		return
+	}
+	owner.view = view
+	owner.promised, owner.accepted, owner.sealed, owner.campaign = Ballot{}, nil, false, nil
+	owner.needed, owner.stuck = -1, -1
+	owner.assigned = owner.top
+	held := view
+	owner.persist(now, job{view: &held})
+	owner.emit(Viewed{View: view}, contract.Say{What: "view", Detail: []any{"number", view.Number, "chain", len(view.Chain)}})
+}
+
+// Viewed tells the rest of the node that a view was committed.
+type Viewed struct{ View contract.View }
--- /dev/null
+++ b/chain/check.go
@@ -0,0 +1,75 @@
+package chain
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+)
+
+// Check asks the core whether a view still is the newest, so that a woken old tail cannot answer.
+type Check struct {
+	Nonce int64             `json:"nonce"`
+	View  int64             `json:"view"`
+	Node  contract.CoreNode `json:"node"`
+	Holds bool              `json:"holds"`
+}
+
+type check struct {
+	view  int64
+	until time.Duration
+	votes map[string]bool
+}
+
+// Vouched ends a check: the tail's answer may or may not be given.
+type Vouched struct {
+	Token int64
+	Fine  bool
+}
+
+func (owner *Owner) Vouch(now time.Duration, token int64) []contract.Command {
+	owner.out = nil
+	if !owner.IsTail() || owner.sealed {
+		return []contract.Command{Vouched{Token: token}}
+	}
+	owner.checks[token] = &check{view: owner.view.Number, until: now + owner.bounds.Round(), votes: map[string]bool{owner.self.Identity(): true}}
+	for _, node := range owner.view.Core {
+		if node.Identity() != owner.self.Identity() {
+			owner.send(node, LetterCheck, Check{Nonce: token, View: owner.view.Number, Node: owner.self})
+		}
+	}
+	out := owner.out
+	owner.out = nil
+	return out
+}
+
+func (owner *Owner) check(ask Check) {
+	holds := owner.Member() && !owner.sealed && owner.view.Number == ask.View
+	owner.send(ask.Node, LetterChecked, Check{Nonce: ask.Nonce, View: ask.View, Holds: holds})
+}
+
+func (owner *Owner) checked(from string, answer Check) {
+	pending, there := owner.checks[answer.Nonce]
+	if !there || !answer.Holds || pending.view != answer.View {
+		return
+	}
+	pending.votes[from] = true
+	if len(pending.votes) >= owner.view.Majority() {
+		delete(owner.checks, answer.Nonce)
+		owner.emit(Vouched{Token: answer.Nonce, Fine: pending.view == owner.view.Number && !owner.sealed && owner.IsTail()})
+	}
+}
+
+func (owner *Owner) expireChecks(now time.Duration) {
+	late := []int64{}
+	for token, pending := range owner.checks {
+		if now > pending.until {
+			late = append(late, token)
+		}
+	}
+	slices.Sort(late)
+	for _, token := range late {
+		delete(owner.checks, token)
+		owner.emit(Vouched{Token: token})
+	}
+}
--- /dev/null
+++ b/cmd/cedarrig/main.go
@@ -0,0 +1,80 @@
+// cedarrig plays a whole fleet on one machine and breaks it; it is for tests only.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cedarreel/cedarreel/rig"
+	"github.com/cedarreel/cedarreel/serve"
+	"github.com/cedarreel/cedarreel/site"
+	"github.com/jessevdk/go-flags"
+)
+
+type arguments struct {
+	Site    string  `long:"site" description:"folder of a deployment" default:"deploy/brazos"`
+	Bin     string  `long:"bin" description:"folder of the programs; beside cedarrig when not given"`
+	Folder  string  `long:"folder" description:"folder for settings, logs and data; a new temporary one when not given"`
+	Seconds int     `long:"seconds" description:"how long traffic runs" default:"20"`
+	Rate    float64 `long:"rate" description:"traffic as a part of the site's" default:"1"`
+	Seed    uint64  `long:"seed" description:"seed of the traffic and of the faults" default:"1"`
+	Story   string  `long:"story" description:"what happens while traffic runs; 'list' names the stories" default:"calm"`
+	Stay    bool    `long:"stay" description:"after the traffic, leave the fleet up until a signal comes"`
+	Version bool    `long:"version" description:"print the version and stop"`
+}
+
+func main() {
+	var given arguments
+	parser := flags.NewParser(&given, flags.HelpFlag|flags.PassDoubleDash)
+	if _, mishap := parser.Parse(); mishap != nil {
+		var asked *flags.Error
+		if errors.As(mishap, &asked) && asked.Type == flags.ErrHelp {
+			fmt.Println(asked.Message)
+			return
+		}
+		fmt.Fprintln(os.Stderr, "cedarrig:", mishap)
+		os.Exit(2)
+	}
+	if given.Version {
+		fmt.Println("cedarrig", serve.Version)
+		return
+	}
+	if given.Story == "list" {
+		for _, name := range rig.StoryNames() {
+			fmt.Println(name)
+		}
+		return
+	}
+	clean, mishap := play(given)
+	if mishap != nil {
+		fmt.Fprintln(os.Stderr, "cedarrig:", mishap)
+		os.Exit(1)
+	}
+	if !clean {
+		os.Exit(3)
+	}
+}
+
+func play(given arguments) (bool, error) {
+	described, mishap := site.Load(given.Site)
+	if mishap != nil {
+		return false, mishap
+	}
+	if given.Bin == "" {
+		own, mishap := os.Executable()
+		if mishap != nil {
+			return false, mishap
+		}
+		given.Bin = filepath.Dir(own)
+	}
+	if given.Folder == "" {
+		if given.Folder, mishap = os.MkdirTemp("", "cedarrig-"); mishap != nil {
+			return false, mishap
+		}
+	}
+	return rig.Play(rig.Plan{Site: described, Bin: given.Bin, Folder: given.Folder, Span: time.Duration(given.Seconds) * time.Second,
+		Rate: given.Rate, Seed: given.Seed, Story: given.Story, Stay: given.Stay, Say: func(text string) { fmt.Println(text) }})
+}
--- /dev/null
+++ b/contract/ask.go
@@ -0,0 +1,76 @@
+package contract
+
+import "time"
+
+// Ask is an operator's question; any node takes it, the authority answers it.
+type Ask struct {
+	Token     int64  `json:"-"`
+	Verb      string `json:"verb"`
+	Subject   string `json:"subject"`
+	Body      []byte `json:"body"`
+	Base      int64  `json:"base"`
+	HasBase   bool   `json:"hasBase"`
+	Revision  int64  `json:"revision"`
+	Operation string `json:"operation"`
+	Forwarded bool   `json:"forwarded"`
+}
+
+const (
+	VerbPut         = "put"
+	VerbPatch       = "patch"
+	VerbGet         = "get"
+	VerbHistory     = "history"
+	VerbOperation   = "operation"
+	VerbDrain       = "drain"
+	VerbUndrain     = "undrain"
+	VerbScale       = "scale"
+	VerbMembers     = "members"
+	VerbShards      = "shards"
+	VerbRetirements = "retirements"
+	VerbChain       = "chain"
+	VerbWhy         = "why"
+)
+
+// Forward passes an ask to the authority, once.
+type Forward struct {
+	Ask     Ask
+	Address string
+}
+
+func (ask Ask) Writes() bool {
+	switch ask.Verb {
+	case VerbPut, VerbPatch, VerbDrain, VerbUndrain, VerbScale:
+		return true
+	}
+	return false
+}
+
+// Authority is the tail for what was accepted, the head for everything else.
+func (ask Ask) Authority(view View) (CoreNode, bool) {
+	if ask.Verb == VerbGet || ask.Verb == VerbHistory {
+		return view.Tail()
+	}
+	return view.Head()
+}
+
+// Accepted is the answer to a write.
+type Accepted struct {
+	Outcome   string   `json:"outcome"`
+	Revision  int64    `json:"revision,omitempty"`
+	View      int64    `json:"view,omitempty"`
+	Operation string   `json:"operation,omitempty"`
+	Lacking   []string `json:"lacking,omitempty"`
+	Mishap    string   `json:"mishap,omitempty"`
+}
+
+type Trouble struct {
+	Outcome      string   `json:"outcome,omitempty"`
+	Mishap       string   `json:"mishap"`
+	RetryAfterMs int64    `json:"retryAfterMs,omitempty"`
+	Home         string   `json:"home,omitempty"`
+	Nodes        []string `json:"nodes,omitempty"`
+}
+
+func Refuse(token int64, status int, mishap string, after time.Duration) Answer {
+	return Answer{Token: token, Status: status, Body: Trouble{Mishap: mishap, RetryAfterMs: after.Milliseconds()}, After: after}
+}
--- /dev/null
+++ b/contract/contract.go
@@ -0,0 +1,95 @@
+// Package contract holds what the parts of cedarreel say to each other.
+package contract
+
+import (
+	"encoding/json"
+	"time"
+)
+
+type Event any
+
+type Command any
+
+type Owner interface {
+	Handle(now time.Duration, event Event) []Command
+}
+
+const (
+	KindControl = "control"
+	KindData    = "data"
+)
+
+type Member struct {
+	Name        string `json:"name"`
+	Boot        string `json:"boot"`
+	Kind        string `json:"kind"`
+	Core        bool   `json:"core,omitempty"`
+	Hall        string `json:"hall"`
+	Region      string `json:"region"`
+	Address     string `json:"address"`
+	Incarnation int64  `json:"incarnation"`
+	Heartbeat   int64  `json:"heartbeat"`
+	Place       Place  `json:"place"`
+	View        int64  `json:"view"`
+}
+
+// Place orders committed manifests: the view that numbered one, then its revision.
+type Place struct {
+	View     int64 `json:"view"`
+	Revision int64 `json:"revision"`
+}
+
+func (place Place) Before(other Place) bool {
+	if place.View != other.View {
+		return place.View < other.View
+	}
+	return place.Revision < other.Revision
+}
+
+type Version struct {
+	Place     Place           `json:"place"`
+	Operation string          `json:"operation"`
+	Digest    string          `json:"digest"`
+	Manifest  json.RawMessage `json:"manifest"`
+}
+
+type Tick struct{}
+
+type Letter struct {
+	Kind string          `json:"kind"`
+	From string          `json:"from"`
+	Boot string          `json:"boot"`
+	Body json.RawMessage `json:"body"`
+}
+
+type Send struct {
+	To   string
+	Kind string
+	Body any
+}
+
+// Answer ends an operator's or a caller's question that a process asked its owner.
+type Answer struct {
+	Token  int64
+	Status int
+	Body   any
+	After  time.Duration
+}
+
+type Count struct {
+	Name string
+	By   int64
+}
+
+type Gauge struct {
+	Name  string
+	Value int64
+}
+
+type Say struct {
+	What   string
+	Detail []any
+}
+
+// Place of a manifest changed on this node.
+type Adopted struct{ Version Version }
--- /dev/null
+++ b/contract/epoch.go
@@ -0,0 +1,91 @@
+package contract
+
+import "time"
+
+type Epoch struct {
+	Number int64  `json:"number"`
+	Node   string `json:"node"`
+}
+
+func (epoch Epoch) Before(other Epoch) bool {
+	if epoch.Number != other.Number {
+		return epoch.Number < other.Number
+	}
+	return epoch.Node < other.Node
+}
+
+type ServerRow struct {
+	Name        string `json:"name"`
+	Address     string `json:"address"`
+	Region      string `json:"region"`
+	Hall        string `json:"hall"`
+	Pool        string `json:"pool"`
+	Incarnation string `json:"incarnation"`
+	Leaving     bool   `json:"leaving"`
+	RemainingMs int64  `json:"remainingMs"`
+	Unloaded    bool   `json:"unloaded,omitempty"`
+}
+
+type Listing struct {
+	Region  string      `json:"region"`
+	Servers []ServerRow `json:"servers"`
+}
+
+type Report struct {
+	Server      string   `json:"server"`
+	Incarnation string   `json:"incarnation"`
+	Number      int64    `json:"number"`
+	Running     int64    `json:"running"`
+	Waiting     int64    `json:"waiting"`
+	Prefixes    []string `json:"prefixes"`
+	Complete    bool     `json:"complete"`
+	AgeMs       int64    `json:"ageMs"`
+}
+
+func (report Report) Idle() bool { return report.Running == 0 && report.Waiting == 0 }
+
+type Candidate struct {
+	Name        string   `json:"name"`
+	Address     string   `json:"address"`
+	Hall        string   `json:"hall"`
+	Pool        string   `json:"pool"`
+	Incarnation string   `json:"incarnation"`
+	Slots       int64    `json:"slots"`
+	Share       int64    `json:"share"`
+	Running     int64    `json:"running"`
+	Waiting     int64    `json:"waiting"`
+	Report      int64    `json:"report"`
+	Prefixes    []string `json:"prefixes,omitempty"`
+}
+
+// LicenceAsk is sent by a data node; Asked is its own monotonic time and comes back unchanged.
+type LicenceAsk struct {
+	Node    string           `json:"node"`
+	Boot    string           `json:"boot"`
+	Address string           `json:"address"`
+	Region  string           `json:"region"`
+	Shard   int              `json:"shard"`
+	Asked   time.Duration    `json:"asked"`
+	Highest Epoch            `json:"highest"`
+	Number  int64            `json:"number"`
+	Calls   map[string]int64 `json:"calls,omitempty"`
+}
+
+type Licence struct {
+	Region   string        `json:"region"`
+	Shard    int           `json:"shard"`
+	Asked    time.Duration `json:"asked"`
+	Epoch    Epoch         `json:"epoch"`
+	Number   int64         `json:"number"`
+	Life     time.Duration `json:"life"`
+	Servers  []Candidate   `json:"servers"`
+	Withdraw []string      `json:"withdraw,omitempty"`
+	Recall   []string      `json:"recall,omitempty"`
+	Revision int64         `json:"revision"`
+}
+
+type NotOwner struct {
+	Region string `json:"region"`
+	Shard  int    `json:"shard"`
+	Owner  string `json:"owner"`
+}
--- /dev/null
+++ b/contract/view.go
@@ -0,0 +1,60 @@
+package contract
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// CoreNode is one boot of a core machine: a restart makes another of it, so a forgotten promise binds nobody.
+type CoreNode struct {
+	Name    string `json:"name"`
+	Boot    string `json:"boot"`
+	Address string `json:"address"`
+}
+
+func (node CoreNode) Identity() string { return node.Name + "#" + node.Boot }
+
+type View struct {
+	Number int64      `json:"number"`
+	Core   []CoreNode `json:"core"`
+	Chain  []string   `json:"chain"`
+}
+
+func (view View) Node(identity string) (CoreNode, bool) {
+	for _, node := range view.Core {
+		if node.Identity() == identity {
+			return node, true
+		}
+	}
+	return CoreNode{}, false
+}
+
+func (view View) Head() (CoreNode, bool) {
+	if len(view.Chain) == 0 {
+		return CoreNode{}, false
+	}
+	return view.Node(view.Chain[0])
+}
+
+func (view View) Tail() (CoreNode, bool) {
+	if len(view.Chain) == 0 {
+		return CoreNode{}, false
+	}
+	return view.Node(view.Chain[len(view.Chain)-1])
+}
+
+func (view View) Rank(identity string) int {
+	for index, member := range view.Chain {
+		if member == identity {
+			return index
+		}
+	}
+	return -1
+}
+
+func (view View) Majority() int { return len(view.Core)/2 + 1 }
+
+func Digest(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,188 @@
+// Package control is the owner in a cedarcp: neighbours, feed, chain, shards and operators' asks in one place.
+package control
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cedarreel/cedarreel/chain"
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/env"
+	"github.com/cedarreel/cedarreel/feed"
+	"github.com/cedarreel/cedarreel/machine"
+	"github.com/cedarreel/cedarreel/shard"
+)
+
+const (
+	LetterStatusAsk = "status-ask"
+	LetterStatus    = "status"
+	LetterWhyAsk    = "why-ask"
+	LetterWhy       = "why"
+)
+
+type StatusAsk struct {
+	Token   int64  `json:"token"`
+	Address string `json:"address"`
+	Call    string `json:"call,omitempty"`
+}
+
+type Status struct {
+	Token int64           `json:"token"`
+	Node  string          `json:"node"`
+	Body  json.RawMessage `json:"body"`
+}
+
+type Owner struct {
+	*machine.Node
+	chain   *chain.Owner
+	shard   *shard.Owner
+	writes  map[int64]*write
+	gathers map[int64]*gather
+	reads   map[int64]contract.Ask
+	token   int64
+}
+
+// New makes the owner; shelf is nil on a machine without a data folder.
+func New(settings env.Env, boot string, shelf *chain.Shelf, random *rand.Rand) *Owner {
+	node := machine.New(settings, contract.KindControl, boot, random)
+	owner := &Owner{Node: node, shard: shard.New(node.Self(), settings.Bounds),
+		writes: map[int64]*write{}, gathers: map[int64]*gather{}, reads: map[int64]contract.Ask{}}
+	if shelf != nil {
+		self := contract.CoreNode{Name: node.Self().Name, Boot: boot, Address: node.Self().Address}
+		owner.chain = chain.New(self, int(settings.CoreSize), settings.Bounds, *shelf, random)
+	}
+	return owner
+}
+
+func (owner *Owner) Handle(now time.Duration, event contract.Event) []contract.Command {
+	commands := []contract.Command{}
+	if gap := owner.Woke(now); gap > 0 {
+		owner.shard.Woke(now)
+		commands = append(commands, contract.Count{Name: "woken", By: 1}, contract.Say{What: "woken from a freeze", Detail: []any{"ms", gap.Milliseconds()}})
+	}
+	commands = append(commands, owner.Node.Handle(now, event)...)
+	switch event := event.(type) {
+	case contract.Tick:
+		commands = append(commands, owner.tick(now)...)
+	case contract.Letter:
+		commands = append(commands, owner.shard.Handle(now, event)...)
+		commands = append(commands, owner.gathered(now, event)...)
+		if owner.chain != nil {
+			commands = append(commands, owner.chain.Handle(now, event)...)
+		}
+	case chain.Persisted:
+		commands = append(commands, owner.chain.Handle(now, event)...)
+	case Leave:
+		commands = append(commands, owner.Neighbours.Farewell()...)
+	case contract.Ask:
+		commands = append(commands, owner.ask(now, event)...)
+	default:
+		commands = append(commands, owner.shard.Handle(now, event)...)
+	}
+	return owner.absorb(now, commands)
+}
+
+func (owner *Owner) tick(now time.Duration) []contract.Command {
+	members := owner.Neighbours.Members(now)
+	commands := []contract.Command{}
+	if owner.chain != nil {
+		owner.Neighbours.Hold(owner.Feed.Version().Place, owner.Feed.View().Number, owner.chain.Fit())
+		commands = append(commands, owner.chain.Handle(now, chain.Seen{Members: owner.Neighbours.Members(now), Held: owner.Feed.Version(), View: owner.Feed.View()})...)
+	}
+	if owner.Feed.Known() {
+		commands = append(commands, owner.shard.Handle(now, shard.Seen{Members: members, Manifest: owner.Feed.Manifest(), Revision: owner.Feed.Version().Place.Revision})...)
+	}
+	commands = append(commands, owner.tickWrites(now)...)
+	return append(commands, owner.tickGathers(now)...)
+}
+
+// absorb turns what the chain decided into news for the feed and answers for operators.
+func (owner *Owner) absorb(now time.Duration, commands []contract.Command) []contract.Command {
+	out := []contract.Command{}
+	for len(commands) > 0 {
+		command := commands[0]
+		commands = commands[1:]
+		switch command := command.(type) {
+		case chain.Committed:
+			version := command.Version
+			commands = append(owner.Feed.Take(feed.Change{Version: &version}, owner.Neighbours.Active()), commands...)
+			owner.committed(now, version)
+		case chain.Viewed:
+			view := command.View
+			commands = append(owner.Feed.Take(feed.Change{View: &view}, owner.Neighbours.Active()), commands...)
+		case chain.Vouched:
+			commands = append(owner.vouched(now, command), commands...)
+		case contract.Adopted:
+			out = append(out, contract.Say{What: "manifest in force", Detail: []any{"revision", command.Version.Place.Revision}})
+		default:
+			out = append(out, command)
+		}
+	}
+	return out
+}
+
+func (owner *Owner) authority(ask contract.Ask) bool {
+	node, there := ask.Authority(owner.Feed.View())
+	self := owner.Self()
+	return there && node.Name == self.Name && node.Boot == self.Boot
+}
+
+func (owner *Owner) ask(now time.Duration, ask contract.Ask) []contract.Command {
+	if ask.Verb == contract.VerbWhy {
+		return owner.why(now, ask)
+	}
+	if !owner.authority(ask) {
+		node, there := ask.Authority(owner.Feed.View())
+		if !there || ask.Forwarded {
+			return []contract.Command{contract.Refuse(ask.Token, 503, "no authority is known here yet; nothing was done", owner.Bounds.Round())}
+		}
+		ask.Forwarded = true
+		return []contract.Command{contract.Forward{Ask: ask, Address: node.Address}}
+	}
+	switch ask.Verb {
+	case contract.VerbGet, contract.VerbHistory:
+		owner.token++
+		owner.reads[owner.token] = ask
+		return owner.chain.Vouch(now, owner.token)
+	case contract.VerbMembers:
+		return []contract.Command{contract.Answer{Token: ask.Token, Status: 200, Body: map[string]any{
+			"members": owner.Neighbours.Members(now), "silent": owner.Neighbours.Silent(now)}}}
+	case contract.VerbChain:
+		return []contract.Command{contract.Answer{Token: ask.Token, Status: 200, Body: map[string]any{
+			"view": owner.chain.View(), "committed": owner.chain.Committed(), "sealed": owner.chain.Sealed(), "open": owner.chain.Open()}}}
+	case contract.VerbShards, contract.VerbRetirements:
+		return owner.shards(now, ask)
+	case contract.VerbOperation:
+		return owner.operation(ask)
+	}
+	return owner.write(now, ask, nil)
+}
+
+func (owner *Owner) vouched(now time.Duration, vouched chain.Vouched) []contract.Command {
+	ask, there := owner.reads[vouched.Token]
+	if !there {
+		return nil
+	}
+	delete(owner.reads, vouched.Token)
+	if !vouched.Fine {
+		return []contract.Command{contract.Refuse(ask.Token, 503, "the core cannot vouch for its view now", owner.Bounds.Round())}
+	}
+	if ask.Verb == contract.VerbHistory {
+		return []contract.Command{contract.Answer{Token: ask.Token, Status: 200, Body: map[string]any{"revisions": owner.chain.History()}}}
+	}
+	revision := ask.Revision
+	if revision == 0 {
+		revision = owner.chain.Committed()
+	}
+	version, there := owner.chain.Version(revision)
+	if !there {
+		return []contract.Command{contract.Refuse(ask.Token, 404, "no such revision is kept", 0)}
+	}
+	return []contract.Command{contract.Answer{Token: ask.Token, Status: 200, Body: version}}
+}
+
+// Leave hands the duties over when this process stops on purpose.
+type Leave struct{}
+
+func (owner *Owner) Chain() *chain.Owner { return owner.chain }
--- /dev/null
+++ b/control/gather.go
@@ -0,0 +1,121 @@
+package control
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/shard"
+	mapset "github.com/deckarep/golang-set/v2"
+)
+
+// gather asks several members and goes on when enough of them answered, or at the end of a round.
+type gather struct {
+	until   time.Duration
+	waiting mapset.Set[string]
+	take    func(body json.RawMessage) bool
+	then    func(now time.Duration) []contract.Command
+}
+
+func (owner *Owner) gather(now time.Duration, fits func(contract.Member) bool, kind string, letter func(token int64) any,
+	take func(body json.RawMessage) bool, then func(now time.Duration) []contract.Command) []contract.Command {
+	owner.token++
+	pending := &gather{until: now + owner.Bounds.Round(), waiting: mapset.NewThreadUnsafeSet[string](), take: take, then: then}
+	commands := []contract.Command{}
+	for _, member := range owner.Neighbours.Live(now, fits) {
+		pending.waiting.Add(member.Name)
+		commands = append(commands, contract.Send{To: member.Address, Kind: kind, Body: letter(owner.token)})
+	}
+	if pending.waiting.Cardinality() == 0 {
+		return then(now)
+	}
+	owner.gathers[owner.token] = pending
+	return commands
+}
+
+func (owner *Owner) gathered(now time.Duration, letter contract.Letter) []contract.Command {
+	if letter.Kind == LetterStatusAsk {
+		var ask StatusAsk
+		if json.Unmarshal(letter.Body, &ask) != nil {
+			return nil
+		}
+		body, _ := json.Marshal(owner.shard.Status(now))
+		return []contract.Command{contract.Send{To: ask.Address, Kind: LetterStatus, Body: Status{Token: ask.Token, Node: owner.Self().Name, Body: body}}}
+	}
+	if letter.Kind != LetterStatus && letter.Kind != LetterWhy && letter.Kind != shard.LetterWithdrawn {
+		return nil
+	}
+	var status Status
+	if json.Unmarshal(letter.Body, &status) != nil {
+		return nil
+	}
+	pending, there := owner.gathers[status.Token]
+	if !there || !pending.waiting.Contains(letter.From) {
+		return nil
+	}
+	pending.waiting.Remove(letter.From)
+	body := status.Body
+	if letter.Kind == shard.LetterWithdrawn {
+		body = letter.Body
+	}
+	if pending.take(body) || pending.waiting.Cardinality() == 0 {
+		delete(owner.gathers, status.Token)
+		return pending.then(now)
+	}
+	return nil
+}
+
+func (owner *Owner) tickGathers(now time.Duration) []contract.Command {
+	commands := []contract.Command{}
+	for token := int64(1); token <= owner.token && len(owner.gathers) > 0; token++ {
+		if pending, there := owner.gathers[token]; there && now > pending.until {
+			delete(owner.gathers, token)
+			commands = append(commands, pending.then(now)...)
+		}
+	}
+	return commands
+}
+
+func (owner *Owner) statusLetter(call string) func(token int64) any {
+	return func(token int64) any {
+		return StatusAsk{Token: token, Address: owner.Self().Address, Call: call}
+	}
+}
+
+func (owner *Owner) shards(now time.Duration, ask contract.Ask) []contract.Command {
+	all := []shard.Status{}
+	fits := func(member contract.Member) bool { return member.Kind == contract.KindControl }
+	return owner.gather(now, fits, LetterStatusAsk, owner.statusLetter(""), func(body json.RawMessage) bool {
+		var statuses []shard.Status
+		if json.Unmarshal(body, &statuses) == nil {
+			all = append(all, statuses...)
+		}
+		return false
+	}, func(time.Duration) []contract.Command {
+		answer := map[string]any{"shards": all}
+		if ask.Verb == contract.VerbRetirements {
+			retired := []shard.Retired{}
+			for _, status := range all {
+				retired = append(retired, status.Retired...)
+			}
+			answer = map[string]any{"retirements": retired}
+		}
+		return []contract.Command{contract.Answer{Token: ask.Token, Status: 200, Body: answer}}
+	})
+}
+
+func (owner *Owner) why(now time.Duration, ask contract.Ask) []contract.Command {
+	tales := []json.RawMessage{}
+	fits := func(member contract.Member) bool { return member.Kind == contract.KindData }
+	return owner.gather(now, fits, LetterWhyAsk, owner.statusLetter(ask.Subject), func(body json.RawMessage) bool {
+		if len(body) > 4 {
+			tales = append(tales, body)
+		}
+		return false
+	}, func(time.Duration) []contract.Command {
+		if len(tales) == 0 {
+			return []contract.Command{contract.Refuse(ask.Token, 404, "no node remembers this call", 0)}
+		}
+		return []contract.Command{contract.Answer{Token: ask.Token, Status: 200, Body: map[string]any{"call": ask.Subject, "tales": tales}}}
+	})
+}
--- /dev/null
+++ b/control/write.go
@@ -0,0 +1,223 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/manifest"
+	"github.com/cedarreel/cedarreel/shard"
+)
+
+type write struct {
+	ask       contract.Ask
+	revision  int64
+	operation string
+	began     time.Duration
+	committed bool
+}
+
+func fingerprint(ask contract.Ask) string {
+	return contract.Digest([]byte(ask.Verb + "\x00" + ask.Subject + "\x00" + fmt.Sprint(ask.Base, ask.HasBase) + "\x00" + string(ask.Body)))[:16]
+}
+
+// patchOf gives an ask's JSON merge patch, or the whole tree for a put.
+func patchOf(ask contract.Ask) (map[string]any, error) {
+	switch ask.Verb {
+	case contract.VerbDrain, contract.VerbUndrain:
+		return map[string]any{"halls": map[string]any{ask.Subject: map[string]any{"drained": ask.Verb == contract.VerbDrain}}}, nil
+	case contract.VerbScale:
+		return map[string]any{"pools": map[string]any{ask.Subject: map[string]any{"scale": json.Number(strings.TrimSpace(string(ask.Body)))}}}, nil
+	}
+	return manifest.Tree(ask.Body)
+}
+
+func (owner *Owner) refuse(ask contract.Ask, status int, mishap string) []contract.Command {
+	after := time.Duration(0)
+	if status == 503 {
+		after = owner.Bounds.Round()
+	}
+	return []contract.Command{contract.Count{Name: fmt.Sprintf("writes_refused_%d", status), By: 1}, contract.Refuse(ask.Token, status, mishap, after)}
+}
+
+func (owner *Owner) write(now time.Duration, ask contract.Ask, withdrawn map[string]bool) []contract.Command {
+	if ask.Operation == "" {
+		return owner.refuse(ask, 400, "an operation key is missing")
+	}
+	operation := ask.Operation + "/" + fingerprint(ask)
+	if former, there := owner.known(ask.Operation); there {
+		if former.Operation != operation {
+			return owner.refuse(ask, 422, "this operation key was used for another write")
+		}
+		owner.await(now, ask, former, operation)
+		return nil
+	}
+	if !owner.chain.Open() {
+		return owner.refuse(ask, 503, "the chain cannot take writes now; nothing was committed")
+	}
+	latest, fine := owner.chain.Latest()
+	if !fine {
+		return owner.refuse(ask, 503, "the latest version is not here; nothing was committed")
+	}
+	if ask.HasBase && ask.Base != latest.Place.Revision {
+		return owner.refuse(ask, 409, fmt.Sprintf("the manifest moved: base %d, now %d", ask.Base, latest.Place.Revision))
+	}
+	if ask.Verb == contract.VerbPut && !ask.HasBase {
+		return owner.refuse(ask, 400, "a whole manifest needs its base revision")
+	}
+	content, drains, mishap := compose(ask, latest)
+	if mishap != nil {
+		return owner.refuse(ask, 400, mishap.Error())
+	}
+	for hall := range drains {
+		if !withdrawn[hall] {
+			return owner.withdraw(now, ask, hall, drains[hall], withdrawn)
+		}
+	}
+	version, commands := owner.chain.Submit(now, operation, content)
+	owner.await(now, ask, version, operation)
+	return commands
+}
+
+// compose gives the next manifest and the halls it drains newly, with their regions and shards.
+func compose(ask contract.Ask, latest contract.Version) ([]byte, map[string]hallReach, error) {
+	patch, mishap := patchOf(ask)
+	if mishap != nil {
+		return nil, nil, mishap
+	}
+	tree, former := patch, manifest.Manifest{}
+	if latest.Place.Revision > 0 {
+		old, mishap := manifest.Tree(latest.Manifest)
+		if mishap != nil {
+			return nil, nil, mishap
+		}
+		former, _ = manifest.FromTree(old)
+		if ask.Verb != contract.VerbPut {
+			tree = manifest.Merge(old, patch)
+		}
+	}
+	next, mishap := manifest.FromTree(tree)
+	if mishap != nil {
+		return nil, nil, mishap
+	}
+	drains := map[string]hallReach{}
+	for name, hall := range next.Halls {
+		if hall.Drained && !former.Halls[name].Drained && latest.Place.Revision > 0 {
+			drains[name] = hallReach{region: hall.Region, shards: former.Regions[hall.Region].Shards}
+		}
+	}
+	content, mishap := json.Marshal(tree)
+	return content, drains, mishap
+}
+
+type hallReach struct {
+	region string
+	shards int
+}
+
+// withdraw has the owners of a hall's shards take it out of their lists before the drain is accepted.
+func (owner *Owner) withdraw(now time.Duration, ask contract.Ask, hall string, reach hallReach, withdrawn map[string]bool) []contract.Command {
+	covered := map[int]bool{}
+	fits := func(member contract.Member) bool {
+		return member.Kind == contract.KindControl && member.Region == reach.region
+	}
+	return owner.gather(now, fits, shard.LetterWithdraw, func(token int64) any {
+		return shard.Withdraw{Hall: hall, Token: token, Address: owner.Self().Address}
+	}, func(body json.RawMessage) bool {
+		var answer shard.Withdrawn
+		if json.Unmarshal(body, &answer) == nil {
+			for _, index := range answer.Shards {
+				covered[index] = true
+			}
+		}
+		return len(covered) >= reach.shards
+	}, func(now time.Duration) []contract.Command {
+		if len(covered) < reach.shards {
+			return owner.refuse(ask, 503, fmt.Sprintf("hall %s: the owners of its shards cannot be reached; nothing was committed", hall))
+		}
+		next := map[string]bool{hall: true}
+		for name := range withdrawn {
+			next[name] = true
+		}
+		if !owner.authority(ask) {
+			return owner.refuse(ask, 503, "the authority moved; nothing was committed")
+		}
+		return owner.write(now, ask, next)
+	})
+}
+
+func (owner *Owner) known(operation string) (contract.Version, bool) {
+	for _, version := range owner.chain.Versions() {
+		if strings.HasPrefix(version.Operation, operation+"/") && strings.LastIndex(version.Operation, "/") == len(operation) {
+			return version, true
+		}
+	}
+	return contract.Version{}, false
+}
+
+func (owner *Owner) await(now time.Duration, ask contract.Ask, version contract.Version, operation string) {
+	owner.token++
+	owner.writes[owner.token] = &write{ask: ask, revision: version.Place.Revision, operation: operation, began: now,
+		committed: version.Place.Revision <= owner.chain.Committed()}
+}
+
+func (owner *Owner) committed(now time.Duration, version contract.Version) {
+	for _, pending := range owner.writes {
+		if pending.revision == version.Place.Revision && pending.operation == version.Operation {
+			pending.committed = true
+		}
+	}
+}
+
+func (owner *Owner) tickWrites(now time.Duration) []contract.Command {
+	commands := []contract.Command{}
+	for token := int64(1); token <= owner.token && len(owner.writes) > 0; token++ {
+		pending, there := owner.writes[token]
+		if !there {
+			continue
+		}
+		accepted := contract.Accepted{Revision: pending.revision, Operation: pending.ask.Operation, View: owner.Feed.View().Number}
+		status := 0
+		if !pending.committed && now-pending.began > owner.Bounds.Commit() {
+			status, accepted.Outcome, accepted.Mishap = 504, "unknown", "not yet acknowledged by the whole chain; ask by the operation key"
+		}
+		if pending.committed {
+			accepted.Lacking = owner.lacking(now, pending.revision)
+			if len(accepted.Lacking) == 0 {
+				status, accepted.Outcome = 200, "in force"
+			} else if now-pending.began > owner.Bounds.Deliver()*5/6 {
+				status, accepted.Outcome = 202, "committed"
+			}
+		}
+		if status > 0 {
+			delete(owner.writes, token)
+			commands = append(commands, contract.Count{Name: fmt.Sprintf("writes_answered_%d", status), By: 1},
+				contract.Answer{Token: pending.ask.Token, Status: status, Body: accepted})
+		}
+	}
+	return commands
+}
+
+func (owner *Owner) lacking(now time.Duration, revision int64) []string {
+	lacking := owner.Neighbours.Silent(now)
+	for _, member := range owner.Neighbours.Members(now) {
+		if member.Place.Revision < revision && member.Name != owner.Self().Name {
+			lacking = append(lacking, member.Name)
+		}
+	}
+	return lacking
+}
+
+func (owner *Owner) operation(ask contract.Ask) []contract.Command {
+	version, there := owner.known(ask.Subject)
+	if !there {
+		return []contract.Command{contract.Refuse(ask.Token, 404, "no kept version has this operation key", 0)}
+	}
+	accepted := contract.Accepted{Outcome: "committed", Revision: version.Place.Revision, View: version.Place.View, Operation: ask.Subject}
+	if version.Place.Revision > owner.chain.Committed() {
+		accepted.Outcome = "unknown"
+	}
+	return []contract.Command{contract.Answer{Token: ask.Token, Status: 200, Body: accepted}}
+}
--- /dev/null
+++ b/data/end.go
@@ -0,0 +1,133 @@
+package data
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cedarreel/cedarreel/call"
+	"github.com/cedarreel/cedarreel/contract"
+)
+
+func (owner *Owner) dropAttempt(job *job, number int) {
+	attempt, there := job.attempts[number]
+	if !there {
+		return
+	}
+	delete(job.attempts, number)
+	usage := owner.usages[attempt.server.Name]
+	usage.Own = max(0, usage.Own-1)
+	usage.AtReport = min(usage.AtReport, usage.Own)
+	if usage.Own == 0 {
+		delete(owner.usages, attempt.server.Name)
+		return
+	}
+	owner.usages[attempt.server.Name] = usage
+}
+
+func (owner *Owner) begun(event Begun) {
+	if job, there := owner.jobs[event.Token]; there {
+		if attempt, there := job.attempts[event.Attempt]; there {
+			attempt.pieces = true
+		}
+	}
+}
+
+// ended takes the end of one attempt: whole, proven not to have run, or not known.
+func (owner *Owner) ended(now time.Duration, event Ended) {
+	job, there := owner.jobs[event.Token]
+	if !there {
+		return
+	}
+	attempt, there := job.attempts[event.Attempt]
+	if !there {
+		return
+	}
+	owner.dropAttempt(job, event.Attempt)
+	if place := event.Attempt - 1; place < len(job.tale.Attempts) {
+		job.tale.Attempts[place].Proof, job.tale.Attempts[place].Mishap = string(event.Proof), event.Mishap
+	}
+	owner.count("attempts_" + string(event.Proof))
+	switch {
+	case event.Proof == call.Whole:
+		owner.lines.Served(job.call.Route, now-attempt.began)
+		owner.succeed(now, job, attempt, event)
+	case event.Proof.NeverRan() || job.call.Lookup && event.Proof == call.Silent:
+		owner.again(now, job, event)
+	case event.Proof == call.Broken:
+		owner.finish(now, job, call.Interrupted, nil)
+	case event.Proof == call.Left:
+		owner.finish(now, job, call.Interrupted, nil)
+	default:
+		owner.trouble(now, job, 502, call.Unknown, "sent to a server, and no whole answer came: "+event.Mishap, 0)
+	}
+	owner.serve(now)
+}
+
+func (owner *Owner) succeed(now time.Duration, job *job, attempt *attempt, event Ended) {
+	owner.settleRecord(job, call.Done, event.Pieces)
+	owner.finish(now, job, call.Done, contract.Answer{Token: job.token, Status: 200, Body: Reply{Pieces: event.Pieces, Server: attempt.server.Name}})
+}
+
+// again tries another server after a proven not-run, if the allowance and the deadline leave room for it.
+func (owner *Owner) again(now time.Duration, job *job, event Ended) {
+	if len(job.attempts) > 0 {
+		return
+	}
+	if job.tries >= mostAttempts || now >= job.deadline || !owner.repeats.Take() {
+		if job.call.Lookup && event.Proof == call.Silent {
+			owner.trouble(now, job, 502, call.Unknown, "no server answered the lookup: "+event.Mishap, owner.jitter(owner.Bounds.Round()))
+			return
+		}
+		owner.refuse(now, job, 503, "the server did not take the call: "+event.Mishap, owner.jitter(owner.Bounds.Round()))
+		return
+	}
+	owner.count("repeats_after_not_run")
+	owner.enter(now, job)
+}
+
+// left is a caller that went away: what waits is removed, what runs is cancelled and never run again.
+func (owner *Owner) left(now time.Duration, event Left) {
+	job, there := owner.jobs[event.Token]
+	if !there {
+		return
+	}
+	job.silent = true
+	owner.count("callers_left")
+	outcome := call.NotRun
+	if job.phase == phaseRunning {
+		outcome = call.Interrupted
+	}
+	owner.finish(now, job, outcome, nil)
+}
+
+// recall asks servers that are cut to give back calls that they never started.
+func (owner *Owner) recall(servers []string) {
+	if len(servers) == 0 {
+		return
+	}
+	for _, token := range owner.tokens() {
+		job := owner.jobs[token]
+		if job.call.Lookup {
+			continue
+		}
+		for _, number := range sortedAttempts(job.attempts) {
+			attempt := job.attempts[number]
+			if attempt.pieces || attempt.recalled || !slices.Contains(servers, attempt.server.Name) {
+				continue
+			}
+			attempt.recalled = true
+			owner.emit(Recall{Token: token, Attempt: number, Identity: identity(owner.Self(), job, number), Server: attempt.server})
+		}
+	}
+}
+
+func (owner *Owner) recalled(now time.Duration, event Recalled) {
+	job, there := owner.jobs[event.Token]
+	if !there || !event.Never {
+		return
+	}
+	if attempt, there := job.attempts[event.Attempt]; there && !attempt.pieces {
+		owner.emit(Cancel{Token: event.Token, Attempt: event.Attempt})
+		owner.ended(now, Ended{Token: event.Token, Attempt: event.Attempt, Proof: call.Withdrawn, Mishap: "recalled before it started"})
+	}
+}
--- /dev/null
+++ b/data/find.go
@@ -0,0 +1,137 @@
+package data
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cedarreel/cedarreel/call"
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/manifest"
+	mapset "github.com/deckarep/golang-set/v2"
+)
+
+// find asks every data node of the region that could know of a call.
+type find struct {
+	token    int64
+	scoped   string
+	until    time.Duration
+	waiting  mapset.Set[string]
+	firm     int
+	roster   int
+	record   *call.Record
+	complete func(now time.Duration, record *call.Record, never bool)
+}
+
+func sortedNames(names map[string]string) []string { return manifest.SortedKeys(names) }
+
+func (owner *Owner) findAll(now time.Duration, scoped string, age time.Duration, complete func(time.Duration, *call.Record, bool)) {
+	owner.token++
+	roster := owner.roster()
+	search := &find{token: owner.token, scoped: scoped, until: now + owner.Bounds.Keep(), roster: len(roster), complete: complete, waiting: mapset.NewThreadUnsafeSet[string]()}
+	owner.finds[owner.token] = search
+	for _, name := range roster {
+		if name == owner.Self().Name {
+			if owner.table.Firm(now, age) {
+				search.firm++
+			}
+			continue
+		}
+		if member, there := owner.Neighbours.Look(name); there {
+			search.waiting.Add(name)
+			owner.emit(contract.Send{To: member.Address, Kind: LetterFind, Body: Find{Token: owner.token, Scoped: scoped, Age: age, Address: owner.Self().Address}})
+		}
+	}
+	owner.concludeFind(now, search)
+}
+
+func (owner *Owner) find(now time.Duration, ask Find) {
+	found := Found{Token: ask.Token, Firm: owner.table.Firm(now, ask.Age)}
+	if record, there := owner.table.Find(now, ask.Scoped); there {
+		found.Record = &record
+	}
+	owner.emit(contract.Send{To: ask.Address, Kind: LetterFound, Body: found})
+}
+
+func (owner *Owner) found(now time.Duration, from string, found Found) {
+	search, there := owner.finds[found.Token]
+	if !there || !search.waiting.Contains(from) {
+		return
+	}
+	search.waiting.Remove(from)
+	if found.Record != nil && found.Record.Scoped == search.scoped {
+		if search.record == nil || search.record.Outcome == call.Running {
+			search.record = found.Record
+		}
+	} else if found.Firm {
+		search.firm++
+	}
+	owner.concludeFind(now, search)
+}
+
+// concludeFind ends a search when all answered or its time is over. Every dispatch was granted by two data nodes,
+// so all but one of the roster saying "never seen" proves that the call never left.
+func (owner *Owner) concludeFind(now time.Duration, search *find) {
+	settled := search.record != nil && search.record.Outcome != call.Running
+	if !settled && search.waiting.Cardinality() > 0 && now < search.until {
+		return
+	}
+	delete(owner.finds, search.token)
+	search.complete(now, search.record, search.roster > 1 && search.firm >= search.roster-(needed-1))
+}
+
+func (owner *Owner) tickFinds(now time.Duration) {
+	tokens := []int64{}
+	for token, search := range owner.finds {
+		if now >= search.until {
+			tokens = append(tokens, token)
+		}
+	}
+	slices.Sort(tokens)
+	for _, token := range tokens {
+		owner.concludeFind(now, owner.finds[token])
+	}
+}
+
+func (owner *Owner) startFind(now time.Duration, job *job) {
+	job.phase = phaseFinding
+	owner.findAll(now, job.call.Scoped(), job.call.Age, func(now time.Duration, record *call.Record, never bool) {
+		if owner.jobs[job.token] != job {
+			return
+		}
+		switch {
+		case record != nil:
+			owner.meet(now, job, *record)
+		case never:
+			owner.startHold(now, job)
+		default:
+			owner.trouble(now, job, 503, call.Unknown, "too few of those who could know of this repeat remember", owner.jitter(owner.Bounds.Round()))
+		}
+	})
+}
+
+// look tells a caller what became of a call.
+func (owner *Owner) look(now time.Duration, event Look) {
+	scoped := call.Call{Caller: event.Caller, Key: event.Key}.Scoped()
+	answer := func(now time.Duration, record *call.Record, never bool) {
+		body := map[string]any{"outcome": call.Unknown}
+		status := 200
+		switch {
+		case record != nil:
+			body["outcome"], body["kept"] = record.Outcome, record.Kept
+			if record.Outcome == call.Running && (record.Left <= 0 || !owner.stillRuns(now, *record)) {
+				body["outcome"] = call.Unknown
+			}
+			if record.Kept {
+				body["pieces"] = record.Pieces
+			}
+		case never:
+			status, body["outcome"] = 404, call.Unseen
+		}
+		owner.emit(contract.Answer{Token: event.Token, Status: status, Body: body})
+	}
+	if record, there := owner.table.Find(now, scoped); there && record.Outcome != call.Running {
+		answer(now, &record, false)
+		return
+	}
+	owner.findAll(now, scoped, 0, answer)
+}
--- /dev/null
+++ b/data/job.go
@@ -0,0 +1,289 @@
+package data
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cedarreel/cedarreel/call"
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/machine"
+	"github.com/cedarreel/cedarreel/manifest"
+	"github.com/cedarreel/cedarreel/pick"
+)
+
+type phase string
+
+const (
+	phaseFinding phase = "finding"
+	phaseHolding phase = "holding"
+	phaseLined   phase = "lined"
+	phaseRunning phase = "running"
+)
+
+const mostAttempts = 3
+
+type attempt struct {
+	server   contract.Candidate
+	began    time.Duration
+	pieces   bool
+	recalled bool
+}
+
+type job struct {
+	token    int64
+	call     call.Call
+	route    manifest.Route
+	phase    phase
+	arrived  time.Duration
+	deadline time.Duration
+	asked    time.Duration
+	keepers  map[string]string
+	granted  map[string]bool
+	refused  int
+	attempts map[int]*attempt
+	tries    int
+	tried    map[string]bool
+	hedged   bool
+	tale     *Tale
+	silent   bool
+}
+
+func (owner *Owner) jitter(span time.Duration) time.Duration {
+	return span + time.Duration(owner.Random.Int64N(int64(span)+1))
+}
+
+func (owner *Owner) arrive(now time.Duration, event Arrive) {
+	read, asked := owner.Feed.Manifest(), event.Call
+	home, fine := read.Home(asked.Caller, asked.Home, owner.Self().Region)
+	asked.Home = home
+	job := &job{token: event.Token, call: asked, arrived: now, tried: map[string]bool{}, attempts: map[int]*attempt{},
+		tale: &Tale{Call: asked.Key, Caller: asked.Caller, Route: asked.Route, Node: owner.Self().Name, Home: home, Revision: owner.Feed.Version().Place.Revision, arrived: now}}
+	owner.tales.add(job.tale)
+	owner.count("calls")
+	if !owner.Feed.Known() || owner.stopping {
+		owner.refuse(now, job, 503, "this node does not serve now", owner.jitter(owner.Bounds.Round()))
+		return
+	}
+	route, there := read.Routes[asked.Route]
+	job.route = route
+	switch {
+	case !there || asked.Lookup != (route.Class == manifest.ClassLookup):
+		owner.refuse(now, job, 404, "no such route", 0)
+		return
+	case !fine:
+		owner.refuse(now, job, 400, fmt.Sprintf("home %q is not this caller's, or no region", event.Call.Home), 0)
+		return
+	case home != owner.Self().Region:
+		owner.misdirected(now, job)
+		return
+	case route.Pools[home] == "":
+		owner.refuse(now, job, 404, "the route has no pool in the home region", 0)
+		return
+	case int64(len(owner.jobs)) >= owner.Bounds.Calls:
+		owner.refuse(now, job, 503, "too many calls at this node", owner.jitter(owner.Bounds.Round()))
+		return
+	}
+	if asked.Deadline <= 0 {
+		asked.Deadline = route.Deadline
+	}
+	job.deadline = now + min(asked.Deadline, owner.Bounds.Deadline())
+	if job.call.Tokens == 0 {
+		job.call.Tokens = route.Tokens
+	}
+	owner.jobs[job.token] = job
+	if asked.Lookup {
+		owner.repeats.Real()
+		owner.enter(now, job)
+		return
+	}
+	if record, known := owner.table.Find(now, asked.Scoped()); known {
+		owner.meet(now, job, record)
+		return
+	}
+	if asked.Repeat {
+		owner.startFind(now, job)
+		return
+	}
+	owner.startHold(now, job)
+}
+
+// misdirected sends a caller to its home: no server outside it is ever a candidate here.
+func (owner *Owner) misdirected(now time.Duration, job *job) {
+	nodes := []string{}
+	for _, member := range owner.Neighbours.Members(now) {
+		if member.Kind == contract.KindData && member.Region == job.call.Home {
+			nodes = append(nodes, member.Address)
+		}
+	}
+	after := time.Duration(0)
+	if len(nodes) == 0 {
+		after = owner.jitter(owner.Bounds.Round())
+	}
+	owner.finish(now, job, call.NotRun, contract.Answer{Token: job.token, Status: 421, After: after, Body: contract.Trouble{Outcome: string(call.NotRun),
+		Mishap: "the call is bound to another region", Home: job.call.Home, Nodes: nodes, RetryAfterMs: after.Milliseconds()}})
+}
+
+// refuse ends a call that is proven not to run: it is out of our lines before the answer goes.
+func (owner *Owner) refuse(now time.Duration, job *job, status int, mishap string, after time.Duration) {
+	owner.trouble(now, job, status, call.NotRun, mishap, after)
+}
+
+func (owner *Owner) trouble(now time.Duration, job *job, status int, outcome call.Outcome, mishap string, after time.Duration) {
+	job.tale.Mishap = mishap
+	owner.count(fmt.Sprintf("answers_%d", status))
+	owner.finish(now, job, outcome, contract.Answer{Token: job.token, Status: status, After: after,
+		Body: contract.Trouble{Outcome: string(outcome), Mishap: mishap, RetryAfterMs: after.Milliseconds()}})
+}
+
+// finish takes a call out of every line and record that it must leave, and gives its one answer.
+func (owner *Owner) finish(now time.Duration, job *job, outcome call.Outcome, answer contract.Command) {
+	owner.lines.Leave(job.call.Route, job.token)
+	delete(owner.jobs, job.token)
+	owner.settleRecord(job, outcome, nil)
+	for _, number := range sortedAttempts(job.attempts) {
+		owner.dropAttempt(job, number)
+		owner.emit(Cancel{Token: job.token, Attempt: number})
+	}
+	owner.closeTale(now, job, outcome, answer)
+	if answer != nil && !job.silent {
+		owner.emit(answer)
+	}
+}
+
+func (owner *Owner) closeTale(now time.Duration, job *job, outcome call.Outcome, answer contract.Command) {
+	job.tale.Outcome, job.tale.TookMs = string(outcome), (now - job.arrived).Milliseconds()
+	if given, fine := answer.(contract.Answer); fine {
+		job.tale.Status = given.Status
+	}
+	owner.count("outcomes_" + string(outcome))
+}
+
+func sortedAttempts(attempts map[int]*attempt) []int {
+	numbers := []int{}
+	for number := 1; len(numbers) < len(attempts); number++ {
+		if _, there := attempts[number]; there {
+			numbers = append(numbers, number)
+		}
+	}
+	return numbers
+}
+
+// enter puts a recorded call into its line, or refuses it at once when it could not be served in time.
+func (owner *Owner) enter(now time.Duration, job *job) {
+	wait := owner.lines.Wait(job.call.Route, owner.lines.Length(job.call.Route), owner.running(job.call.Route))
+	if !owner.lines.Join(job.call.Route, job.token, job.route.Line) {
+		owner.refuse(now, job, 429, "the line is full", owner.jitter(max(wait/2, owner.Bounds.Round())))
+		return
+	}
+	job.phase = phaseLined
+	owner.serve(now)
+	if job.phase == phaseLined && now+wait+owner.lines.Service(job.call.Route) > job.deadline {
+		owner.refuse(now, job, 429, "it cannot be served before its deadline", owner.jitter(max(wait/2, owner.Bounds.Round())))
+	}
+}
+
+func (owner *Owner) running(route string) int {
+	count := 0
+	for _, job := range owner.jobs {
+		if job.phase == phaseRunning && job.call.Route == route {
+			count++
+		}
+	}
+	return count
+}
+
+func (owner *Owner) serve(now time.Duration) {
+	if owner.lines.Total() == 0 {
+		return
+	}
+	candidates, lapsed := owner.candidates(now)
+	owner.lines.Serve(func(token int64) bool {
+		job, there := owner.jobs[token]
+		return !there || owner.dispatch(now, job, candidates, lapsed)
+	})
+}
+
+func (owner *Owner) dispatch(now time.Duration, job *job, candidates []contract.Candidate, lapsed []int) bool {
+	if now >= job.deadline {
+		return false
+	}
+	want := pick.Want{Pool: job.route.Pools[job.call.Home], Class: job.route.Class, Hall: owner.Self().Hall, Prefix: job.call.Prefix, Avoid: job.tried}
+	if job.call.Session != "" {
+		want.Session = job.call.Caller + "\x1f" + job.call.Session
+	}
+	chosen, verdicts, fine := pick.Choose(want, candidates, owner.usages, owner.sessions.server, owner.Random)
+	if !fine {
+		return false
+	}
+	job.phase = phaseRunning
+	job.tries++
+	job.tried[chosen.Name] = true
+	job.attempts[job.tries] = &attempt{server: chosen, began: now}
+	usage := owner.usages[chosen.Name]
+	usage.Own++
+	owner.usages[chosen.Name] = usage
+	if want.Session != "" {
+		owner.sessions.set(want.Session, chosen.Name)
+	}
+	if want.Prefix != "" {
+		owner.sessions.set("prefix/"+want.Prefix, chosen.Name)
+	}
+	owner.tellTale(job, chosen, verdicts, lapsed)
+	owner.emit(Dispatch{Token: job.token, Attempt: job.tries, Identity: identity(owner.Self(), job, job.tries), Server: chosen, Limit: job.deadline - now})
+	return true
+}
+
+func identity(self contract.Member, job *job, number int) string {
+	return fmt.Sprintf("%s-%s-%d-%d", machine.Name(self), self.Boot, job.token, number)
+}
+
+const mostVerdicts = 32
+
+func (owner *Owner) tellTale(job *job, chosen contract.Candidate, verdicts []pick.Verdict, lapsed []int) {
+	if len(verdicts) > mostVerdicts {
+		verdicts = verdicts[:mostVerdicts]
+	}
+	job.tale.Attempts = append(job.tale.Attempts, TaleAttempt{Server: chosen.Name, Verdicts: verdicts})
+	job.tale.Lists = nil
+	for _, index := range owner.shardIndexes() {
+		held := owner.grants[index]
+		list := TaleList{Shard: index, Epoch: held.licence.Epoch, Number: held.licence.Number}
+		for _, other := range lapsed {
+			list.Lapsed = list.Lapsed || other == index
+		}
+		job.tale.Lists = append(job.tale.Lists, list)
+	}
+}
+
+func (owner *Owner) tickJobs(now time.Duration) {
+	for _, token := range owner.tokens() {
+		job := owner.jobs[token]
+		switch {
+		case job.phase == phaseHolding && now-job.asked > owner.Bounds.Keep():
+			owner.refuse(now, job, 503, "too few keepers answered; the call did not run", owner.jitter(owner.Bounds.Round()))
+		case job.phase == phaseLined && now+owner.lines.Service(job.call.Route)/2 >= job.deadline:
+			owner.refuse(now, job, 503, "no server was free in time; the call did not run", owner.jitter(owner.Bounds.Round()))
+		case job.phase == phaseRunning && job.call.Lookup && !job.hedged:
+			owner.hedge(now, job)
+		}
+	}
+}
+
+const hedgeAfter = 3
+
+// hedge sends a slow lookup to a second server, out of the allowance of repeats.
+func (owner *Owner) hedge(now time.Duration, job *job) {
+	patience := max(owner.lines.Service(job.call.Route)*hedgeAfter, owner.Bounds.Ask())
+	first, there := job.attempts[job.tries]
+	if !there || now-first.began < patience || job.tries >= mostAttempts {
+		return
+	}
+	job.hedged = true
+	if !owner.repeats.Take() {
+		return
+	}
+	candidates, lapsed := owner.candidates(now)
+	if owner.dispatch(now, job, candidates, lapsed) {
+		owner.count("repeats_hedged")
+	}
+}
--- /dev/null
+++ b/data/keep.go
@@ -0,0 +1,200 @@
+package data
+
+import (
+	"time"
+
+	"github.com/cedarreel/cedarreel/call"
+	"github.com/cedarreel/cedarreel/contract"
+)
+
+const (
+	LetterHold   = "keep-hold"
+	LetterHeld   = "keep-held"
+	LetterFinish = "keep-finish"
+	LetterFree   = "keep-free"
+	LetterFind   = "keep-find"
+	LetterFound  = "keep-found"
+	keeperCount  = 3
+	needed       = 2
+)
+
+type Hold struct {
+	Record  call.Record `json:"record"`
+	Address string      `json:"address"`
+}
+
+type Held struct {
+	Token  int64       `json:"token"`
+	Scoped string      `json:"scoped"`
+	Fine   bool        `json:"fine"`
+	Full   bool        `json:"full"`
+	Record call.Record `json:"record"`
+}
+
+type Find struct {
+	Token   int64         `json:"token"`
+	Scoped  string        `json:"scoped"`
+	Age     time.Duration `json:"age"`
+	Address string        `json:"address"`
+}
+
+type Found struct {
+	Token  int64        `json:"token"`
+	Firm   bool         `json:"firm"`
+	Record *call.Record `json:"record,omitempty"`
+}
+
+func (owner *Owner) record(job *job) call.Record {
+	self := owner.Self()
+	return call.Record{Scoped: job.call.Scoped(), Digest: job.call.Digest, Node: self.Name, Boot: self.Boot, Token: job.token, Outcome: call.Running, Left: job.deadline - job.arrived}
+}
+
+// keepersOf gives the live data nodes of the home region that keep a call, spread over halls.
+func (owner *Owner) keepersOf(now time.Duration, scoped string) map[string]string {
+	halls, addresses, names := map[string]string{}, map[string]string{}, []string{}
+	for _, member := range owner.Neighbours.Members(now) {
+		if member.Kind == contract.KindData && member.Region == owner.Self().Region {
+			halls[member.Name], addresses[member.Name] = member.Hall, member.Address
+			names = append(names, member.Name)
+		}
+	}
+	keepers, used := map[string]string{}, map[string]int{}
+	ordered := contract.Ordered("keep/"+scoped, names)
+	for most := 1; len(keepers) < keeperCount && most <= keeperCount; most++ {
+		for _, name := range ordered {
+			_, taken := keepers[name]
+			if !taken && used[halls[name]] < most && len(keepers) < keeperCount {
+				keepers[name] = addresses[name]
+				used[halls[name]]++
+			}
+		}
+	}
+	return keepers
+}
+
+func (owner *Owner) roster() []string {
+	names := []string{}
+	for _, name := range owner.Feed.Manifest().Regions[owner.Self().Region].Machines {
+		names = append(names, name+"-"+contract.KindData)
+	}
+	return names
+}
+
+func (owner *Owner) startHold(now time.Duration, job *job) {
+	job.phase, job.asked = phaseHolding, now
+	job.granted = map[string]bool{}
+	job.keepers = owner.keepersOf(now, job.call.Scoped())
+	record := owner.record(job)
+	if _, fine, full := owner.table.Hold(now, record); !fine {
+		mishap := "the call is held by another"
+		if full {
+			mishap = "the records are full"
+		}
+		owner.refuse(now, job, 503, mishap, owner.jitter(owner.Bounds.Round()))
+		return
+	}
+	if _, self := job.keepers[owner.Self().Name]; self {
+		job.granted[owner.Self().Name] = true
+	}
+	for _, name := range sortedNames(job.keepers) {
+		if name != owner.Self().Name {
+			owner.emit(contract.Send{To: job.keepers[name], Kind: LetterHold, Body: Hold{Record: record, Address: owner.Self().Address}})
+		}
+	}
+	owner.checkHold(now, job)
+}
+
+func (owner *Owner) hold(now time.Duration, hold Hold) {
+	known, fine, full := owner.table.Hold(now, hold.Record)
+	owner.emit(contract.Send{To: hold.Address, Kind: LetterHeld, Body: Held{Token: hold.Record.Token, Scoped: hold.Record.Scoped, Fine: fine, Full: full, Record: known}})
+}
+
+func (owner *Owner) held(now time.Duration, from string, held Held) {
+	job, there := owner.jobs[held.Token]
+	if !there || job.phase != phaseHolding || job.call.Scoped() != held.Scoped {
+		return
+	}
+	if _, keeper := job.keepers[from]; !keeper {
+		return
+	}
+	switch {
+	case held.Fine:
+		job.granted[from] = true
+		owner.checkHold(now, job)
+	case held.Full:
+		job.refused++
+		if job.refused > keeperCount-needed {
+			owner.refuse(now, job, 503, "the records are full", owner.jitter(owner.Bounds.Round()))
+		}
+	default:
+		owner.free(job)
+		owner.meet(now, job, held.Record)
+	}
+}
+
+func (owner *Owner) checkHold(now time.Duration, job *job) {
+	if len(job.granted) < needed {
+		return
+	}
+	owner.repeats.Real()
+	owner.enter(now, job)
+}
+
+// meet answers a call whose key is known: it is never run again.
+func (owner *Owner) meet(now time.Duration, job *job, record call.Record) {
+	job.keepers = nil
+	if record.Digest != job.call.Digest {
+		owner.refuse(now, job, 422, "this key was used with another body", 0)
+		return
+	}
+	owner.count("repeats_met")
+	switch {
+	case record.Outcome == call.Done && record.Kept:
+		owner.finish(now, job, call.Done, contract.Answer{Token: job.token, Status: 200, Body: Reply{Pieces: record.Pieces}})
+	case record.Outcome == call.Done:
+		owner.trouble(now, job, 410, call.Done, "the call was done; its reply is no longer kept", 0)
+	case record.Outcome == call.Interrupted:
+		owner.trouble(now, job, 502, call.Interrupted, "the call was interrupted", 0)
+	case record.Outcome == call.Running && record.Left > 0 && owner.stillRuns(now, record):
+		after := min(max(owner.lines.Service(job.call.Route)/2, owner.Bounds.Round()), record.Left+owner.Bounds.Round())
+		owner.trouble(now, job, 409, call.Running, "the call is still running", owner.jitter(after))
+	default:
+		owner.trouble(now, job, 502, call.Unknown, "the call was taken and its end is not known", 0)
+	}
+}
+
+func (owner *Owner) stillRuns(now time.Duration, record call.Record) bool {
+	member, there := owner.Neighbours.Look(record.Node)
+	return there && member.Boot == record.Boot && owner.Neighbours.Alive(now, record.Node)
+}
+
+func (owner *Owner) free(job *job) {
+	record := owner.record(job)
+	owner.table.Free(record)
+	for _, name := range sortedNames(job.keepers) {
+		if name != owner.Self().Name {
+			owner.emit(contract.Send{To: job.keepers[name], Kind: LetterFree, Body: record})
+		}
+	}
+	job.keepers = nil
+}
+
+// settleRecord tells the keepers how a call ended; a call that did not run is forgotten, so that a repeat may run.
+func (owner *Owner) settleRecord(job *job, outcome call.Outcome, pieces []string) {
+	if job.call.Lookup || job.keepers == nil {
+		return
+	}
+	if outcome == call.NotRun {
+		owner.free(job)
+		return
+	}
+	record := owner.record(job)
+	record.Outcome, record.Pieces = outcome, pieces
+	owner.table.Finish(record)
+	for _, name := range sortedNames(job.keepers) {
+		if name != owner.Self().Name {
+			owner.emit(contract.Send{To: job.keepers[name], Kind: LetterFinish, Body: record})
+		}
+	}
+	job.keepers = nil
+}
--- /dev/null
+++ b/ledger/answers.go
@@ -0,0 +1,181 @@
+package ledger
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Reply is what a caller got: pieces as they came, and how it ended.
+type Reply struct {
+	Outcome  string
+	Status   int
+	Pieces   []string
+	Numbers  []int64
+	Finished bool
+	First    time.Duration
+}
+
+// PieceOf is the text of a run's piece as the stand-in servers write it; callers can tell run, call and place from it.
+func PieceOf(identity, scoped string, place int) string {
+	return fmt.Sprintf("%s|%s|%d;", identity, scoped, place)
+}
+
+// Answered judges one answer at once.
+func (ledger *Ledger) Answered(scoped string, index int, at time.Duration, reply Reply) {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	known := ledger.calls[scoped]
+	tried := known.attempts[index]
+	tried.ended, tried.outcome = true, reply.Outcome
+	ledger.Figures.answered(known.class, reply, at-tried.sent)
+	if !known.model {
+		return
+	}
+	run := ledger.judgePieces(known, at, reply)
+	if !reply.Finished || run == nil {
+		if reply.Finished {
+			ledger.breach(at, BrokenStream, "call %s looked finished without a run", scoped)
+		}
+		return
+	}
+	if !run.whole || len(run.pieces) != len(reply.Pieces) {
+		ledger.breach(at, BrokenStream, "call %s looked finished with %d pieces of %d", scoped, len(reply.Pieces), len(run.pieces))
+	}
+}
+
+func (ledger *Ledger) judgePieces(known *called, at time.Duration, reply Reply) *run {
+	identity := ""
+	for place, piece := range reply.Pieces {
+		parts := strings.Split(strings.TrimSuffix(piece, ";"), "|")
+		if len(parts) != 3 {
+			ledger.breach(at, WrongAnswer, "call %s got an odd piece %q", known.scoped, piece)
+			return nil
+		}
+		if parts[1] != known.scoped {
+			ledger.breach(at, WrongAnswer, "call %s got a piece of call %s", known.scoped, parts[1])
+			return nil
+		}
+		if identity != "" && parts[0] != identity {
+			ledger.breach(at, BrokenStream, "call %s got pieces of two runs", known.scoped)
+			return nil
+		}
+		identity = parts[0]
+		if parts[2] != fmt.Sprint(place) || reply.Numbers != nil && reply.Numbers[place] != int64(place) {
+			ledger.breach(at, BrokenStream, "call %s: piece %s came at place %d", known.scoped, parts[2], place)
+			return nil
+		}
+	}
+	return ledger.byRun[identity]
+}
+
+// Accepted notes an operator's answer to a write; Held what a node says it has in force; ReadBack what a read gave.
+func (ledger *Ledger) Accepted(revision int64, digest string, at time.Duration) {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	if former, there := ledger.accepted[revision]; there && digest != "" && former != digest {
+		ledger.breach(at, LostManifest, "revision %d was accepted twice, altered", revision)
+	}
+	ledger.accepted[revision] = digest
+	if _, there := ledger.inForce[revision]; !there {
+		ledger.inForce[revision] = at
+	}
+}
+
+// Held judges a node's revision; reachable says whether it could have heard for the whole bound.
+func (ledger *Ledger) Held(node string, revision int64, at time.Duration, reachable bool) {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	if revision < ledger.held[node] {
+		ledger.breach(at, LateManifest, "%s slipped from revision %d to %d", node, ledger.held[node], revision)
+	}
+	ledger.held[node] = revision
+	for accepted, since := range ledger.inForce {
+		if accepted > revision && reachable && at-since > ledger.bounds.Deliver {
+			ledger.breach(at, LateManifest, "%s holds revision %d, %v after %d was accepted", node, revision, at-since, accepted)
+		}
+		if accepted > revision && reachable {
+			ledger.Figures.manifestLag(at - since)
+		}
+	}
+}
+
+func (ledger *Ledger) Restarted(node string) {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	delete(ledger.held, node)
+}
+
+func (ledger *Ledger) ReadBack(revision int64, digest string, at time.Duration) {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	if former, there := ledger.accepted[revision]; there && former != "" && former != digest {
+		ledger.breach(at, LostManifest, "revision %d read back altered or missing", revision)
+	}
+}
+
+func (ledger *Ledger) AcceptedRevisions() []int64 {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	revisions := []int64{}
+	for revision := range ledger.accepted {
+		revisions = append(revisions, revision)
+	}
+	return revisions
+}
+
+// Returned judges how long serving took to come back in a region.
+func (ledger *Ledger) Returned(region string, back, served time.Duration) {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	ledger.Figures.returned(served - back)
+	if served-back > ledger.bounds.Return {
+		ledger.breach(served, LateReturn, "region %s served again only %v after it returned", region, served-back)
+	}
+}
+
+// Close judges what only the end shows.
+func (ledger *Ledger) Close(at time.Duration) {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	for _, known := range sortedCalls(ledger.calls) {
+		for _, tried := range known.attempts {
+			if !tried.ended && at > tried.sent+tried.deadline+ledger.bounds.Patience {
+				ledger.breach(at, LostSilently, "call %s sent at %v never got an answer", known.scoped, tried.sent)
+			}
+		}
+		if known.model {
+			ledger.judgeNotRun(known)
+		}
+	}
+	if extra := ledger.arrivals - ledger.distinct(); ledger.real > 0 {
+		share := 100 * float64(extra) / float64(ledger.real)
+		ledger.Figures.RepeatPct = share
+		if extra > 10 && share > ledger.bounds.RepeatPct {
+			ledger.breach(at, Repeats, "%d repeats for %d calls", extra, ledger.real)
+		}
+	}
+}
+
+func (ledger *Ledger) distinct() int64 {
+	count := int64(0)
+	for _, known := range ledger.calls {
+		if len(known.runs) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// judgeNotRun wants for every run a try that it can belong to: sent before it and not told "not run".
+func (ledger *Ledger) judgeNotRun(known *called) {
+	for _, begun := range known.runs {
+		owned := false
+		for _, tried := range known.attempts {
+			owned = owned || tried.sent <= begun.began && !(tried.ended && tried.outcome == "not_run")
+		}
+		if !owned {
+			ledger.breach(begun.began, FalseNotRun, "call %s ran on %s, and every try of it was told not run", known.scoped, begun.server)
+		}
+	}
+}
--- /dev/null
+++ b/ledger/figures.go
@@ -0,0 +1,93 @@
+package ledger
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+)
+
+type classFigures struct {
+	Sent     int
+	Outcomes map[string]int
+	First    []time.Duration
+	Took     []time.Duration
+}
+
+// Figures are what a run is measured by.
+type Figures struct {
+	Classes   map[string]*classFigures
+	LatePick  time.Duration
+	LateDrain time.Duration
+	Lag       time.Duration
+	Return    time.Duration
+	ColdShare float64
+	RepeatPct float64
+}
+
+func newFigures() Figures { return Figures{Classes: map[string]*classFigures{}} }
+
+func (figures *Figures) class(name string) *classFigures {
+	known, there := figures.Classes[name]
+	if !there {
+		known = &classFigures{Outcomes: map[string]int{}}
+		figures.Classes[name] = known
+	}
+	return known
+}
+
+func (figures *Figures) sent(class string) { figures.class(class).Sent++ }
+
+func (figures *Figures) answered(class string, reply Reply, took time.Duration) {
+	known := figures.class(class)
+	known.Outcomes[reply.Outcome]++
+	if reply.Outcome == "done" {
+		known.Took = append(known.Took, took)
+		if reply.First > 0 {
+			known.First = append(known.First, reply.First)
+		}
+	}
+}
+
+func (figures *Figures) latePick(late time.Duration) { figures.LatePick = max(figures.LatePick, late) }
+func (figures *Figures) lateDrain(late time.Duration) {
+	figures.LateDrain = max(figures.LateDrain, late)
+}
+func (figures *Figures) manifestLag(late time.Duration) { figures.Lag = max(figures.Lag, late) }
+func (figures *Figures) returned(took time.Duration)    { figures.Return = max(figures.Return, took) }
+func (figures *Figures) cold(running, allowed int64) {
+	figures.ColdShare = max(figures.ColdShare, float64(running)/float64(allowed))
+}
+
+func middle(spans []time.Duration, part float64) time.Duration {
+	if len(spans) == 0 {
+		return 0
+	}
+	sorted := append([]time.Duration{}, spans...)
+	sort.Slice(sorted, func(left, right int) bool { return sorted[left] < sorted[right] })
+	return sorted[int(part*float64(len(sorted)-1))]
+}
+
+func (figures *Figures) Text() string {
+	lines := []string{}
+	names := []string{}
+	for name := range figures.Classes {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		known := figures.Classes[name]
+		outcomes := []string{}
+		for outcome, count := range known.Outcomes {
+			outcomes = append(outcomes, fmt.Sprintf("%s=%d", outcome, count))
+		}
+		sort.Strings(outcomes)
+		lines = append(lines, fmt.Sprintf("%-8s sent=%d %s first-piece p50=%v p99=%v took p50=%v p99=%v", name, known.Sent, strings.Join(outcomes, " "),
+			round(middle(known.First, 0.5)), round(middle(known.First, 0.99)), round(middle(known.Took, 0.5)), round(middle(known.Took, 0.99))))
+	}
+	lines = append(lines, fmt.Sprintf("late pick=%v late drain=%v manifest lag=%v return=%v cold share=%.2f repeats=%.2f%%",
+		round(figures.LatePick), round(figures.LateDrain), round(figures.Lag), round(figures.Return), figures.ColdShare, figures.RepeatPct))
+	return strings.Join(lines, "\n")
+}
+
+func round(span time.Duration) time.Duration { return span.Round(time.Millisecond) }
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,255 @@
+// Package ledger judges a run by what the stand-ins saw: callers, servers, the platform and operators, never our own counters.
+package ledger
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+)
+
+type Rule string
+
+const (
+	Doubled      Rule = "doubled run"
+	LostSilently Rule = "lost silently"
+	FalseNotRun  Rule = "told not run, but it ran"
+	BrokenStream Rule = "stream skipped, repeated, joined or looked finished"
+	WrongAnswer  Rule = "another's answer or half a success"
+	LatePick     Rule = "picked after it was marked leaving"
+	LateDrain    Rule = "a drained hall was sent a call"
+	LeftHome     Rule = "left the home region"
+	LateManifest Rule = "manifest late or slipped back"
+	LostManifest Rule = "accepted manifest missing or altered"
+	Flooded      Rule = "a cold server was flooded"
+	Repeats      Rule = "too many repeats"
+	LateReturn   Rule = "serving came back late"
+)
+
+type Bounds struct {
+	Leave     time.Duration
+	Drain     time.Duration
+	Deliver   time.Duration
+	Return    time.Duration
+	Ramp      time.Duration
+	Slots     int64
+	RepeatPct float64
+	Patience  time.Duration
+}
+
+type Breach struct {
+	Rule   Rule
+	At     time.Duration
+	Detail string
+}
+
+type attempt struct {
+	sent     time.Duration
+	ended    bool
+	outcome  string
+	deadline time.Duration
+}
+
+type run struct {
+	identity string
+	server   string
+	began    time.Duration
+	pieces   []string
+	whole    bool
+}
+
+type called struct {
+	scoped   string
+	class    string
+	home     string
+	model    bool
+	attempts []*attempt
+	runs     []*run
+}
+
+type span struct{ from, to time.Duration }
+
+type serverFacts struct {
+	hall, region string
+	marked       time.Duration
+	cold         time.Duration
+	running      int64
+	slots        int64
+}
+
+type Ledger struct {
+	lock     sync.Mutex
+	bounds   Bounds
+	calls    map[string]*called
+	byRun    map[string]*run
+	servers  map[string]*serverFacts
+	drains   map[string][]span
+	accepted map[int64]string
+	inForce  map[int64]time.Duration
+	held     map[string]int64
+	arrivals int64
+	real     int64
+	breaches []Breach
+	Figures  Figures
+}
+
+const never = time.Duration(1 << 62)
+
+func New(bounds Bounds) *Ledger {
+	return &Ledger{bounds: bounds, calls: map[string]*called{}, byRun: map[string]*run{}, servers: map[string]*serverFacts{}, drains: map[string][]span{},
+		accepted: map[int64]string{}, inForce: map[int64]time.Duration{}, held: map[string]int64{}, Figures: newFigures()}
+}
+
+func (ledger *Ledger) breach(at time.Duration, rule Rule, format string, detail ...any) {
+	ledger.breaches = append(ledger.breaches, Breach{rule, at, fmt.Sprintf(format, detail...)})
+}
+
+func (ledger *Ledger) Server(name, hall, region string, slots int64) {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	ledger.servers[name] = &serverFacts{hall: hall, region: region, marked: never, cold: -never, slots: slots}
+}
+
+// Marked says that the platform marked a server as leaving; Cold that it came (back) with nothing in its cache.
+func (ledger *Ledger) Marked(server string, at time.Duration) {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	ledger.servers[server].marked = at
+}
+
+func (ledger *Ledger) Unmarked(server string) {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	ledger.servers[server].marked = never
+}
+
+func (ledger *Ledger) Cold(server string, at time.Duration) {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	ledger.servers[server].cold, ledger.servers[server].running = at, 0
+}
+
+func (ledger *Ledger) Drained(hall string, accepted time.Duration) {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	ledger.drains[hall] = append(ledger.drains[hall], span{accepted, never})
+}
+
+func (ledger *Ledger) Undrained(hall string, sent time.Duration) {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	for index := range ledger.drains[hall] {
+		ledger.drains[hall][index].to = min(ledger.drains[hall][index].to, sent)
+	}
+}
+
+// Sent notes one try of a caller.
+func (ledger *Ledger) Sent(scoped, class, home string, model bool, at, deadline time.Duration) int {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	known, there := ledger.calls[scoped]
+	if !there {
+		known = &called{scoped: scoped, class: class, home: home, model: model}
+		ledger.calls[scoped] = known
+		ledger.real++
+	}
+	known.attempts = append(known.attempts, &attempt{sent: at, deadline: deadline})
+	ledger.Figures.sent(class)
+	return len(known.attempts) - 1
+}
+
+// Began notes that a server took a call up: this is where picks are judged.
+func (ledger *Ledger) Began(scoped, identity, server string, at time.Duration) {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	ledger.arrivals++
+	known, there := ledger.calls[scoped]
+	if !there {
+		ledger.breach(at, WrongAnswer, "server %s got a call that nobody sent: %q", server, scoped)
+		return
+	}
+	begun := &run{identity: identity, server: server, began: at}
+	known.runs = append(known.runs, begun)
+	ledger.byRun[identity] = begun
+	if known.model && len(known.runs) > 1 {
+		ledger.breach(at, Doubled, "call %s ran on %s at %v and on %s", scoped, known.runs[0].server, known.runs[0].began, server)
+	}
+	ledger.judgePick(known, server, at)
+}
+
+func (ledger *Ledger) judgePick(known *called, server string, at time.Duration) {
+	facts, there := ledger.servers[server]
+	if !there {
+		return
+	}
+	if known.home != "" && known.home != facts.region {
+		ledger.breach(at, LeftHome, "call %s of %s ran on %s in %s", known.scoped, known.home, server, facts.region)
+	}
+	if at > facts.marked {
+		ledger.Figures.latePick(at - facts.marked)
+		if at-facts.marked > ledger.bounds.Leave {
+			ledger.breach(at, LatePick, "%s was picked %v after it was marked", server, at-facts.marked)
+		}
+	}
+	for _, drain := range ledger.drains[facts.hall] {
+		if at > drain.from && at < drain.to {
+			ledger.Figures.lateDrain(at - drain.from)
+			if at-drain.from > ledger.bounds.Drain {
+				ledger.breach(at, LateDrain, "%s in hall %s was picked %v after the drain", server, facts.hall, at-drain.from)
+			}
+		}
+	}
+	facts.running++
+	age := at - facts.cold
+	if age < ledger.bounds.Ramp && ledger.bounds.Ramp > 0 && known.model {
+		allowed := max(2, 2*facts.slots*int64(age)/int64(ledger.bounds.Ramp))
+		ledger.Figures.cold(facts.running, allowed)
+		if facts.running > allowed {
+			ledger.breach(at, Flooded, "%s ran %d calls %v after it came back", server, facts.running, age)
+		}
+	}
+}
+
+// Refused notes that a server turned a call away without running it.
+func (ledger *Ledger) Refused(scoped string) {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	ledger.arrivals++
+}
+
+// Over notes that a server ended a run, with all the pieces of the whole reply if it came to its end.
+func (ledger *Ledger) Over(identity string, pieces []string, whole bool) {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	known, there := ledger.byRun[identity]
+	if !there {
+		return
+	}
+	known.pieces, known.whole = pieces, whole
+	if facts, there := ledger.servers[known.server]; there {
+		facts.running = max(0, facts.running-1)
+	}
+}
+
+func (ledger *Ledger) Breaches() []Breach {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	return append([]Breach{}, ledger.breaches...)
+}
+
+func (ledger *Ledger) ByRule() map[Rule]int {
+	counts := map[Rule]int{}
+	for _, breach := range ledger.Breaches() {
+		counts[breach.Rule]++
+	}
+	return counts
+}
+
+func sortedCalls(calls map[string]*called) []*called {
+	sorted := make([]*called, 0, len(calls))
+	for _, known := range calls {
+		sorted = append(sorted, known)
+	}
+	sort.Slice(sorted, func(left, right int) bool { return sorted[left].scoped < sorted[right].scoped })
+	return sorted
+}
--- /dev/null
+++ b/link/operators.go
@@ -0,0 +1,215 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+)
+
+const forwardPath = "/forward"
+
+// Operators is the face of every node towards operators; answers of other nodes are passed on as they are.
+type Operators struct {
+	loop    *Loop
+	client  *http.Client
+	bound   int64
+	patient time.Duration
+	faults  *Faults
+}
+
+func NewOperators(loop *Loop, bound int64, patient time.Duration, faults *Faults) *Operators {
+	return &Operators{loop: loop, bound: bound, patient: patient, client: &http.Client{Timeout: patient}, faults: faults}
+}
+
+type given struct {
+	status int
+	after  time.Duration
+	body   json.RawMessage
+}
+
+type badAsk struct {
+	status int
+	text   string
+}
+
+func (bad badAsk) Error() string { return bad.text }
+
+func (operators *Operators) Register(mux *http.ServeMux) {
+	routes := map[string]string{
+		"PUT /v1/manifest": contract.VerbPut, "PATCH /v1/manifest": contract.VerbPatch, "GET /v1/manifest": contract.VerbGet,
+		"GET /v1/manifest/history": contract.VerbHistory, "GET /v1/operations/{subject}": contract.VerbOperation,
+		"POST /v1/halls/{subject}/drain": contract.VerbDrain, "POST /v1/halls/{subject}/undrain": contract.VerbUndrain,
+		"POST /v1/pools/{subject}/scale": contract.VerbScale, "GET /v1/members": contract.VerbMembers, "GET /v1/shards": contract.VerbShards,
+		"GET /v1/retirements": contract.VerbRetirements, "GET /v1/chain": contract.VerbChain, "GET /v1/why/{subject}": contract.VerbWhy,
+	}
+	options := []kithttp.ServerOption{kithttp.ServerErrorEncoder(encodeMishap)}
+	for pattern, verb := range routes {
+		mux.Handle(pattern, kithttp.NewServer(operators.answer(), operators.decode(verb), encodeGiven, options...))
+	}
+	mux.Handle("POST "+forwardPath, kithttp.NewServer(operators.answer(), operators.decodeForwarded, encodeGiven, options...))
+}
+
+func (operators *Operators) read(request *http.Request, bound int64) ([]byte, error) {
+	content, mishap := io.ReadAll(io.LimitReader(request.Body, bound+1))
+	if mishap != nil {
+		return nil, badAsk{400, "the body could not be read"}
+	}
+	if int64(len(content)) > bound {
+		return nil, badAsk{413, fmt.Sprintf("the body is larger than %d bytes", bound)}
+	}
+	return content, nil
+}
+
+func (operators *Operators) decode(verb string) kithttp.DecodeRequestFunc {
+	return func(_ context.Context, request *http.Request) (any, error) {
+		content, mishap := operators.read(request, operators.bound)
+		if mishap != nil {
+			return nil, mishap
+		}
+		ask := contract.Ask{Verb: verb, Subject: request.PathValue("subject"), Body: content, Operation: request.Header.Get("Operation-Key")}
+		if len(ask.Operation) > 128 || strings.Contains(ask.Operation, "/") {
+			return nil, badAsk{400, "Operation-Key: at most 128 characters, no slash"}
+		}
+		query := request.URL.Query()
+		for name := range query {
+			if name != "base" && name != "revision" {
+				return nil, badAsk{400, "query " + name + ": unknown field"}
+			}
+		}
+		if ask.HasBase = query.Has("base"); ask.HasBase {
+			if ask.Base, mishap = strconv.ParseInt(query.Get("base"), 10, 64); mishap != nil || ask.Base < 0 {
+				return nil, badAsk{400, "query base: want a revision"}
+			}
+		}
+		if query.Has("revision") {
+			if ask.Revision, mishap = strconv.ParseInt(query.Get("revision"), 10, 64); mishap != nil || ask.Revision < 1 {
+				return nil, badAsk{400, "query revision: want a revision"}
+			}
+		}
+		return ask, nil
+	}
+}
+
+func (operators *Operators) decodeForwarded(_ context.Context, request *http.Request) (any, error) {
+	content, mishap := operators.read(request, 2*operators.bound)
+	if mishap != nil {
+		return nil, mishap
+	}
+	var ask contract.Ask
+	if json.Unmarshal(content, &ask) != nil {
+		return nil, badAsk{400, "not an ask"}
+	}
+	ask.Forwarded = true
+	return ask, nil
+}
+
+func (operators *Operators) answer() endpoint.Endpoint {
+	return func(ctx context.Context, request any) (any, error) {
+		ask := request.(contract.Ask)
+		answers := make(chan contract.Answer, 1)
+		ask.Token = operators.loop.Token(func(answer contract.Answer) { answers <- answer })
+		defer operators.loop.Forget(ask.Token)
+		if !operators.loop.Try(ask) {
+			return nil, badAsk{503, "this node is overloaded; nothing was done"}
+		}
+		select {
+		case answer := <-answers:
+			if passed, fine := answer.Body.(given); fine {
+				return passed, nil
+			}
+			body, mishap := json.Marshal(answer.Body)
+			return given{answer.Status, answer.After, body}, mishap
+		case <-ctx.Done():
+			return nil, badAsk{504, "the asker left"}
+		case <-time.After(operators.patient):
+			return nil, badAsk{504, "no answer in time; ask by the operation key"}
+		}
+	}
+}
+
+// Forward carries an ask to the authority; a lost answer to a write is unknown, never a refusal.
+func (operators *Operators) Forward(forward contract.Forward) {
+	fail := func(mishap error) {
+		body := contract.Accepted{Outcome: "unknown", Operation: forward.Ask.Operation, Mishap: "the authority's answer was lost: " + mishap.Error()}
+		operators.loop.Answer(contract.Answer{Token: forward.Ask.Token, Status: 504, Body: body})
+	}
+	if operators.faults.Cut(forward.Address) {
+		fail(errors.New("link cut"))
+		return
+	}
+	content, mishap := json.Marshal(forward.Ask)
+	if mishap != nil {
+		fail(mishap)
+		return
+	}
+	request, mishap := http.NewRequest(http.MethodPost, "http://"+forward.Address+forwardPath, io.NopCloser(bytes.NewReader(content)))
+	if mishap != nil {
+		fail(mishap)
+		return
+	}
+	response, mishap := operators.client.Do(request)
+	if mishap != nil {
+		fail(mishap)
+		return
+	}
+	defer response.Body.Close()
+	body, mishap := io.ReadAll(io.LimitReader(response.Body, mostBody))
+	if mishap != nil {
+		fail(mishap)
+		return
+	}
+	seconds, _ := strconv.ParseInt(response.Header.Get("Retry-After"), 10, 64)
+	operators.loop.Answer(contract.Answer{Token: forward.Ask.Token, Body: given{response.StatusCode, time.Duration(seconds) * time.Second, body}})
+}
+
+func encodeGiven(_ context.Context, writer http.ResponseWriter, response any) error {
+	answer := response.(given)
+	writer.Header().Set("Content-Type", "application/json")
+	RetryAfter(writer, answer.after)
+	writer.WriteHeader(answer.status)
+	_, mishap := writer.Write(append(answer.body, '\n'))
+	return mishap
+}
+
+// RetryAfter tells when to come back, in whole seconds rounded up.
+func RetryAfter(writer http.ResponseWriter, after time.Duration) {
+	if after > 0 {
+		writer.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
+	}
+}
+
+func encodeMishap(_ context.Context, mishap error, writer http.ResponseWriter) {
+	status := http.StatusBadRequest
+	var bad badAsk
+	if errors.As(mishap, &bad) {
+		status = bad.status
+	}
+	if status == http.StatusServiceUnavailable {
+		RetryAfter(writer, time.Second)
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(contract.Trouble{Mishap: mishap.Error()})
+}
+
+// Metrics is the counters' page.
+func Metrics(loop *Loop) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		for _, line := range loop.metricLines() {
+			_, _ = io.WriteString(writer, line)
+		}
+	})
+}
--- /dev/null
+++ b/link/sender.go
@@ -0,0 +1,126 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	rowSize   = 512
+	batchSize = 64
+	mostBody  = 16 << 20
+	Path      = "/link"
+	mostLinks = 1024
+)
+
+// Bundle is what one process posts to another.
+type Bundle struct {
+	Letters []contract.Letter `json:"letters"`
+}
+
+// Sender has one goroutine and one bounded ring for each address; what does not fit or does not arrive is lost and counted.
+type Sender struct {
+	self   contract.Member
+	client *http.Client
+	faults *Faults
+	count  func(name string, by int64)
+	lock   sync.Mutex
+	rings  map[string]chan contract.Letter
+	stop   <-chan struct{}
+}
+
+func NewSender(self contract.Member, timeout time.Duration, faults *Faults, stop <-chan struct{}) *Sender {
+	transport := &http.Transport{MaxIdleConnsPerHost: 2, MaxIdleConns: 256, IdleConnTimeout: 30 * time.Second}
+	return &Sender{self: self, client: &http.Client{Transport: transport, Timeout: timeout}, faults: faults,
+		count: func(string, int64) {}, rings: map[string]chan contract.Letter{}, stop: stop}
+}
+
+func (sender *Sender) Counting(count func(name string, by int64)) { sender.count = count }
+
+func (sender *Sender) Send(command contract.Send) {
+	body, mishap := json.Marshal(command.Body)
+	if mishap != nil {
+		panic(mishap)
+	}
+	letter := contract.Letter{Kind: command.Kind, From: sender.self.Name, Boot: sender.self.Boot, Body: body}
+	sender.lock.Lock()
+	ring, there := sender.rings[command.To]
+	if !there && len(sender.rings) < mostLinks {
+		ring = make(chan contract.Letter, rowSize)
+		sender.rings[command.To] = ring
+		go sender.carry(command.To, ring)
+	}
+	sender.lock.Unlock()
+	select {
+	case ring <- letter:
+	default:
+		sender.count("letters_dropped", 1)
+	}
+}
+
+func (sender *Sender) carry(address string, ring chan contract.Letter) {
+	post := sender.endpoint(address)
+	for {
+		bundle := Bundle{}
+		select {
+		case <-sender.stop:
+			return
+		case letter := <-ring:
+			bundle.Letters = append(bundle.Letters, letter)
+		}
+		for len(ring) > 0 && len(bundle.Letters) < batchSize {
+			bundle.Letters = append(bundle.Letters, <-ring)
+		}
+		if sender.faults.Cut(address) {
+			sender.count("letters_cut", int64(len(bundle.Letters)))
+			continue
+		}
+		if _, mishap := post(context.Background(), bundle); mishap != nil {
+			sender.count("letters_lost", int64(len(bundle.Letters)))
+		}
+	}
+}
+
+func (sender *Sender) endpoint(address string) endpoint.Endpoint {
+	encode := func(_ context.Context, request any) (*http.Request, error) {
+		content, mishap := json.Marshal(request)
+		if mishap != nil {
+			return nil, mishap
+		}
+		return http.NewRequest(http.MethodPost, "http://"+address+Path, io.NopCloser(bytes.NewReader(content)))
+	}
+	decode := func(_ context.Context, response *http.Response) (any, error) {
+		if response.StatusCode != http.StatusOK {
+			return nil, eris.Errorf("link answered %d", response.StatusCode)
+		}
+		_, mishap := io.Copy(io.Discard, io.LimitReader(response.Body, mostBody))
+		return nil, mishap
+	}
+	return kithttp.NewExplicitClient(encode, decode, kithttp.SetClient(sender.client)).Endpoint()
+}
+
+// Receive is the face that takes letters from other processes.
+func Receive(loop *Loop) http.Handler {
+	decode := func(_ context.Context, request *http.Request) (any, error) {
+		var bundle Bundle
+		mishap := json.NewDecoder(io.LimitReader(request.Body, mostBody)).Decode(&bundle)
+		return bundle, mishap
+	}
+	take := func(_ context.Context, request any) (any, error) {
+		for _, letter := range request.(Bundle).Letters {
+			loop.Try(letter)
+		}
+		return struct{}{}, nil
+	}
+	return kithttp.NewServer(take, decode, kithttp.EncodeJSONResponse)
+}
--- /dev/null
+++ b/manifest/tree.go
@@ -0,0 +1,251 @@
+// Package manifest reads, checks and merges the operators' configuration.
+package manifest
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+const deepest = 32
+
+// Tree reads one JSON object: duplicate keys, trailing data and too deep nesting are refused, numbers stay exact.
+func Tree(content []byte) (map[string]any, error) {
+	decoder := json.NewDecoder(bytes.NewReader(content))
+	decoder.UseNumber()
+	value, mishap := branch(decoder, "", 0)
+	if mishap != nil {
+		return nil, mishap
+	}
+	if _, mishap = decoder.Token(); mishap != io.EOF {
+		return nil, eris.New("data after the end of the object")
+	}
+	tree, fine := value.(map[string]any)
+	if !fine {
+		return nil, eris.New("want a JSON object")
+	}
+	return tree, nil
+}
+
+func branch(decoder *json.Decoder, path string, depth int) (any, error) {
+	if depth > deepest {
+		return nil, eris.Errorf("%s: nested too deep", path)
+	}
+	token, mishap := decoder.Token()
+	if mishap != nil {
+		return nil, eris.Wrapf(mishap, "%s: not JSON", path)
+	}
+	delimiter, fine := token.(json.Delim)
+	if !fine {
+		return token, nil
+	}
+	if delimiter == '[' {
+		items := []any{}
+		for decoder.More() {
+			item, mishap := branch(decoder, fmt.Sprintf("%s[%d]", path, len(items)), depth+1)
+			if mishap != nil {
+				return nil, mishap
+			}
+			items = append(items, item)
+		}
+		_, mishap = decoder.Token()
+		return items, mishap
+	}
+	tree := map[string]any{}
+	for decoder.More() {
+		token, mishap := decoder.Token()
+		if mishap != nil {
+			return nil, eris.Wrapf(mishap, "%s: not JSON", path)
+		}
+		key := token.(string)
+		if _, double := tree[key]; double {
+			return nil, eris.Errorf("%s: key given twice", Join(path, key))
+		}
+		tree[key], mishap = branch(decoder, Join(path, key), depth+1)
+		if mishap != nil {
+			return nil, mishap
+		}
+	}
+	_, mishap = decoder.Token()
+	return tree, mishap
+}
+
+func Join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+// Merge lays a JSON merge patch over a tree and returns a new tree.
+func Merge(tree, patch map[string]any) map[string]any {
+	merged := map[string]any{}
+	for key, value := range tree {
+		merged[key] = value
+	}
+	for key, value := range patch {
+		if value == nil {
+			delete(merged, key)
+			continue
+		}
+		under, isTree := value.(map[string]any)
+		if !isTree {
+			merged[key] = value
+			continue
+		}
+		former, _ := merged[key].(map[string]any)
+		merged[key] = Merge(former, under)
+	}
+	return merged
+}
+
+func SortedKeys[Value any](tree map[string]Value) []string {
+	keys := make([]string, 0, len(tree))
+	for key := range tree {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// Reader walks a tree by dotted paths and collects every mishap it meets.
+type Reader struct {
+	tree    map[string]any
+	mishaps []string
+}
+
+func NewReader(tree map[string]any) *Reader { return &Reader{tree: tree} }
+
+func (reader *Reader) Wrong(path, format string, detail ...any) {
+	reader.mishaps = append(reader.mishaps, path+": "+fmt.Sprintf(format, detail...))
+}
+
+func (reader *Reader) Mishap() error {
+	if len(reader.mishaps) == 0 {
+		return nil
+	}
+	return eris.New(strings.Join(reader.mishaps, "; "))
+}
+
+func (reader *Reader) at(path string) (any, bool) {
+	var value any = reader.tree
+	if path == "" {
+		return value, true
+	}
+	for _, key := range strings.Split(path, ".") {
+		tree, fine := value.(map[string]any)
+		if !fine {
+			return nil, false
+		}
+		if value, fine = tree[key]; !fine {
+			return nil, false
+		}
+	}
+	return value, true
+}
+
+func (reader *Reader) Keys(path string) []string {
+	value, there := reader.at(path)
+	if !there {
+		return nil
+	}
+	tree, fine := value.(map[string]any)
+	if !fine {
+		reader.Wrong(path, "want an object")
+		return nil
+	}
+	for key := range tree {
+		if key == "" || len(key) > 64 || strings.ContainsAny(key, ". /\\\"") {
+			reader.Wrong(Join(path, key), "a name has 1 to 64 characters without dots, blanks, slashes or quotes")
+		}
+	}
+	return SortedKeys(tree)
+}
+
+func (reader *Reader) Only(path string, known ...string) {
+	for _, key := range reader.Keys(path) {
+		found := false
+		for _, name := range known {
+			found = found || name == key
+		}
+		if !found {
+			reader.Wrong(Join(path, key), "unknown field")
+		}
+	}
+}
+
+func (reader *Reader) Text(path, fallback string) string {
+	value, there := reader.at(path)
+	if !there {
+		return fallback
+	}
+	text, fine := value.(string)
+	if !fine {
+		reader.Wrong(path, "want text")
+	}
+	return text
+}
+
+func (reader *Reader) Texts(path string) []string {
+	value, there := reader.at(path)
+	if !there {
+		return nil
+	}
+	items, fine := value.([]any)
+	if !fine {
+		reader.Wrong(path, "want a list of text")
+	}
+	texts := []string{}
+	for index, item := range items {
+		text, fine := item.(string)
+		if !fine {
+			reader.Wrong(fmt.Sprintf("%s[%d]", path, index), "want text")
+		}
+		texts = append(texts, text)
+	}
+	return texts
+}
+
+func (reader *Reader) Truth(path string) bool {
+	value, there := reader.at(path)
+	if !there {
+		return false
+	}
+	truth, fine := value.(bool)
+	if !fine {
+		reader.Wrong(path, "want true or false")
+	}
+	return truth
+}
+
+func (reader *Reader) Number(path string, fallback, least, most int64) int64 {
+	value, there := reader.at(path)
+	if !there {
+		return fallback
+	}
+	number, fine := value.(json.Number)
+	if !fine {
+		reader.Wrong(path, "want a whole number")
+		return fallback
+	}
+	whole, mishap := number.Int64()
+	if mishap != nil {
+		reader.Wrong(path, "want a whole number, got %s", number)
+		return fallback
+	}
+	if whole < least || whole > most {
+		reader.Wrong(path, "want %d to %d, got %d", least, most, whole)
+	}
+	return whole
+}
+
+func (reader *Reader) Must(path string) {
+	if _, there := reader.at(path); !there {
+		reader.Wrong(path, "is missing")
+	}
+}
--- /dev/null
+++ b/neighbour/neighbour.go
@@ -0,0 +1,304 @@
+// Package neighbour keeps partial views of the fleet, shuffled between neighbours, and each member's condition.
+package neighbour
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/env"
+)
+
+const (
+	activeSize  = 4
+	shuffleSize = 48
+	tableSize   = 1024
+	healOdds    = 6
+	renewOdds   = 8
+)
+
+type row struct {
+	member   contract.Member
+	advanced time.Duration
+	gone     bool
+}
+
+type Owner struct {
+	bounds env.Bounds
+	self   contract.Member
+	seeds  []string
+	table  map[string]*row
+	active []string
+	random *rand.Rand
+	next   time.Duration
+}
+
+type Shuffle struct {
+	Members []contract.Member `json:"members"`
+	Answer  bool              `json:"answer"`
+}
+
+type Bye struct {
+	Name string `json:"name"`
+	Boot string `json:"boot"`
+}
+
+const (
+	LetterShuffle = "shuffle"
+	LetterBye     = "bye"
+)
+
+func New(self contract.Member, seeds []string, bounds env.Bounds, random *rand.Rand) *Owner {
+	self.Incarnation = 1
+	return &Owner{bounds: bounds, self: self, seeds: seeds, table: map[string]*row{}, random: random}
+}
+
+func (owner *Owner) Self() contract.Member { return owner.self }
+
+func (owner *Owner) Hold(place contract.Place, view int64, core bool) {
+	owner.self.Place, owner.self.View, owner.self.Core = place, view, core
+}
+
+func (owner *Owner) Handle(now time.Duration, event contract.Event) []contract.Command {
+	switch event := event.(type) {
+	case contract.Tick:
+		return owner.tick(now)
+	case contract.Letter:
+		switch event.Kind {
+		case LetterShuffle:
+			var shuffle Shuffle
+			if json.Unmarshal(event.Body, &shuffle) != nil {
+				return []contract.Command{contract.Count{Name: "letters_broken", By: 1}}
+			}
+			return owner.shuffled(now, event.From, shuffle)
+		case LetterBye:
+			var bye Bye
+			if json.Unmarshal(event.Body, &bye) == nil {
+				if known, there := owner.table[bye.Name]; there && known.member.Boot == bye.Boot {
+					known.gone = true
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// Woke forgives the silence that a freeze of this process made of everybody else.
+func (owner *Owner) Woke(now, gap time.Duration) {
+	for _, known := range owner.table {
+		if now-known.advanced < owner.bounds.Suspicion()+gap {
+			known.advanced = now
+		}
+	}
+	owner.self.Incarnation++
+}
+
+func (owner *Owner) Farewell() []contract.Command {
+	commands := []contract.Command{}
+	for _, name := range sortedNames(owner.table) {
+		commands = append(commands, contract.Send{To: owner.table[name].member.Address, Kind: LetterBye, Body: Bye{owner.self.Name, owner.self.Boot}})
+	}
+	return commands
+}
+
+func (owner *Owner) tick(now time.Duration) []contract.Command {
+	if now < owner.next {
+		return nil
+	}
+	owner.next = now + owner.bounds.Gossip()
+	owner.self.Heartbeat++
+	owner.forget(now)
+	owner.renewActive(now)
+	targets := map[string]bool{}
+	for index := 0; index < 2 && len(owner.active) > 0; index++ {
+		name := owner.active[owner.random.IntN(len(owner.active))]
+		targets[owner.table[name].member.Address] = true
+	}
+	if len(owner.active) < activeSize || owner.random.IntN(healOdds) == 0 {
+		if len(owner.seeds) > 0 {
+			targets[owner.seeds[owner.random.IntN(len(owner.seeds))]] = true
+		}
+	}
+	if names := sortedNames(owner.table); len(names) > 0 && owner.random.IntN(healOdds) == 0 {
+		targets[owner.table[names[owner.random.IntN(len(names))]].member.Address] = true
+	}
+	delete(targets, owner.self.Address)
+	addresses := make([]string, 0, len(targets))
+	for address := range targets {
+		addresses = append(addresses, address)
+	}
+	sort.Strings(addresses)
+	commands := []contract.Command{}
+	for _, address := range addresses {
+		commands = append(commands, contract.Send{To: address, Kind: LetterShuffle, Body: Shuffle{Members: owner.sample(now)}})
+	}
+	return commands
+}
+
+func (owner *Owner) forget(now time.Duration) {
+	for name, known := range owner.table {
+		if now-known.advanced > owner.bounds.Forget() {
+			delete(owner.table, name)
+		}
+	}
+}
+
+func (owner *Owner) renewActive(now time.Duration) {
+	kept := owner.active[:0]
+	for _, name := range owner.active {
+		if owner.Alive(now, name) {
+			kept = append(kept, name)
+		}
+	}
+	owner.active = kept
+	if len(owner.active) == activeSize && owner.random.IntN(renewOdds) == 0 {
+		place := owner.random.IntN(len(owner.active))
+		owner.active = append(owner.active[:place], owner.active[place+1:]...)
+	}
+	passive := []string{}
+	for _, name := range sortedNames(owner.table) {
+		inside := false
+		for _, other := range owner.active {
+			inside = inside || other == name
+		}
+		if !inside && owner.Alive(now, name) {
+			passive = append(passive, name)
+		}
+	}
+	for len(owner.active) < activeSize && len(passive) > 0 {
+		place := owner.random.IntN(len(passive))
+		owner.active = append(owner.active, passive[place])
+		passive = append(passive[:place], passive[place+1:]...)
+	}
+}
+
+func (owner *Owner) sample(now time.Duration) []contract.Member {
+	members := []contract.Member{owner.self}
+	names := []string{}
+	for _, name := range sortedNames(owner.table) {
+		if owner.Alive(now, name) {
+			names = append(names, name)
+		}
+	}
+	owner.random.Shuffle(len(names), func(left, right int) { names[left], names[right] = names[right], names[left] })
+	for _, name := range names {
+		if len(members) == shuffleSize {
+			break
+		}
+		members = append(members, owner.table[name].member)
+	}
+	return members
+}
+
+func (owner *Owner) shuffled(now time.Duration, from string, shuffle Shuffle) []contract.Command {
+	address := ""
+	for index, member := range shuffle.Members {
+		if index > shuffleSize {
+			break
+		}
+		if member.Name == from {
+			address = member.Address
+		}
+		owner.merge(now, member)
+	}
+	if shuffle.Answer || address == "" {
+		return nil
+	}
+	members := owner.sample(now)
+	if known, there := owner.table[from]; there {
+		members = append(members, known.member)
+	}
+	return []contract.Command{contract.Send{To: address, Kind: LetterShuffle, Body: Shuffle{Members: members, Answer: true}}}
+}
+
+func (owner *Owner) merge(now time.Duration, member contract.Member) {
+	if member.Name == owner.self.Name {
+		if member.Boot != owner.self.Boot && member.Incarnation >= owner.self.Incarnation {
+			owner.self.Incarnation = member.Incarnation + 1
+		}
+		return
+	}
+	known, there := owner.table[member.Name]
+	if !there {
+		if len(owner.table) < tableSize && member.Name != "" && member.Address != "" {
+			owner.table[member.Name] = &row{member: member, advanced: now}
+		}
+		return
+	}
+	newer := member.Incarnation > known.member.Incarnation ||
+		member.Incarnation == known.member.Incarnation && member.Heartbeat > known.member.Heartbeat
+	if newer {
+		known.member, known.advanced, known.gone = member, now, false
+	}
+}
+
+func (owner *Owner) Alive(now time.Duration, name string) bool {
+	if name == owner.self.Name {
+		return true
+	}
+	known, there := owner.table[name]
+	return there && !known.gone && now-known.advanced < owner.bounds.Suspicion()
+}
+
+// Members gives the live members, this node among them, in the order of their names.
+func (owner *Owner) Members(now time.Duration) []contract.Member {
+	members := []contract.Member{owner.self}
+	for name, known := range owner.table {
+		if owner.Alive(now, name) {
+			members = append(members, known.member)
+		}
+	}
+	sort.Slice(members, func(left, right int) bool { return members[left].Name < members[right].Name })
+	return members
+}
+
+func (owner *Owner) Live(now time.Duration, fits func(contract.Member) bool) []contract.Member {
+	members := []contract.Member{}
+	for _, member := range owner.Members(now) {
+		if fits(member) {
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
+// Silent names the members that were known and are not heard of now.
+func (owner *Owner) Silent(now time.Duration) []string {
+	names := []string{}
+	for _, name := range sortedNames(owner.table) {
+		if !owner.Alive(now, name) && !owner.table[name].gone {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (owner *Owner) Active() []string {
+	addresses := []string{}
+	for _, name := range owner.active {
+		addresses = append(addresses, owner.table[name].member.Address)
+	}
+	return addresses
+}
+
+func (owner *Owner) Look(name string) (contract.Member, bool) {
+	if name == owner.self.Name {
+		return owner.self, true
+	}
+	known, there := owner.table[name]
+	if !there {
+		return contract.Member{}, false
+	}
+	return known.member, true
+}
+
+func sortedNames(table map[string]*row) []string {
+	names := make([]string, 0, len(table))
+	for name := range table {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/rig/play.go
@@ -0,0 +1,122 @@
+package rig
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"sort"
+	"syscall"
+	"time"
+
+	"github.com/cedarreel/cedarreel/site"
+)
+
+// Plan is one run of the rig.
+type Plan struct {
+	Site   site.Site
+	Bin    string
+	Folder string
+	Span   time.Duration
+	Rate   float64
+	Seed   uint64
+	Story  string
+	Stay   bool
+	Say    func(string)
+}
+
+type story func(rig *Rig, plan Plan) error
+
+func StoryNames() []string {
+	names := []string{}
+	for name := range stories {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Play brings a fleet up, lets the callers come, plays the story, and tells whether the ledger found nothing wrong.
+func Play(plan Plan) (bool, error) {
+	told, there := stories[plan.Story]
+	if !there {
+		return false, fmt.Errorf("no story %q; there are %v", plan.Story, StoryNames())
+	}
+	rig, mishap := New(plan.Site, plan.Bin, plan.Folder, plan.Seed)
+	if mishap != nil {
+		return false, mishap
+	}
+	defer rig.Close()
+	if mishap = rig.Start(); mishap != nil {
+		return false, mishap
+	}
+	if mishap = rig.Adopt(20 * time.Second); mishap != nil {
+		return false, mishap
+	}
+	plan.Say(fmt.Sprintf("%s: the manifest is in force after %v; settings and logs in %s", plan.Site.Name, rig.now().Round(time.Millisecond), plan.Folder))
+	plan.Say("any node answers operators, for example " + rig.Nodes[0].Settings.Control)
+	if mishap = rig.Await("serving", rig.bounds.Return(), rig.serves); mishap != nil {
+		return false, mishap
+	}
+	crowd := rig.NewCrowd(plan.Seed)
+	crowd.Run(plan.Span, plan.Rate)
+	stop := make(chan struct{})
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		rig.watch(stop)
+	}()
+	mishap = told(rig, plan)
+	crowd.Wait()
+	close(stop)
+	<-watched
+	rig.Ledger.Close(rig.now())
+	plan.Say(fmt.Sprintf("seed %d story %s\n%s", plan.Seed, plan.Story, rig.Ledger.Figures.Text()))
+	breaches := rig.Ledger.Breaches()
+	for index, breach := range breaches {
+		if index < 20 {
+			plan.Say(fmt.Sprintf("BREACH %v at %v: %s", breach.Rule, breach.At.Round(time.Millisecond), breach.Detail))
+		}
+	}
+	plan.Say(fmt.Sprintf("breaches: %d", len(breaches)))
+	if plan.Stay && mishap == nil {
+		plan.Say("the fleet stays up; end it with a signal")
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+		<-signals
+	}
+	return len(breaches) == 0 && mishap == nil, mishap
+}
+
+// serves holds when every data node can pick from every shard of its region.
+func (rig *Rig) serves() bool {
+	for _, node := range rig.Nodes {
+		lapsed, there := rig.Gauge(node.Settings.Data, "shards_lapsed")
+		revision, known := rig.Gauge(node.Settings.Data, "manifest_revision")
+		if !there || !known || lapsed > 0 || revision == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+const watchPeriod = 200 * time.Millisecond
+
+// watch notes which revision each node has in force.
+func (rig *Rig) watch(stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(watchPeriod):
+		}
+		for _, node := range rig.Nodes {
+			if revision, there := rig.Gauge(node.Settings.Data, "manifest_revision"); there && revision > 0 {
+				rig.Ledger.Held(node.Machine.Name+"-data", revision, rig.now(), len(node.cut) == 0)
+			}
+		}
+	}
+}
+
+var stories = map[string]story{
+	"calm": func(*Rig, Plan) error { return nil },
+}
--- /dev/null
+++ b/rig/rig.go
@@ -0,0 +1,289 @@
+// Package rig plays a whole fleet as processes on one machine, with stand-ins for all that is outside, and breaks it.
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/cedarreel/cedarreel/env"
+	"github.com/cedarreel/cedarreel/ledger"
+	"github.com/cedarreel/cedarreel/manifest"
+	"github.com/cedarreel/cedarreel/site"
+)
+
+type Rig struct {
+	Site     site.Site
+	Ledger   *ledger.Ledger
+	Platform *Platform
+	Nodes    []*Node
+	folder   string
+	bin      string
+	servers  []*Server
+	began    time.Time
+	bounds   env.Bounds
+	random   *rand.Rand
+	client   *http.Client
+}
+
+// Node is one machine: a cedarcp and a cedardp with a settings file, a faults file and, on core machines, a data folder.
+type Node struct {
+	Machine  site.Machine
+	Settings env.Env
+	folder   string
+	bin      string
+	control  *exec.Cmd
+	data     *exec.Cmd
+	cut      map[string]bool
+	disk     string
+}
+
+func New(described site.Site, bin, folder string, seed uint64) (*Rig, error) {
+	bounds := env.DefaultBounds()
+	read, mishap := manifest.Read(described.Manifest)
+	if mishap != nil {
+		return nil, mishap
+	}
+	rig := &Rig{Site: described, folder: folder, bin: bin, began: time.Now(), bounds: bounds, random: rand.New(rand.NewPCG(seed, 1)),
+		Ledger: ledger.New(Judging(bounds, read)), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	if rig.Platform, mishap = newPlatform(rig); mishap != nil {
+		return nil, mishap
+	}
+	for _, row := range described.Servers {
+		rig.Ledger.Server(row.Name, row.Hall, row.Region, row.Slots)
+		server, mishap := newServer(rig, row)
+		if mishap != nil {
+			return nil, mishap
+		}
+		rig.servers = append(rig.servers, server)
+	}
+	rig.Platform.servers = rig.servers
+	return rig, rig.place()
+}
+
+// Judging gives the bounds that the brief sets, as the checker applies them.
+func Judging(bounds env.Bounds, read manifest.Manifest) ledger.Bounds {
+	return ledger.Bounds{Leave: bounds.Evacuate(), Drain: bounds.Evacuate(), Deliver: bounds.Deliver(), Return: bounds.Return(),
+		Ramp: read.Retirement.Ramp, RepeatPct: 5, Patience: bounds.Deliver()}
+}
+
+func (rig *Rig) now() time.Duration { return time.Since(rig.began) }
+
+func (rig *Rig) Server(name string) *Server {
+	for _, server := range rig.servers {
+		if server.Row.Name == name {
+			return server
+		}
+	}
+	return nil
+}
+
+func freeAddress() (string, error) {
+	listener, mishap := net.Listen("tcp", "127.0.0.1:0")
+	if mishap != nil {
+		return "", mishap
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+func (rig *Rig) place() error {
+	for _, machine := range rig.Site.Machines {
+		node, mishap := rig.newNode(machine)
+		if mishap != nil {
+			return mishap
+		}
+		rig.Nodes = append(rig.Nodes, node)
+	}
+	for _, node := range rig.Nodes {
+		node.Settings.Seeds = rig.seeds()
+	}
+	return nil
+}
+
+func (rig *Rig) newNode(machine site.Machine) (*Node, error) {
+	control, first := freeAddress()
+	data, second := freeAddress()
+	if first != nil {
+		return nil, first
+	}
+	node := &Node{Machine: machine, folder: filepath.Join(rig.folder, machine.Name), bin: rig.bin, cut: map[string]bool{}}
+	node.Settings = env.New(env.WithName(machine.Name), env.WithHall(machine.Hall), env.WithRegion(machine.Region),
+		env.WithControl(control), env.WithData(data), env.WithPlatform(rig.Platform.Address))
+	if machine.Core {
+		node.Settings.Folder = filepath.Join(node.folder, "data")
+	}
+	return node, second
+}
+
+func (rig *Rig) seeds() []string {
+	seeds := []string{}
+	for _, node := range rig.Nodes {
+		if node.Machine.Core {
+			seeds = append(seeds, node.Settings.Control)
+		}
+	}
+	return seeds
+}
+
+func (node *Node) faultsPath() string { return filepath.Join(node.folder, "faults.json") }
+
+func (node *Node) writeFaults() error {
+	content, mishap := json.Marshal(map[string]any{"cut": manifest.SortedKeys(node.cut), "disk": node.disk})
+	if mishap != nil {
+		return mishap
+	}
+	aside := node.faultsPath() + ".aside"
+	if mishap = os.WriteFile(aside, content, 0o600); mishap != nil {
+		return mishap
+	}
+	return os.Rename(aside, node.faultsPath())
+}
+
+func (node *Node) Start() error {
+	if mishap := os.MkdirAll(node.folder, 0o700); mishap != nil {
+		return mishap
+	}
+	if mishap := node.writeFaults(); mishap != nil {
+		return mishap
+	}
+	path := filepath.Join(node.folder, "env.json")
+	if mishap := os.WriteFile(path, node.Settings.Text(), 0o600); mishap != nil {
+		return mishap
+	}
+	var mishap error
+	if node.control, mishap = node.start("cedarcp", path); mishap != nil {
+		return mishap
+	}
+	node.data, mishap = node.start("cedardp", path)
+	return mishap
+}
+
+func (node *Node) start(program, path string) (*exec.Cmd, error) {
+	output, mishap := os.OpenFile(filepath.Join(node.folder, program+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if mishap != nil {
+		return nil, mishap
+	}
+	defer output.Close()
+	command := exec.Command(filepath.Join(node.bin, program), "--env", path, "--faults", node.faultsPath())
+	command.Stdout, command.Stderr = output, output
+	return command, command.Start()
+}
+
+func (node *Node) each(then func(*exec.Cmd)) {
+	for _, command := range []*exec.Cmd{node.control, node.data} {
+		if command != nil && command.Process != nil {
+			then(command)
+		}
+	}
+}
+
+// Kill ends both processes at once, without a farewell.
+func (node *Node) Kill() {
+	node.each(func(command *exec.Cmd) {
+		_ = command.Process.Kill()
+		_, _ = command.Process.Wait()
+	})
+	node.control, node.data = nil, nil
+}
+
+// Stop asks both processes to end and tells whether both did so cleanly.
+func (node *Node) Stop() bool {
+	clean := true
+	node.each(func(command *exec.Cmd) { _ = command.Process.Signal(syscall.SIGTERM) })
+	node.each(func(command *exec.Cmd) {
+		state, mishap := command.Process.Wait()
+		clean = clean && mishap == nil && state.Success()
+	})
+	node.control, node.data = nil, nil
+	return clean
+}
+
+func (node *Node) Freeze() {
+	node.each(func(command *exec.Cmd) { _ = command.Process.Signal(syscall.SIGSTOP) })
+}
+
+func (node *Node) Wake() {
+	node.each(func(command *exec.Cmd) { _ = command.Process.Signal(syscall.SIGCONT) })
+}
+
+func (node *Node) Disk(state string) {
+	node.disk = state
+	_ = node.writeFaults()
+}
+
+// Cut breaks every link between two groups of machines, both ways; Heal mends all.
+func (rig *Rig) Cut(left, right []*Node) {
+	for _, one := range left {
+		for _, other := range right {
+			if one == other {
+				continue
+			}
+			for _, address := range []string{other.Settings.Control, other.Settings.Data} {
+				one.cut[address] = true
+			}
+			for _, address := range []string{one.Settings.Control, one.Settings.Data} {
+				other.cut[address] = true
+			}
+		}
+	}
+	rig.rewrite()
+}
+
+func (rig *Rig) Heal() {
+	for _, node := range rig.Nodes {
+		node.cut = map[string]bool{}
+	}
+	rig.rewrite()
+}
+
+func (rig *Rig) rewrite() {
+	for _, node := range rig.Nodes {
+		_ = node.writeFaults()
+	}
+}
+
+func (rig *Rig) Start() error {
+	for _, node := range rig.Nodes {
+		if mishap := node.Start(); mishap != nil {
+			return mishap
+		}
+	}
+	return nil
+}
+
+func (rig *Rig) Close() {
+	for _, node := range rig.Nodes {
+		node.Wake()
+		node.Kill()
+	}
+	for _, server := range rig.servers {
+		server.Crash()
+	}
+}
+
+func (rig *Rig) Node(name string) *Node {
+	for _, node := range rig.Nodes {
+		if node.Machine.Name == name {
+			return node
+		}
+	}
+	return nil
+}
+
+// Await asks until a condition holds or its time is over.
+func (rig *Rig) Await(what string, limit time.Duration, holds func() bool) error {
+	for began := time.Now(); time.Since(began) < limit; time.Sleep(50 * time.Millisecond) {
+		if holds() {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s did not hold within %v", what, limit)
+}
--- /dev/null
+++ b/serve/callers.go
@@ -0,0 +1,193 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cedarreel/cedarreel/call"
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/data"
+	"github.com/cedarreel/cedarreel/link"
+	"github.com/cedarreel/cedarreel/manifest"
+	"github.com/go-kit/kit/endpoint"
+)
+
+type badCall struct {
+	status int
+	text   string
+	after  time.Duration
+}
+
+func (bad badCall) Error() string { return bad.text }
+
+const longestName = 256
+
+func name(request *http.Request, header string, must bool) (string, error) {
+	value := request.Header.Get(header)
+	if value == "" && must {
+		return "", badCall{status: 400, text: header + ": is missing"}
+	}
+	if len(value) > longestName {
+		return "", badCall{status: 400, text: fmt.Sprintf("%s: longer than %d characters", header, longestName)}
+	}
+	for _, letter := range value {
+		if letter < ' ' {
+			return "", badCall{status: 400, text: header + ": has a control character"}
+		}
+	}
+	return value, nil
+}
+
+func milliseconds(request *http.Request, header string) (time.Duration, error) {
+	value := request.Header.Get(header)
+	if value == "" {
+		return 0, nil
+	}
+	count, mishap := strconv.ParseInt(value, 10, 64)
+	if mishap != nil || count <= 0 || count > int64(time.Hour/time.Millisecond) {
+		return 0, badCall{status: 400, text: fmt.Sprintf("%s: %q is not a time left in milliseconds", header, value)}
+	}
+	return time.Duration(count) * time.Millisecond, nil
+}
+
+// common reads the headers that every call may carry, collecting mishaps in one look.
+func common(request *http.Request) (call.Call, error) {
+	var mishaps [6]error
+	asked := call.Call{}
+	asked.Caller, mishaps[0] = name(request, "Cedar-Caller", true)
+	asked.Session, mishaps[1] = name(request, "Cedar-Session", false)
+	asked.Home, mishaps[2] = name(request, "Cedar-Home", false)
+	asked.Deadline, mishaps[3] = milliseconds(request, "Cedar-Deadline-Ms")
+	asked.Age, mishaps[4] = milliseconds(request, "Cedar-Age-Ms")
+	if tries := request.Header.Get("Cedar-Attempt"); tries != "" {
+		number, mishap := strconv.Atoi(tries)
+		if mishap != nil || number < 1 {
+			mishaps[5] = badCall{status: 400, text: fmt.Sprintf("Cedar-Attempt: %q is not a number from 1 on", tries)}
+		}
+		asked.Repeat = number > 1
+	}
+	for _, mishap := range mishaps {
+		if mishap != nil {
+			return asked, mishap
+		}
+	}
+	return asked, nil
+}
+
+type caller struct {
+	call   call.Call
+	body   []byte
+	stream bool
+	path   string
+}
+
+const tokenBytes = 4
+
+func (shell *dataShell) decodeCall(_ context.Context, request *http.Request) (any, error) {
+	asked, mishap := common(request)
+	if mishap != nil {
+		return nil, mishap
+	}
+	if asked.Route, mishap = name(request, "Cedar-Route", true); mishap != nil {
+		return nil, mishap
+	}
+	if asked.Key, mishap = name(request, "Idempotency-Key", true); mishap != nil {
+		return nil, mishap
+	}
+	bound := shell.Settings.Bounds.BodyBytes
+	body, mishap := io.ReadAll(io.LimitReader(request.Body, bound+1))
+	if mishap != nil {
+		return nil, badCall{status: 400, text: "the body could not be read"}
+	}
+	if int64(len(body)) > bound {
+		return nil, badCall{status: 413, text: fmt.Sprintf("the body is larger than %d bytes", bound)}
+	}
+	tree, mishap := manifest.Tree(body)
+	if mishap != nil {
+		return nil, badCall{status: 400, text: "body: " + mishap.Error()}
+	}
+	reader := manifest.NewReader(tree)
+	streamed := reader.Truth("stream")
+	messages, fine := tree["messages"].([]any)
+	if !fine || len(messages) == 0 {
+		reader.Wrong("messages", "want a list that is not empty")
+	}
+	if mishap = reader.Mishap(); mishap != nil {
+		return nil, badCall{status: 400, text: "body: " + mishap.Error()}
+	}
+	asked.Digest = contract.Digest(append([]byte(asked.Route+"\x00"), body...))
+	asked.Tokens = int64(len(body) / tokenBytes)
+	asked.Prefix = prefix(messages)
+	return caller{call: asked, body: body, stream: streamed, path: "/v1/chat/completions"}, nil
+}
+
+// prefix names a shared beginning: the system message that a contract's text comes in.
+func prefix(messages []any) string {
+	first, fine := messages[0].(map[string]any)
+	if !fine || first["role"] != "system" || len(messages) < 2 {
+		return ""
+	}
+	content, mishap := json.Marshal(first["content"])
+	if mishap != nil {
+		return ""
+	}
+	return contract.Digest(content)[:16]
+}
+
+func (shell *dataShell) decodeLookup(_ context.Context, request *http.Request) (any, error) {
+	asked, mishap := common(request)
+	if mishap != nil {
+		return nil, mishap
+	}
+	asked.Route, asked.Key, asked.Lookup = request.PathValue("route"), request.PathValue("key"), true
+	if len(asked.Key) > longestName {
+		return nil, badCall{status: 400, text: "key: too long"}
+	}
+	return caller{call: asked, path: "/lookup/" + asked.Key}, nil
+}
+
+func decodeLook(_ context.Context, request *http.Request) (any, error) {
+	who, mishap := name(request, "Cedar-Caller", true)
+	return data.Look{Caller: who, Key: request.PathValue("key")}, mishap
+}
+
+func (shell *dataShell) look() endpoint.Endpoint {
+	return func(ctx context.Context, request any) (any, error) {
+		look := request.(data.Look)
+		answers := make(chan contract.Answer, 1)
+		look.Token = shell.Loop.Token(func(answer contract.Answer) { answers <- answer })
+		defer shell.Loop.Forget(look.Token)
+		if !shell.Loop.Try(look) {
+			return nil, badCall{status: 503, text: "this node is overloaded", after: shell.Settings.Bounds.Round()}
+		}
+		select {
+		case answer := <-answers:
+			return answer, nil
+		case <-ctx.Done():
+			return nil, badCall{status: 503, text: "the asker left"}
+		}
+	}
+}
+
+func encodeAnswer(_ context.Context, writer http.ResponseWriter, response any) error {
+	answer := response.(contract.Answer)
+	writer.Header().Set("Content-Type", "application/json")
+	link.RetryAfter(writer, answer.After)
+	writer.WriteHeader(answer.Status)
+	return json.NewEncoder(writer).Encode(answer.Body)
+}
+
+func encodeBad(_ context.Context, mishap error, writer http.ResponseWriter) {
+	bad := badCall{status: http.StatusBadRequest, text: mishap.Error()}
+	errors.As(mishap, &bad)
+	writer.Header().Set("Content-Type", "application/json")
+	link.RetryAfter(writer, bad.after)
+	writer.WriteHeader(bad.status)
+	_ = json.NewEncoder(writer).Encode(contract.Trouble{Outcome: string(call.NotRun), Mishap: bad.text, RetryAfterMs: bad.after.Milliseconds()})
+}
--- /dev/null
+++ b/serve/control.go
@@ -0,0 +1,184 @@
+package serve
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/cedarreel/cedarreel/chain"
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/control"
+	"github.com/cedarreel/cedarreel/env"
+	"github.com/cedarreel/cedarreel/image"
+	"github.com/cedarreel/cedarreel/link"
+	"github.com/cedarreel/cedarreel/platform"
+	"github.com/cedarreel/cedarreel/retire"
+	"github.com/cedarreel/cedarreel/shard"
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	readersAtOnce = 64
+	diskRing      = 16
+)
+
+type controlShell struct {
+	*Process
+	files   image.Files
+	disk    chan chain.Persist
+	readers chan struct{}
+	client  *http.Client
+}
+
+// Control runs a cedarcp until it is told to stop.
+func Control(settings env.Env, faultsPath string) error {
+	name := boot()
+	var shelf *chain.Shelf
+	shell := &controlShell{disk: make(chan chain.Persist, diskRing), readers: make(chan struct{}, readersAtOnce)}
+	if settings.Folder != "" {
+		folder, mishap := image.Open(settings.Folder)
+		if mishap != nil {
+			return mishap
+		}
+		loaded, mishap := image.Load(folder)
+		if mishap != nil {
+			return mishap
+		}
+		shelf, shell.files = &loaded, folder
+	}
+	owner := control.New(settings, name, shelf, source())
+	shell.Process = newProcess(settings, owner.Self(), owner, faultsPath)
+	if shelf != nil {
+		shell.files = link.FaultyDisk(shell.files, shell.Faults)
+		for _, mishap := range shelf.Mishaps {
+			_ = shell.Logger.Log("what", "image put aside", "mishap", mishap)
+		}
+	}
+	shell.client = &http.Client{Timeout: settings.Bounds.PlatformPoll(), CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	shell.Loop.Act(shell.act)
+	go shell.write()
+	return shell.run(settings.Control, func() {
+		shell.Loop.Post(control.Leave{})
+		settle(settings.Bounds.Gossip())
+	})
+}
+
+func (shell *controlShell) act(command contract.Command) bool {
+	switch command := command.(type) {
+	case chain.Persist:
+		shell.disk <- command
+	case shard.ReadPlatform:
+		shell.read(func() { shell.readPlatform(command) }, shard.ListingRead{Mishap: "too many reads at once"})
+	case shard.ReadReport:
+		shell.read(func() { shell.readReport(command) }, shard.ReportRead{Server: command.Server, Outcome: retire.Outcome{Mishap: "too many reads at once"}})
+	case shard.Order:
+		shell.read(func() { shell.order(command) }, shard.Ordered{Server: command.Server, Load: command.Load, Mishap: "too many reads at once"})
+	case contract.Forward:
+		go shell.forward.Forward(command)
+	default:
+		return false
+	}
+	return true
+}
+
+func (shell *controlShell) write() {
+	for {
+		select {
+		case <-shell.stop:
+			return
+		case work := <-shell.disk:
+			persisted := chain.Persisted{Token: work.Token}
+			if mishap := image.Save(shell.files, work); mishap != nil {
+				persisted.Mishap = mishap.Error()
+			}
+			shell.Loop.Post(persisted)
+		}
+	}
+}
+
+func (shell *controlShell) read(work func(), full contract.Event) {
+	select {
+	case shell.readers <- struct{}{}:
+		go func() {
+			defer func() { <-shell.readers }()
+			work()
+		}()
+	default:
+		shell.Loop.Try(full)
+	}
+}
+
+func (shell *controlShell) get(address string) ([]byte, error) {
+	bound := shell.Settings.Bounds.ReportBytes
+	encode := func(context.Context, any) (*http.Request, error) {
+		return http.NewRequest(http.MethodGet, address, nil)
+	}
+	decode := func(_ context.Context, response *http.Response) (any, error) {
+		if response.StatusCode != http.StatusOK {
+			return nil, eris.Errorf("answered %d", response.StatusCode)
+		}
+		content, mishap := io.ReadAll(io.LimitReader(response.Body, bound+1))
+		if mishap == nil && int64(len(content)) > bound {
+			mishap = eris.Errorf("larger than %d bytes", bound)
+		}
+		return content, mishap
+	}
+	content, mishap := kithttp.NewExplicitClient(encode, decode, kithttp.SetClient(shell.client)).Endpoint()(context.Background(), nil)
+	if mishap != nil {
+		return nil, mishap
+	}
+	return content.([]byte), nil
+}
+
+func (shell *controlShell) readPlatform(command shard.ReadPlatform) {
+	read := shard.ListingRead{Began: shell.Loop.Now()}
+	content, mishap := shell.get(shell.Settings.Platform + "/servers?region=" + url.QueryEscape(command.Region))
+	if mishap == nil {
+		read.Listing, mishap = platform.ReadListing(content, command.Region)
+	}
+	if mishap != nil {
+		read.Mishap = mishap.Error()
+	}
+	shell.Loop.Post(read)
+}
+
+func (shell *controlShell) readReport(command shard.ReadReport) {
+	read := shard.ReportRead{Server: command.Server, Outcome: retire.Outcome{Began: shell.Loop.Now()}}
+	content, mishap := shell.get("http://" + command.Address + "/report")
+	if mishap == nil {
+		read.Report, mishap = platform.ReadReport(content, command.Server)
+	}
+	if mishap != nil {
+		read.Mishap = mishap.Error()
+	}
+	shell.Loop.Post(read)
+}
+
+func (shell *controlShell) order(command shard.Order) {
+	ordered := shard.Ordered{Server: command.Server, Load: command.Load}
+	verb := "unload"
+	if command.Load {
+		verb = "load"
+	}
+	body, mishap := json.Marshal(map[string]any{"region": shell.Settings.Region, "shard": command.Shard, "epoch": command.Epoch})
+	if mishap == nil {
+		address := fmt.Sprintf("%s/servers/%s/%s", shell.Settings.Platform, url.PathEscape(command.Server), verb)
+		var response *http.Response
+		response, mishap = shell.client.Post(address, "application/json", io.NopCloser(bytes.NewReader(body)))
+		if mishap == nil {
+			_ = response.Body.Close()
+			if response.StatusCode != http.StatusOK {
+				mishap = eris.Errorf("answered %d", response.StatusCode)
+			}
+		}
+	}
+	if mishap != nil {
+		ordered.Mishap = mishap.Error()
+	}
+	shell.Loop.Post(ordered)
+}
--- /dev/null
+++ b/serve/main.go
@@ -0,0 +1,71 @@
+package serve
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/cedarreel/cedarreel/env"
+	"github.com/jessevdk/go-flags"
+)
+
+type arguments struct {
+	Env      string   `long:"env" description:"settings file (JSON); flags win over it"`
+	Name     string   `long:"name" description:"this machine's name"`
+	Hall     string   `long:"hall" description:"this machine's hall"`
+	Region   string   `long:"region" description:"this machine's region"`
+	Control  string   `long:"control" description:"address of cedarcp, IP:port"`
+	Data     string   `long:"data" description:"address of cedardp, IP:port"`
+	Seeds    []string `long:"seed" description:"address of a process to start from; three of them"`
+	Folder   string   `long:"folder" description:"data folder; a machine with one is a core machine"`
+	Platform string   `long:"platform" description:"the platform's address, http://IP:port"`
+	Faults   string   `long:"faults" description:"file of faults to play, for the test rig alone"`
+	Check    bool     `long:"check" description:"check the settings and stop"`
+	Version  bool     `long:"version" description:"print the version and stop"`
+}
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// Main reads flags and settings and runs one of the two programs.
+func Main(program string, run func(env.Env, string) error) {
+	var given arguments
+	parser := flags.NewParser(&given, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = program
+	if rest, mishap := parser.Parse(); mishap != nil || len(rest) > 0 {
+		var asked *flags.Error
+		if errors.As(mishap, &asked) && asked.Type == flags.ErrHelp {
+			fmt.Println(asked.Message)
+			return
+		}
+		fail(exitUsage, fmt.Sprint(program, ": ", mishap, rest))
+	}
+	if given.Version {
+		fmt.Println(program, Version)
+		return
+	}
+	options := []env.Option{env.WithName(given.Name), env.WithHall(given.Hall), env.WithRegion(given.Region), env.WithControl(given.Control),
+		env.WithData(given.Data), env.WithFolder(given.Folder), env.WithPlatform(given.Platform), env.WithSeeds(given.Seeds)}
+	settings, mishap := env.New(options...), error(nil)
+	if given.Env != "" {
+		settings, mishap = env.Load(given.Env, options...)
+	} else {
+		mishap = settings.Check()
+	}
+	if mishap != nil {
+		fail(exitUsage, program+": "+mishap.Error())
+	}
+	if given.Check {
+		return
+	}
+	if mishap = run(settings, given.Faults); mishap != nil {
+		fail(exitFailed, program+": "+mishap.Error())
+	}
+}
+
+func fail(code int, text string) {
+	fmt.Fprintln(os.Stderr, text)
+	os.Exit(code)
+}
--- /dev/null
+++ b/serve/session.go
@@ -0,0 +1,194 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/cedarreel/cedarreel/call"
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/data"
+	"github.com/go-kit/kit/endpoint"
+)
+
+const sessionRing = 64
+
+// item is one thing that a session writes to its caller: a piece or a break.
+type item struct {
+	piece  string
+	broken string
+}
+
+// session is one caller's connection from its call to its end.
+type session struct {
+	shell  *dataShell
+	caller caller
+	token  int64
+	items  chan item
+	answer chan contract.Answer
+	gone   <-chan struct{}
+}
+
+func (shell *dataShell) serve() endpoint.Endpoint {
+	return func(ctx context.Context, request any) (any, error) {
+		session := &session{shell: shell, caller: request.(caller), items: make(chan item, sessionRing),
+			answer: make(chan contract.Answer, 1), gone: ctx.Done()}
+		session.token = shell.Loop.Token(func(answer contract.Answer) { session.answer <- answer })
+		shell.lock.Lock()
+		shell.sessions[session.token] = session
+		shell.lock.Unlock()
+		if !shell.Loop.Try(data.Arrive{Token: session.token, Call: session.caller.call}) {
+			session.close()
+			return nil, badCall{status: 503, text: "this node is overloaded", after: shell.Settings.Bounds.Round()}
+		}
+		return session, nil
+	}
+}
+
+func (session *session) put(next item) {
+	select {
+	case session.items <- next:
+	case <-session.gone:
+	}
+}
+
+func (session *session) close() {
+	session.shell.Loop.Forget(session.token)
+	session.shell.lock.Lock()
+	defer session.shell.lock.Unlock()
+	delete(session.shell.sessions, session.token)
+}
+
+// encodeCall writes a session out. Whatever is not the whole reply ends in a mishap event and a broken connection.
+func encodeCall(ctx context.Context, writer http.ResponseWriter, response any) error {
+	session := response.(*session)
+	defer session.close()
+	out := &writerOf{session: session, writer: writer, control: http.NewResponseController(writer)}
+	for {
+		select {
+		case <-ctx.Done():
+			session.shell.Loop.Post(data.Left{Token: session.token})
+			return ctx.Err()
+		case next := <-session.items:
+			if mishap := out.next(next); mishap != nil {
+				session.shell.Loop.Post(data.Left{Token: session.token})
+				return mishap
+			}
+		case answer := <-session.answer:
+			for len(session.items) > 0 {
+				if mishap := out.next(<-session.items); mishap != nil {
+					return mishap
+				}
+			}
+			return out.end(answer)
+		}
+	}
+}
+
+func (out *writerOf) next(next item) error {
+	if next.broken != "" {
+		out.mishap(next.broken)
+	}
+	return out.piece(next.piece)
+}
+
+type writerOf struct {
+	session *session
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	pieces  int64
+}
+
+type delta struct {
+	Content string `json:"content,omitempty"`
+}
+
+type choice struct {
+	Index  int     `json:"index"`
+	Delta  delta   `json:"delta"`
+	Finish *string `json:"finish_reason"`
+}
+
+type chunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Number  int64    `json:"number"`
+	Choices []choice `json:"choices"`
+}
+
+func (out *writerOf) event(kind string, body any) error {
+	content, mishap := json.Marshal(body)
+	if mishap != nil {
+		return mishap
+	}
+	text := "data: " + string(content) + "\n\n"
+	if kind != "" {
+		text = "event: " + kind + "\n" + text
+	}
+	return out.raw(text)
+}
+
+// raw gives a slow reader a bounded time for each write.
+func (out *writerOf) raw(text string) error {
+	bounds := out.session.shell.Settings.Bounds
+	_ = out.control.SetWriteDeadline(nowPlus(bounds.Return()))
+	if _, mishap := out.writer.Write([]byte(text)); mishap != nil {
+		return mishap
+	}
+	return out.control.Flush()
+}
+
+func (out *writerOf) piece(text string) error {
+	if out.pieces == 0 {
+		out.writer.Header().Set("Content-Type", "text/event-stream")
+		out.writer.Header().Set("Cache-Control", "no-store")
+		out.writer.WriteHeader(http.StatusOK)
+	}
+	next := chunk{ID: out.session.caller.call.Key, Object: "chat.completion.chunk", Number: out.pieces, Choices: []choice{{Delta: delta{Content: text}}}}
+	out.pieces++
+	return out.event("", next)
+}
+
+func (out *writerOf) mishap(text string) {
+	_ = out.event("mishap", contract.Trouble{Outcome: string(call.Interrupted), Mishap: text})
+	panic(http.ErrAbortHandler)
+}
+
+func (out *writerOf) end(answer contract.Answer) error {
+	reply, whole := answer.Body.(data.Reply)
+	if !whole {
+		if out.pieces > 0 {
+			out.mishap("the call ended early")
+		}
+		return encodeAnswer(context.Background(), out.writer, answer)
+	}
+	if out.session.caller.call.Lookup {
+		out.writer.Header().Set("Content-Type", "application/json")
+		_, mishap := out.writer.Write([]byte(reply.Pieces[0]))
+		return mishap
+	}
+	if !out.session.caller.stream {
+		return out.unary(answer, reply)
+	}
+	for out.pieces < int64(len(reply.Pieces)) {
+		if mishap := out.piece(reply.Pieces[out.pieces]); mishap != nil {
+			return mishap
+		}
+	}
+	finish := "stop"
+	last := chunk{ID: out.session.caller.call.Key, Object: "chat.completion.chunk", Number: out.pieces, Choices: []choice{{Finish: &finish}}}
+	if mishap := out.event("", last); mishap != nil {
+		return mishap
+	}
+	return out.raw("data: [DONE]\n\n")
+}
+
+func (out *writerOf) unary(answer contract.Answer, reply data.Reply) error {
+	text := ""
+	for _, piece := range reply.Pieces {
+		text += piece
+	}
+	answer.Body = map[string]any{"id": out.session.caller.call.Key, "object": "chat.completion", "choices": []any{
+		map[string]any{"index": 0, "finish_reason": "stop", "message": map[string]any{"role": "assistant", "content": text}}}}
+	return encodeAnswer(context.Background(), out.writer, answer)
+}
--- /dev/null
+++ b/shard/list.go
@@ -0,0 +1,127 @@
+package shard
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/manifest"
+	"github.com/cedarreel/cedarreel/retire"
+)
+
+// eligible gives the servers of a shard that may take new work now.
+func (owner *Owner) eligible(now time.Duration, held *duty) []contract.ServerRow {
+	rows := []contract.ServerRow{}
+	for _, row := range owner.mine(held) {
+		known := owner.servers[row.Name]
+		_, retiring := held.retirements[row.Name]
+		_, pooled := owner.seen.Manifest.Pools[row.Pool]
+		released := held.released[row.Name] == row.Incarnation
+		if row.Leaving || row.Unloaded || retiring || released || !pooled || owner.drained(row.Hall) || !known.good || known.failures >= darkAfter {
+			continue
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+func (owner *Owner) drained(hall string) bool {
+	_, early := owner.withdrawn[hall]
+	return early || owner.seen.Manifest.Drained(hall)
+}
+
+// renumber raises the list's number whenever its set of servers changed.
+func (owner *Owner) renumber(now time.Duration, held *duty) {
+	names := []string{}
+	for _, row := range owner.eligible(now, held) {
+		names = append(names, row.Name+"@"+row.Incarnation)
+	}
+	list := strings.Join(names, ",")
+	if list != held.list || held.number == 0 {
+		held.list = list
+		held.number++
+	}
+}
+
+func (owner *Owner) ask(now time.Duration, ask contract.LicenceAsk) {
+	held, there := owner.duties[ask.Shard]
+	if !there {
+		owner.emit(contract.Send{To: ask.Address, Kind: LetterNotOwner, Body: contract.NotOwner{Region: ask.Region, Shard: ask.Shard}})
+		return
+	}
+	if held.highest.Before(ask.Highest) {
+		held.highest = ask.Highest
+		if held.owning {
+			held.owning, held.firstSince = false, now
+			owner.emit(contract.Count{Name: "superseded", By: 1})
+		}
+	}
+	if !held.owning || !owner.fresh(now) || owner.first(held.index) != owner.self.Name {
+		owner.emit(contract.Send{To: ask.Address, Kind: LetterNotOwner,
+			Body: contract.NotOwner{Region: ask.Region, Shard: ask.Shard, Owner: owner.first(held.index)}})
+		return
+	}
+	owner.renumber(now, held)
+	word := retire.Word{Told: now, Granted: now}
+	if ask.Highest == held.epoch {
+		word.Number = ask.Number
+	}
+	held.words[ask.Node], held.calls[ask.Node] = word, ask.Calls
+	licence := contract.Licence{Region: ask.Region, Shard: ask.Shard, Asked: ask.Asked, Epoch: held.epoch, Number: held.number,
+		Life: owner.bounds.Licence(), Revision: owner.seen.Revision}
+	for _, row := range owner.eligible(now, held) {
+		known := owner.servers[row.Name]
+		licence.Servers = append(licence.Servers, contract.Candidate{Name: row.Name, Address: row.Address, Hall: row.Hall, Pool: row.Pool,
+			Incarnation: row.Incarnation, Slots: owner.seen.Manifest.Pools[row.Pool].Slots, Share: owner.share(now, held, row, ask.Node),
+			Running: known.report.Running, Waiting: known.report.Waiting, Report: known.report.Number, Prefixes: known.report.Prefixes})
+	}
+	for _, name := range manifest.SortedKeys(held.retirements) {
+		licence.Withdraw = append(licence.Withdraw, name)
+		if held.retirements[name].Recalls() {
+			licence.Recall = append(licence.Recall, name)
+		}
+	}
+	owner.emit(contract.Send{To: ask.Address, Kind: LetterLicence, Body: licence})
+}
+
+// share is this node's part of a cold server's ramp; the parts of all data nodes add up to the ramp. Below zero means no bound.
+func (owner *Owner) share(now time.Duration, held *duty, row contract.ServerRow, node string) int64 {
+	known := owner.servers[row.Name]
+	ramp := owner.seen.Manifest.Retirement.Ramp
+	if !known.ramping || now-known.rampFrom >= ramp {
+		known.ramping = false
+		return -1
+	}
+	slots := owner.seen.Manifest.Pools[row.Pool].Slots
+	open := max(1, slots*int64(now-known.rampFrom)/int64(ramp))
+	names := []string{}
+	for _, name := range manifest.SortedKeys(held.words) {
+		if now-held.words[name].Granted < owner.bounds.Licence() {
+			names = append(names, name)
+		}
+	}
+	count := int64(len(names))
+	for place, name := range contract.Ordered("ramp/"+row.Name, names) {
+		if name == node {
+			part := open / count
+			if int64(place) < open%count {
+				part++
+			}
+			return part
+		}
+	}
+	return 0
+}
+
+func (owner *Owner) withdraw(now time.Duration, order Withdraw) {
+	owner.withdrawn[order.Hall] = now + owner.bounds.Deliver()*2
+	answer := Withdrawn{Token: order.Token}
+	for _, index := range manifestOrder(owner.duties) {
+		held := owner.duties[index]
+		if held.owning && owner.first(index) == owner.self.Name {
+			owner.renumber(now, held)
+			answer.Shards = append(answer.Shards, index)
+		}
+	}
+	owner.emit(contract.Send{To: order.Address, Kind: LetterWithdrawn, Body: answer})
+}
--- /dev/null
+++ b/shard/shard.go
@@ -0,0 +1,354 @@
+// Package shard holds the duty of a shard's owner: it reads the platform and the reports and grants pick lists under an epoch.
+package shard
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/env"
+	"github.com/cedarreel/cedarreel/manifest"
+	"github.com/cedarreel/cedarreel/retire"
+)
+
+const (
+	LetterAsk       = "licence-ask"
+	LetterLicence   = "licence"
+	LetterNotOwner  = "licence-not-owner"
+	LetterWithdraw  = "hall-withdraw"
+	LetterWithdrawn = "hall-withdrawn"
+)
+
+type ReadPlatform struct{ Region string }
+
+type ListingRead struct {
+	Began   time.Duration
+	Listing contract.Listing
+	Mishap  string
+}
+
+type ReadReport struct {
+	Server  string
+	Address string
+}
+
+type ReportRead struct {
+	Server string
+	retire.Outcome
+}
+
+// Order asks the platform to unload or to load a server, under the epoch of the shard's owner.
+type Order struct {
+	Server string
+	Shard  int
+	Load   bool
+	Epoch  contract.Epoch
+}
+
+type Ordered struct {
+	Server string
+	Load   bool
+	Mishap string
+}
+
+type Seen struct {
+	Members  []contract.Member
+	Manifest manifest.Manifest
+	Revision int64
+}
+
+type Withdraw struct {
+	Hall    string `json:"hall"`
+	Token   int64  `json:"token"`
+	Address string `json:"address"`
+}
+
+type Withdrawn struct {
+	Token  int64 `json:"token"`
+	Shards []int `json:"shards"`
+}
+
+type knowledge struct {
+	report      contract.Report
+	good        bool
+	readAt      time.Duration
+	reading     bool
+	failures    int
+	incarnation string
+	rampFrom    time.Duration
+	ramping     bool
+	nextRead    time.Duration
+	orderedAt   time.Duration
+}
+
+type duty struct {
+	index       int
+	owning      bool
+	firstSince  time.Duration
+	epoch       contract.Epoch
+	highest     contract.Epoch
+	number      int64
+	list        string
+	words       map[string]retire.Word
+	calls       map[string]map[string]int64
+	retirements map[string]*retire.Retirement
+	released    map[string]string
+	aborted     map[string]int64
+	past        []Retired
+}
+
+type Owner struct {
+	self      contract.Member
+	bounds    env.Bounds
+	seen      Seen
+	duties    map[int]*duty
+	listing   contract.Listing
+	listed    bool
+	listedAt  time.Duration
+	polling   bool
+	nextPoll  time.Duration
+	servers   map[string]*knowledge
+	withdrawn map[string]time.Duration
+	started   time.Duration
+	begun     bool
+	out       []contract.Command
+}
+
+func New(self contract.Member, bounds env.Bounds) *Owner {
+	return &Owner{self: self, bounds: bounds, duties: map[int]*duty{}, servers: map[string]*knowledge{}, withdrawn: map[string]time.Duration{}}
+}
+
+func (owner *Owner) Handle(now time.Duration, event contract.Event) []contract.Command {
+	if !owner.begun {
+		owner.begun, owner.started = true, now
+	}
+	owner.out = nil
+	switch event := event.(type) {
+	case Seen:
+		owner.seen = event
+		owner.tick(now)
+	case ListingRead:
+		owner.listingRead(now, event)
+	case ReportRead:
+		owner.reportRead(now, event)
+	case Ordered:
+		if event.Mishap != "" {
+			owner.emit(contract.Count{Name: "orders_refused", By: 1})
+		}
+	case contract.Letter:
+		owner.letter(now, event)
+	}
+	out := owner.out
+	owner.out = nil
+	return out
+}
+
+func (owner *Owner) emit(commands ...contract.Command) { owner.out = append(owner.out, commands...) }
+
+// Woke drops every duty: whoever froze may have been succeeded.
+func (owner *Owner) Woke(now time.Duration) {
+	for _, held := range owner.duties {
+		held.owning, held.firstSince = false, -1
+	}
+	owner.listed, owner.polling = false, false
+	for _, known := range owner.servers {
+		known.reading = false
+	}
+}
+
+func (owner *Owner) letter(now time.Duration, letter contract.Letter) {
+	switch letter.Kind {
+	case LetterAsk:
+		var ask contract.LicenceAsk
+		if json.Unmarshal(letter.Body, &ask) == nil && ask.Region == owner.self.Region {
+			owner.ask(now, ask)
+		}
+	case LetterWithdraw:
+		var order Withdraw
+		if json.Unmarshal(letter.Body, &order) == nil {
+			owner.withdraw(now, order)
+		}
+	}
+}
+
+func (owner *Owner) first(index int) string {
+	names := []string{}
+	for _, member := range owner.seen.Members {
+		if member.Kind == contract.KindControl && member.Region == owner.self.Region {
+			names = append(names, member.Name)
+		}
+	}
+	ordered := contract.Ordered(Subject(owner.self.Region, index), names)
+	if len(ordered) == 0 {
+		return ""
+	}
+	return ordered[0]
+}
+
+func Subject(region string, index int) string { return fmt.Sprintf("shard/%s/%d", region, index) }
+
+func (owner *Owner) tick(now time.Duration) {
+	shards := owner.seen.Manifest.Regions[owner.self.Region].Shards
+	for index := 0; index < shards; index++ {
+		if _, there := owner.duties[index]; !there {
+			owner.duties[index] = &duty{index: index, firstSince: -1, words: map[string]retire.Word{}, calls: map[string]map[string]int64{},
+				retirements: map[string]*retire.Retirement{}, released: map[string]string{}, aborted: map[string]int64{}}
+		}
+	}
+	for index := range owner.duties {
+		if index >= shards {
+			delete(owner.duties, index)
+		}
+	}
+	for hall, until := range owner.withdrawn {
+		if now > until {
+			delete(owner.withdrawn, hall)
+		}
+	}
+	owner.poll(now)
+	for index := 0; index < shards; index++ {
+		owner.tickDuty(now, owner.duties[index])
+	}
+}
+
+func (owner *Owner) poll(now time.Duration) {
+	if len(owner.duties) == 0 || owner.polling && now < owner.nextPoll+owner.bounds.PlatformPoll() || now < owner.nextPoll {
+		return
+	}
+	owner.polling, owner.nextPoll = true, now+owner.bounds.PlatformPoll()
+	owner.emit(ReadPlatform{Region: owner.self.Region})
+}
+
+func (owner *Owner) listingRead(now time.Duration, event ListingRead) {
+	owner.polling = false
+	if event.Mishap != "" {
+		owner.emit(contract.Count{Name: "listings_broken", By: 1})
+		return
+	}
+	if owner.listed && event.Began < owner.listedAt {
+		return
+	}
+	owner.listing, owner.listedAt = event.Listing, event.Began
+	owner.listed = true
+	present := map[string]bool{}
+	for _, row := range event.Listing.Servers {
+		present[row.Name] = true
+		known, there := owner.servers[row.Name]
+		if !there {
+			known = &knowledge{incarnation: row.Incarnation, orderedAt: -owner.bounds.Return()}
+			owner.servers[row.Name] = known
+		}
+		if known.incarnation != row.Incarnation {
+			known.incarnation, known.good, known.ramping, known.failures = row.Incarnation, false, false, 0
+		}
+	}
+	for name := range owner.servers {
+		if !present[name] {
+			delete(owner.servers, name)
+		}
+	}
+}
+
+func (owner *Owner) fresh(now time.Duration) bool {
+	return owner.listed && now-owner.listedAt < owner.bounds.PlatformGrace()
+}
+
+func (owner *Owner) tickDuty(now time.Duration, held *duty) {
+	if owner.first(held.index) != owner.self.Name {
+		if held.owning {
+			owner.emit(contract.Say{What: "shard given up", Detail: []any{"shard", held.index}})
+		}
+		held.owning, held.firstSince = false, -1
+		return
+	}
+	if held.firstSince < 0 {
+		held.firstSince = now
+	}
+	if !held.owning {
+		ready := now-held.firstSince >= owner.bounds.Round() && now-owner.started >= owner.bounds.Licence() && owner.fresh(now)
+		if !ready {
+			return
+		}
+		owner.takeOver(held)
+	}
+	owner.readReports(now, held)
+	if owner.listed {
+		owner.retireAll(now, held)
+	}
+	owner.renumber(now, held)
+}
+
+func (owner *Owner) takeOver(held *duty) {
+	held.owning = true
+	held.epoch = contract.Epoch{Number: held.highest.Number + 1, Node: owner.self.Name}
+	held.highest, held.number, held.list = held.epoch, 0, ""
+	held.words, held.calls = map[string]retire.Word{}, map[string]map[string]int64{}
+	held.retirements, held.released = map[string]*retire.Retirement{}, map[string]string{}
+	owner.emit(contract.Count{Name: "take_overs", By: 1}, contract.Say{What: "shard taken", Detail: []any{"shard", held.index, "epoch", held.epoch.Number}})
+}
+
+func (owner *Owner) mine(held *duty) []contract.ServerRow {
+	rows := []contract.ServerRow{}
+	for _, row := range owner.listing.Servers {
+		if contract.ShardOf(row.Name, len(owner.duties)) == held.index {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+func (owner *Owner) readReports(now time.Duration, held *duty) {
+	for _, row := range owner.mine(held) {
+		known := owner.servers[row.Name]
+		if row.Unloaded || now < known.nextRead || known.reading && now < known.nextRead+owner.bounds.Licence() {
+			continue
+		}
+		known.reading, known.nextRead = true, now+owner.bounds.PlatformPoll()
+		owner.emit(ReadReport{Server: row.Name, Address: row.Address})
+	}
+}
+
+func (owner *Owner) reportRead(now time.Duration, event ReportRead) {
+	known, there := owner.servers[event.Server]
+	if !there {
+		return
+	}
+	known.reading = false
+	if event.Mishap == "" && !event.Report.Complete {
+		owner.emit(contract.Count{Name: "reports_partial", By: 1})
+	}
+	if event.Mishap != "" {
+		known.failures++
+		owner.emit(contract.Count{Name: "reports_broken", By: 1})
+	} else if event.Report.Incarnation == known.incarnation {
+		if !known.good {
+			known.good = true
+			known.ramping = event.Report.Running == 0 && len(event.Report.Prefixes) == 0
+			known.rampFrom = now
+		}
+		if known.failures >= darkAfter {
+			known.ramping, known.rampFrom = true, now
+		}
+		known.failures, known.report, known.readAt = 0, event.Report, now
+	}
+	for _, index := range manifestOrder(owner.duties) {
+		if retirement, there := owner.duties[index].retirements[event.Server]; there && owner.duties[index].owning {
+			if retirement.Read(now, event.Outcome) {
+				owner.release(now, owner.duties[index], retirement)
+			}
+		}
+	}
+}
+
+const darkAfter = 2
+
+func manifestOrder(duties map[int]*duty) []int {
+	indexes := []int{}
+	for index := 0; len(indexes) < len(duties); index++ {
+		if _, there := duties[index]; there {
+			indexes = append(indexes, index)
+		}
+	}
+	return indexes
+}
