--- a/control/control.go
+++ b/control/control.go
@@ -185,4 +185,10 @@
 // Leave hands the duties over when this process stops on purpose.
 type Leave struct{}
 
-func (owner *Owner) Chain() *chain.Owner { return owner.chain }
+// Kept gives an accepted version that this core machine holds.
+func (owner *Owner) Kept(revision int64) (contract.Version, bool) {
+	if owner.chain == nil {
+		return contract.Version{}, false
+	}
+	return owner.chain.Version(revision)
+}
--- /dev/null
+++ b/fleet/caller.go
@@ -0,0 +1,185 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cedarreel/cedarreel/call"
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/data"
+	"github.com/cedarreel/cedarreel/ledger"
+	"github.com/cedarreel/cedarreel/site"
+)
+
+// visit is a caller with one call: it repeats the same key elsewhere until it has an end that it can keep.
+type visit struct {
+	fleet  *Fleet
+	kind   site.Caller
+	home   string
+	scoped string
+	prefix string
+	tries  int
+	repeat bool
+	first  time.Duration
+	leaves time.Duration
+	at     *Machine
+	Ended  string
+}
+
+// try is one attempt of a caller at one node.
+type try struct {
+	visit   *visit
+	session *session
+	index   int
+	began   time.Duration
+	reply   ledger.Reply
+	over    bool
+	stuck   bool
+}
+
+const (
+	callerTries = 4
+	callerPause = 200 * time.Millisecond
+	callerMost  = 2 * time.Second
+)
+
+func (visit *visit) place() place {
+	return place{"callers-" + visit.at.Hall, visit.at.Hall, visit.at.Region}
+}
+
+func (visit *visit) prefixName() string {
+	return contract.Digest([]byte(visit.prefix))[:16]
+}
+
+// send sends the call to a node of its home region, another one each time.
+func (visit *visit) send() {
+	fleet := visit.fleet
+	nodes := []*Machine{}
+	for _, machine := range fleet.Machines {
+		if machine.Region == visit.home && (visit.at == nil || machine != visit.at) {
+			nodes = append(nodes, machine)
+		}
+	}
+	visit.at = nodes[fleet.World.Random.IntN(len(nodes))]
+	visit.sendTo(visit.at)
+}
+
+func (visit *visit) sendTo(machine *Machine) {
+	fleet, deadline := visit.fleet, time.Duration(visit.kind.DeadlineMs)*time.Millisecond
+	visit.at = machine
+	visit.tries++
+	next := &try{visit: visit, began: fleet.World.Now}
+	model := visit.kind.Class != "lookup"
+	next.index = fleet.Ledger.Sent(visit.scoped, visit.kind.Class, visit.home, model, fleet.World.Now, deadline)
+	asked := call.Call{Key: visit.scoped, Caller: "desk", Route: visit.kind.Route, Home: visit.home, Tokens: visit.kind.Tokens,
+		Repeat: visit.repeat, Deadline: deadline, Digest: contract.Digest([]byte(visit.scoped)), Lookup: !model}
+	if visit.repeat {
+		asked.Age = fleet.World.Now - visit.first + 1
+	} else if visit.first == 0 {
+		visit.first = fleet.World.Now
+	}
+	if visit.prefix != "" {
+		asked.Prefix = visit.prefixName()
+	}
+	process := machine.Data
+	fleet.World.After(deadline+fleet.Bounds.Deliver()/2, func() { next.broke() })
+	if visit.leaves > 0 {
+		fleet.World.After(visit.leaves, next.leave)
+	}
+	sent := fleet.World.travel(visit.place(), machine.place(), false, func() {
+		if !process.up {
+			fleet.World.travel(machine.place(), visit.place(), false, func() { next.end("not_run", 0) })
+			return
+		}
+		process.Do(func() {
+			if !next.over {
+				process.arrive(next, asked)
+			}
+		})
+	})
+	next.stuck = !sent
+}
+
+// leave is a caller that goes away in the middle.
+func (try *try) leave() {
+	if try.over || try.session == nil || try.session.over {
+		return
+	}
+	open := try.session
+	try.over = true
+	try.reply.Outcome = "left"
+	try.visit.fleet.Ledger.Answered(try.visit.scoped, try.index, try.visit.fleet.World.Now, try.reply)
+	open.process.Do(func() {
+		if !open.over {
+			open.process.handle(data.Left{Token: open.token})
+			open.close()
+		}
+	})
+}
+
+func (try *try) piece(text string, number int64) {
+	if try.over {
+		return
+	}
+	if try.reply.First == 0 {
+		try.reply.First = try.visit.fleet.World.Now - try.began
+	}
+	for _, piece := range strings.SplitAfter(text, ";") {
+		if piece != "" {
+			try.reply.Pieces = append(try.reply.Pieces, piece)
+		}
+	}
+	if !try.visit.kind.Unary {
+		try.reply.Numbers = append(try.reply.Numbers, number)
+	}
+}
+
+func (try *try) finished() {
+	try.reply.Finished = true
+	if try.reply.First == 0 {
+		try.reply.First = try.visit.fleet.World.Now - try.began
+	}
+	try.end("done", 0)
+}
+
+func (try *try) mishap() { try.end("interrupted", 0) }
+
+// broke is a connection that ended without a word, or a caller's patience that did.
+func (try *try) broke() { try.end("broken", 0) }
+
+func (try *try) refused(status int, trouble contract.Trouble, after time.Duration) {
+	try.reply.Status = status
+	outcome := trouble.Outcome
+	if outcome == "" {
+		outcome = fmt.Sprint(status)
+	}
+	try.end(outcome, after)
+}
+
+func (try *try) end(outcome string, after time.Duration) {
+	if try.over {
+		return
+	}
+	try.over = true
+	visit, fleet := try.visit, try.visit.fleet
+	if open := try.session; outcome == "broken" && open != nil && !open.over {
+		open.process.Do(func() {
+			if !open.over {
+				open.process.handle(data.Left{Token: open.token})
+				open.close()
+			}
+		})
+	}
+	try.reply.Outcome = outcome
+	fleet.Ledger.Answered(visit.scoped, try.index, fleet.World.Now, try.reply)
+	visit.Ended = outcome
+	if outcome == "done" || outcome == "interrupted" || outcome == "unknown" || visit.tries >= callerTries {
+		fleet.served(visit, outcome)
+		return
+	}
+	if outcome != "not_run" {
+		visit.repeat = true
+	}
+	fleet.World.After(min(max(after, callerPause), callerMost), visit.send)
+}
--- /dev/null
+++ b/fleet/operate.go
@@ -0,0 +1,150 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/manifest"
+)
+
+// Written is an operator's write and the answer it got.
+type Written struct {
+	Ask      contract.Ask
+	Status   int
+	Accepted contract.Accepted
+	At       time.Duration
+}
+
+// Operate asks a node and waits in virtual time for the answer.
+func (fleet *Fleet) Operate(machine *Machine, ask contract.Ask) contract.Answer {
+	var given *contract.Answer
+	machine.Control.Ask(ask, func(answer contract.Answer) { given = &answer })
+	fleet.Until(10*time.Second, func() bool { return given != nil })
+	if given == nil {
+		return contract.Answer{Status: 0}
+	}
+	return *given
+}
+
+// Write sends a write and notes its answer when it comes; the ledger judges it from then on.
+func (fleet *Fleet) Write(machine *Machine, ask contract.Ask, then func(Written)) {
+	sent := fleet.World.Now
+	machine.Control.Ask(ask, func(answer contract.Answer) {
+		written := Written{Ask: ask, Status: answer.Status, At: fleet.World.Now}
+		_ = json.Unmarshal(content(answer.Body), &written.Accepted)
+		fleet.Writes = append(fleet.Writes, written)
+		if answer.Status == 200 || answer.Status == 202 {
+			fleet.accepted(ask, written, sent)
+		}
+		if then != nil {
+			then(written)
+		}
+	})
+}
+
+func (fleet *Fleet) accepted(ask contract.Ask, written Written, sent time.Duration) {
+	digest := ""
+	for _, machine := range fleet.Machines {
+		if machine.Control == nil || !machine.Control.up {
+			continue
+		}
+		if version, there := fleet.held(machine, written.Accepted.Revision); there {
+			digest = version.Digest
+		}
+	}
+	fleet.Ledger.Accepted(written.Accepted.Revision, digest, fleet.World.Now)
+	if ask.Verb == contract.VerbDrain {
+		fleet.Ledger.Drained(ask.Subject, fleet.World.Now)
+	}
+}
+
+// Do writes and waits for the answer.
+func (fleet *Fleet) Do(machine *Machine, ask contract.Ask) Written {
+	var done *Written
+	if ask.Operation == "" {
+		ask.Operation = fmt.Sprintf("operation-%d", fleet.World.Now)
+	}
+	if ask.Verb == contract.VerbUndrain {
+		fleet.Ledger.Undrained(ask.Subject, fleet.World.Now)
+	}
+	fleet.Write(machine, ask, func(written Written) { done = &written })
+	fleet.Until(15*time.Second, func() bool { return done != nil })
+	if done == nil {
+		return Written{Ask: ask}
+	}
+	return *done
+}
+
+// Adopt writes the site's manifest once the core is founded.
+func (fleet *Fleet) Adopt() bool {
+	for ends := fleet.World.Now + 20*time.Second; fleet.World.Now < ends; {
+		written := fleet.Do(fleet.Machines[len(fleet.Machines)-1], contract.Ask{Verb: contract.VerbPut, HasBase: true, Body: fleet.Site.Manifest, Operation: "first"})
+		if written.Status == 200 {
+			return true
+		}
+		fleet.Run(200 * time.Millisecond)
+	}
+	return false
+}
+
+// Ready starts a fleet and brings it to where it serves.
+func (fleet *Fleet) Ready() bool {
+	fleet.Start()
+	return fleet.Adopt() && fleet.Until(fleet.Bounds.Return(), fleet.Serves)
+}
+
+// Serves holds when every live data node can pick from every shard of its region.
+func (fleet *Fleet) Serves() bool {
+	for _, machine := range fleet.Machines {
+		if machine.Up() && (machine.Data.Gauges["shards_lapsed"] > 0 || machine.Data.Gauges["manifest_revision"] == 0) {
+			return false
+		}
+	}
+	return true
+}
+
+// held looks up an accepted version through the tail, as an operator's read would.
+func (fleet *Fleet) held(machine *Machine, revision int64) (contract.Version, bool) {
+	owner, fine := machine.Control.owner.(interface {
+		Kept(int64) (contract.Version, bool)
+	})
+	if !fine {
+		return contract.Version{}, false
+	}
+	return owner.Kept(revision)
+}
+
+// readBack asks the fleet for every accepted revision that must still be kept.
+func (fleet *Fleet) readBack() {
+	live := fleet.Pick(func(machine *Machine) bool { return machine.Up() && !machine.Control.frozen })
+	if len(live) == 0 {
+		return
+	}
+	revisions := fleet.Ledger.AcceptedRevisions()
+	newest := int64(0)
+	for _, revision := range revisions {
+		newest = max(newest, revision)
+	}
+	for _, revision := range revisions {
+		if revision <= newest-fleet.Bounds.History {
+			continue
+		}
+		answer := fleet.Operate(live[int(revision)%len(live)], contract.Ask{Verb: contract.VerbGet, Revision: revision})
+		version, _ := answer.Body.(contract.Version)
+		digest := version.Digest
+		if answer.Status != 200 || contract.Digest(version.Manifest) != digest {
+			digest = fmt.Sprintf("status %d", answer.Status)
+		}
+		fleet.Ledger.ReadBack(revision, digest, fleet.World.Now)
+	}
+}
+
+// Manifest is what the newest read through a node gives.
+func (fleet *Fleet) Manifest(machine *Machine) (manifest.Manifest, int64) {
+	answer := fleet.Operate(machine, contract.Ask{Verb: contract.VerbGet})
+	version, _ := answer.Body.(contract.Version)
+	read, _ := manifest.Read(version.Manifest)
+	return read, version.Place.Revision
+}
--- /dev/null
+++ b/fleet/process.go
@@ -0,0 +1,261 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cedarreel/cedarreel/chain"
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/control"
+	"github.com/cedarreel/cedarreel/data"
+	"github.com/cedarreel/cedarreel/env"
+	"github.com/cedarreel/cedarreel/image"
+	"github.com/cedarreel/cedarreel/site"
+)
+
+// Machine runs a control and a data process; a core machine has a disk.
+type Machine struct {
+	site.Machine
+	fleet   *Fleet
+	Control *Process
+	Data    *Process
+	Disk    *Disk
+	env     env.Env
+	boots   int
+}
+
+func (machine *Machine) place() place {
+	return place{machine.Name, machine.Hall, machine.Region}
+}
+
+// Process is one program: while it is frozen everything waits for it, when it is dead everything is lost.
+type Process struct {
+	machine  *Machine
+	owner    contract.Owner
+	kind     string
+	boot     string
+	began    time.Duration
+	up       bool
+	frozen   bool
+	waiting  []func()
+	asks     map[int64]func(contract.Answer)
+	token    int64
+	sessions map[int64]*session
+	disk     int
+	Counts   map[string]int64
+	Gauges   map[string]int64
+}
+
+func (machine *Machine) Start() {
+	machine.boots++
+	machine.Control = machine.process(contract.KindControl)
+	machine.Data = machine.process(contract.KindData)
+	fleet := machine.fleet
+	seed := func() *rand.Rand { return rand.New(rand.NewPCG(fleet.World.Random.Uint64(), 5)) }
+	var shelf *chain.Shelf
+	if machine.Core {
+		loaded, mishap := image.Load(machine.Disk)
+		if mishap != nil {
+			panic(mishap)
+		}
+		shelf = &loaded
+	}
+	machine.Control.owner = control.New(machine.env, machine.Control.boot, shelf, seed())
+	machine.Data.owner = data.New(machine.env, machine.Data.boot, seed())
+	for _, process := range []*Process{machine.Control, machine.Data} {
+		fleet.processes[process.address()] = process
+		fleet.World.After(time.Duration(fleet.World.Random.Int64N(int64(machine.env.Bounds.Tick()))), process.tick)
+	}
+}
+
+func (machine *Machine) process(kind string) *Process {
+	return &Process{machine: machine, kind: kind, boot: fmt.Sprintf("b%d", machine.boots), began: machine.fleet.World.Now, up: true,
+		asks: map[int64]func(contract.Answer){}, sessions: map[int64]*session{}, Counts: map[string]int64{}, Gauges: map[string]int64{}}
+}
+
+func (process *Process) address() string {
+	if process.kind == contract.KindControl {
+		return process.machine.env.Control
+	}
+	return process.machine.env.Data
+}
+
+// Do runs something inside the process, later if it is frozen, never if it died.
+func (process *Process) Do(then func()) {
+	switch {
+	case !process.up:
+	case process.frozen:
+		process.waiting = append(process.waiting, then)
+	default:
+		then()
+	}
+}
+
+func (process *Process) tick() {
+	if !process.up {
+		return
+	}
+	if !process.frozen {
+		process.handle(contract.Tick{})
+	}
+	process.machine.fleet.World.After(process.machine.env.Bounds.Tick(), process.tick)
+}
+
+func (process *Process) now() time.Duration { return process.machine.fleet.World.Now - process.began }
+
+// Event brings an event to the owner and carries out its commands.
+func (process *Process) Event(event contract.Event) { process.Do(func() { process.handle(event) }) }
+
+func (process *Process) handle(event contract.Event) {
+	for _, command := range process.owner.Handle(process.now(), event) {
+		process.carryOut(command)
+	}
+}
+
+func (process *Process) carryOut(command contract.Command) {
+	fleet := process.machine.fleet
+	switch command := command.(type) {
+	case contract.Send:
+		process.send(command)
+	case contract.Count:
+		process.Counts[command.Name] += command.By
+	case contract.Gauge:
+		process.Gauges[command.Name] = command.Value
+	case contract.Say:
+		fleet.say(process, command)
+	case contract.Answer:
+		process.answer(command)
+	case contract.Forward:
+		process.forward(command)
+	case data.Dispatch:
+		process.dispatch(command)
+	case data.Cancel:
+		process.cancel(command)
+	case data.Recall:
+		process.recall(command)
+	case chain.Persist:
+		process.persist(command)
+	default:
+		process.outside(command)
+	}
+}
+
+func (process *Process) send(command contract.Send) {
+	fleet := process.machine.fleet
+	target, there := fleet.processes[command.To]
+	if !there {
+		return
+	}
+	body, mishap := json.Marshal(command.Body)
+	if mishap != nil {
+		panic(mishap)
+	}
+	letter := contract.Letter{Kind: command.Kind, From: process.machine.Name + "-" + process.kind, Boot: process.boot, Body: body}
+	fleet.World.travel(process.machine.place(), target.machine.place(), true, func() {
+		if current := fleet.processes[command.To]; current != nil {
+			current.Event(letter)
+		}
+	})
+}
+
+func (process *Process) answer(answer contract.Answer) {
+	if session, there := process.sessions[answer.Token]; there {
+		session.answered(answer)
+		return
+	}
+	take := process.asks[answer.Token]
+	delete(process.asks, answer.Token)
+	if take != nil {
+		take(answer)
+	}
+}
+
+// Ask puts an operator's question to this process.
+func (process *Process) Ask(ask contract.Ask, take func(contract.Answer)) {
+	process.Do(func() {
+		process.token++
+		ask.Token = process.token
+		process.asks[ask.Token] = take
+		process.handle(ask)
+	})
+}
+
+// forward carries an ask to the authority as the links do; a lost answer is unknown.
+func (process *Process) forward(forward contract.Forward) {
+	fleet, token, given := process.machine.fleet, forward.Ask.Token, false
+	give := func(answer contract.Answer) {
+		if !given {
+			given = true
+			answer.Token = token
+			process.Do(func() { process.answer(answer) })
+		}
+	}
+	lost := contract.Answer{Status: 504, Body: contract.Accepted{Outcome: "unknown", Operation: forward.Ask.Operation}}
+	fleet.World.After(process.machine.env.Bounds.Deliver()*2, func() { give(lost) })
+	target, there := fleet.processes[forward.Address]
+	if !there {
+		return
+	}
+	fleet.World.travel(process.machine.place(), target.machine.place(), false, func() {
+		if target != fleet.processes[forward.Address] {
+			return
+		}
+		target.Ask(forward.Ask, func(answer contract.Answer) {
+			fleet.World.travel(target.machine.place(), process.machine.place(), false, func() { give(answer) })
+		})
+	})
+}
+
+func (process *Process) persist(work chain.Persist) {
+	disk, fleet := process.machine.Disk, process.machine.fleet
+	fleet.World.After(disk.took(fleet.World.Random), func() {
+		disk.whenMoving(func() {
+			if !process.up {
+				return
+			}
+			persisted := chain.Persisted{Token: work.Token}
+			if mishap := image.Save(disk, work); mishap != nil {
+				persisted.Mishap = mishap.Error()
+			}
+			disk.saved()
+			process.Event(persisted)
+		})
+	})
+}
+
+// Kill ends both processes; what the disk only said it kept may go with them.
+func (machine *Machine) Kill() {
+	for _, process := range []*Process{machine.Control, machine.Data} {
+		process.up = false
+		process.waiting = nil
+		for _, session := range process.sortedSessions() {
+			session.broken()
+		}
+	}
+	if machine.Disk != nil {
+		machine.Disk.powerLost()
+	}
+	machine.fleet.Ledger.Restarted(machine.Name + "-data")
+}
+
+func (machine *Machine) Up() bool { return machine.Control != nil && machine.Control.up }
+
+func (machine *Machine) Freeze() {
+	machine.Control.frozen, machine.Data.frozen = true, true
+}
+
+func (machine *Machine) Wake() {
+	for _, process := range []*Process{machine.Control, machine.Data} {
+		if !process.frozen {
+			continue
+		}
+		process.frozen = false
+		waiting := process.waiting
+		process.waiting = nil
+		for _, then := range waiting {
+			process.Do(then)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/session.go
@@ -0,0 +1,235 @@
+package fleet
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cedarreel/cedarreel/call"
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/data"
+	"github.com/cedarreel/cedarreel/stream"
+)
+
+// session is one caller's connection to a data process.
+type session struct {
+	process  *Process
+	try      *try
+	token    int64
+	attempts map[int]*attempt
+	written  int
+	over     bool
+	last     time.Duration
+}
+
+// attempt is one call at one server, over a link of its own.
+type attempt struct {
+	session *session
+	command data.Dispatch
+	server  *Server
+	relay   *stream.Relay
+	pieces  []string
+	closed  bool
+	stuck   bool
+	last    time.Duration
+}
+
+func (process *Process) sortedSessions() []*session {
+	sessions := []*session{}
+	for _, open := range process.sessions {
+		sessions = append(sessions, open)
+	}
+	slices.SortFunc(sessions, func(left, right *session) int { return int(left.token - right.token) })
+	return sessions
+}
+
+func (process *Process) arrive(try *try, asked call.Call) {
+	process.token++
+	open := &session{process: process, try: try, token: process.token, attempts: map[int]*attempt{}}
+	process.sessions[open.token] = open
+	try.session = open
+	process.handle(data.Arrive{Token: open.token, Call: asked})
+}
+
+// towards sends something to the caller, in order, unless the link is cut.
+func (session *session) towards(then func()) {
+	world, here, there := session.process.machine.fleet.World, session.process.machine.place(), session.try.visit.place()
+	if world.cut[[2]string{here.name, there.name}] {
+		session.try.stuck = true
+	}
+	if session.try.stuck {
+		return
+	}
+	session.last = max(session.last, world.Now+world.delay(here, there))
+	world.At(session.last, then)
+}
+
+func (session *session) close() {
+	session.over = true
+	delete(session.process.sessions, session.token)
+	for _, open := range session.attempts {
+		open.close()
+	}
+}
+
+// broken is the end of a connection without an answer.
+func (session *session) broken() {
+	session.close()
+	session.towards(func() { session.try.broke() })
+}
+
+func (session *session) piece(text string) {
+	number := int64(session.written)
+	session.written++
+	session.towards(func() { session.try.piece(text, number) })
+}
+
+func (session *session) answered(answer contract.Answer) {
+	reply, whole := answer.Body.(data.Reply)
+	defer session.close()
+	if !whole {
+		trouble, _ := answer.Body.(contract.Trouble)
+		if session.written > 0 {
+			session.towards(func() { session.try.mishap() })
+			return
+		}
+		session.towards(func() { session.try.refused(answer.Status, trouble, answer.After) })
+		return
+	}
+	for session.written < len(reply.Pieces) && session.try.visit.kind.Class != "lookup" {
+		session.piece(reply.Pieces[session.written])
+	}
+	session.towards(func() { session.try.finished() })
+}
+
+func (process *Process) dispatch(command data.Dispatch) {
+	fleet, open := process.machine.fleet, process.sessions[command.Token]
+	if open == nil {
+		return
+	}
+	next := &attempt{session: open, command: command, server: fleet.Server(command.Server.Name), relay: stream.New(command.Identity, process.machine.env.Bounds.ReplyBytes)}
+	open.attempts[command.Attempt] = next
+	connected := false
+	fleet.World.After(command.Limit, func() {
+		proof := call.NotSent
+		if connected {
+			proof = call.Silent
+		}
+		process.Do(func() { next.end(proof, "cut at its deadline") })
+	})
+	fleet.World.travel(process.machine.place(), next.server.place(), false, func() {
+		if next.closed {
+			return
+		}
+		connected = true
+		next.server.take(next)
+	})
+}
+
+func (attempt *attempt) close() { attempt.closed = true }
+
+// end is the last word of an attempt; once a piece has come it can only be whole or broken.
+func (attempt *attempt) end(proof call.Proof, mishap string) {
+	if attempt.closed {
+		return
+	}
+	attempt.close()
+	if proof != call.Whole && len(attempt.pieces) > 0 {
+		proof = call.Broken
+	}
+	process, open := attempt.session.process, attempt.session
+	process.handle(data.Ended{Token: open.token, Attempt: attempt.command.Attempt, Proof: proof, Pieces: attempt.pieces, Mishap: mishap})
+	if proof == call.Broken {
+		open.towards(func() { open.try.mishap() })
+		open.close()
+	}
+}
+
+// back carries something from the server over the attempt's link, in order; after a cut nothing more comes.
+func (attempt *attempt) back(then func()) {
+	process := attempt.session.process
+	world, here, there := process.machine.fleet.World, attempt.server.place(), process.machine.place()
+	if world.cut[[2]string{here.name, there.name}] {
+		attempt.stuck = true
+	}
+	if attempt.stuck {
+		return
+	}
+	attempt.last = max(attempt.last, world.Now+world.delay(here, there))
+	world.At(attempt.last, func() { process.Do(then) })
+}
+
+func (attempt *attempt) refusedLink() {
+	attempt.back(func() { attempt.end(call.NotSent, "connection refused") })
+}
+
+func (attempt *attempt) turnedAway() {
+	attempt.back(func() { attempt.end(call.Refused, "the server refused the call") })
+}
+
+func (attempt *attempt) linkBroke() {
+	attempt.back(func() { attempt.end(call.Silent, "the link broke") })
+}
+
+func (attempt *attempt) bytes(content string) {
+	attempt.back(func() {
+		if attempt.closed {
+			return
+		}
+		for _, piece := range attempt.relay.Feed([]byte(content)) {
+			if len(attempt.pieces) == 0 {
+				attempt.session.process.handle(data.Begun{Token: attempt.session.token, Attempt: attempt.command.Attempt})
+			}
+			attempt.pieces = append(attempt.pieces, piece)
+			attempt.session.piece(piece)
+		}
+		if attempt.relay.Finished() {
+			attempt.end(call.Whole, "")
+		} else if attempt.relay.Mishap() != nil {
+			attempt.end(call.Silent, attempt.relay.Mishap().Error())
+		}
+	})
+}
+
+func (attempt *attempt) body(content []byte) {
+	attempt.back(func() {
+		if attempt.closed {
+			return
+		}
+		if attempt.session.try.visit.kind.Class == "lookup" {
+			var read struct{ ID, Key string }
+			if json.Unmarshal(content, &read) != nil || read.ID != attempt.command.Identity || read.Key != attempt.session.try.visit.scoped {
+				attempt.end(call.Silent, "another lookup's reply")
+				return
+			}
+			attempt.pieces = []string{string(content)}
+			attempt.end(call.Whole, "")
+			return
+		}
+		pieces, mishap := stream.Whole(content, attempt.command.Identity)
+		if mishap != nil {
+			attempt.end(call.Silent, mishap.Error())
+			return
+		}
+		attempt.pieces = pieces
+		attempt.end(call.Whole, "")
+	})
+}
+
+func (process *Process) cancel(command data.Cancel) {
+	if open := process.sessions[command.Token]; open != nil {
+		if attempt := open.attempts[command.Attempt]; attempt != nil {
+			attempt.close()
+		}
+	}
+}
+
+func (process *Process) recall(command data.Recall) {
+	fleet, server := process.machine.fleet, process.machine.fleet.Server(command.Server.Name)
+	fleet.World.travel(process.machine.place(), server.place(), false, func() {
+		never := server.recall(command.Identity)
+		fleet.World.travel(server.place(), process.machine.place(), false, func() {
+			process.Event(data.Recalled{Token: command.Token, Attempt: command.Attempt, Never: never})
+		})
+	})
+}
--- /dev/null
+++ b/fleet/world.go
@@ -0,0 +1,118 @@
+// Package fleet plays a whole deployment in memory and in virtual time: the same owners as in the processes,
+// with seeded links, disks and clocks, and stand-ins for servers, platform, callers and operators.
+package fleet
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+)
+
+type happening struct {
+	at    time.Duration
+	order int64
+	then  func()
+}
+
+type agenda []*happening
+
+func (agenda agenda) Len() int { return len(agenda) }
+func (agenda agenda) Less(left, right int) bool {
+	if agenda[left].at != agenda[right].at {
+		return agenda[left].at < agenda[right].at
+	}
+	return agenda[left].order < agenda[right].order
+}
+func (agenda agenda) Swap(left, right int) { agenda[left], agenda[right] = agenda[right], agenda[left] }
+func (agenda *agenda) Push(item any)       { *agenda = append(*agenda, item.(*happening)) }
+func (agenda *agenda) Pop() any {
+	old := *agenda
+	last := old[len(old)-1]
+	*agenda = old[:len(old)-1]
+	return last
+}
+
+// World is virtual time and the links; nothing in it looks at a real clock.
+type World struct {
+	Now    time.Duration
+	Random *rand.Rand
+	agenda agenda
+	order  int64
+	cut    map[[2]string]bool
+	Loss   float64
+	Slow   time.Duration
+	gap    time.Duration
+}
+
+func newWorld(seed uint64, gap time.Duration) *World {
+	return &World{Random: rand.New(rand.NewPCG(seed, 77)), cut: map[[2]string]bool{}, gap: gap}
+}
+
+func (world *World) After(span time.Duration, then func()) {
+	world.order++
+	heap.Push(&world.agenda, &happening{at: world.Now + max(0, span), order: world.order, then: then})
+}
+
+func (world *World) At(moment time.Duration, then func()) { world.After(moment-world.Now, then) }
+
+// RunUntil lets everything happen up to a moment.
+func (world *World) RunUntil(moment time.Duration) {
+	for len(world.agenda) > 0 && world.agenda[0].at <= moment {
+		next := heap.Pop(&world.agenda).(*happening)
+		world.Now = next.at
+		next.then()
+	}
+	world.Now = moment
+}
+
+const (
+	linkBase   = 300 * time.Microsecond
+	linkSpread = 700 * time.Microsecond
+)
+
+// place is where something stands: a machine, or one of the outside things of a hall.
+type place struct {
+	name, hall, region string
+}
+
+func (world *World) delay(from, to place) time.Duration {
+	span := linkBase + time.Duration(world.Random.Int64N(int64(linkSpread)))
+	if from.region != to.region {
+		span += world.gap
+	}
+	if world.Slow > 0 {
+		span += time.Duration(world.Random.Int64N(int64(world.Slow)))
+	}
+	return span
+}
+
+// travel carries something from place to place unless the link is cut, now or on arrival.
+func (world *World) travel(from, to place, lossy bool, then func()) bool {
+	if world.cut[[2]string{from.name, to.name}] || lossy && world.Loss > 0 && world.Random.Float64() < world.Loss {
+		return false
+	}
+	world.After(world.delay(from, to), func() {
+		if !world.cut[[2]string{from.name, to.name}] {
+			then()
+		}
+	})
+	return true
+}
+
+// Cut breaks links from each on the left to each on the right; both ways needs two cuts.
+func (world *World) Cut(left, right []string) {
+	for _, one := range left {
+		for _, other := range right {
+			if one != other {
+				world.cut[[2]string{one, other}] = true
+			}
+		}
+	}
+}
+
+func (world *World) CutBoth(left, right []string) {
+	world.Cut(left, right)
+	world.Cut(right, left)
+}
+
+func (world *World) Heal() { world.cut = map[[2]string]bool{} }
