--- a/neighbour/neighbour.go
+++ b/neighbour/neighbour.go
@@ -3,8 +3,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"sort"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
@@ -14,6 +17,7 @@
 const (
 	activeSize  = 4
 	shuffleSize = 48
+	wholeRows   = 4
 	tableSize   = 1024
 	healOdds    = 6
 	renewOdds   = 8
@@ -22,21 +26,26 @@
 type row struct {
 	member   contract.Member
 	advanced time.Duration
+	changed  time.Duration
 	gone     bool
 }
 
 type Owner struct {
-	bounds env.Bounds
-	self   contract.Member
-	seeds  []string
-	table  map[string]*row
-	active []string
-	random *rand.Rand
-	next   time.Duration
+	bounds   env.Bounds
+	self     contract.Member
+	seeds    []string
+	table    map[string]*row
+	active   []string
+	random   *rand.Rand
+	next     time.Duration
+	cached   []contract.Member
+	cachedAt time.Duration
 }
 
+// Shuffle carries whole rows of members that are new or changed lately and a few others, and beats of the rest.
 type Shuffle struct {
 	Members []contract.Member `json:"members"`
+	Beats   []string          `json:"beats,omitempty"`
 	Answer  bool              `json:"answer"`
 }
 
@@ -59,6 +68,7 @@
 
 func (owner *Owner) Hold(place contract.Place, view int64, core bool) {
 	owner.self.Place, owner.self.View, owner.self.Core = place, view, core
+	owner.cached = nil
 }
 
 func (owner *Owner) Handle(now time.Duration, event contract.Event) []contract.Command {
@@ -77,7 +87,7 @@
 			var bye Bye
 			if json.Unmarshal(event.Body, &bye) == nil {
 				if known, there := owner.table[bye.Name]; there && known.member.Boot == bye.Boot {
-					known.gone = true
+					known.gone, owner.cached = true, nil
 				}
 			}
 		}
@@ -93,6 +103,7 @@
 		}
 	}
 	owner.self.Incarnation++
+	owner.cached = nil
 }
 
 func (owner *Owner) Farewell() []contract.Command {
@@ -132,7 +143,7 @@
 	sort.Strings(addresses)
 	commands := []contract.Command{}
 	for _, address := range addresses {
-		commands = append(commands, contract.Send{To: address, Kind: LetterShuffle, Body: Shuffle{Members: owner.sample(now)}})
+		commands = append(commands, contract.Send{To: address, Kind: LetterShuffle, Body: owner.sample(now, false)})
 	}
 	return commands
 }
@@ -174,8 +185,9 @@
 	}
 }
 
-func (owner *Owner) sample(now time.Duration) []contract.Member {
-	members := []contract.Member{owner.self}
+// sample is a shuffled part of the live members; a newcomer gets them whole.
+func (owner *Owner) sample(now time.Duration, newcomer bool) Shuffle {
+	shuffle := Shuffle{Members: []contract.Member{owner.self}}
 	names := []string{}
 	for _, name := range sortedNames(owner.table) {
 		if owner.Alive(now, name) {
@@ -183,17 +195,25 @@
 		}
 	}
 	owner.random.Shuffle(len(names), func(left, right int) { names[left], names[right] = names[right], names[left] })
-	for _, name := range names {
-		if len(members) == shuffleSize {
-			break
+	if len(names) > shuffleSize {
+		names = names[:shuffleSize]
+	}
+	for place, name := range names {
+		known := owner.table[name]
+		if newcomer || place < wholeRows || now-known.changed < owner.bounds.Suspicion()/2 {
+			shuffle.Members = append(shuffle.Members, known.member)
+			continue
 		}
-		members = append(members, owner.table[name].member)
+		shuffle.Beats = append(shuffle.Beats, fmt.Sprintf("%s %d %d", name, known.member.Incarnation, known.member.Heartbeat))
 	}
-	return members
+	return shuffle
 }
 
 func (owner *Owner) shuffled(now time.Duration, from string, shuffle Shuffle) []contract.Command {
-	address := ""
+	address, newcomer := "", true
+	if known, there := owner.table[from]; there {
+		newcomer = now-known.changed < owner.bounds.Suspicion()
+	}
 	for index, member := range shuffle.Members {
 		if index > shuffleSize {
 			break
@@ -203,14 +223,35 @@
 		}
 		owner.merge(now, member)
 	}
+	for index, beat := range shuffle.Beats {
+		if index > shuffleSize {
+			break
+		}
+		owner.beat(now, beat)
+	}
 	if shuffle.Answer || address == "" {
 		return nil
 	}
-	members := owner.sample(now)
+	answer := owner.sample(now, newcomer)
+	answer.Answer = true
 	if known, there := owner.table[from]; there {
-		members = append(members, known.member)
+		answer.Members = append(answer.Members, known.member)
+	}
+	return []contract.Command{contract.Send{To: address, Kind: LetterShuffle, Body: answer}}
+}
+
+// beat moves a known member's heartbeat; whoever is not known by this incarnation waits for its whole row.
+func (owner *Owner) beat(now time.Duration, text string) {
+	name, counts, _ := strings.Cut(text, " ")
+	first, second, _ := strings.Cut(counts, " ")
+	incarnation, mishap := strconv.ParseInt(first, 10, 64)
+	heartbeat, other := strconv.ParseInt(second, 10, 64)
+	known, there := owner.table[name]
+	if mishap != nil || other != nil || !there || known.member.Incarnation != incarnation || heartbeat <= known.member.Heartbeat {
+		return
 	}
-	return []contract.Command{contract.Send{To: address, Kind: LetterShuffle, Body: Shuffle{Members: members, Answer: true}}}
+	known.member.Heartbeat, known.advanced, known.gone = heartbeat, now, false
+	owner.cached = nil
 }
 
 func (owner *Owner) merge(now time.Duration, member contract.Member) {
@@ -223,13 +264,20 @@
 	known, there := owner.table[member.Name]
 	if !there {
 		if len(owner.table) < tableSize && member.Name != "" && member.Address != "" {
-			owner.table[member.Name] = &row{member: member, advanced: now}
+			owner.table[member.Name] = &row{member: member, advanced: now, changed: now}
+			owner.cached = nil
 		}
 		return
 	}
 	newer := member.Incarnation > known.member.Incarnation ||
 		member.Incarnation == known.member.Incarnation && member.Heartbeat > known.member.Heartbeat
 	if newer {
+		former := known.member
+		former.Heartbeat = member.Heartbeat
+		if former != member {
+			known.changed = now
+		}
+		owner.cached = nil
 		known.member, known.advanced, known.gone = member, now, false
 	}
 }
@@ -244,6 +292,9 @@
 
 // Members gives the live members, this node among them, in the order of their names.
 func (owner *Owner) Members(now time.Duration) []contract.Member {
+	if owner.cached != nil && owner.cachedAt == now {
+		return owner.cached
+	}
 	members := []contract.Member{owner.self}
 	for name, known := range owner.table {
 		if owner.Alive(now, name) {
@@ -251,6 +302,7 @@
 		}
 	}
 	sort.Slice(members, func(left, right int) bool { return members[left].Name < members[right].Name })
+	owner.cached, owner.cachedAt = members, now
 	return members
 }
 
--- a/stories/stories_test.go
+++ b/stories/stories_test.go
@@ -2,6 +2,7 @@
 package stories
 
 import (
+	"runtime/debug"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 )
 
 func TestStories(t *testing.T) {
+	debug.SetGCPercent(600)
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "stories")
 }
