--- a/cmd/cedarrig/main.go
+++ b/cmd/cedarrig/main.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"time"
 
+	"github.com/cedarreel/cedarreel/fleet"
 	"github.com/cedarreel/cedarreel/rig"
 	"github.com/cedarreel/cedarreel/serve"
 	"github.com/cedarreel/cedarreel/site"
@@ -23,6 +24,11 @@
 	Seed    uint64  `long:"seed" description:"seed of the traffic and of the faults" default:"1"`
 	Story   string  `long:"story" description:"what happens while traffic runs; 'list' names the stories" default:"calm"`
 	Stay    bool    `long:"stay" description:"after the traffic, leave the fleet up until a signal comes"`
+	Sweep   int     `long:"sweep" description:"instead of processes, play so many seeded days in memory"`
+	Faults  int     `long:"faults" description:"faults in each day of a sweep" default:"4"`
+	Fault   string  `long:"fault" description:"play this fault alone in a sweep; 'list' names them"`
+	Beside  int     `long:"beside" description:"days of a sweep played side by side" default:"8"`
+	Tell    bool    `long:"tell" description:"print every change of state in a sweep"`
 	Version bool    `long:"version" description:"print the version and stop"`
 }
 
@@ -48,7 +54,17 @@
 		}
 		return
 	}
-	clean, mishap := play(given)
+	if given.Fault == "list" {
+		for _, name := range fleet.FaultNames() {
+			fmt.Println(name)
+		}
+		return
+	}
+	run := play
+	if given.Sweep > 0 {
+		run = sweep
+	}
+	clean, mishap := run(given)
 	if mishap != nil {
 		fmt.Fprintln(os.Stderr, "cedarrig:", mishap)
 		os.Exit(1)
--- a/fleet/caller.go
+++ b/fleet/caller.go
@@ -83,7 +83,7 @@
 		asked.Prefix = visit.prefixName()
 	}
 	process := machine.Data
-	fleet.World.After(deadline+fleet.Bounds.Deliver()/2, func() { next.broke() })
+	fleet.World.After(deadline+fleet.Bounds.Deliver()/2, func() { next.unheard() })
 	if visit.leaves > 0 {
 		fleet.World.After(visit.leaves, next.leave)
 	}
@@ -145,9 +145,17 @@
 
 func (try *try) mishap() { try.end("interrupted", 0) }
 
-// broke is a connection that ended without a word, or a caller's patience that did.
+// broke is a connection that ended without an answer.
 func (try *try) broke() { try.end("broken", 0) }
 
+// unheard is a caller whose patience ended; a node that was ill since the call began excuses it.
+func (try *try) unheard() {
+	if !try.over {
+		try.reply.Excused = try.stuck || try.visit.at.illAt >= try.began
+		try.end(ledger.Silence, 0)
+	}
+}
+
 func (try *try) refused(status int, trouble contract.Trouble, after time.Duration) {
 	try.reply.Status = status
 	outcome := trouble.Outcome
@@ -163,7 +171,7 @@
 	}
 	try.over = true
 	visit, fleet := try.visit, try.visit.fleet
-	if open := try.session; outcome == "broken" && open != nil && !open.over {
+	if open := try.session; outcome == ledger.Silence && open != nil && !open.over {
 		open.process.Do(func() {
 			if !open.over {
 				open.process.handle(data.Left{Token: open.token})
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,6 +27,7 @@
 	Tell      func(string)
 	awaiting  map[string]time.Duration
 	Writes    []Written
+	gone      []*Machine
 }
 
 type Option func(*Fleet)
@@ -195,6 +196,7 @@
 			for _, process := range []*Process{machine.Control, machine.Data} {
 				name := machine.Name + "-" + process.kind
 				if !process.up || process.frozen || fleet.isolated(machine) {
+					machine.ill()
 					since[name] = fleet.World.Now
 					continue
 				}
@@ -219,7 +221,7 @@
 
 // Close ends the run: patience for the last answers, a read-back of all that was accepted, and the ledger's last look.
 func (fleet *Fleet) Close() []ledger.Breach {
-	fleet.Run(45 * time.Second)
+	fleet.Run(36 * time.Second)
 	fleet.readBack()
 	for region, back := range fleet.awaiting {
 		fleet.Ledger.Returned(region, back, fleet.World.Now)
--- a/fleet/operate.go
+++ b/fleet/operate.go
@@ -36,7 +36,10 @@
 		_ = json.Unmarshal(content(answer.Body), &written.Accepted)
 		fleet.Writes = append(fleet.Writes, written)
 		if answer.Status == 200 || answer.Status == 202 {
-			fleet.accepted(ask, written, sent)
+			fleet.accepted(ask, written)
+		}
+		if ask.Verb == contract.VerbUndrain {
+			fleet.Ledger.Undrained(ask.Subject, sent)
 		}
 		if then != nil {
 			then(written)
@@ -44,7 +47,7 @@
 	})
 }
 
-func (fleet *Fleet) accepted(ask contract.Ask, written Written, sent time.Duration) {
+func (fleet *Fleet) accepted(ask contract.Ask, written Written) {
 	digest := ""
 	for _, machine := range fleet.Machines {
 		if machine.Control == nil || !machine.Control.up {
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -24,6 +24,7 @@
 	Disk    *Disk
 	env     env.Env
 	boots   int
+	illAt   time.Duration
 }
 
 func (machine *Machine) place() place {
@@ -237,16 +238,22 @@
 	if machine.Disk != nil {
 		machine.Disk.powerLost()
 	}
+	machine.ill()
 	machine.fleet.Ledger.Restarted(machine.Name + "-data")
+	machine.fleet.Ledger.Restarted(machine.Name + "-control")
 }
 
 func (machine *Machine) Up() bool { return machine.Control != nil && machine.Control.up }
 
+func (machine *Machine) ill() { machine.illAt = machine.fleet.World.Now }
+
 func (machine *Machine) Freeze() {
+	machine.ill()
 	machine.Control.frozen, machine.Data.frozen = true, true
 }
 
 func (machine *Machine) Wake() {
+	machine.ill()
 	for _, process := range []*Process{machine.Control, machine.Data} {
 		if !process.frozen {
 			continue
--- /dev/null
+++ b/fleet/schedule.go
@@ -0,0 +1,265 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+)
+
+// fault is one thing that can go wrong, drawn by a seed; it ends by itself.
+type fault struct {
+	name string
+	play func(fleet *Fleet, span time.Duration)
+}
+
+func (fleet *Fleet) some(machines []*Machine, most int) []*Machine {
+	count := 1 + fleet.World.Random.IntN(most)
+	chosen := []*Machine{}
+	for _, place := range fleet.World.Random.Perm(len(machines)) {
+		if len(chosen) < count {
+			chosen = append(chosen, machines[place])
+		}
+	}
+	return chosen
+}
+
+func one[Item any](fleet *Fleet, items []Item) Item {
+	return items[fleet.World.Random.IntN(len(items))]
+}
+
+func (fleet *Fleet) halls() []string {
+	halls, known := []string{}, map[string]bool{}
+	for _, machine := range fleet.Machines {
+		if !known[machine.Hall] {
+			known[machine.Hall] = true
+			halls = append(halls, machine.Hall)
+		}
+	}
+	return halls
+}
+
+func (fleet *Fleet) anyNode() *Machine {
+	live := fleet.Pick(func(machine *Machine) bool { return machine.Up() && !machine.Control.frozen })
+	if len(live) == 0 {
+		return fleet.Machines[0]
+	}
+	return one(fleet, live)
+}
+
+func serverMode(mode string) func(*Fleet, time.Duration) {
+	return func(fleet *Fleet, span time.Duration) {
+		server := one(fleet, fleet.Servers)
+		server.Mode = mode
+		fleet.World.After(span, func() { server.Mode = "" })
+	}
+}
+
+func onDisk(change func(*Disk), back func(*Disk)) func(*Fleet, time.Duration) {
+	return func(fleet *Fleet, span time.Duration) {
+		disk := one(fleet, fleet.Cores()).Disk
+		change(disk)
+		fleet.World.After(span, func() { back(disk) })
+	}
+}
+
+var faults = []fault{
+	{"kill", func(fleet *Fleet, span time.Duration) { fleet.KillFor(fleet.some(fleet.Machines, 1), span) }},
+	{"kill many", func(fleet *Fleet, span time.Duration) { fleet.KillFor(fleet.some(fleet.Machines, 5), span) }},
+	{"kill hall", func(fleet *Fleet, span time.Duration) { fleet.KillFor(fleet.InHall(one(fleet, fleet.halls())), span) }},
+	{"kill region", func(fleet *Fleet, span time.Duration) { fleet.KillRegion(one(fleet, fleet.Site.Regions()), span) }},
+	{"kill cores", func(fleet *Fleet, span time.Duration) { fleet.KillFor(fleet.Cores(), span/2) }},
+	{"freeze", func(fleet *Fleet, span time.Duration) { fleet.FreezeFor(fleet.some(fleet.Machines, 1), span) }},
+	{"freeze many", func(fleet *Fleet, span time.Duration) { fleet.FreezeFor(fleet.some(fleet.Machines, 4), span/2) }},
+	{"freeze core", func(fleet *Fleet, span time.Duration) { fleet.FreezeFor(fleet.some(fleet.Cores(), 2), span/2) }},
+	{"cut machine", func(fleet *Fleet, span time.Duration) { fleet.CutFor(Names(fleet.some(fleet.Machines, 1)), span, true) }},
+	{"cut one way", func(fleet *Fleet, span time.Duration) {
+		fleet.CutFor(Names(fleet.some(fleet.Machines, 2)), span, false)
+	}},
+	{"cut region", func(fleet *Fleet, span time.Duration) {
+		fleet.CutFor(fleet.around(fleet.InRegion(one(fleet, fleet.Site.Regions()))), span, true)
+	}},
+	{"split core", func(fleet *Fleet, span time.Duration) {
+		cores := fleet.Cores()
+		fleet.World.CutBoth(Names(cores[:1]), Names(cores[1:]))
+		fleet.World.After(span, fleet.World.Heal)
+	}},
+	{"cut core from all", func(fleet *Fleet, span time.Duration) { fleet.CutFor(Names(fleet.Cores()), span, true) }},
+	{"lossy", func(fleet *Fleet, span time.Duration) {
+		fleet.World.Loss = 0.1
+		fleet.World.After(span, func() { fleet.World.Loss = 0 })
+	}},
+	{"slow links", func(fleet *Fleet, span time.Duration) {
+		fleet.World.Slow = 150 * time.Millisecond
+		fleet.World.After(span, func() { fleet.World.Slow = 0 })
+	}},
+	{"lying disk", func(fleet *Fleet, span time.Duration) {
+		machine := one(fleet, fleet.Cores())
+		machine.Disk.Lies = 1 + fleet.World.Random.IntN(6)
+		fleet.KillFor([]*Machine{machine}, span)
+	}},
+	{"lying disks", func(fleet *Fleet, span time.Duration) {
+		for _, machine := range fleet.Cores() {
+			machine.Disk.Lies = 1 + fleet.World.Random.IntN(6)
+		}
+		fleet.KillFor(fleet.Cores(), span/2)
+	}},
+	{"torn disk", func(fleet *Fleet, span time.Duration) {
+		machine := one(fleet, fleet.Cores())
+		machine.Disk.Torn = true
+		fleet.KillFor([]*Machine{machine}, span)
+	}},
+	{"full disk", onDisk(func(disk *Disk) { disk.Full = true }, func(disk *Disk) { disk.Full = false })},
+	{"slow disk", onDisk(func(disk *Disk) { disk.Slow = 300 * time.Millisecond }, func(disk *Disk) { disk.Slow = 0 })},
+	{"stalled disk", onDisk(func(disk *Disk) { disk.Stalled = true }, func(disk *Disk) { disk.Unstall() })},
+	{"swap core", func(fleet *Fleet, span time.Duration) {
+		fresh := fleet.Swap(one(fleet, fleet.Cores()))
+		fleet.World.After(span/2, func() { fleet.Write(fleet.anyNode(), fleet.Roster(fresh.Region), nil) })
+	}},
+	{"wipe core", func(fleet *Fleet, span time.Duration) { fleet.WipeAndReturn(one(fleet, fleet.Cores()), span/2) }},
+	{"server crash", func(fleet *Fleet, span time.Duration) {
+		server := one(fleet, fleet.Servers)
+		server.Crash()
+		fleet.World.After(span, server.Replace)
+	}},
+	{"server dark", serverMode("dark")},
+	{"server refuses", serverMode("refuse")},
+	{"server cuts replies", serverMode("cut")},
+	{"server truncates", serverMode("truncate")},
+	{"server answers for another", serverMode("wrong")},
+	{"partial reports", serverMode("partial")},
+	{"garbled reports", serverMode("garbled")},
+	{"late reports", func(fleet *Fleet, span time.Duration) {
+		server := one(fleet, fleet.Servers)
+		server.ReportLag = 3 * time.Second
+		fleet.World.After(span, func() { server.ReportLag = 0 })
+	}},
+	{"reclaim", func(fleet *Fleet, span time.Duration) {
+		server := one(fleet, fleet.Servers)
+		if !server.leaving && !server.gone {
+			server.Mark(span / 3)
+			fleet.World.After(span, server.Replace)
+		}
+	}},
+	{"rolling replacement", func(fleet *Fleet, span time.Duration) {
+		region := one(fleet, fleet.Site.Regions())
+		wait := time.Duration(0)
+		for _, server := range fleet.Servers {
+			if server.Region == region && wait < span {
+				fleet.World.After(wait, func() {
+					if !server.leaving && !server.gone {
+						server.Mark(6 * time.Second)
+						fleet.World.After(7*time.Second, server.Replace)
+					}
+				})
+				wait += 2 * time.Second
+			}
+		}
+	}},
+	{"platform broken", func(fleet *Fleet, span time.Duration) {
+		fleet.Platform.Broken = true
+		fleet.World.After(span, func() { fleet.Platform.Broken = false })
+	}},
+	{"platform down", func(fleet *Fleet, span time.Duration) {
+		fleet.Platform.Down = true
+		fleet.World.After(span, func() { fleet.Platform.Down = false })
+	}},
+	{"crowd", func(fleet *Fleet, span time.Duration) { fleet.Traffic(span/2, 3) }},
+	{"leavers", func(fleet *Fleet, span time.Duration) {
+		for index := 0; index < 20; index++ {
+			fleet.World.After(span*time.Duration(index)/20, func() {
+				visit := fleet.Visit(fleet.Kind("short"))
+				visit.leaves = time.Duration(fleet.World.Random.Int64N(int64(time.Second)))
+				visit.send()
+			})
+		}
+	}},
+	{"drain", drainOne},
+	{"two drains", func(fleet *Fleet, span time.Duration) {
+		drainOne(fleet, span)
+		drainOne(fleet, span)
+	}},
+	{"storm", func(fleet *Fleet, span time.Duration) {
+		for index := 0; index < 60; index++ {
+			fleet.World.After(span*time.Duration(index)/60, func() { fleet.Write(fleet.anyNode(), fleet.Patch(index), nil) })
+		}
+	}},
+	{"scale", func(fleet *Fleet, span time.Duration) {
+		server := one(fleet, fleet.Servers)
+		read := fleet.anyNode()
+		fleet.Write(read, fleet.scale(server.Pool, 2), nil)
+		fleet.World.After(span, func() { fleet.Write(fleet.anyNode(), fleet.scale(server.Pool, 10), nil) })
+	}},
+}
+
+func (fleet *Fleet) scale(pool string, count int) contract.Ask {
+	return contract.Ask{Verb: contract.VerbScale, Subject: pool, Body: fmt.Appendf(nil, "%d", count), Operation: fmt.Sprintf("scale-%s-%d", pool, fleet.World.Now)}
+}
+
+func drainOne(fleet *Fleet, span time.Duration) {
+	hall := one(fleet, fleet.halls())
+	ask := contract.Ask{Verb: contract.VerbDrain, Subject: hall, Operation: fmt.Sprintf("drain-%s-%d", hall, fleet.World.Now)}
+	fleet.Write(fleet.anyNode(), ask, nil)
+	fleet.World.After(span, func() { fleet.undrain(hall, 0) })
+}
+
+// undrain is an operator who asks until it is accepted.
+func (fleet *Fleet) undrain(hall string, tries int) {
+	ask := contract.Ask{Verb: contract.VerbUndrain, Subject: hall, Operation: fmt.Sprintf("undrain-%s-%d", hall, fleet.World.Now)}
+	fleet.Ledger.Undrained(hall, fleet.World.Now)
+	fleet.Write(fleet.anyNode(), ask, func(written Written) {
+		if written.Status != 200 && written.Status != 202 && tries < 20 {
+			fleet.World.After(time.Second, func() { fleet.undrain(hall, tries+1) })
+		}
+	})
+}
+
+func FaultNames() []string {
+	names := []string{}
+	for _, fault := range faults {
+		names = append(names, fault.name)
+	}
+	return names
+}
+
+// Trouble plays faults for a while: the named one alone, or as many as asked for at random.
+func (fleet *Fleet) Trouble(span time.Duration, count int, name string) []string {
+	told := []string{}
+	for index := 0; index < count; index++ {
+		chosen := one(fleet, faults)
+		for _, fault := range faults {
+			if fault.name == name {
+				chosen = fault
+			}
+		}
+		begins := time.Duration(fleet.World.Random.Int64N(int64(span * 3 / 4)))
+		lasts := time.Second + time.Duration(fleet.World.Random.Int64N(int64(span/4)))
+		told = append(told, fmt.Sprintf("%s at %v for %v", chosen.name, (fleet.World.Now+begins).Round(time.Millisecond), lasts.Round(time.Millisecond)))
+		fleet.World.After(begins, func() { chosen.play(fleet, lasts) })
+	}
+	return told
+}
+
+// Mend ends whatever is still broken.
+func (fleet *Fleet) Mend() {
+	fleet.World.Heal()
+	fleet.World.Loss, fleet.World.Slow = 0, 0
+	fleet.Platform.Broken, fleet.Platform.Down = false, false
+	for _, server := range fleet.Servers {
+		server.Mode, server.ReportLag = "", 0
+		if server.gone || !server.up && !server.unloaded {
+			server.Replace()
+		}
+	}
+	for _, machine := range fleet.Machines {
+		if machine.Disk != nil {
+			machine.Disk.Full, machine.Disk.Slow = false, 0
+			machine.Disk.Unstall()
+		}
+		if machine.Up() {
+			machine.Wake()
+		} else {
+			machine.Start()
+		}
+	}
+}
--- a/ledger/answers.go
+++ b/ledger/answers.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// Silence is a caller whose patience ended without any word; it is excused only by a fault of its own node or link.
+const Silence = "silence"
+
 // Reply is what a caller got: pieces as they came, and how it ended.
 type Reply struct {
 	Outcome  string
@@ -14,6 +17,7 @@
 	Numbers  []int64
 	Finished bool
 	First    time.Duration
+	Excused  bool
 }
 
 // PieceOf is the text of a run's piece as the stand-in servers write it; callers can tell run, call and place from it.
@@ -29,6 +33,9 @@
 	tried := known.attempts[index]
 	tried.ended, tried.outcome = true, reply.Outcome
 	ledger.Figures.answered(known.class, reply, at-tried.sent)
+	if reply.Outcome == Silence && !reply.Excused {
+		ledger.breach(at, LostSilently, "call %s had no word from a node that was well", scoped)
+	}
 	if !known.model {
 		return
 	}
