A joining core machine learns what is committed, and a busy chain is not a stuck one

Causes: (1) a machine that joined through a prepare's suffix held the versions but not the committed mark, and answered 404 as the tail; (2) the head doubted its successor whenever anything had been in flight for a second, which in a storm is always. Ruled out: lost files (the versions were there), the disk fault itself (wipe and kill showed the same). Change: prepare and pass carry the committed mark; a new tail answers only after the head's state of its view reached it; the clock of a stuck successor starts anew with each commit. An ask to a dead authority is refused at once instead of unknown.

--- a/chain/agree.go
+++ b/chain/agree.go
@@ -29,6 +29,7 @@
 	Node   contract.CoreNode  `json:"node"`
 	Base   contract.View      `json:"base"`
 	Suffix []contract.Version `json:"suffix"`
+	Known  int64              `json:"known"`
 }
 
 type Promise struct {
@@ -164,7 +165,7 @@
 			suffix = append(suffix, version)
 		}
 	}
-	prepare := Prepare{Ballot: ballot, Node: owner.self, Base: owner.view, Suffix: suffix}
+	prepare := Prepare{Ballot: ballot, Node: owner.self, Base: owner.view, Suffix: suffix, Known: owner.committed}
 	targets := append(append([]contract.CoreNode{}, owner.view.Core...), owner.strangers()...)
 	owner.campaign.asked = len(targets)
 	for _, node := range targets {
@@ -203,6 +204,7 @@
 		for _, version := range prepare.Suffix {
 			owner.install(version)
 		}
+		owner.settle(min(prepare.Known, owner.top))
 		tell(now)
 	}})
 }
@@ -358,8 +360,8 @@
 	}
 	owner.view = view
 	owner.promised, owner.accepted, owner.sealed, owner.campaign = Ballot{}, nil, false, nil
-	owner.needed, owner.stuck = -1, -1
-	owner.assigned = owner.top
+	owner.needed, owner.stuck, owner.resend = -1, -1, now-owner.bounds.Round()
+	owner.assigned, owner.settled = owner.top, len(view.Chain) == 1
 	held := view
 	owner.persist(now, job{view: &held})
 	owner.emit(Viewed{View: view}, contract.Say{What: "view", Detail: []any{"number", view.Number, "chain", len(view.Chain)}})
--- a/chain/chain.go
+++ b/chain/chain.go
@@ -81,6 +81,7 @@
 	promised Ballot
 	accepted *Proposal
 	sealed   bool
+	settled  bool
 	campaign *campaign
 
 	foundPromised Ballot
@@ -100,7 +101,6 @@
 	scrub   time.Duration
 	cursor  int64
 	doubts  map[string]time.Duration
-	synced  map[string]int64
 	stuck   time.Duration
 	checks  map[int64]*check
 	seen    Seen
@@ -113,7 +113,7 @@
 func New(self contract.CoreNode, coreSize int, bounds env.Bounds, shelf Shelf, random *rand.Rand) *Owner {
 	owner := &Owner{bounds: bounds, coreSize: coreSize, self: self, random: random, fit: true, view: shelf.View,
 		versions: map[int64]contract.Version{}, shelf: map[int64]contract.Version{}, doubts: map[string]time.Duration{},
-		synced: map[string]int64{}, checks: map[int64]*check{}, needed: -1, unfoundable: -1, stuck: -1}
+		checks: map[int64]*check{}, needed: -1, unfoundable: -1, stuck: -1}
 	for _, version := range shelf.Versions {
 		former, there := owner.shelf[version.Place.Revision]
 		if !there || former.Place.Before(version.Place) {
--- a/chain/check.go
+++ b/chain/check.go
@@ -29,7 +29,7 @@
 
 func (owner *Owner) Vouch(now time.Duration, token int64) []contract.Command {
 	owner.out = nil
-	if !owner.IsTail() || owner.sealed {
+	if !owner.IsTail() || owner.sealed || !owner.settled {
 		return []contract.Command{Vouched{Token: token}}
 	}
 	owner.checks[token] = &check{view: owner.view.Number, until: now + owner.bounds.Round(), votes: map[string]bool{owner.self.Identity(): true}}
--- a/chain/write.go
+++ b/chain/write.go
@@ -8,9 +8,11 @@
 )
 
 type Pass struct {
-	View     int64              `json:"view"`
-	Versions []contract.Version `json:"versions"`
-	Previous int64              `json:"previous"`
+	View      int64              `json:"view"`
+	Versions  []contract.Version `json:"versions"`
+	Previous  int64              `json:"previous"`
+	Committed int64              `json:"committed"`
+	Top       int64              `json:"top"`
 }
 
 type Done struct {
@@ -62,7 +64,7 @@
 	owner.persist(now, job{versions: []contract.Version{version}, after: func(now time.Duration) {
 		if owner.view.Number == number && !owner.sealed {
 			owner.top = max(owner.top, version.Place.Revision)
-			owner.passOn([]contract.Version{version})
+			owner.passOn(owner.sheet([]contract.Version{version}))
 		}
 	}})
 	out := owner.out
@@ -70,13 +72,22 @@
 	return version, out
 }
 
-func (owner *Owner) passOn(versions []contract.Version) {
+// sheet is what the head passes down: versions, and how far it is itself.
+func (owner *Owner) sheet(versions []contract.Version) Pass {
+	pass := Pass{View: owner.view.Number, Versions: versions, Previous: owner.top, Committed: owner.committed, Top: owner.top}
+	if len(versions) > 0 {
+		pass.Previous = owner.before(versions[0].Place.Revision)
+	}
+	return pass
+}
+
+func (owner *Owner) passOn(pass Pass) {
 	rank := owner.rank()
 	if rank < 0 || rank == len(owner.view.Chain)-1 {
 		return
 	}
-	if next, there := owner.view.Node(owner.view.Chain[rank+1]); there && len(versions) > 0 {
-		owner.send(next, LetterPass, Pass{View: owner.view.Number, Versions: versions, Previous: owner.before(versions[0].Place.Revision)})
+	if next, there := owner.view.Node(owner.view.Chain[rank+1]); there {
+		owner.send(next, LetterPass, pass)
 	}
 }
 
@@ -111,7 +122,7 @@
 		}
 		fresh = append(fresh, version)
 	}
-	versions, number := pass.Versions, owner.view.Number
+	number := owner.view.Number
 	arrived := func(now time.Duration) {
 		if owner.view.Number != number || owner.sealed {
 			return
@@ -119,12 +130,16 @@
 		for _, version := range fresh {
 			owner.install(version)
 		}
+		owner.settle(min(pass.Committed, owner.top))
 		if !owner.IsTail() {
-			owner.passOn(versions)
+			owner.passOn(pass)
 			return
 		}
 		owner.settle(owner.top)
-		owner.announce()
+		owner.settled = owner.settled || owner.top >= pass.Top
+		if owner.settled {
+			owner.announce()
+		}
 	}
 	if len(fresh) == 0 && owner.writing == nil {
 		arrived(now)
@@ -149,20 +164,17 @@
 }
 
 func (owner *Owner) announce() {
-	version, there := owner.versions[owner.committed]
-	if !there {
-		return
-	}
 	for _, node := range owner.view.Core {
 		if node.Identity() != owner.self.Identity() {
-			owner.send(node, LetterDone, Done{View: owner.view.Number, Revision: owner.committed, Digest: version.Digest})
+			owner.send(node, LetterDone, Done{View: owner.view.Number, Revision: owner.committed, Digest: owner.versions[owner.committed].Digest})
 		}
 	}
 }
 
 func (owner *Owner) done(now time.Duration, done Done) {
 	version, there := owner.versions[done.Revision]
-	if there && version.Digest == done.Digest && done.View == owner.view.Number {
+	if done.View == owner.view.Number && (there && version.Digest == done.Digest || done.Revision == 0) {
+		owner.settled = true
 		owner.settle(done.Revision)
 		return
 	}
@@ -170,6 +182,9 @@
 }
 
 func (owner *Owner) settle(revision int64) {
+	if revision > owner.committed {
+		owner.stuck = -1
+	}
 	for next := owner.committed + 1; next <= revision; next++ {
 		version, there := owner.versions[next]
 		if there {
@@ -189,14 +204,14 @@
 	}
 }
 
-// retransmit sends the suffix that is not yet acknowledged down the chain again, and doubts a successor that stays stuck.
+// retransmit passes the head's state and what is not yet acknowledged again, until the tail of this view has answered for it.
 func (owner *Owner) retransmit(now time.Duration) {
-	if !owner.IsHead() || owner.sealed || owner.committed >= owner.top {
+	if !owner.IsHead() || owner.sealed || owner.committed >= owner.top && owner.settled {
 		owner.stuck = -1
 		return
 	}
 	if owner.stuck < 0 {
-		owner.stuck, owner.resend = now, now
+		owner.stuck = now
 	}
 	if now-owner.resend < owner.bounds.Round()/2 {
 		return
@@ -208,7 +223,7 @@
 			suffix = append(suffix, version)
 		}
 	}
-	owner.passOn(suffix)
+	owner.passOn(owner.sheet(suffix))
 }
 
 type Fetch struct {
@@ -225,7 +240,7 @@
 	count, first := int64(0), int64(0)
 	known := max(owner.committed, owner.seen.Held.Place.Revision)
 	for revision := max(1, known-owner.bounds.History+1); revision <= known; revision++ {
-		if _, there := owner.versions[revision]; !there {
+		if _, there := owner.versions[revision]; !there || revision > owner.committed {
 			count++
 			if first == 0 && revision > owner.cursor {
 				first = revision
--- a/control/write.go
+++ b/control/write.go
@@ -71,7 +71,7 @@
 	if mishap != nil {
 		return owner.refuse(ask, 400, mishap.Error())
 	}
-	for hall := range drains {
+	for _, hall := range manifest.SortedKeys(drains) {
 		if !withdrawn[hall] {
 			return owner.withdraw(now, ask, hall, drains[hall], withdrawn)
 		}
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -200,7 +200,10 @@
 		return
 	}
 	fleet.World.travel(process.machine.place(), target.machine.place(), false, func() {
-		if target != fleet.processes[forward.Address] {
+		if target != fleet.processes[forward.Address] || !target.up {
+			fleet.World.travel(target.machine.place(), process.machine.place(), false, func() {
+				give(contract.Refuse(0, 503, "the authority cannot be reached; nothing was done", process.machine.env.Bounds.Round()))
+			})
 			return
 		}
 		target.Ask(forward.Ask, func(answer contract.Answer) {
--- a/ledger/answers.go
+++ b/ledger/answers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -117,7 +118,7 @@
 	ledger.lock.Lock()
 	defer ledger.lock.Unlock()
 	if former, there := ledger.accepted[revision]; there && former != "" && former != digest {
-		ledger.breach(at, LostManifest, "revision %d read back altered or missing", revision)
+		ledger.breach(at, LostManifest, "revision %d read back altered or missing: %q, accepted as %q", revision, digest, former)
 	}
 }
 
@@ -128,6 +129,7 @@
 	for revision := range ledger.accepted {
 		revisions = append(revisions, revision)
 	}
+	slices.Sort(revisions)
 	return revisions
 }
 
--- a/link/operators.go
+++ b/link/operators.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -142,6 +143,11 @@
 // Forward carries an ask to the authority; a lost answer to a write is unknown, never a refusal.
 func (operators *Operators) Forward(forward contract.Forward) {
 	fail := func(mishap error) {
+		var dialed *net.OpError
+		if errors.As(mishap, &dialed) && dialed.Op == "dial" {
+			operators.loop.Answer(contract.Refuse(forward.Ask.Token, 503, "the authority cannot be reached; nothing was done", operators.patient/12))
+			return
+		}
 		body := contract.Accepted{Outcome: "unknown", Operation: forward.Ask.Operation, Mishap: "the authority's answer was lost: " + mishap.Error()}
 		operators.loop.Answer(contract.Answer{Token: forward.Ask.Token, Status: 504, Body: body})
 	}
--- /dev/null
+++ b/stories/chain_test.go
@@ -0,0 +1,159 @@
+package stories
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/fleet"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// chainView asks the authority for the core's view.
+func chainView(played *fleet.Fleet, machine *fleet.Machine) contract.View {
+	GinkgoHelper()
+	var answer contract.Answer
+	Expect(played.Until(30*time.Second, func() bool {
+		answer = played.Operate(machine, contract.Ask{Verb: contract.VerbChain})
+		return answer.Status == 200
+	})).To(BeTrue(), "an authority answers")
+	return answer.Body.(map[string]any)["view"].(contract.View)
+}
+
+func patched(played *fleet.Fleet, machine *fleet.Machine, number int) fleet.Written {
+	return played.Do(machine, played.Patch(number))
+}
+
+var _ = Describe("the chain of configuration", func() {
+	for _, name := range sites {
+		It("takes a storm of "+name+" without a change of view, and every revision reads back", func() {
+			played := given(name, 103)
+			before := chainView(played, played.Machines[3])
+			for index := range 120 {
+				played.World.After(time.Duration(index)*20*time.Millisecond, func() {
+					played.Write(played.Machines[index%12], played.Patch(index), nil)
+				})
+			}
+			played.Run(10 * time.Second)
+			accepted := 0
+			for _, written := range played.Writes {
+				if written.Status == 200 {
+					accepted++
+				}
+			}
+			Expect(accepted).To(Equal(121))
+			Expect(chainView(played, played.Machines[3]).Number).To(Equal(before.Number))
+			nothingWrong(played)
+		})
+	}
+
+	It("gives a core machine that is back within a moment every accepted revision", func() {
+		played := given("brazos", 103)
+		for index := range 5 {
+			Expect(patched(played, played.Machines[index], index).Status).To(Equal(200))
+		}
+		played.KillFor(played.Cores()[2:], 2*time.Second)
+		played.Run(10 * time.Second)
+		Expect(chainView(played, played.Machines[1]).Chain).To(HaveLen(3))
+		nothingWrong(played)
+	})
+
+	It("keeps what was acknowledged when every core machine restarts and their disks lost it", func() {
+		played := given("seri", 9)
+		for index := range 6 {
+			Expect(patched(played, played.Machines[index], index).Status).To(Equal(200))
+		}
+		_, newest := played.Manifest(played.Machines[2])
+		for _, machine := range played.Cores() {
+			machine.Disk.Lies = 4
+		}
+		played.KillFor(played.Cores(), time.Second)
+		played.Run(12 * time.Second)
+		_, after := played.Manifest(played.Machines[2])
+		Expect(after).To(Equal(newest))
+		Expect(patched(played, played.Machines[2], 9).Accepted.Revision).To(BeNumerically(">", newest))
+	})
+
+	It("puts an empty machine at a new address in the place of a core machine, several times in a row", func() {
+		played := given("seri", 4)
+		for index := range 3 {
+			Expect(patched(played, played.Machines[1], index).Status).To(BeElementOf(200, 202))
+			fresh := played.Swap(played.Cores()[index])
+			Expect(played.Until(20*time.Second, func() bool {
+				view := chainView(played, played.Machines[1])
+				for _, identity := range view.Chain {
+					if len(view.Chain) == 3 && identity == fresh.Name+"-control#b1" {
+						return true
+					}
+				}
+				return false
+			})).To(BeTrue(), fmt.Sprint("swap ", index))
+		}
+		Expect(patched(played, played.Machines[1], 9).Status).To(BeElementOf(200, 202))
+		nothingWrong(played)
+	})
+
+	It("goes on with two core machines, refuses with one, and says that nothing was committed", func() {
+		played := given("brazos", 5)
+		cores := played.Cores()
+		cores[0].Kill()
+		played.Run(5 * time.Second)
+		written := patched(played, played.Machines[1], 1)
+		Expect(written.Status).To(Equal(202))
+		Expect(written.Accepted.Lacking).To(ContainElement(cores[0].Name + "-control"))
+		cores[1].Kill()
+		played.Run(5 * time.Second)
+		refused := patched(played, played.Machines[1], 2)
+		Expect(refused.Status).To(BeElementOf(503, 504))
+		cores[0].Start()
+		cores[1].Start()
+		played.Run(12 * time.Second)
+		Expect(patched(played, played.Machines[1], 3).Status).To(Equal(200))
+		nothingWrong(played)
+	})
+
+	It("does not let a woken old head acknowledge, nor a woken old tail answer", func() {
+		played := given("brazos", 6)
+		cores := played.Cores()
+		old := chainView(played, played.Machines[1])
+		head, tail := played.Machine(old.Chain[0][:3]), played.Machine(old.Chain[2][:3])
+		played.FreezeFor([]*fleet.Machine{head, tail}, 100*time.Millisecond)
+		played.Run(time.Second)
+		head.Freeze()
+		played.Run(8 * time.Second)
+		Expect(patched(played, played.Machines[1], 1).Status).To(BeElementOf(200, 202))
+		head.Wake()
+		late := played.Do(head, played.Patch(2))
+		Expect(late.Status).NotTo(BeZero())
+		played.Run(5 * time.Second)
+		Expect(cores).To(HaveLen(3))
+		nothingWrong(played)
+	})
+
+	It("answers an operator who asks again with the same key as it did at first", func() {
+		played := given("brazos", 7)
+		ask := played.Patch(1)
+		first, second := played.Do(played.Machines[1], ask), played.Do(played.Machines[9], ask)
+		Expect(second.Status).To(Equal(200))
+		Expect(second.Accepted.Revision).To(Equal(first.Accepted.Revision))
+		other := played.Patch(2)
+		other.Operation = ask.Operation
+		Expect(played.Do(played.Machines[2], other).Status).To(Equal(422))
+		asked := played.Operate(played.Machines[7], contract.Ask{Verb: contract.VerbOperation, Subject: ask.Operation})
+		Expect(asked.Status).To(Equal(200))
+		nothingWrong(played)
+	})
+
+	It("never founds a second core beside one that works", func() {
+		played := given("brazos", 8)
+		machine := played.Cores()[1]
+		played.WipeAndReturn(machine, time.Second)
+		played.Run(10 * time.Second)
+		view := chainView(played, played.Machines[2])
+		Expect(view.Chain).To(HaveLen(3))
+		_, revision := played.Manifest(machine)
+		Expect(revision).To(Equal(int64(1)))
+		nothingWrong(played)
+	})
+})
