Every node keeps what passed through the feed and hands lost versions back to the core

Cause: after all core disks lost acknowledged files, only the newest image was handed back; older accepted revisions gave 404. Ruled out: the scrub between core machines (nobody there had the files). Change: the feed carries numbered versions from a place on, every node keeps the last of them in memory, a core machine that lacks some asks any member. Test 'hands back older revisions': failed with the asking switched off (revisions 1-3 gave 404), passes with it.

--- a/chain/write.go
+++ b/chain/write.go
@@ -307,6 +307,29 @@
 	}
 }
 
+// Lacking gives the first committed revision that is missing here, or nothing.
+func (owner *Owner) Lacking() int64 {
+	cursor := owner.cursor
+	owner.cursor = 0
+	_, first := owner.lacks()
+	owner.cursor = cursor
+	if !owner.Member() {
+		return 0
+	}
+	return first
+}
+
+// Refill takes committed versions that other nodes kept.
+func (owner *Owner) Refill(now time.Duration, versions []contract.Version) []contract.Command {
+	owner.out = nil
+	cursor := owner.cursor
+	owner.history(now, History{Versions: versions})
+	owner.cursor = cursor
+	out := owner.out
+	owner.out = nil
+	return out
+}
+
 // Row is one kept revision as the history tells it.
 type Row struct {
 	Place     contract.Place `json:"place"`
--- a/control/control.go
+++ b/control/control.go
@@ -41,6 +41,7 @@
 	gathers map[int64]*gather
 	reads   map[int64]contract.Ask
 	token   int64
+	refills time.Duration
 }
 
 // New makes the owner; shelf is nil on a machine without a data folder.
@@ -70,6 +71,7 @@
 		commands = append(commands, owner.gathered(now, event)...)
 		if owner.chain != nil {
 			commands = append(commands, owner.chain.Handle(now, event)...)
+			commands = append(commands, owner.refill(now, event)...)
 		}
 	case chain.Persisted:
 		commands = append(commands, owner.chain.Handle(now, event)...)
@@ -90,6 +92,7 @@
 		owner.Neighbours.Hold(owner.Feed.Version().Place, owner.Feed.View().Number, owner.chain.Fit())
 		commands = append(commands, owner.chain.Handle(now, chain.Seen{Members: owner.Neighbours.Members(now), Held: owner.Feed.Version(), View: owner.Feed.View()})...)
 	}
+	commands = append(commands, owner.askRefill(now, members)...)
 	if owner.Feed.Known() {
 		commands = append(commands, owner.shard.Handle(now, shard.Seen{Members: members, Manifest: owner.Feed.Manifest(), Revision: owner.Feed.Version().Place.Revision})...)
 	}
@@ -97,6 +100,28 @@
 	return append(commands, owner.tickGathers(now)...)
 }
 
+// askRefill asks any member for versions that the core itself has lost; every node keeps what passed through the feed.
+func (owner *Owner) askRefill(now time.Duration, members []contract.Member) []contract.Command {
+	if owner.chain == nil || now < owner.refills {
+		return nil
+	}
+	owner.refills = now + owner.Bounds.Round()
+	first := owner.chain.Lacking()
+	member := members[owner.Random.IntN(len(members))]
+	if first == 0 || member.Name == owner.Self().Name {
+		return nil
+	}
+	return []contract.Command{contract.Send{To: member.Address, Kind: feed.LetterLack, Body: feed.Lack{From: first, Address: owner.Self().Address}}}
+}
+
+func (owner *Owner) refill(now time.Duration, letter contract.Letter) []contract.Command {
+	var kept feed.Kept
+	if letter.Kind != feed.LetterKept || json.Unmarshal(letter.Body, &kept) != nil {
+		return nil
+	}
+	return owner.chain.Refill(now, kept.Versions)
+}
+
 // absorb turns what the chain decided into news for the feed and answers for operators.
 func (owner *Owner) absorb(now time.Duration, commands []contract.Command) []contract.Command {
 	out := []contract.Command{}
@@ -106,7 +131,7 @@
 		switch command := command.(type) {
 		case chain.Committed:
 			version := command.Version
-			commands = append(owner.Feed.Take(feed.Change{Version: &version}, owner.Neighbours.Active()), commands...)
+			commands = append(owner.Feed.Take(feed.Change{Versions: []contract.Version{version}}, owner.Neighbours.Active()), commands...)
 			owner.committed(now, version)
 		case chain.Viewed:
 			view := command.View
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
@@ -14,6 +15,9 @@
 	LetterNews   = "feed-news"
 	LetterAsk    = "feed-ask"
 	LetterChange = "feed-change"
+	LetterLack   = "feed-lack"
+	LetterKept   = "feed-kept"
+	mostChanges  = 32
 )
 
 type News struct {
@@ -22,9 +26,20 @@
 	From  string         `json:"from"`
 }
 
+// Change carries the numbered versions from a place on, or only the newest ones when the asker is too far behind.
 type Change struct {
-	Version *contract.Version `json:"version,omitempty"`
-	View    *contract.View    `json:"view,omitempty"`
+	Versions []contract.Version `json:"versions,omitempty"`
+	View     *contract.View     `json:"view,omitempty"`
+}
+
+// Lack asks for older versions that a core machine has lost; Kept hands them over.
+type Lack struct {
+	From    int64  `json:"from"`
+	Address string `json:"address"`
+}
+
+type Kept struct {
+	Versions []contract.Version `json:"versions"`
 }
 
 type Owner struct {
@@ -33,11 +48,12 @@
 	version contract.Version
 	read    manifest.Manifest
 	view    contract.View
+	kept    map[int64]contract.Version
 	asked   time.Duration
 }
 
 func New(address string, bounds env.Bounds) *Owner {
-	return &Owner{address: address, bounds: bounds, asked: -bounds.Gossip()}
+	return &Owner{address: address, bounds: bounds, kept: map[int64]contract.Version{}, asked: -bounds.Gossip()}
 }
 
 func (owner *Owner) Version() contract.Version   { return owner.version }
@@ -66,6 +82,11 @@
 		if json.Unmarshal(letter.Body, &news) == nil {
 			return owner.tell(news)
 		}
+	case LetterLack:
+		var lack Lack
+		if json.Unmarshal(letter.Body, &lack) == nil {
+			return []contract.Command{contract.Send{To: lack.Address, Kind: LetterKept, Body: Kept{owner.from(lack.From, false)}}}
+		}
 	case LetterChange:
 		var change Change
 		if json.Unmarshal(letter.Body, &change) == nil {
@@ -94,21 +115,36 @@
 }
 
 func (owner *Owner) tell(news News) []contract.Command {
-	change := Change{}
-	if owner.version.Place.Revision > news.Place.Revision {
-		version := owner.version
-		change.Version = &version
-	}
+	change := Change{Versions: owner.from(news.Place.Revision+1, true)}
 	if owner.view.Number > news.View {
 		view := owner.view
 		change.View = &view
 	}
-	if change.Version == nil && change.View == nil {
+	if len(change.Versions) == 0 && change.View == nil {
 		return nil
 	}
 	return []contract.Command{contract.Send{To: news.From, Kind: LetterChange, Body: change}}
 }
 
+// from gives kept versions in order: the first ones from a place on, or the newest ones.
+func (owner *Owner) from(place int64, newest bool) []contract.Version {
+	revisions := []int64{}
+	for revision := range owner.kept {
+		if revision >= place {
+			revisions = append(revisions, revision)
+		}
+	}
+	slices.Sort(revisions)
+	if len(revisions) > mostChanges && newest {
+		revisions = revisions[len(revisions)-mostChanges:]
+	}
+	versions := []contract.Version{}
+	for _, revision := range revisions[:min(len(revisions), mostChanges)] {
+		versions = append(versions, owner.kept[revision])
+	}
+	return versions
+}
+
 // Take adopts what is newer and passes the news on; a lower revision or view never replaces a higher one.
 func (owner *Owner) Take(change Change, neighbours []string) []contract.Command {
 	commands, moved := []contract.Command{}, false
@@ -116,13 +152,25 @@
 		owner.view, moved = *change.View, true
 		commands = append(commands, contract.Say{What: "view adopted", Detail: []any{"view", owner.view.Number}})
 	}
-	if version := change.Version; version != nil && version.Place.Revision > owner.version.Place.Revision {
+	for _, version := range change.Versions {
+		if contract.Digest(version.Manifest) != version.Digest {
+			commands = append(commands, contract.Count{Name: "feed_refused", By: 1})
+			continue
+		}
+		if _, there := owner.kept[version.Place.Revision]; !there {
+			owner.kept[version.Place.Revision] = version
+		}
+		if version.Place.Revision <= owner.version.Place.Revision {
+			continue
+		}
 		read, mishap := manifest.Read(version.Manifest)
-		if mishap != nil || contract.Digest(version.Manifest) != version.Digest {
-			return append(commands, contract.Count{Name: "feed_refused", By: 1})
+		if mishap != nil {
+			commands = append(commands, contract.Count{Name: "feed_refused", By: 1})
+			continue
 		}
-		owner.version, owner.read, moved = *version, read, true
-		commands = append(commands, contract.Adopted{Version: *version})
+		delete(owner.kept, version.Place.Revision-owner.bounds.History)
+		owner.version, owner.read, moved = version, read, true
+		commands = append(commands, contract.Adopted{Version: version})
 	}
 	if moved {
 		for _, address := range neighbours {
--- a/fleet/faults.go
+++ b/fleet/faults.go
@@ -127,6 +127,12 @@
 	fresh.env.Control, fresh.env.Data = fmt.Sprintf("10.0.2.%d:7400", len(fleet.gone)), fmt.Sprintf("10.0.2.%d:7500", len(fleet.gone))
 	fresh.Name = fmt.Sprintf("m%d", 90+len(fleet.gone))
 	fresh.env.Name = fresh.Name
+	fresh.env.Seeds = nil
+	for _, machine := range fleet.Machines {
+		if machine.Up() && len(fresh.env.Seeds) < 3 {
+			fresh.env.Seeds = append(fresh.env.Seeds, machine.env.Control)
+		}
+	}
 	fresh.Start()
 	return fresh
 }
