An orphaned core founds anew with those that are left sealed into it

Cause: the restarted boot is a stranger to the view, the swapped one silent for good, and the one left has no majority; reads and writes stayed refused for ever. Ruled out: waiting longer (nothing can change). Change: when what is left has no majority, a full set of other core machines stands by, and sealing those left stops the old chain, they found the next view together. Test 'founds anew when one core machine restarted and another was swapped': failed before, passes after.

--- a/chain/found.go
+++ b/chain/found.go
@@ -1,6 +1,8 @@
 package chain
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
@@ -49,12 +51,13 @@
 	return nodes
 }
 
-// lostCore holds when the view's core can never again reach its majority, because that many of its boots are replaced;
-// before any view it holds on every core machine.
+// lostCore holds when the view's core can never again reach its majority: before any view, when that many of its boots
+// are replaced, or when it is orphaned.
 func (owner *Owner) lostCore() bool {
-	if owner.view.Number == 0 {
-		return true
-	}
+	return owner.view.Number == 0 || owner.replaced() || owner.orphaned()
+}
+
+func (owner *Owner) gone() int {
 	gone := 0
 	for _, node := range owner.view.Core {
 		for _, other := range owner.coreSeen() {
@@ -63,22 +66,49 @@
 			}
 		}
 	}
-	return len(owner.view.Core)-gone < owner.view.Majority()
+	return gone
+}
+
+func (owner *Owner) replaced() bool {
+	return len(owner.view.Core)-owner.gone() < owner.view.Majority()
 }
 
+// orphaned holds when what is left of a core cannot change its view, a full set of other core machines stands by, and
+// sealing those that are left also stops the old chain for good.
+func (owner *Owner) orphaned() bool {
+	gone := owner.gone()
+	nodes, survivors, chained := owner.coreSeen(), 0, gone > 0
+	for _, node := range nodes {
+		if _, there := owner.view.Node(node.Identity()); there {
+			survivors++
+			chained = chained || owner.view.Rank(node.Identity()) >= 0
+		}
+	}
+	left := len(owner.view.Core) - gone - survivors
+	return len(nodes) >= owner.coreSize && survivors < owner.view.Majority() && left < owner.view.Majority() && chained
+}
+
+// foundFellows are those who found: whoever is left of the old view, then its machines' new boots, then others.
 func (owner *Owner) foundFellows() []contract.CoreNode {
-	if owner.view.Number == 0 {
-		return owner.coreSeen()
-	}
-	fellows := []contract.CoreNode{}
-	for _, other := range owner.coreSeen() {
-		for _, node := range owner.view.Core {
-			if node.Name == other.Name {
-				fellows = append(fellows, other)
+	nodes := owner.coreSeen()
+	rank := func(node contract.CoreNode) int {
+		if _, there := owner.view.Node(node.Identity()); there {
+			return 0
+		}
+		for _, old := range owner.view.Core {
+			if old.Name == node.Name {
+				return 1
 			}
 		}
+		return 2
+	}
+	slices.SortStableFunc(nodes, func(left, right contract.CoreNode) int { return rank(left) - rank(right) })
+	if owner.view.Number > 0 {
+		nodes = slices.DeleteFunc(nodes, func(node contract.CoreNode) bool { return rank(node) == 2 && !owner.orphaned() })
+		nodes = nodes[:min(len(nodes), owner.coreSize)]
 	}
-	return fellows
+	slices.SortFunc(nodes, func(left, right contract.CoreNode) int { return strings.Compare(left.Name, right.Name) })
+	return nodes
 }
 
 func (owner *Owner) blankFleet() bool {
@@ -107,11 +137,8 @@
 	fellows := owner.foundFellows()
 	waited, alone := now-owner.unfoundable, len(fellows) < 2
 	complete := len(fellows) == owner.coreSize
-	if owner.view.Number > 0 {
-		complete = len(fellows) == len(owner.view.Core)
-	}
 	patience := owner.bounds.Round()
-	if !complete {
+	if !complete || owner.view.Number > 0 && !owner.replaced() {
 		patience = owner.bounds.Refound()
 	}
 	if owner.view.Number == 0 && (!complete || !owner.blankFleet()) {
@@ -182,7 +209,7 @@
 		foundation.View.Chain = append(foundation.View.Chain, node.Identity())
 	}
 	for _, node := range owner.view.Core {
-		present := false
+		present := len(foundation.View.Core) >= owner.coreSize
 		for _, fellow := range founding.fellows {
 			present = present || fellow.Name == node.Name
 		}
--- a/stories/chain_test.go
+++ b/stories/chain_test.go
@@ -157,3 +157,31 @@
 		nothingWrong(played)
 	})
 })
+
+var _ = Describe("repair of the core", func() {
+	It("hands back older revisions that every core disk has lost, from what other nodes kept", func() {
+		played := given("brazos", 11)
+		for index := range 6 {
+			Expect(patched(played, played.Machines[index], index).Status).To(Equal(200))
+		}
+		for _, machine := range played.Cores() {
+			machine.Disk.Lies = 60
+		}
+		played.KillFor(played.Cores(), time.Second)
+		played.Run(15 * time.Second)
+		nothingWrong(played)
+	})
+
+	It("founds anew when one core machine restarted and another was swapped in the same moment", func() {
+		played := given("brazos", 12)
+		Expect(patched(played, played.Machines[1], 1).Status).To(Equal(200))
+		cores := played.Cores()
+		played.KillFor(cores[:1], 5*time.Second)
+		played.Run(4900 * time.Millisecond)
+		played.Swap(cores[2])
+		played.Run(20 * time.Second)
+		Expect(chainView(played, played.Machines[1]).Chain).To(HaveLen(3))
+		Expect(patched(played, played.Machines[1], 2).Status).To(BeElementOf(200, 202))
+		nothingWrong(played)
+	})
+})
