A cold server stays on its ramp when its shard changes owner

Cause: the successor saw prefixes in their reports and took them for warm. Ruled out: the shares (they add up within one owner). Change: every control node of a region notes when it first saw an incarnation in the listing, and a new owner goes on with that ramp.

--- a/shard/shard.go
+++ b/shard/shard.go
@@ -76,6 +76,7 @@
 	reading     bool
 	failures    int
 	incarnation string
+	listedFrom  time.Duration
 	rampFrom    time.Duration
 	ramping     bool
 	nextRead    time.Duration
@@ -229,6 +230,7 @@
 	if owner.listed && event.Began < owner.listedAt {
 		return
 	}
+	former := owner.listed
 	owner.listing, owner.listedAt = event.Listing, event.Began
 	owner.listed = true
 	present := map[string]bool{}
@@ -236,11 +238,15 @@
 		present[row.Name] = true
 		known, there := owner.servers[row.Name]
 		if !there {
-			known = &knowledge{incarnation: row.Incarnation, orderedAt: -owner.bounds.Return()}
+			known = &knowledge{incarnation: row.Incarnation, orderedAt: -owner.bounds.Return(), listedFrom: -1}
+			if former {
+				known.listedFrom = now
+			}
 			owner.servers[row.Name] = known
 		}
 		if known.incarnation != row.Incarnation {
 			known.incarnation, known.good, known.ramping, known.failures = row.Incarnation, false, false, 0
+			known.listedFrom = now
 		}
 	}
 	for name := range owner.servers {
@@ -326,6 +332,9 @@
 			known.good = true
 			known.ramping = event.Report.Running == 0 && len(event.Report.Prefixes) == 0
 			known.rampFrom = now
+			if !known.ramping && known.listedFrom >= 0 && now-known.listedFrom < owner.seen.Manifest.Retirement.Ramp {
+				known.ramping, known.rampFrom = true, known.listedFrom
+			}
 		}
 		if known.failures >= darkAfter {
 			known.ramping, known.rampFrom = true, now
