Ramp shares are accounted: what others hold or still run is taken off first

Cause: shares moved between data nodes while the former holder's call still ran or its licence still lived. Ruled out: the ramp's own height (it was 1).

--- a/fleet/caller.go
+++ b/fleet/caller.go
@@ -157,7 +157,7 @@
 }
 
 func (try *try) refused(status int, trouble contract.Trouble, after time.Duration) {
-	try.reply.Status = status
+	try.reply.Status, try.reply.After = status, after
 	outcome := trouble.Outcome
 	if outcome == "" {
 		outcome = fmt.Sprint(status)
--- a/fleet/operate.go
+++ b/fleet/operate.go
@@ -7,6 +7,7 @@
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/manifest"
+	"github.com/cedarreel/cedarreel/shard"
 )
 
 // Written is an operator's write and the answer it got.
@@ -151,3 +152,8 @@
 	read, _ := manifest.Read(version.Manifest)
 	return read, version.Place.Revision
 }
+
+func statuses(body map[string]any) []shard.Status {
+	read, _ := body["shards"].([]shard.Status)
+	return read
+}
--- a/ledger/answers.go
+++ b/ledger/answers.go
@@ -18,6 +18,7 @@
 	Numbers  []int64
 	Finished bool
 	First    time.Duration
+	After    time.Duration
 	Excused  bool
 }
 
--- a/ledger/figures.go
+++ b/ledger/figures.go
@@ -12,6 +12,7 @@
 	Outcomes map[string]int
 	First    []time.Duration
 	Took     []time.Duration
+	Refused  time.Duration
 }
 
 // Figures are what a run is measured by.
@@ -23,6 +24,7 @@
 	Return    time.Duration
 	ColdShare float64
 	RepeatPct float64
+	Hasty     int
 }
 
 func newFigures() Figures { return Figures{Classes: map[string]*classFigures{}} }
@@ -41,6 +43,12 @@
 func (figures *Figures) answered(class string, reply Reply, took time.Duration) {
 	known := figures.class(class)
 	known.Outcomes[reply.Outcome]++
+	if reply.Outcome == "not_run" {
+		known.Refused = max(known.Refused, took)
+		if (reply.Status == 429 || reply.Status == 503) && reply.After == 0 {
+			figures.Hasty++
+		}
+	}
 	if reply.Outcome == "done" {
 		known.Took = append(known.Took, took)
 		if reply.First > 0 {
--- a/shard/list.go
+++ b/shard/list.go
@@ -84,12 +84,14 @@
 	owner.emit(contract.Send{To: ask.Address, Kind: LetterLicence, Body: licence})
 }
 
-// share is this node's part of a cold server's ramp; the parts of all data nodes add up to the ramp. Below zero means no bound.
+// share is this node's part of a cold server's ramp. What others were given and still hold, or still run, is taken off first,
+// so the parts never add up to more than the ramp. Below zero means no bound.
 func (owner *Owner) share(now time.Duration, held *duty, row contract.ServerRow, node string) int64 {
 	known := owner.servers[row.Name]
 	ramp := owner.seen.Manifest.Retirement.Ramp
 	if !known.ramping || now-known.rampFrom >= ramp {
 		known.ramping = false
+		delete(held.shares, row.Name)
 		return -1
 	}
 	slots := owner.seen.Manifest.Pools[row.Pool].Slots
@@ -101,16 +103,27 @@
 		}
 	}
 	count := int64(len(names))
+	others := int64(0)
+	for _, name := range names {
+		if name != node {
+			others += max(held.shares[row.Name][name], held.calls[name][row.Name])
+		}
+	}
+	part := int64(0)
 	for place, name := range contract.Ordered("ramp/"+row.Name, names) {
 		if name == node {
-			part := open / count
+			part = open / count
 			if int64(place) < open%count {
 				part++
 			}
-			return part
 		}
 	}
-	return 0
+	part = min(part, max(0, open-others))
+	if held.shares[row.Name] == nil {
+		held.shares[row.Name] = map[string]int64{}
+	}
+	held.shares[row.Name][node] = part
+	return part
 }
 
 func (owner *Owner) withdraw(now time.Duration, order Withdraw) {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -93,6 +93,7 @@
 	list        string
 	words       map[string]retire.Word
 	calls       map[string]map[string]int64
+	shares      map[string]map[string]int64
 	retirements map[string]*retire.Retirement
 	released    map[string]string
 	aborted     map[string]int64
@@ -290,6 +291,7 @@
 	held.epoch = contract.Epoch{Number: held.highest.Number + 1, Node: owner.self.Name}
 	held.highest, held.number, held.list = held.epoch, 0, ""
 	held.words, held.calls = map[string]retire.Word{}, map[string]map[string]int64{}
+	held.shares = map[string]map[string]int64{}
 	held.retirements, held.released = map[string]*retire.Retirement{}, map[string]string{}
 	owner.emit(contract.Count{Name: "take_overs", By: 1}, contract.Say{What: "shard taken", Detail: []any{"shard", held.index, "epoch", held.epoch.Number}})
 }
--- a/stories/stories_test.go
+++ b/stories/stories_test.go
@@ -2,12 +2,12 @@
 package stories
 
 import (
+	"encoding/json"
 	"runtime/debug"
 	"testing"
 	"time"
 
 	"github.com/cedarreel/cedarreel/fleet"
-	"github.com/cedarreel/cedarreel/ledger"
 	"github.com/cedarreel/cedarreel/site"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -52,8 +52,6 @@
 	return known.Outcomes
 }
 
-var _ = ledger.Doubled
-
 var _ = Describe("a calm day", func() {
 	for _, name := range sites {
 		It("serves every caller of "+name, func() {
@@ -69,3 +67,9 @@
 		})
 	}
 })
+
+func text(value any) []byte {
+	content, mishap := json.Marshal(value)
+	Expect(mishap).NotTo(HaveOccurred())
+	return content
+}
