Stories of retirement and drain: late prompt, successor, Aborted, reclaim, races, halls out of reach

Scale-down, scale to zero, reclaim and drain run over the in-memory fleet with the owner frozen, cut and killed in the middle.

--- a/fleet/server.go
+++ b/fleet/server.go
@@ -38,6 +38,7 @@
 	unloaded    bool
 	lastReport  []byte
 	lastAt      time.Duration
+	Taken       int
 	PrefixHits  int
 	PrefixAsked int
 }
@@ -163,6 +164,7 @@
 func (server *Server) begin(next *run) {
 	fleet, visit := server.fleet, next.attempt.session.try.visit
 	server.running[next.identity] = next
+	server.Taken++
 	fleet.Ledger.Began(next.scoped, next.identity, server.Name, fleet.World.Now)
 	if visit.kind.Class == "lookup" {
 		fleet.World.After(lookupTime, func() { server.finishLookup(next) })
--- /dev/null
+++ b/stories/drain_test.go
@@ -0,0 +1,126 @@
+package stories
+
+import (
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/fleet"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func hallsOf(played *fleet.Fleet) []string {
+	halls := []string{}
+	for _, machine := range played.Machines {
+		if len(halls) == 0 || halls[len(halls)-1] != machine.Hall {
+			halls = append(halls, machine.Hall)
+		}
+	}
+	return halls
+}
+
+func drain(played *fleet.Fleet, machine *fleet.Machine, verb, hall string) fleet.Written {
+	return played.Do(machine, contract.Ask{Verb: verb, Subject: hall})
+}
+
+func taken(played *fleet.Fleet, hall string) int {
+	count := 0
+	for _, server := range played.Servers {
+		if server.Hall == hall {
+			count += server.Taken
+		}
+	}
+	return count
+}
+
+var _ = Describe("a drained hall", func() {
+	for _, name := range sites {
+		It("gets no call in "+name+" soon after the drain was accepted, and is taken back by ramp", func() {
+			played := given(name, 81)
+			hall := hallsOf(played)[1]
+			played.Traffic(60*time.Second, 1)
+			played.Run(10 * time.Second)
+			Expect(drain(played, played.Machines[9], contract.VerbDrain, hall).Status).To(Equal(200))
+			played.Run(6 * time.Second)
+			before := taken(played, hall)
+			played.Run(14 * time.Second)
+			Expect(taken(played, hall)).To(Equal(before))
+			Expect(drain(played, played.Machines[1], contract.VerbUndrain, hall).Status).To(Equal(200))
+			played.Run(15 * time.Second)
+			Expect(taken(played, hall)).To(BeNumerically(">", before+10), "it serves again")
+			nothingWrong(played)
+		})
+
+		It("holds beside another drained at the same moment in "+name, func() {
+			played := given(name, 82)
+			halls := hallsOf(played)
+			played.Traffic(20*time.Second, 0.5)
+			statuses := map[string]int{}
+			for index, hall := range halls[:2] {
+				ask := contract.Ask{Verb: contract.VerbDrain, Subject: hall, Operation: "drain-" + hall}
+				played.Write(played.Machines[index*5], ask, func(written fleet.Written) { statuses[hall] = written.Status })
+			}
+			played.Run(5 * time.Second)
+			Expect(statuses).To(Equal(map[string]int{halls[0]: 200, halls[1]: 200}))
+			read, _ := played.Manifest(played.Machines[7])
+			Expect(read.Drained(halls[0])).To(BeTrue())
+			Expect(read.Drained(halls[1])).To(BeTrue())
+			nothingWrong(played)
+		})
+	}
+
+	It("is refused when the owners of its shards are out of reach, and nothing is committed", func() {
+		played := given("brazos", 83)
+		played.Traffic(20*time.Second, 0.5)
+		before, revision := played.Manifest(played.Machines[1])
+		Expect(before.Drained("coast-a")).To(BeFalse())
+		played.World.CutBoth(fleet.Names(played.InRegion("coast")), fleet.Names(played.InRegion("central")))
+		refused := drain(played, played.Machines[1], contract.VerbDrain, "coast-a")
+		Expect(refused.Status).To(Equal(503))
+		played.World.Heal()
+		played.Run(10 * time.Second)
+		after, now := played.Manifest(played.Machines[1])
+		Expect(after.Drained("coast-a")).To(BeFalse())
+		Expect(now).To(Equal(revision))
+		nothingWrong(played)
+	})
+
+	It("stays drained when its owner is killed right after the answer", func() {
+		played := given("seri", 84)
+		hall := hallsOf(played)[0]
+		played.Traffic(30*time.Second, 1)
+		played.Run(5 * time.Second)
+		Expect(drain(played, played.Machines[9], contract.VerbDrain, hall).Status).To(Equal(200))
+		played.KillFor([]*fleet.Machine{played.Owner("klang", 0), played.Owner("klang", 1)}, 6*time.Second)
+		played.Run(20 * time.Second)
+		nothingWrong(played)
+	})
+
+	It("follows the last accepted word when drain and undrain race", func() {
+		for seed := uint64(85); seed < 90; seed++ {
+			played := given("brazos", seed)
+			played.Traffic(20*time.Second, 0.5)
+			words := map[int64]string{}
+			for index, verb := range []string{contract.VerbDrain, contract.VerbUndrain, contract.VerbDrain, contract.VerbUndrain} {
+				ask := contract.Ask{Verb: verb, Subject: "prairie-b", Operation: verb + string(rune('a'+index))}
+				played.World.After(time.Duration(played.World.Random.IntN(60))*time.Millisecond, func() {
+					played.Write(played.Machines[index*3], ask, func(written fleet.Written) { words[written.Accepted.Revision] = verb })
+				})
+			}
+			played.Run(8 * time.Second)
+			read, revision := played.Manifest(played.Machines[4])
+			Expect(words).To(HaveLen(4))
+			Expect(read.Drained("prairie-b")).To(Equal(words[revision] == contract.VerbDrain))
+			nothingWrong(played)
+		}
+	})
+
+	It("is not undone by a whole manifest with an old base", func() {
+		played := given("brazos", 91)
+		_, base := played.Manifest(played.Machines[0])
+		Expect(drain(played, played.Machines[1], contract.VerbDrain, "prairie-a").Status).To(Equal(200))
+		whole := contract.Ask{Verb: contract.VerbPut, HasBase: true, Base: base, Body: played.Site.Manifest}
+		Expect(played.Do(played.Machines[2], whole).Status).To(Equal(409))
+		nothingWrong(played)
+	})
+})
--- /dev/null
+++ b/stories/retire_test.go
@@ -0,0 +1,229 @@
+package stories
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/fleet"
+	"github.com/cedarreel/cedarreel/retire"
+	"github.com/cedarreel/cedarreel/shard"
+	"github.com/cedarreel/cedarreel/site"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func retirements(played *fleet.Fleet) []shard.Retired {
+	answer := played.Operate(played.Machines[2], contract.Ask{Verb: contract.VerbRetirements})
+	body, _ := answer.Body.(map[string]any)
+	rows, _ := body["retirements"].([]shard.Retired)
+	return rows
+}
+
+func retired(played *fleet.Fleet, server string, state retire.State) bool {
+	return slices.ContainsFunc(retirements(played), func(row shard.Retired) bool { return row.Server == server && row.State == state })
+}
+
+func modelPool(played *fleet.Fleet) []*fleet.Server { return returning(played, played.Servers[0].Pool) }
+
+func scaled(played *fleet.Fleet, count string) fleet.Written {
+	return played.Do(played.Machines[5], contract.Ask{Verb: contract.VerbScale, Subject: played.Servers[0].Pool, Body: []byte(count)})
+}
+
+func unloaded(servers []*fleet.Server) int {
+	count := 0
+	for _, server := range servers {
+		if server.Unloaded() {
+			count++
+		}
+	}
+	return count
+}
+
+func longRuns(kind *site.Caller) { kind.Pieces = 600 }
+
+var _ = Describe("scale-down", func() {
+	for _, name := range sites {
+		It("withdraws, waits, reads and unloads in "+name+", and scaling up loads again", func() {
+			played := given(name, 61)
+			pool := modelPool(played)
+			played.Traffic(40*time.Second, 0.5)
+			played.Run(5 * time.Second)
+			Expect(scaled(played, "3").Status).To(Equal(200))
+			played.Run(5 * time.Second)
+			Expect(unloaded(pool)).To(BeZero(), "the window is not over")
+			played.Run(10 * time.Second)
+			Expect(unloaded(pool)).To(Equal(len(pool) - 3))
+			Expect(scaled(played, "5").Status).To(Equal(200))
+			played.Run(5 * time.Second)
+			Expect(unloaded(pool)).To(Equal(len(pool) - 5))
+			nothingWrong(played)
+		})
+	}
+
+	It("never unloads under a late prompt that the idle reports miss", func() {
+		played := given("brazos", 62)
+		pool := modelPool(played)
+		for _, server := range pool {
+			server.ReportLag = 20 * time.Second
+		}
+		played.Run(time.Second)
+		probes := []*fleet.Probe{}
+		for index := range 12 {
+			probes = append(probes, played.Probe("short", home(played)).With(longRuns).Send(played.InRegion(home(played))[index%8]))
+		}
+		Expect(scaled(played, "1").Status).To(Equal(200))
+		played.Run(20 * time.Second)
+		for _, probe := range probes {
+			Expect(probe.Outcome(30 * time.Second)).To(Equal("done"))
+		}
+		nothingWrong(played)
+	})
+
+	It("holds a busy server and ends Aborted, counted and picked again", func() {
+		played := given("brazos", 63)
+		pool := modelPool(played)
+		for _, server := range pool {
+			server.Mode = "partial"
+		}
+		Expect(scaled(played, "9").Status).To(Equal(200))
+		last := pool[len(pool)-1]
+		played.Run(20 * time.Second)
+		Expect(retired(played, last.Name, retire.Held)).To(BeTrue())
+		played.Run(20 * time.Second)
+		Expect(retired(played, last.Name, retire.Aborted)).To(BeTrue())
+		Expect(last.Unloaded()).To(BeFalse())
+		Expect(listed(played, last.Name)).To(BeTrue(), "it is back in the picks")
+		nothingWrong(played)
+	})
+
+	It("to zero holds what is not shown empty, and never picks it again", func() {
+		played := given("brazos", 64)
+		pool := modelPool(played)
+		pool[0].Mode = "partial"
+		Expect(scaled(played, "0").Status).To(Equal(200))
+		played.Run(70 * time.Second)
+		Expect(unloaded(pool)).To(Equal(len(pool) - 1))
+		Expect(retired(played, pool[0].Name, retire.Held)).To(BeTrue())
+		Expect(listed(played, pool[0].Name)).To(BeFalse())
+		pool[0].Mode = ""
+		played.Run(20 * time.Second)
+		Expect(unloaded(pool)).To(Equal(len(pool)))
+		nothingWrong(played)
+	})
+
+	It("goes on under a successor, which starts the window again", func() {
+		played := given("brazos", 65)
+		pool := modelPool(played)
+		Expect(scaled(played, "9").Status).To(Equal(200))
+		last := pool[len(pool)-1]
+		region := home(played)
+		owner := played.Owner(region, contract.ShardOf(last.Name, 2))
+		played.Run(4 * time.Second)
+		owner.Freeze()
+		taken := played.World.Now
+		Expect(played.Until(30*time.Second, last.Unloaded)).To(BeTrue())
+		Expect(played.World.Now - taken).To(BeNumerically(">=", 7*time.Second))
+		owner.Wake()
+		played.Run(5 * time.Second)
+		Expect(played.Platform.Stale).To(BeZero())
+		nothingWrong(played)
+	})
+})
+
+func listed(played *fleet.Fleet, server string) bool {
+	answer := played.Operate(played.Machines[3], contract.Ask{Verb: contract.VerbShards})
+	return strings.Contains(strings.ReplaceAll(string(text(answer.Body)), `"server":"`+server, ""), `"`+server+`"`)
+}
+
+var _ = Describe("a server marked as leaving", func() {
+	for _, name := range sites {
+		It("gets no new work in "+name+" soon after, whoever is frozen or cut off", func() {
+			for seed := uint64(70); seed < 76; seed++ {
+				played := given(name, seed)
+				played.Traffic(40*time.Second, 1)
+				played.Run(8 * time.Second)
+				server := modelPool(played)[int(seed)%3]
+				owner := played.Owner(server.Region, contract.ShardOf(server.Name, 2))
+				inside := played.InRegion(server.Region)
+				switch seed % 3 {
+				case 0:
+					owner.Freeze()
+					played.World.After(9*time.Second, owner.Wake)
+				case 1:
+					played.World.CutBoth([]string{owner.Name}, fleet.Names(inside[:len(inside)/2]))
+				case 2:
+					played.CutFor([]string{owner.Name}, 9*time.Second, false)
+				}
+				server.Mark(20 * time.Second)
+				played.Run(15 * time.Second)
+				played.World.Heal()
+				played.World.After(20*time.Second, server.Replace)
+				nothingWrong(played)
+				Expect(played.Ledger.Figures.LatePick).To(BeNumerically("<", 4*time.Second))
+			}
+		})
+	}
+
+	It("is left by its sessions at once and cut at the platform's time; the next turn lands elsewhere", func() {
+		played := given("seri", 77)
+		node := played.InRegion(home(played))[0]
+		probe := played.Probe("short", home(played)).With(longRuns).Send(node)
+		played.Run(time.Second)
+		server := played.Running()[0]
+		server.Mark(4 * time.Second)
+		Expect(probe.Outcome(10 * time.Second)).To(Equal("interrupted"))
+		next := played.Probe("short", home(played)).Send(node)
+		Expect(next.Outcome(10 * time.Second)).To(Equal("done"))
+		nothingWrong(played)
+	})
+
+	It("gives back the calls that it never started, and they run once, elsewhere", func() {
+		played := given("brazos", 78)
+		played.Run(10 * time.Second)
+		node := played.InRegion(home(played))[0]
+		pool := modelPool(played)
+		for _, server := range pool[1:] {
+			server.Crash()
+		}
+		played.Run(3 * time.Second)
+		probes := []*fleet.Probe{}
+		for _, at := range played.InRegion(home(played)) {
+			for range 3 {
+				probes = append(probes, played.Probe("short", home(played)).With(longRuns).Send(at))
+			}
+		}
+		played.Run(time.Second)
+		for _, server := range pool[1:] {
+			server.Replace()
+		}
+		played.Run(4 * time.Second)
+		pool[0].Mark(6 * time.Second)
+		done := 0
+		for _, probe := range probes {
+			if probe.Outcome(60*time.Second) == "done" {
+				done++
+			}
+		}
+		Expect(node).NotTo(BeNil())
+		Expect(done).To(BeNumerically(">", 4))
+		nothingWrong(played)
+	})
+})
+
+var _ = Describe("a broken platform listing", func() {
+	It("is not an empty one, and stops the picks only after its grace", func() {
+		played := given("brazos", 79)
+		played.Traffic(20*time.Second, 0.5)
+		played.Run(5 * time.Second)
+		played.Platform.Broken = true
+		played.Run(1500 * time.Millisecond)
+		Expect(played.Serves()).To(BeTrue())
+		played.Run(4 * time.Second)
+		Expect(played.Serves()).To(BeFalse(), "a server could be leaving and nobody would know")
+		played.Platform.Broken = false
+		Expect(played.Until(3*time.Second, played.Serves)).To(BeTrue())
+		nothingWrong(played)
+	})
+})
