--- a/rig/play.go
+++ b/rig/play.go
@@ -26,6 +26,10 @@
 
 type story func(rig *Rig, plan Plan) error
 
+var stories map[string]story
+
+func init() { stories = allStories() }
+
 func StoryNames() []string {
 	names := []string{}
 	for name := range stories {
@@ -116,7 +120,3 @@
 		}
 	}
 }
-
-var stories = map[string]story{
-	"calm": func(*Rig, Plan) error { return nil },
-}
--- a/rig/rig.go
+++ b/rig/rig.go
@@ -206,6 +206,9 @@
 	return clean
 }
 
+// wipe empties a core machine's data folder.
+func (node *Node) wipe() error { return os.RemoveAll(node.Settings.Folder) }
+
 func (node *Node) Freeze() {
 	node.each(func(command *exec.Cmd) { _ = command.Process.Signal(syscall.SIGSTOP) })
 }
--- /dev/null
+++ b/rig/stories.go
@@ -0,0 +1,262 @@
+package rig
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+func allStories() map[string]story {
+	return map[string]story{
+		"calm":          func(*Rig, Plan) error { return nil },
+		"kill":          withNodes(1, (*Rig).killSome),
+		"kill many":     withNodes(4, (*Rig).killSome),
+		"kill hall":     killHall,
+		"kill cores":    killCores,
+		"kill region":   killRegion,
+		"freeze":        withNodes(3, (*Rig).freezeSome),
+		"cut":           withNodes(1, (*Rig).cutSome),
+		"cut region":    cutRegion,
+		"disk full":     onDisk("full"),
+		"disk stalled":  onDisk("stalled"),
+		"disk slow":     onDisk("slow"),
+		"wipe core":     wipeCore,
+		"server crash":  serverCrash,
+		"bad replies":   badReplies,
+		"reclaim":       reclaim,
+		"drain":         drain,
+		"scale":         scale,
+		"storm":         storm,
+		"graceful stop": gracefulStop,
+		"all":           everything,
+	}
+}
+
+func (plan Plan) part(share float64) time.Duration {
+	return time.Duration(float64(plan.Span) * share)
+}
+
+func (rig *Rig) some(count int) []*Node {
+	chosen := []*Node{}
+	for _, place := range rig.random.Perm(len(rig.Nodes))[:count] {
+		chosen = append(chosen, rig.Nodes[place])
+	}
+	return chosen
+}
+
+func (rig *Rig) where(fits func(*Node) bool) []*Node {
+	chosen := []*Node{}
+	for _, node := range rig.Nodes {
+		if fits(node) {
+			chosen = append(chosen, node)
+		}
+	}
+	return chosen
+}
+
+func withNodes(count int, play func(*Rig, []*Node, time.Duration) error) story {
+	return func(rig *Rig, plan Plan) error {
+		time.Sleep(plan.part(0.2))
+		return play(rig, rig.some(count), plan.part(0.3))
+	}
+}
+
+func (rig *Rig) killSome(nodes []*Node, span time.Duration) error {
+	for _, node := range nodes {
+		node.Kill()
+		rig.Ledger.Restarted(node.Machine.Name + "-data")
+	}
+	time.Sleep(span)
+	var mishaps []error
+	for _, node := range nodes {
+		mishaps = append(mishaps, node.Start())
+	}
+	return errors.Join(mishaps...)
+}
+
+func (rig *Rig) freezeSome(nodes []*Node, span time.Duration) error {
+	for _, node := range nodes {
+		node.Freeze()
+	}
+	time.Sleep(span)
+	for _, node := range nodes {
+		node.Wake()
+	}
+	return nil
+}
+
+func (rig *Rig) cutSome(nodes []*Node, span time.Duration) error {
+	rig.Cut(nodes, rig.Nodes)
+	time.Sleep(span)
+	rig.Heal()
+	return nil
+}
+
+func killHall(rig *Rig, plan Plan) error {
+	hall := rig.Nodes[rig.random.IntN(len(rig.Nodes))].Machine.Hall
+	time.Sleep(plan.part(0.2))
+	return rig.killSome(rig.where(func(node *Node) bool { return node.Machine.Hall == hall }), plan.part(0.3))
+}
+
+func killCores(rig *Rig, plan Plan) error {
+	time.Sleep(plan.part(0.2))
+	cores := rig.where(func(node *Node) bool { return node.Machine.Core })
+	if mishap := rig.killSome(cores, plan.part(0.1)); mishap != nil {
+		return mishap
+	}
+	return rig.writes("after the cores returned")
+}
+
+// writes wants that the core takes writes again within the bound of a return.
+func (rig *Rig) writes(when string) error {
+	number := 0
+	return rig.Await("a write "+when, rig.bounds.Return(), func() bool {
+		number++
+		body := fmt.Appendf(nil, `{"homes":{"guest":%q}}`, rig.Site.Regions()[0])
+		status, _, _ := rig.Write(rig.Nodes[1], http.MethodPatch, "/v1/manifest", fmt.Sprintf("%s-%d", when[:5], number), body)
+		return status == 200 || status == 202
+	})
+}
+
+func killRegion(rig *Rig, plan Plan) error {
+	region := rig.Site.Regions()[1]
+	time.Sleep(plan.part(0.2))
+	nodes := rig.where(func(node *Node) bool { return node.Machine.Region == region })
+	if mishap := rig.killSome(nodes, plan.part(0.2)); mishap != nil {
+		return mishap
+	}
+	back := rig.now()
+	mishap := rig.Await("serving again", 2*rig.bounds.Return(), rig.serves)
+	rig.Ledger.Returned(region, back, rig.now())
+	return mishap
+}
+
+func cutRegion(rig *Rig, plan Plan) error {
+	region := rig.Site.Regions()[1]
+	time.Sleep(plan.part(0.2))
+	rig.Cut(rig.where(func(node *Node) bool { return node.Machine.Region == region }), rig.where(func(node *Node) bool { return node.Machine.Region != region }))
+	time.Sleep(plan.part(0.4))
+	rig.Heal()
+	time.Sleep(rig.bounds.Deliver())
+	return rig.writes("after the cut")
+}
+
+func onDisk(state string) story {
+	return func(rig *Rig, plan Plan) error {
+		time.Sleep(plan.part(0.1))
+		node := rig.where(func(node *Node) bool { return node.Machine.Core })[rig.random.IntN(3)]
+		node.Disk(state)
+		time.Sleep(plan.part(0.2))
+		mishap := rig.writes("while a disk is " + state)
+		node.Disk("")
+		time.Sleep(plan.part(0.2))
+		return errors.Join(mishap, rig.writes("later"))
+	}
+}
+
+func serverCrash(rig *Rig, plan Plan) error {
+	time.Sleep(plan.part(0.2))
+	server := rig.servers[rig.random.IntN(len(rig.servers))]
+	server.Crash()
+	time.Sleep(plan.part(0.2))
+	return server.start()
+}
+
+func badReplies(rig *Rig, plan Plan) error {
+	modes := []string{"cut", "wrong", "refuse", "dark", "partial", "garbled"}
+	for index, mode := range modes {
+		rig.servers[index].Mode(mode)
+	}
+	time.Sleep(plan.part(0.8))
+	for index := range modes {
+		rig.servers[index].Mode("")
+	}
+	return nil
+}
+
+func reclaim(rig *Rig, plan Plan) error {
+	time.Sleep(plan.part(0.2))
+	server := rig.servers[rig.random.IntN(len(rig.servers))]
+	rig.Platform.Mark(server, plan.part(0.3))
+	time.Sleep(plan.part(0.5))
+	return nil
+}
+
+func drain(rig *Rig, plan Plan) error {
+	hall := rig.Nodes[0].Machine.Hall
+	time.Sleep(plan.part(0.2))
+	if _, _, mishap := rig.Write(rig.Nodes[7], http.MethodPost, "/v1/halls/"+hall+"/drain", "drain", nil); mishap != nil {
+		return mishap
+	}
+	rig.Ledger.Drained(hall, rig.now())
+	time.Sleep(plan.part(0.5))
+	rig.Ledger.Undrained(hall, rig.now())
+	_, _, mishap := rig.Write(rig.Nodes[3], http.MethodPost, "/v1/halls/"+hall+"/undrain", "undrain", nil)
+	return mishap
+}
+
+func scale(rig *Rig, plan Plan) error {
+	pool := rig.servers[0].Row.Pool
+	if _, _, mishap := rig.Write(rig.Nodes[7], http.MethodPost, "/v1/pools/"+pool+"/scale", "down", []byte("3")); mishap != nil {
+		return mishap
+	}
+	time.Sleep(plan.part(0.7))
+	rig.Platform.lock.Lock()
+	orders := len(rig.Platform.Orders)
+	rig.Platform.lock.Unlock()
+	if orders == 0 {
+		return errors.New("no server was unloaded")
+	}
+	_, _, mishap := rig.Write(rig.Nodes[2], http.MethodPost, "/v1/pools/"+pool+"/scale", "up", []byte("8"))
+	return mishap
+}
+
+func storm(rig *Rig, plan Plan) error {
+	for index := range 50 {
+		body := fmt.Appendf(nil, `{"homes":{"guest-%d":%q}}`, index%10, rig.Site.Regions()[index%2])
+		if _, _, mishap := rig.Write(rig.Nodes[index%len(rig.Nodes)], http.MethodPatch, "/v1/manifest", fmt.Sprintf("storm-%d", index), body); mishap != nil {
+			return mishap
+		}
+	}
+	return nil
+}
+
+func gracefulStop(rig *Rig, plan Plan) error {
+	time.Sleep(plan.part(0.3))
+	node := rig.Nodes[1]
+	if !node.Stop() {
+		return errors.New("a stop on SIGTERM did not end with exit code 0")
+	}
+	rig.Ledger.Restarted(node.Machine.Name + "-data")
+	time.Sleep(plan.part(0.2))
+	return node.Start()
+}
+
+func wipeCore(rig *Rig, plan Plan) error {
+	time.Sleep(plan.part(0.2))
+	node := rig.where(func(node *Node) bool { return node.Machine.Core })[rig.random.IntN(3)]
+	node.Kill()
+	rig.Ledger.Restarted(node.Machine.Name + "-data")
+	if mishap := node.wipe(); mishap != nil {
+		return mishap
+	}
+	time.Sleep(plan.part(0.1))
+	if mishap := node.Start(); mishap != nil {
+		return mishap
+	}
+	return rig.writes("after the wipe")
+}
+
+// everything plays the main failures one after another.
+func everything(rig *Rig, plan Plan) error {
+	part := plan
+	part.Span = plan.Span / 8
+	for _, name := range []string{"kill", "freeze", "cut", "wipe core", "kill cores", "drain", "kill region", "server crash"} {
+		plan.Say("playing " + name)
+		if mishap := stories[name](rig, part); mishap != nil {
+			return fmt.Errorf("%s: %w", name, mishap)
+		}
+	}
+	return nil
+}
