--- a/rig/callers.go
+++ b/rig/callers.go
@@ -130,7 +130,7 @@
 		method, path, body = http.MethodPost, "/v1/chat/completions", content
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(visit.kind.DeadlineMs)*time.Millisecond+visit.crowd.rig.bounds.Deliver())
-	request, mishap := http.NewRequestWithContext(ctx, method, base+path, bytes.NewReader(body))
+	request, mishap := http.NewRequestWithContext(ctx, method, base+path, onceOnly(body))
 	if mishap != nil {
 		cancel()
 		return nil, mishap
@@ -147,6 +147,14 @@
 	return request, nil
 }
 
+// onceOnly is a body that the HTTP client cannot send a second time on its own.
+func onceOnly(body []byte) io.Reader {
+	if body == nil {
+		return http.NoBody
+	}
+	return io.NopCloser(bytes.NewReader(body))
+}
+
 // try sends one attempt and judges what came back.
 func (visit *visit) try(node *Node, repeat bool, age time.Duration) (ledger.Reply, time.Duration) {
 	rig := visit.crowd.rig
