A chain of one can be succeeded by a former holder; operators can say a core machine is gone

Change: a view names its holders; cedarctl gone MACHINE gives the operator's word, refused for a machine that is alive.

--- a/chain/agree.go
+++ b/chain/agree.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
@@ -65,7 +66,9 @@
 	if owner.campaign != nil {
 		owner.driveCampaign(now)
 	}
-	if owner.rank() < 0 || !owner.wantsView(now) {
+	takers := owner.view.Takers()
+	place := slices.Index(takers, owner.self.Identity())
+	if place < 0 || !owner.wantsView(now) {
 		owner.needed = -1
 		return
 	}
@@ -73,7 +76,7 @@
 		owner.needed = now
 	}
 	turn := time.Duration(0)
-	for _, identity := range owner.view.Chain[:owner.rank()] {
+	for _, identity := range takers[:place] {
 		if node, there := owner.view.Node(identity); there && owner.aliveCore(node) {
 			turn++
 		}
@@ -134,6 +137,9 @@
 	if living < owner.view.Majority() {
 		return false
 	}
+	if head, there := owner.view.Head(); !there || len(owner.view.Chain) == 1 && !owner.aliveCore(head) {
+		return true
+	}
 	for _, node := range owner.view.Core {
 		rank, fit := owner.view.Rank(node.Identity()), owner.fitCore(node)
 		_, doubted := owner.doubts[node.Identity()]
@@ -279,7 +285,10 @@
 		return answered && promise.Fit && !doubted
 	}
 	view := contract.View{Number: owner.view.Number + 1}
-	for _, identity := range owner.view.Chain {
+	for _, identity := range owner.view.Takers() {
+		if len(view.Chain) > 0 && owner.view.Rank(identity) < 0 {
+			break
+		}
 		if promise := promises[identity]; fits(identity) && promise.Vote {
 			view.Chain = append(view.Chain, identity)
 		}
@@ -308,10 +317,14 @@
 	}
 	for _, node := range view.Core {
 		identity := node.Identity()
-		if owner.view.Rank(identity) < 0 && fits(identity) && owner.caughtUp(promises[identity]) {
+		if view.Rank(identity) < 0 && fits(identity) && owner.caughtUp(promises[identity]) {
 			view.Chain = append(view.Chain, identity)
 		}
 	}
+	view.Holders = view.Chain
+	if len(view.Chain) == 1 {
+		view.Holders = owner.view.Holders
+	}
 	return view, true
 }
 
--- a/chain/chain.go
+++ b/chain/chain.go
@@ -95,24 +95,25 @@
 	writingSince time.Duration
 	token        int64
 
-	needed  time.Duration
-	retry   time.Duration
-	resend  time.Duration
-	scrub   time.Duration
-	cursor  int64
-	doubts  map[string]time.Duration
-	stuck   time.Duration
-	checks  map[int64]*check
-	seen    Seen
-	started time.Duration
-	begun   bool
-	out     []contract.Command
-	loop    []contract.Letter
+	needed   time.Duration
+	retry    time.Duration
+	resend   time.Duration
+	scrub    time.Duration
+	cursor   int64
+	doubts   map[string]time.Duration
+	declared map[string]bool
+	stuck    time.Duration
+	checks   map[int64]*check
+	seen     Seen
+	started  time.Duration
+	begun    bool
+	out      []contract.Command
+	loop     []contract.Letter
 }
 
 func New(self contract.CoreNode, coreSize int, bounds env.Bounds, shelf Shelf, random *rand.Rand) *Owner {
 	owner := &Owner{bounds: bounds, coreSize: coreSize, self: self, random: random, fit: true, view: shelf.View,
-		versions: map[int64]contract.Version{}, shelf: map[int64]contract.Version{}, doubts: map[string]time.Duration{},
+		versions: map[int64]contract.Version{}, shelf: map[int64]contract.Version{}, doubts: map[string]time.Duration{}, declared: map[string]bool{},
 		checks: map[int64]*check{}, needed: -1, unfoundable: -1, stuck: -1}
 	for _, version := range shelf.Versions {
 		former, there := owner.shelf[version.Place.Revision]
--- a/chain/found.go
+++ b/chain/found.go
@@ -60,15 +60,28 @@
 func (owner *Owner) gone() int {
 	gone := 0
 	for _, node := range owner.view.Core {
+		replaced := owner.declared[node.Identity()]
 		for _, other := range owner.coreSeen() {
-			if other.Name == node.Name && other.Boot != node.Boot {
-				gone++
-			}
+			replaced = replaced || other.Name == node.Name && other.Boot != node.Boot
+		}
+		if replaced && !owner.aliveCore(node) {
+			gone++
 		}
 	}
 	return gone
 }
 
+// Declare takes an operator's word that a machine's former boot never returns; a live one is not believed dead.
+func (owner *Owner) Declare(name string) bool {
+	for _, node := range owner.view.Core {
+		if node.Name == name && !owner.aliveCore(node) {
+			owner.declared[node.Identity()] = true
+			return true
+		}
+	}
+	return false
+}
+
 func (owner *Owner) replaced() bool {
 	return len(owner.view.Core)-owner.gone() < owner.view.Majority()
 }
@@ -104,7 +117,9 @@
 	}
 	slices.SortStableFunc(nodes, func(left, right contract.CoreNode) int { return rank(left) - rank(right) })
 	if owner.view.Number > 0 {
-		nodes = slices.DeleteFunc(nodes, func(node contract.CoreNode) bool { return rank(node) == 2 && !owner.orphaned() })
+		nodes = slices.DeleteFunc(nodes, func(node contract.CoreNode) bool {
+			return rank(node) == 2 && !owner.orphaned() && len(owner.declared) == 0
+		})
 		nodes = nodes[:min(len(nodes), owner.coreSize)]
 	}
 	slices.SortFunc(nodes, func(left, right contract.CoreNode) int { return strings.Compare(left.Name, right.Name) })
@@ -208,6 +223,7 @@
 		foundation.View.Core = append(foundation.View.Core, node)
 		foundation.View.Chain = append(foundation.View.Chain, node.Identity())
 	}
+	foundation.View.Holders = foundation.View.Chain
 	for _, node := range owner.view.Core {
 		present := len(foundation.View.Core) >= owner.coreSize
 		for _, fellow := range founding.fellows {
--- a/cmd/cedarctl/main.go
+++ b/cmd/cedarctl/main.go
@@ -108,13 +108,14 @@
 		"retirements": {nil, "servers that retire or did", get("/v1/retirements")},
 		"chain":       {nil, "the core's view and chain", get("/v1/chain")},
 		"why":         {[]string{"CALL"}, "why a call went where it went", get("/v1/why/*")},
+		"gone":        {[]string{"MACHINE"}, "say that a core machine will never return", post("/v1/machines/*/gone")},
 		"metrics":     {nil, "one node's own counters", get("/metrics")},
 	}
 }
 
 func listing() string {
 	lines := []string{"Commands:"}
-	for _, name := range []string{"get", "revision", "history", "put", "patch", "drain", "undrain", "scale", "operation", "members", "shards", "retirements", "chain", "why", "metrics"} {
+	for _, name := range []string{"get", "revision", "history", "put", "patch", "drain", "undrain", "scale", "operation", "members", "shards", "retirements", "chain", "why", "gone", "metrics"} {
 		command := verbs()[name]
 		lines = append(lines, fmt.Sprintf("  %-24s %s", strings.Join(append([]string{name}, command.arguments...), " "), command.about))
 	}
--- a/contract/ask.go
+++ b/contract/ask.go
@@ -29,6 +29,7 @@
 	VerbRetirements = "retirements"
 	VerbChain       = "chain"
 	VerbWhy         = "why"
+	VerbGone        = "gone"
 )
 
 // Forward passes an ask to the authority, once.
--- a/contract/view.go
+++ b/contract/view.go
@@ -14,10 +14,24 @@
 
 func (node CoreNode) Identity() string { return node.Name + "#" + node.Boot }
 
+// View is one agreed state of the core. Holders have every acknowledged write: the chain itself, or the last chain of two
+// or more when this one has a single member and so acknowledges nothing.
 type View struct {
-	Number int64      `json:"number"`
-	Core   []CoreNode `json:"core"`
-	Chain  []string   `json:"chain"`
+	Number  int64      `json:"number"`
+	Core    []CoreNode `json:"core"`
+	Chain   []string   `json:"chain"`
+	Holders []string   `json:"holders"`
+}
+
+// Takers are those who may propose the next view, in the agreed order.
+func (view View) Takers() []string {
+	takers := append([]string{}, view.Chain...)
+	for _, holder := range view.Holders {
+		if view.Rank(holder) < 0 {
+			takers = append(takers, holder)
+		}
+	}
+	return takers
 }
 
 func (view View) Node(identity string) (CoreNode, bool) {
--- a/control/control.go
+++ b/control/control.go
@@ -19,8 +19,14 @@
 	LetterStatus    = "status"
 	LetterWhyAsk    = "why-ask"
 	LetterWhy       = "why"
+	LetterGone      = "core-gone"
 )
 
+// Gone is an operator's word that a core machine will never return.
+type Gone struct {
+	Name string `json:"name"`
+}
+
 type StatusAsk struct {
 	Token   int64  `json:"token"`
 	Address string `json:"address"`
@@ -72,6 +78,7 @@
 		if owner.chain != nil {
 			commands = append(commands, owner.chain.Handle(now, event)...)
 			commands = append(commands, owner.refill(now, event)...)
+			commands = append(commands, owner.told(event)...)
 		}
 	case chain.Persisted:
 		commands = append(commands, owner.chain.Handle(now, event)...)
@@ -157,6 +164,9 @@
 	if ask.Verb == contract.VerbWhy {
 		return owner.why(now, ask)
 	}
+	if ask.Verb == contract.VerbGone {
+		return owner.gone(now, ask)
+	}
 	if !owner.authority(ask) {
 		node, there := ask.Authority(owner.Feed.View())
 		if !there || ask.Forwarded {
@@ -184,6 +194,28 @@
 	return owner.write(now, ask, nil)
 }
 
+// gone tells every live core machine what an operator knows: there may be no authority left to tell.
+func (owner *Owner) gone(now time.Duration, ask contract.Ask) []contract.Command {
+	word, commands := Gone{Name: ask.Subject + "-" + contract.KindControl}, []contract.Command{}
+	if owner.Neighbours.Alive(now, word.Name) {
+		return []contract.Command{contract.Refuse(ask.Token, 409, "this machine is alive", 0)}
+	}
+	told := []string{}
+	for _, member := range owner.Neighbours.Live(now, func(member contract.Member) bool { return member.Core }) {
+		told = append(told, member.Name)
+		commands = append(commands, contract.Send{To: member.Address, Kind: LetterGone, Body: word})
+	}
+	return append(commands, contract.Answer{Token: ask.Token, Status: 200, Body: map[string]any{"told": told}})
+}
+
+func (owner *Owner) told(letter contract.Letter) []contract.Command {
+	var word Gone
+	if letter.Kind == LetterGone && json.Unmarshal(letter.Body, &word) == nil && owner.chain.Declare(word.Name) {
+		return []contract.Command{contract.Say{What: "declared gone", Detail: []any{"machine", word.Name}}}
+	}
+	return nil
+}
+
 func (owner *Owner) vouched(now time.Duration, vouched chain.Vouched) []contract.Command {
 	ask, there := owner.reads[vouched.Token]
 	if !there {
--- a/data/data.go
+++ b/data/data.go
@@ -225,7 +225,7 @@
 func (owner *Owner) ask(now time.Duration, ask contract.Ask) {
 	node, there := ask.Authority(owner.Feed.View())
 	address := node.Address
-	if ask.Verb == contract.VerbWhy {
+	if ask.Verb == contract.VerbWhy || ask.Verb == contract.VerbGone {
 		for _, member := range owner.Neighbours.Members(now) {
 			if member.Kind == contract.KindControl {
 				address, there = member.Address, true
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -113,7 +113,9 @@
 	{"slow disk", onDisk(func(disk *Disk) { disk.Slow = 300 * time.Millisecond }, func(disk *Disk) { disk.Slow = 0 })},
 	{"stalled disk", onDisk(func(disk *Disk) { disk.Stalled = true }, func(disk *Disk) { disk.Unstall() })},
 	{"swap core", func(fleet *Fleet, span time.Duration) {
-		fresh := fleet.Swap(one(fleet, fleet.Cores()))
+		old := one(fleet, fleet.Cores())
+		fresh := fleet.Swap(old)
+		fleet.declare(old, 0)
 		fleet.World.After(span/2, func() { fleet.Write(fleet.anyNode(), fleet.Roster(fresh.Region), nil) })
 	}},
 	{"wipe core", func(fleet *Fleet, span time.Duration) { fleet.WipeAndReturn(one(fleet, fleet.Cores()), span/2) }},
@@ -196,6 +198,16 @@
 	return contract.Ask{Verb: contract.VerbScale, Subject: pool, Body: fmt.Appendf(nil, "%d", count), Operation: fmt.Sprintf("scale-%s-%d", pool, fleet.World.Now)}
 }
 
+// declare is the operator who swapped a machine and says so until a live node has heard it.
+func (fleet *Fleet) declare(old *Machine, tries int) {
+	fleet.World.After(3*time.Second, func() {
+		fleet.anyNode().Control.Ask(contract.Ask{Verb: contract.VerbGone, Subject: old.Name}, func(contract.Answer) {})
+		if tries < 15 {
+			fleet.declare(old, tries+1)
+		}
+	})
+}
+
 func drainOne(fleet *Fleet, span time.Duration) {
 	hall := one(fleet, fleet.halls())
 	ask := contract.Ask{Verb: contract.VerbDrain, Subject: hall, Operation: fmt.Sprintf("drain-%s-%d", hall, fleet.World.Now)}
--- a/link/operators.go
+++ b/link/operators.go
@@ -54,6 +54,7 @@
 		"POST /v1/halls/{subject}/drain": contract.VerbDrain, "POST /v1/halls/{subject}/undrain": contract.VerbUndrain,
 		"POST /v1/pools/{subject}/scale": contract.VerbScale, "GET /v1/members": contract.VerbMembers, "GET /v1/shards": contract.VerbShards,
 		"GET /v1/retirements": contract.VerbRetirements, "GET /v1/chain": contract.VerbChain, "GET /v1/why/{subject}": contract.VerbWhy,
+		"POST /v1/machines/{subject}/gone": contract.VerbGone,
 	}
 	options := []kithttp.ServerOption{kithttp.ServerErrorEncoder(encodeMishap)}
 	for pattern, verb := range routes {
--- a/stories/chain_test.go
+++ b/stories/chain_test.go
@@ -185,3 +185,40 @@
 		nothingWrong(played)
 	})
 })
+
+var _ = Describe("a core that lost more than one machine", func() {
+	It("goes on from a holder when a chain of one is wiped", func() {
+		played := given("brazos", 13)
+		Expect(patched(played, played.Machines[1], 1).Status).To(Equal(200))
+		cores := played.Cores()
+		played.CutFor([]string{cores[2].Name}, 13*time.Second, true)
+		played.Run(4 * time.Second)
+		Expect(patched(played, played.Machines[1], 2).Status).To(Equal(202))
+		cores[0].Disk.Full = true
+		played.Write(played.Machines[1], played.Patch(3), nil)
+		played.Run(5 * time.Second)
+		played.WipeAndReturn(cores[1], 2*time.Second)
+		played.Run(4 * time.Second)
+		cores[0].Disk.Full = false
+		played.Run(15 * time.Second)
+		Expect(chainView(played, played.Machines[1]).Chain).To(HaveLen(3))
+		nothingWrong(played)
+	})
+
+	It("that two swaps in one moment left without a majority waits for an operator's word, then founds", func() {
+		played := given("seri", 14)
+		Expect(patched(played, played.Machines[1], 1).Status).To(Equal(200))
+		cores := played.Cores()
+		played.Swap(cores[0])
+		played.Swap(cores[1])
+		played.Run(15 * time.Second)
+		Expect(played.Operate(played.Machines[1], contract.Ask{Verb: contract.VerbGet}).Status).To(BeElementOf(503, 504))
+		Expect(played.Operate(played.Machines[1], contract.Ask{Verb: contract.VerbGone, Subject: cores[2].Name}).Status).To(Equal(409))
+		Expect(played.Operate(played.Machines[1], contract.Ask{Verb: contract.VerbGone, Subject: cores[0].Name}).Status).To(Equal(200))
+		Expect(played.Operate(played.Machines[1], contract.Ask{Verb: contract.VerbGone, Subject: cores[1].Name}).Status).To(Equal(200))
+		played.Run(15 * time.Second)
+		Expect(chainView(played, played.Machines[1]).Chain).To(HaveLen(3))
+		Expect(patched(played, played.Machines[1], 2).Status).To(BeElementOf(200, 202))
+		nothingWrong(played)
+	})
+})
