--- /dev/null
+++ b/stories/regions_test.go
@@ -0,0 +1,185 @@
+package stories
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/env"
+	"github.com/cedarreel/cedarreel/fleet"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a region", func() {
+	for _, name := range sites {
+		for place := range 2 {
+			It("of "+name+" that returns serves again within its bound", func() {
+				played := given(name, uint64(101+place))
+				region := played.Site.Regions()[place]
+				played.Traffic(40*time.Second, 1)
+				played.Run(5 * time.Second)
+				played.KillRegion(region, 6*time.Second)
+				played.Run(35 * time.Second)
+				nothingWrong(played)
+				Expect(played.Ledger.Figures.Return).To(BeNumerically(">", 0), "the return was judged")
+			})
+		}
+
+		It("of "+name+" that is cut from the other goes on serving by its last manifest, and learns the next when healed", func() {
+			played := given(name, 103)
+			regions := played.Site.Regions()
+			played.Traffic(40*time.Second, 0.5)
+			played.Run(5 * time.Second)
+			played.World.CutBoth(fleet.Names(played.InRegion(regions[1])), fleet.Names(played.InRegion(regions[0])))
+			played.Run(10 * time.Second)
+			Expect(played.Serves()).To(BeTrue())
+			written := patched(played, played.InRegion(regions[0])[1], 1)
+			Expect(written.Status).To(Equal(202))
+			Expect(written.Accepted.Lacking).NotTo(BeEmpty())
+			played.World.Heal()
+			played.Run(6 * time.Second)
+			_, revision := played.Manifest(played.InRegion(regions[1])[3])
+			Expect(revision).To(Equal(written.Accepted.Revision))
+			nothingWrong(played)
+		})
+	}
+})
+
+var _ = Describe("the whole fleet", func() {
+	It("killed at once comes back with what its disks kept, and serves", func() {
+		played := given("brazos", 111)
+		Expect(patched(played, played.Machines[1], 1).Status).To(Equal(200))
+		played.Traffic(40*time.Second, 0.5)
+		played.Run(5 * time.Second)
+		played.KillFor(played.Machines, 2*time.Second)
+		played.World.After(2*time.Second, func() {
+			for _, region := range played.Site.Regions() {
+				played.Returned(region)
+			}
+		})
+		played.Run(30 * time.Second)
+		_, revision := played.Manifest(played.Machines[3])
+		Expect(revision).To(Equal(int64(2)))
+		nothingWrong(played)
+	})
+
+	It("frozen at once and woken hours later picks nothing by what it knew before", func() {
+		played := given("seri", 112)
+		played.Traffic(10*time.Second, 0.5)
+		played.Run(5 * time.Second)
+		played.FreezeFor(played.Machines, 3*time.Hour)
+		server := modelPool(played)[0]
+		played.World.After(2*time.Hour, func() { server.Mark(0) })
+		played.Run(3*time.Hour + time.Millisecond)
+		before := server.Taken
+		played.Traffic(15*time.Second, 1)
+		played.Run(15 * time.Second)
+		Expect(server.Taken).To(Equal(before))
+		nothingWrong(played)
+	})
+
+	It("finds itself again when all three seeds are dead and a split heals", func() {
+		played := given("brazos", 113)
+		for _, machine := range played.Cores() {
+			machine.Kill()
+		}
+		rest := played.Pick((*fleet.Machine).Up)
+		played.World.CutBoth(fleet.Names(rest[:4]), fleet.Names(rest[4:]))
+		played.Run(20 * time.Second)
+		played.World.Heal()
+		played.Run(5 * time.Second)
+		for _, machine := range rest {
+			Expect(machine.Data.Gauges["members"]).To(Equal(int64(2 * len(rest))))
+		}
+		played.Traffic(10*time.Second, 0.5)
+		played.Run(10 * time.Second)
+		for _, machine := range played.Cores() {
+			machine.Start()
+		}
+		played.Run(12 * time.Second)
+		nothingWrong(played)
+	})
+
+	It("keeps its memory bounded over a long day", func() {
+		played := given("seri", 114, fleet.WithBounds(func(bounds *env.Bounds) { bounds.DeadlineMs = 5000 }))
+		records := func() int64 {
+			total := int64(0)
+			for _, machine := range played.Machines {
+				total += machine.Data.Gauges["records"]
+			}
+			return total
+		}
+		played.Traffic(6*time.Minute, 0.5)
+		played.Run(time.Minute)
+		early := records()
+		played.Run(5 * time.Minute)
+		Expect(early).To(BeNumerically(">", 50))
+		Expect(records()).To(BeNumerically("<", early*3/2))
+		played.Run(40 * time.Second)
+		Expect(records()).To(BeZero())
+	})
+})
+
+var _ = Describe("a manifest that is accepted", func() {
+	for _, name := range sites {
+		It("is in force everywhere in "+name+" in time: idle, in a storm, on slow and lossy links", func() {
+			played := given(name, 121)
+			played.World.Loss, played.World.Slow = 0.05, 100*time.Millisecond
+			for index := range 40 {
+				played.World.After(time.Duration(index)*100*time.Millisecond, func() {
+					played.Write(played.Machines[index%12], played.Patch(index), nil)
+				})
+			}
+			played.Run(12 * time.Second)
+			statuses := map[int]int{}
+			for _, written := range played.Writes {
+				statuses[written.Status]++
+			}
+			Expect(statuses[200] + statuses[202]).To(BeNumerically(">", 30))
+			played.World.Loss, played.World.Slow = 0, 0
+			nothingWrong(played)
+		})
+	}
+
+	It("is honest about a node that is out of reach", func() {
+		played := given("brazos", 122)
+		played.CutFor([]string{"m12"}, 20*time.Second, true)
+		played.Run(4 * time.Second)
+		written := patched(played, played.Machines[0], 1)
+		Expect(written.Status).To(Equal(202))
+		Expect(written.Accepted.Lacking).To(ContainElements("m12-control", "m12-data"))
+		alone := played.Operate(played.Machine("m12"), contract.Ask{Verb: contract.VerbPatch, Body: []byte(`{}`), Operation: "alone"})
+		Expect(alone.Status).To(Equal(504))
+		nothingWrong(played)
+	})
+})
+
+var _ = Describe("seeded days of trouble", func() {
+	for _, name := range sites {
+		It("leave nothing wrong in "+name, func() {
+			described := siteOf(name)
+			rounds := make([]fleet.Round, 8)
+			group := sync.WaitGroup{}
+			for place := range rounds {
+				group.Add(1)
+				go func() {
+					defer group.Done()
+					rounds[place] = fleet.Day(described, uint64(9000+place), 6, "")
+				}()
+			}
+			group.Wait()
+			for _, round := range rounds {
+				Expect(round.Breaches).To(BeEmpty(), "seed %d: %v", round.Seed, round.Faults)
+				Expect(round.Clean()).To(BeTrue(), "seed %d: %v", round.Seed, round.Faults)
+			}
+		})
+	}
+
+	It("are the same day for the same seed", func() {
+		described := siteOf("brazos")
+		first, second := fleet.Day(described, 77, 6, ""), fleet.Day(described, 77, 6, "")
+		Expect(first.Figures.Text()).To(Equal(second.Figures.Text()))
+		Expect(first.Faults).To(Equal(second.Faults))
+	})
+})
