Stories stand in packages that run side by side

Cause: one package ran its stories one after another, about five minutes on a busy machine. The same number of stories before and after.

--- a/stories/chain_test.go
+++ b/stories/core/chain_test.go
@@ -1,4 +1,4 @@
-package stories
+package core
 
 import (
 	"fmt"
@@ -6,30 +6,16 @@
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/fleet"
+	"github.com/cedarreel/cedarreel/stories/told"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
-// chainView asks the authority for the core's view.
-func chainView(played *fleet.Fleet, machine *fleet.Machine) contract.View {
-	GinkgoHelper()
-	var answer contract.Answer
-	Expect(played.Until(30*time.Second, func() bool {
-		answer = played.Operate(machine, contract.Ask{Verb: contract.VerbChain})
-		return answer.Status == 200
-	})).To(BeTrue(), "an authority answers")
-	return answer.Body.(map[string]any)["view"].(contract.View)
-}
-
-func patched(played *fleet.Fleet, machine *fleet.Machine, number int) fleet.Written {
-	return played.Do(machine, played.Patch(number))
-}
-
 var _ = Describe("the chain of configuration", func() {
-	for _, name := range sites {
+	for _, name := range told.Sites {
 		It("takes a storm of "+name+" without a change of view, and every revision reads back", func() {
-			played := given(name, 103)
-			before := chainView(played, played.Machines[3])
+			played := told.Given(name, 103)
+			before := told.ChainView(played, played.Machines[3])
 			for index := range 120 {
 				played.World.After(time.Duration(index)*20*time.Millisecond, func() {
 					played.Write(played.Machines[index%12], played.Patch(index), nil)
@@ -43,26 +29,26 @@
 				}
 			}
 			Expect(accepted).To(Equal(121))
-			Expect(chainView(played, played.Machines[3]).Number).To(Equal(before.Number))
-			nothingWrong(played)
+			Expect(told.ChainView(played, played.Machines[3]).Number).To(Equal(before.Number))
+			told.NothingWrong(played)
 		})
 	}
 
 	It("gives a core machine that is back within a moment every accepted revision", func() {
-		played := given("brazos", 103)
+		played := told.Given("brazos", 103)
 		for index := range 5 {
-			Expect(patched(played, played.Machines[index], index).Status).To(Equal(200))
+			Expect(told.Patched(played, played.Machines[index], index).Status).To(Equal(200))
 		}
 		played.KillFor(played.Cores()[2:], 2*time.Second)
 		played.Run(10 * time.Second)
-		Expect(chainView(played, played.Machines[1]).Chain).To(HaveLen(3))
-		nothingWrong(played)
+		Expect(told.ChainView(played, played.Machines[1]).Chain).To(HaveLen(3))
+		told.NothingWrong(played)
 	})
 
 	It("keeps what was acknowledged when every core machine restarts and their disks lost it", func() {
-		played := given("seri", 9)
+		played := told.Given("seri", 9)
 		for index := range 6 {
-			Expect(patched(played, played.Machines[index], index).Status).To(Equal(200))
+			Expect(told.Patched(played, played.Machines[index], index).Status).To(Equal(200))
 		}
 		_, newest := played.Manifest(played.Machines[2])
 		for _, machine := range played.Cores() {
@@ -72,16 +58,16 @@
 		played.Run(12 * time.Second)
 		_, after := played.Manifest(played.Machines[2])
 		Expect(after).To(Equal(newest))
-		Expect(patched(played, played.Machines[2], 9).Accepted.Revision).To(BeNumerically(">", newest))
+		Expect(told.Patched(played, played.Machines[2], 9).Accepted.Revision).To(BeNumerically(">", newest))
 	})
 
 	It("puts an empty machine at a new address in the place of a core machine, several times in a row", func() {
-		played := given("seri", 4)
+		played := told.Given("seri", 4)
 		for index := range 3 {
-			Expect(patched(played, played.Machines[1], index).Status).To(BeElementOf(200, 202))
+			Expect(told.Patched(played, played.Machines[1], index).Status).To(BeElementOf(200, 202))
 			fresh := played.Swap(played.Cores()[index])
 			Expect(played.Until(20*time.Second, func() bool {
-				view := chainView(played, played.Machines[1])
+				view := told.ChainView(played, played.Machines[1])
 				for _, identity := range view.Chain {
 					if len(view.Chain) == 3 && identity == fresh.Name+"-control#b1" {
 						return true
@@ -90,49 +76,49 @@
 				return false
 			})).To(BeTrue(), fmt.Sprint("swap ", index))
 		}
-		Expect(patched(played, played.Machines[1], 9).Status).To(BeElementOf(200, 202))
-		nothingWrong(played)
+		Expect(told.Patched(played, played.Machines[1], 9).Status).To(BeElementOf(200, 202))
+		told.NothingWrong(played)
 	})
 
 	It("goes on with two core machines, refuses with one, and says that nothing was committed", func() {
-		played := given("brazos", 5)
+		played := told.Given("brazos", 5)
 		cores := played.Cores()
 		cores[0].Kill()
 		played.Run(5 * time.Second)
-		written := patched(played, played.Machines[1], 1)
+		written := told.Patched(played, played.Machines[1], 1)
 		Expect(written.Status).To(Equal(202))
 		Expect(written.Accepted.Lacking).To(ContainElement(cores[0].Name + "-control"))
 		cores[1].Kill()
 		played.Run(5 * time.Second)
-		refused := patched(played, played.Machines[1], 2)
+		refused := told.Patched(played, played.Machines[1], 2)
 		Expect(refused.Status).To(BeElementOf(503, 504))
 		cores[0].Start()
 		cores[1].Start()
 		played.Run(12 * time.Second)
-		Expect(patched(played, played.Machines[1], 3).Status).To(Equal(200))
-		nothingWrong(played)
+		Expect(told.Patched(played, played.Machines[1], 3).Status).To(Equal(200))
+		told.NothingWrong(played)
 	})
 
 	It("does not let a woken old head acknowledge, nor a woken old tail answer", func() {
-		played := given("brazos", 6)
+		played := told.Given("brazos", 6)
 		cores := played.Cores()
-		old := chainView(played, played.Machines[1])
+		old := told.ChainView(played, played.Machines[1])
 		head, tail := played.Machine(old.Chain[0][:3]), played.Machine(old.Chain[2][:3])
 		played.FreezeFor([]*fleet.Machine{head, tail}, 100*time.Millisecond)
 		played.Run(time.Second)
 		head.Freeze()
 		played.Run(8 * time.Second)
-		Expect(patched(played, played.Machines[1], 1).Status).To(BeElementOf(200, 202))
+		Expect(told.Patched(played, played.Machines[1], 1).Status).To(BeElementOf(200, 202))
 		head.Wake()
 		late := played.Do(head, played.Patch(2))
 		Expect(late.Status).NotTo(BeZero())
 		played.Run(5 * time.Second)
 		Expect(cores).To(HaveLen(3))
-		nothingWrong(played)
+		told.NothingWrong(played)
 	})
 
 	It("answers an operator who asks again with the same key as it did at first", func() {
-		played := given("brazos", 7)
+		played := told.Given("brazos", 7)
 		ask := played.Patch(1)
 		first, second := played.Do(played.Machines[1], ask), played.Do(played.Machines[9], ask)
 		Expect(second.Status).To(Equal(200))
@@ -142,58 +128,58 @@
 		Expect(played.Do(played.Machines[2], other).Status).To(Equal(422))
 		asked := played.Operate(played.Machines[7], contract.Ask{Verb: contract.VerbOperation, Subject: ask.Operation})
 		Expect(asked.Status).To(Equal(200))
-		nothingWrong(played)
+		told.NothingWrong(played)
 	})
 
 	It("never founds a second core beside one that works", func() {
-		played := given("brazos", 8)
+		played := told.Given("brazos", 8)
 		machine := played.Cores()[1]
 		played.WipeAndReturn(machine, time.Second)
 		played.Run(10 * time.Second)
-		view := chainView(played, played.Machines[2])
+		view := told.ChainView(played, played.Machines[2])
 		Expect(view.Chain).To(HaveLen(3))
 		_, revision := played.Manifest(machine)
 		Expect(revision).To(Equal(int64(1)))
-		nothingWrong(played)
+		told.NothingWrong(played)
 	})
 })
 
 var _ = Describe("repair of the core", func() {
 	It("hands back older revisions that every core disk has lost, from what other nodes kept", func() {
-		played := given("brazos", 11)
+		played := told.Given("brazos", 11)
 		for index := range 6 {
-			Expect(patched(played, played.Machines[index], index).Status).To(Equal(200))
+			Expect(told.Patched(played, played.Machines[index], index).Status).To(Equal(200))
 		}
 		for _, machine := range played.Cores() {
 			machine.Disk.Lies = 60
 		}
 		played.KillFor(played.Cores(), time.Second)
 		played.Run(15 * time.Second)
-		nothingWrong(played)
+		told.NothingWrong(played)
 	})
 
 	It("founds anew when one core machine restarted and another was swapped in the same moment", func() {
-		played := given("brazos", 12)
-		Expect(patched(played, played.Machines[1], 1).Status).To(Equal(200))
+		played := told.Given("brazos", 12)
+		Expect(told.Patched(played, played.Machines[1], 1).Status).To(Equal(200))
 		cores := played.Cores()
 		played.KillFor(cores[:1], 5*time.Second)
 		played.Run(4900 * time.Millisecond)
 		played.Swap(cores[2])
 		played.Run(20 * time.Second)
-		Expect(chainView(played, played.Machines[1]).Chain).To(HaveLen(3))
-		Expect(patched(played, played.Machines[1], 2).Status).To(BeElementOf(200, 202))
-		nothingWrong(played)
+		Expect(told.ChainView(played, played.Machines[1]).Chain).To(HaveLen(3))
+		Expect(told.Patched(played, played.Machines[1], 2).Status).To(BeElementOf(200, 202))
+		told.NothingWrong(played)
 	})
 })
 
 var _ = Describe("a core that lost more than one machine", func() {
 	It("goes on from a holder when a chain of one is wiped", func() {
-		played := given("brazos", 13)
-		Expect(patched(played, played.Machines[1], 1).Status).To(Equal(200))
+		played := told.Given("brazos", 13)
+		Expect(told.Patched(played, played.Machines[1], 1).Status).To(Equal(200))
 		cores := played.Cores()
 		played.CutFor([]string{cores[2].Name}, 13*time.Second, true)
 		played.Run(4 * time.Second)
-		Expect(patched(played, played.Machines[1], 2).Status).To(Equal(202))
+		Expect(told.Patched(played, played.Machines[1], 2).Status).To(Equal(202))
 		cores[0].Disk.Full = true
 		played.Write(played.Machines[1], played.Patch(3), nil)
 		played.Run(5 * time.Second)
@@ -201,13 +187,13 @@
 		played.Run(4 * time.Second)
 		cores[0].Disk.Full = false
 		played.Run(15 * time.Second)
-		Expect(chainView(played, played.Machines[1]).Chain).To(HaveLen(3))
-		nothingWrong(played)
+		Expect(told.ChainView(played, played.Machines[1]).Chain).To(HaveLen(3))
+		told.NothingWrong(played)
 	})
 
 	It("that two swaps in one moment left without a majority waits for an operator's word, then founds", func() {
-		played := given("seri", 14)
-		Expect(patched(played, played.Machines[1], 1).Status).To(Equal(200))
+		played := told.Given("seri", 14)
+		Expect(told.Patched(played, played.Machines[1], 1).Status).To(Equal(200))
 		cores := played.Cores()
 		played.Swap(cores[0])
 		played.Swap(cores[1])
@@ -217,8 +203,8 @@
 		Expect(played.Operate(played.Machines[1], contract.Ask{Verb: contract.VerbGone, Subject: cores[0].Name}).Status).To(Equal(200))
 		Expect(played.Operate(played.Machines[1], contract.Ask{Verb: contract.VerbGone, Subject: cores[1].Name}).Status).To(Equal(200))
 		played.Run(15 * time.Second)
-		Expect(chainView(played, played.Machines[1]).Chain).To(HaveLen(3))
-		Expect(patched(played, played.Machines[1], 2).Status).To(BeElementOf(200, 202))
-		nothingWrong(played)
+		Expect(told.ChainView(played, played.Machines[1]).Chain).To(HaveLen(3))
+		Expect(told.Patched(played, played.Machines[1], 2).Status).To(BeElementOf(200, 202))
+		told.NothingWrong(played)
 	})
 })
--- /dev/null
+++ b/stories/core/suite_test.go
@@ -0,0 +1,9 @@
+package core
+
+import (
+	"testing"
+
+	"github.com/cedarreel/cedarreel/stories/told"
+)
+
+func TestStories(t *testing.T) { told.Run(t, "core") }
--- a/stories/regions_test.go
+++ b/stories/days/regions_test.go
@@ -1,4 +1,4 @@
-package stories
+package days
 
 import (
 	"sync"
@@ -7,49 +7,50 @@
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/fleet"
+	"github.com/cedarreel/cedarreel/stories/told"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
 var _ = Describe("a region", func() {
-	for _, name := range sites {
+	for _, name := range told.Sites {
 		for place := range 2 {
 			It("of "+name+" that returns serves again within its bound", func() {
-				played := given(name, uint64(101+place))
+				played := told.Given(name, uint64(101+place))
 				region := played.Site.Regions()[place]
 				played.Traffic(40*time.Second, 1)
 				played.Run(5 * time.Second)
 				played.KillRegion(region, 6*time.Second)
 				played.Run(35 * time.Second)
-				nothingWrong(played)
+				told.NothingWrong(played)
 				Expect(played.Ledger.Figures.Return).To(BeNumerically(">", 0), "the return was judged")
 			})
 		}
 
 		It("of "+name+" that is cut from the other goes on serving by its last manifest, and learns the next when healed", func() {
-			played := given(name, 103)
+			played := told.Given(name, 103)
 			regions := played.Site.Regions()
 			played.Traffic(40*time.Second, 0.5)
 			played.Run(5 * time.Second)
 			played.World.CutBoth(fleet.Names(played.InRegion(regions[1])), fleet.Names(played.InRegion(regions[0])))
 			played.Run(10 * time.Second)
 			Expect(played.Serves()).To(BeTrue())
-			written := patched(played, played.InRegion(regions[0])[1], 1)
+			written := told.Patched(played, played.InRegion(regions[0])[1], 1)
 			Expect(written.Status).To(Equal(202))
 			Expect(written.Accepted.Lacking).NotTo(BeEmpty())
 			played.World.Heal()
 			played.Run(6 * time.Second)
 			_, revision := played.Manifest(played.InRegion(regions[1])[3])
 			Expect(revision).To(Equal(written.Accepted.Revision))
-			nothingWrong(played)
+			told.NothingWrong(played)
 		})
 	}
 })
 
 var _ = Describe("the whole fleet", func() {
 	It("killed at once comes back with what its disks kept, and serves", func() {
-		played := given("brazos", 111)
-		Expect(patched(played, played.Machines[1], 1).Status).To(Equal(200))
+		played := told.Given("brazos", 111)
+		Expect(told.Patched(played, played.Machines[1], 1).Status).To(Equal(200))
 		played.Traffic(40*time.Second, 0.5)
 		played.Run(5 * time.Second)
 		played.KillFor(played.Machines, 2*time.Second)
@@ -61,26 +62,26 @@
 		played.Run(30 * time.Second)
 		_, revision := played.Manifest(played.Machines[3])
 		Expect(revision).To(Equal(int64(2)))
-		nothingWrong(played)
+		told.NothingWrong(played)
 	})
 
 	It("frozen at once and woken hours later picks nothing by what it knew before", func() {
-		played := given("seri", 112)
+		played := told.Given("seri", 112)
 		played.Traffic(10*time.Second, 0.5)
 		played.Run(5 * time.Second)
 		played.FreezeFor(played.Machines, 3*time.Hour)
-		server := modelPool(played)[0]
+		server := told.ModelPool(played)[0]
 		played.World.After(2*time.Hour, func() { server.Mark(0) })
 		played.Run(3*time.Hour + time.Millisecond)
 		before := server.Taken
 		played.Traffic(15*time.Second, 1)
 		played.Run(15 * time.Second)
 		Expect(server.Taken).To(Equal(before))
-		nothingWrong(played)
+		told.NothingWrong(played)
 	})
 
 	It("finds itself again when all three seeds are dead and a split heals", func() {
-		played := given("brazos", 113)
+		played := told.Given("brazos", 113)
 		for _, machine := range played.Cores() {
 			machine.Kill()
 		}
@@ -98,11 +99,11 @@
 			machine.Start()
 		}
 		played.Run(12 * time.Second)
-		nothingWrong(played)
+		told.NothingWrong(played)
 	})
 
 	It("keeps its memory bounded over a long day", func() {
-		played := given("seri", 114, fleet.WithBounds(func(bounds *env.Bounds) { bounds.DeadlineMs = 5000 }))
+		played := told.Given("seri", 114, fleet.WithBounds(func(bounds *env.Bounds) { bounds.DeadlineMs = 5000 }))
 		records := func() int64 {
 			total := int64(0)
 			for _, machine := range played.Machines {
@@ -122,9 +123,9 @@
 })
 
 var _ = Describe("a manifest that is accepted", func() {
-	for _, name := range sites {
+	for _, name := range told.Sites {
 		It("is in force everywhere in "+name+" in time: idle, in a storm, on slow and lossy links", func() {
-			played := given(name, 121)
+			played := told.Given(name, 121)
 			played.World.Loss, played.World.Slow = 0.05, 100*time.Millisecond
 			for index := range 40 {
 				played.World.After(time.Duration(index)*100*time.Millisecond, func() {
@@ -138,27 +139,27 @@
 			}
 			Expect(statuses[200] + statuses[202]).To(BeNumerically(">", 30))
 			played.World.Loss, played.World.Slow = 0, 0
-			nothingWrong(played)
+			told.NothingWrong(played)
 		})
 	}
 
 	It("is honest about a node that is out of reach", func() {
-		played := given("brazos", 122)
+		played := told.Given("brazos", 122)
 		played.CutFor([]string{"m12"}, 20*time.Second, true)
 		played.Run(4 * time.Second)
-		written := patched(played, played.Machines[0], 1)
+		written := told.Patched(played, played.Machines[0], 1)
 		Expect(written.Status).To(Equal(202))
 		Expect(written.Accepted.Lacking).To(ContainElements("m12-control", "m12-data"))
 		alone := played.Operate(played.Machine("m12"), contract.Ask{Verb: contract.VerbPatch, Body: []byte(`{}`), Operation: "alone"})
 		Expect(alone.Status).To(Equal(504))
-		nothingWrong(played)
+		told.NothingWrong(played)
 	})
 })
 
 var _ = Describe("seeded days of trouble", func() {
-	for _, name := range sites {
+	for _, name := range told.Sites {
 		It("leave nothing wrong in "+name, func() {
-			described := siteOf(name)
+			described := told.SiteOf(name)
 			rounds := make([]fleet.Round, 8)
 			group := sync.WaitGroup{}
 			for place := range rounds {
@@ -177,7 +178,7 @@
 	}
 
 	It("are the same day for the same seed", func() {
-		described := siteOf("brazos")
+		described := told.SiteOf("brazos")
 		first, second := fleet.Day(described, 77, 6, ""), fleet.Day(described, 77, 6, "")
 		Expect(first.Figures.Text()).To(Equal(second.Figures.Text()))
 		Expect(first.Faults).To(Equal(second.Faults))
--- a/stories/drain_test.go
+++ b/stories/halls/drain_test.go
@@ -1,10 +1,11 @@
-package stories
+package halls
 
 import (
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/fleet"
+	"github.com/cedarreel/cedarreel/stories/told"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -34,9 +35,9 @@
 }
 
 var _ = Describe("a drained hall", func() {
-	for _, name := range sites {
+	for _, name := range told.Sites {
 		It("gets no call in "+name+" soon after the drain was accepted, and is taken back by ramp", func() {
-			played := given(name, 81)
+			played := told.Given(name, 81)
 			hall := hallsOf(played)[1]
 			played.Traffic(60*time.Second, 1)
 			played.Run(10 * time.Second)
@@ -48,11 +49,11 @@
 			Expect(drain(played, played.Machines[1], contract.VerbUndrain, hall).Status).To(Equal(200))
 			played.Run(15 * time.Second)
 			Expect(taken(played, hall)).To(BeNumerically(">", before+10), "it serves again")
-			nothingWrong(played)
+			told.NothingWrong(played)
 		})
 
 		It("holds beside another drained at the same moment in "+name, func() {
-			played := given(name, 82)
+			played := told.Given(name, 82)
 			halls := hallsOf(played)
 			played.Traffic(20*time.Second, 0.5)
 			statuses := map[string]int{}
@@ -65,12 +66,12 @@
 			read, _ := played.Manifest(played.Machines[7])
 			Expect(read.Drained(halls[0])).To(BeTrue())
 			Expect(read.Drained(halls[1])).To(BeTrue())
-			nothingWrong(played)
+			told.NothingWrong(played)
 		})
 	}
 
 	It("is refused when the owners of its shards are out of reach, and nothing is committed", func() {
-		played := given("brazos", 83)
+		played := told.Given("brazos", 83)
 		played.Traffic(20*time.Second, 0.5)
 		before, revision := played.Manifest(played.Machines[1])
 		Expect(before.Drained("coast-a")).To(BeFalse())
@@ -82,23 +83,23 @@
 		after, now := played.Manifest(played.Machines[1])
 		Expect(after.Drained("coast-a")).To(BeFalse())
 		Expect(now).To(Equal(revision))
-		nothingWrong(played)
+		told.NothingWrong(played)
 	})
 
 	It("stays drained when its owner is killed right after the answer", func() {
-		played := given("seri", 84)
+		played := told.Given("seri", 84)
 		hall := hallsOf(played)[0]
 		played.Traffic(30*time.Second, 1)
 		played.Run(5 * time.Second)
 		Expect(drain(played, played.Machines[9], contract.VerbDrain, hall).Status).To(Equal(200))
 		played.KillFor([]*fleet.Machine{played.Owner("klang", 0), played.Owner("klang", 1)}, 6*time.Second)
 		played.Run(20 * time.Second)
-		nothingWrong(played)
+		told.NothingWrong(played)
 	})
 
 	It("follows the last accepted word when drain and undrain race", func() {
 		for seed := uint64(85); seed < 90; seed++ {
-			played := given("brazos", seed)
+			played := told.Given("brazos", seed)
 			played.Traffic(20*time.Second, 0.5)
 			words := map[int64]string{}
 			for index, verb := range []string{contract.VerbDrain, contract.VerbUndrain, contract.VerbDrain, contract.VerbUndrain} {
@@ -111,16 +112,16 @@
 			read, revision := played.Manifest(played.Machines[4])
 			Expect(words).To(HaveLen(4))
 			Expect(read.Drained("prairie-b")).To(Equal(words[revision] == contract.VerbDrain))
-			nothingWrong(played)
+			told.NothingWrong(played)
 		}
 	})
 
 	It("is not undone by a whole manifest with an old base", func() {
-		played := given("brazos", 91)
+		played := told.Given("brazos", 91)
 		_, base := played.Manifest(played.Machines[0])
 		Expect(drain(played, played.Machines[1], contract.VerbDrain, "prairie-a").Status).To(Equal(200))
 		whole := contract.Ask{Verb: contract.VerbPut, HasBase: true, Base: base, Body: played.Site.Manifest}
 		Expect(played.Do(played.Machines[2], whole).Status).To(Equal(409))
-		nothingWrong(played)
+		told.NothingWrong(played)
 	})
 })
--- a/stories/retire_test.go
+++ b/stories/halls/retire_test.go
@@ -1,4 +1,4 @@
-package stories
+package halls
 
 import (
 	"slices"
@@ -10,6 +10,7 @@
 	"github.com/cedarreel/cedarreel/retire"
 	"github.com/cedarreel/cedarreel/shard"
 	"github.com/cedarreel/cedarreel/site"
+	"github.com/cedarreel/cedarreel/stories/told"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -25,8 +26,6 @@
 	return slices.ContainsFunc(retirements(played), func(row shard.Retired) bool { return row.Server == server && row.State == state })
 }
 
-func modelPool(played *fleet.Fleet) []*fleet.Server { return returning(played, played.Servers[0].Pool) }
-
 func scaled(played *fleet.Fleet, count string) fleet.Written {
 	return played.Do(played.Machines[5], contract.Ask{Verb: contract.VerbScale, Subject: played.Servers[0].Pool, Body: []byte(count)})
 }
@@ -44,10 +43,10 @@
 func longRuns(kind *site.Caller) { kind.Pieces = 600 }
 
 var _ = Describe("scale-down", func() {
-	for _, name := range sites {
+	for _, name := range told.Sites {
 		It("withdraws, waits, reads and unloads in "+name+", and scaling up loads again", func() {
-			played := given(name, 61)
-			pool := modelPool(played)
+			played := told.Given(name, 61)
+			pool := told.ModelPool(played)
 			played.Traffic(40*time.Second, 0.5)
 			played.Run(5 * time.Second)
 			Expect(scaled(played, "3").Status).To(Equal(200))
@@ -58,32 +57,32 @@
 			Expect(scaled(played, "5").Status).To(Equal(200))
 			played.Run(5 * time.Second)
 			Expect(unloaded(pool)).To(Equal(len(pool) - 5))
-			nothingWrong(played)
+			told.NothingWrong(played)
 		})
 	}
 
 	It("never unloads under a late prompt that the idle reports miss", func() {
-		played := given("brazos", 62)
-		pool := modelPool(played)
+		played := told.Given("brazos", 62)
+		pool := told.ModelPool(played)
 		for _, server := range pool {
 			server.ReportLag = 20 * time.Second
 		}
 		played.Run(time.Second)
 		probes := []*fleet.Probe{}
 		for index := range 12 {
-			probes = append(probes, played.Probe("short", home(played)).With(longRuns).Send(played.InRegion(home(played))[index%8]))
+			probes = append(probes, played.Probe("short", told.Home(played)).With(longRuns).Send(played.InRegion(told.Home(played))[index%8]))
 		}
 		Expect(scaled(played, "1").Status).To(Equal(200))
 		played.Run(20 * time.Second)
 		for _, probe := range probes {
 			Expect(probe.Outcome(30 * time.Second)).To(Equal("done"))
 		}
-		nothingWrong(played)
+		told.NothingWrong(played)
 	})
 
 	It("holds a busy server and ends Aborted, counted and picked again", func() {
-		played := given("brazos", 63)
-		pool := modelPool(played)
+		played := told.Given("brazos", 63)
+		pool := told.ModelPool(played)
 		for _, server := range pool {
 			server.Mode = "partial"
 		}
@@ -95,12 +94,12 @@
 		Expect(retired(played, last.Name, retire.Aborted)).To(BeTrue())
 		Expect(last.Unloaded()).To(BeFalse())
 		Expect(listed(played, last.Name)).To(BeTrue(), "it is back in the picks")
-		nothingWrong(played)
+		told.NothingWrong(played)
 	})
 
 	It("to zero holds what is not shown empty, and never picks it again", func() {
-		played := given("brazos", 64)
-		pool := modelPool(played)
+		played := told.Given("brazos", 64)
+		pool := told.ModelPool(played)
 		pool[0].Mode = "partial"
 		Expect(scaled(played, "0").Status).To(Equal(200))
 		played.Run(70 * time.Second)
@@ -110,15 +109,15 @@
 		pool[0].Mode = ""
 		played.Run(20 * time.Second)
 		Expect(unloaded(pool)).To(Equal(len(pool)))
-		nothingWrong(played)
+		told.NothingWrong(played)
 	})
 
 	It("goes on under a successor, which starts the window again", func() {
-		played := given("brazos", 65)
-		pool := modelPool(played)
+		played := told.Given("brazos", 65)
+		pool := told.ModelPool(played)
 		Expect(scaled(played, "9").Status).To(Equal(200))
 		last := pool[len(pool)-1]
-		region := home(played)
+		region := told.Home(played)
 		owner := played.Owner(region, contract.ShardOf(last.Name, 2))
 		played.Run(4 * time.Second)
 		owner.Freeze()
@@ -128,23 +127,23 @@
 		owner.Wake()
 		played.Run(5 * time.Second)
 		Expect(played.Platform.Stale).To(BeZero())
-		nothingWrong(played)
+		told.NothingWrong(played)
 	})
 })
 
 func listed(played *fleet.Fleet, server string) bool {
 	answer := played.Operate(played.Machines[3], contract.Ask{Verb: contract.VerbShards})
-	return strings.Contains(strings.ReplaceAll(string(text(answer.Body)), `"server":"`+server, ""), `"`+server+`"`)
+	return strings.Contains(strings.ReplaceAll(string(told.Text(answer.Body)), `"server":"`+server, ""), `"`+server+`"`)
 }
 
 var _ = Describe("a server marked as leaving", func() {
-	for _, name := range sites {
+	for _, name := range told.Sites {
 		It("gets no new work in "+name+" soon after, whoever is frozen or cut off", func() {
 			for seed := uint64(70); seed < 76; seed++ {
-				played := given(name, seed)
+				played := told.Given(name, seed)
 				played.Traffic(40*time.Second, 1)
 				played.Run(8 * time.Second)
-				server := modelPool(played)[int(seed)%3]
+				server := told.ModelPool(played)[int(seed)%3]
 				owner := played.Owner(server.Region, contract.ShardOf(server.Name, 2))
 				inside := played.InRegion(server.Region)
 				switch seed % 3 {
@@ -160,38 +159,38 @@
 				played.Run(15 * time.Second)
 				played.World.Heal()
 				played.World.After(20*time.Second, server.Replace)
-				nothingWrong(played)
+				told.NothingWrong(played)
 				Expect(played.Ledger.Figures.LatePick).To(BeNumerically("<", 4*time.Second))
 			}
 		})
 	}
 
 	It("is left by its sessions at once and cut at the platform's time; the next turn lands elsewhere", func() {
-		played := given("seri", 77)
-		node := played.InRegion(home(played))[0]
-		probe := played.Probe("short", home(played)).With(longRuns).Send(node)
+		played := told.Given("seri", 77)
+		node := played.InRegion(told.Home(played))[0]
+		probe := played.Probe("short", told.Home(played)).With(longRuns).Send(node)
 		played.Run(time.Second)
 		server := played.Running()[0]
 		server.Mark(4 * time.Second)
 		Expect(probe.Outcome(10 * time.Second)).To(Equal("interrupted"))
-		next := played.Probe("short", home(played)).Send(node)
+		next := played.Probe("short", told.Home(played)).Send(node)
 		Expect(next.Outcome(10 * time.Second)).To(Equal("done"))
-		nothingWrong(played)
+		told.NothingWrong(played)
 	})
 
 	It("gives back the calls that it never started, and they run once, elsewhere", func() {
-		played := given("brazos", 78)
+		played := told.Given("brazos", 78)
 		played.Run(10 * time.Second)
-		node := played.InRegion(home(played))[0]
-		pool := modelPool(played)
+		node := played.InRegion(told.Home(played))[0]
+		pool := told.ModelPool(played)
 		for _, server := range pool[1:] {
 			server.Crash()
 		}
 		played.Run(3 * time.Second)
 		probes := []*fleet.Probe{}
-		for _, at := range played.InRegion(home(played)) {
+		for _, at := range played.InRegion(told.Home(played)) {
 			for range 3 {
-				probes = append(probes, played.Probe("short", home(played)).With(longRuns).Send(at))
+				probes = append(probes, played.Probe("short", told.Home(played)).With(longRuns).Send(at))
 			}
 		}
 		played.Run(time.Second)
@@ -208,13 +207,13 @@
 		}
 		Expect(node).NotTo(BeNil())
 		Expect(done).To(BeNumerically(">", 4))
-		nothingWrong(played)
+		told.NothingWrong(played)
 	})
 })
 
 var _ = Describe("a broken platform listing", func() {
 	It("is not an empty one, and stops the picks only after its grace", func() {
-		played := given("brazos", 79)
+		played := told.Given("brazos", 79)
 		played.Traffic(20*time.Second, 0.5)
 		played.Run(5 * time.Second)
 		played.Platform.Broken = true
@@ -224,6 +223,6 @@
 		Expect(played.Serves()).To(BeFalse(), "a server could be leaving and nobody would know")
 		played.Platform.Broken = false
 		Expect(played.Until(3*time.Second, played.Serves)).To(BeTrue())
-		nothingWrong(played)
+		told.NothingWrong(played)
 	})
 })
