Nothing is sent after the licence lapsed; a link that cannot be made is given up soon

Cause, found by reading: a process frozen between the pick and the connect would connect on waking, long after its licence; and a server behind a cut held a call that was provably never sent until the call's own deadline. Ruled out: checking before the request alone (the connect itself may hang). Graceful stop waits half the longest deadline. Freed records leave no trace in memory. With it: attempts against broken, redirecting, foreign and oversized answers over real HTTP.

--- a/call/call.go
+++ b/call/call.go
@@ -102,6 +102,20 @@
 	}
 }
 
+// compact forgets the order of calls that were freed, so that a storm of refusals costs no memory.
+func (table *Table) compact() {
+	if int64(len(table.order)) <= 2*table.most {
+		return
+	}
+	kept := []string{}
+	for _, scoped := range table.order {
+		if _, there := table.entries[scoped]; there {
+			kept = append(kept, scoped)
+		}
+	}
+	table.order = kept
+}
+
 func (table *Table) drop(scoped string) {
 	table.size -= size(table.entries[scoped].record.Pieces)
 	delete(table.entries, scoped)
@@ -146,6 +160,7 @@
 	record.Outcome = Running
 	table.entries[record.Scoped] = &entry{record: record, until: now + record.Left, expires: now + record.Left + table.life}
 	table.order = append(table.order, record.Scoped)
+	table.compact()
 	return record, true, false
 }
 
--- a/data/data.go
+++ b/data/data.go
@@ -60,12 +60,14 @@
 	Key    string
 }
 
+// Dispatch sends a call to a server; no byte of it may leave after Until, when the licence that allowed it has lapsed.
 type Dispatch struct {
 	Token    int64
 	Attempt  int
 	Identity string
 	Server   contract.Candidate
 	Limit    time.Duration
+	Until    time.Duration
 }
 
 type Cancel struct {
--- a/data/job.go
+++ b/data/job.go
@@ -230,7 +230,8 @@
 		owner.sessions.set("prefix/"+want.Prefix, chosen.Name)
 	}
 	owner.tellTale(job, chosen, verdicts, lapsed)
-	owner.emit(Dispatch{Token: job.token, Attempt: job.tries, Identity: identity(owner.Self(), job, job.tries), Server: chosen, Limit: job.deadline - now})
+	owner.emit(Dispatch{Token: job.token, Attempt: job.tries, Identity: identity(owner.Self(), job, job.tries), Server: chosen,
+		Limit: job.deadline - now, Until: min(owner.licensed(chosen.Name), job.deadline)})
 	return true
 }
 
--- a/data/licence.go
+++ b/data/licence.go
@@ -116,6 +116,15 @@
 	return candidates, lapsed
 }
 
+// licensed tells until when a server may be sent what was picked for it.
+func (owner *Owner) licensed(server string) time.Duration {
+	shards := owner.Feed.Manifest().Regions[owner.Self().Region].Shards
+	if held, there := owner.grants[contract.ShardOf(server, shards)]; there {
+		return held.expires
+	}
+	return 0
+}
+
 func (owner *Owner) shardIndexes() []int {
 	indexes := []int{}
 	for index := range owner.grants {
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -117,6 +117,11 @@
 		}
 		process.Do(func() { next.end(proof, "cut at its deadline") })
 	})
+	fleet.World.After(process.machine.env.Bounds.Round(), func() {
+		if !connected {
+			process.Do(func() { next.end(call.NotSent, "no link could be made") })
+		}
+	})
 	fleet.World.travel(process.machine.place(), next.server.place(), false, func() {
 		if next.closed {
 			return
--- a/serve/data.go
+++ b/serve/data.go
@@ -30,7 +30,7 @@
 	owner := data.New(settings, boot(), source())
 	shell := &dataShell{Process: newProcess(settings, owner.Self(), owner, faultsPath), sessions: map[int64]*session{}, cancels: map[attemptKey]context.CancelFunc{}}
 	noRedirects := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	shell.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, CheckRedirect: noRedirects}
+	shell.client = &http.Client{Transport: shell.transport(), CheckRedirect: noRedirects}
 	shell.asks = &http.Client{Timeout: settings.Bounds.Round(), CheckRedirect: noRedirects}
 	shell.Loop.Act(shell.act)
 	options := []kithttp.ServerOption{kithttp.ServerErrorEncoder(encodeBad)}
--- a/serve/dispatch.go
+++ b/serve/dispatch.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
@@ -20,6 +21,26 @@
 
 func nowPlus(span time.Duration) time.Time { return time.Now().Add(span) }
 
+type untilKey struct{}
+
+// transport makes a new link for each call, gives up soon on one that cannot be made, and closes one that was made too late:
+// a process that froze between the pick and the link sends nothing when it wakes.
+func (shell *dataShell) transport() *http.Transport {
+	dialer := net.Dialer{Timeout: shell.Settings.Bounds.Round()}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		made, mishap := dialer.DialContext(ctx, network, address)
+		if mishap != nil {
+			return nil, mishap
+		}
+		if until, there := ctx.Value(untilKey{}).(time.Duration); there && shell.Loop.Now() >= until {
+			_ = made.Close()
+			return nil, eris.New("the licence lapsed before the link was made")
+		}
+		return made, nil
+	}
+	return &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+}
+
 // dispatch runs one attempt in its own goroutine; it ends with one Ended event.
 func (shell *dataShell) dispatch(command data.Dispatch) {
 	session := shell.session(command.Token)
@@ -39,7 +60,8 @@
 func (shell *dataShell) attempt(ctx context.Context, session *session, command data.Dispatch) data.Ended {
 	ended := data.Ended{Token: command.Token, Attempt: command.Attempt, Proof: call.NotSent}
 	var sent atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
+	licensed := context.WithValue(ctx, untilKey{}, command.Until)
+	traced := httptrace.WithClientTrace(licensed, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
 	request, mishap := session.request(traced, command)
 	if mishap != nil {
 		ended.Mishap = mishap.Error()
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -85,7 +85,7 @@
 	case <-signals:
 		_ = process.Logger.Log("what", "stopping")
 		farewell()
-		patience, cancel := context.WithTimeout(context.Background(), process.Settings.Bounds.Return())
+		patience, cancel := context.WithTimeout(context.Background(), process.Settings.Bounds.Deadline()/2)
 		defer cancel()
 		mishap = process.server.Shutdown(patience)
 	}
--- /dev/null
+++ b/serve/serve_test.go
@@ -0,0 +1,82 @@
+package serve
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cedarreel/cedarreel/call"
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/data"
+	"github.com/cedarreel/cedarreel/env"
+	"github.com/cedarreel/cedarreel/link"
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestServe(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "serve")
+}
+
+type deaf struct{}
+
+func (deaf) Handle(time.Duration, contract.Event) []contract.Command { return nil }
+
+// attempted sends one call to a server of the test's making and gives its end.
+func attempted(handler http.HandlerFunc, until time.Duration) (data.Ended, int64) {
+	var seen atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		seen.Add(1)
+		_, _ = io.ReadAll(request.Body)
+		handler(writer, request)
+	}))
+	defer server.Close()
+	settings := env.New()
+	process := &Process{Settings: settings, Loop: link.NewLoop(deaf{}, time.Hour, nil, log.NewNopLogger())}
+	shell := &dataShell{Process: process, sessions: map[int64]*session{}, cancels: map[attemptKey]context.CancelFunc{}}
+	shell.client = &http.Client{Transport: shell.transport(), CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	open := &session{shell: shell, caller: caller{path: "/v1/chat/completions", body: []byte(`{"messages":[{}]}`)}, items: make(chan item, sessionRing), gone: make(chan struct{})}
+	command := data.Dispatch{Token: 1, Attempt: 1, Identity: "identity", Until: until, Limit: time.Minute,
+		Server: contract.Candidate{Name: "s", Address: strings.TrimPrefix(server.URL, "http://")}}
+	ended := shell.attempt(context.Background(), open, command)
+	return ended, seen.Load()
+}
+
+func abort(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+var _ = DescribeTable("an attempt at a server", func(handler http.HandlerFunc, until time.Duration, proof call.Proof, sent int64) {
+	ended, seen := attempted(handler, until)
+	Expect(ended.Proof).To(Equal(proof), ended.Mishap)
+	Expect(seen).To(Equal(sent))
+},
+	Entry("after its licence lapsed sends nothing", http.HandlerFunc(abort), time.Duration(0), call.NotSent, int64(0)),
+	Entry("whose link breaks is sent once and its end is not known", http.HandlerFunc(abort), time.Hour, call.Silent, int64(1)),
+	Entry("that is redirected goes nowhere else", http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		http.Redirect(writer, request, "/elsewhere", http.StatusTemporaryRedirect)
+	}), time.Hour, call.Silent, int64(1)),
+	Entry("that is refused for this very call did not run", http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Cedar-Not-Run", "identity")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}), time.Hour, call.Refused, int64(1)),
+	Entry("that is refused for another call is not known", http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Cedar-Not-Run", "another")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}), time.Hour, call.Silent, int64(1)),
+	Entry("whose reply is shorter than it said is not whole", http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Length", "500")
+		_, _ = io.WriteString(writer, `{"id":"identity","choices":[{"message":{"content":"yes"},"finish_reason":"stop"}]}`)
+	}), time.Hour, call.Silent, int64(1)),
+	Entry("whose reply is larger than its bound is not whole", http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(writer, strings.Repeat(" ", 2<<20))
+	}), time.Hour, call.Silent, int64(1)),
+	Entry("that answers whole is whole", http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(writer, `{"id":"identity","choices":[{"message":{"content":"yes"},"finish_reason":"stop"}]}`)
+	}), time.Hour, call.Whole, int64(1)),
+)
