--- a/cmd/cedarrig/sweep.go
+++ b/cmd/cedarrig/sweep.go
@@ -53,7 +53,12 @@
 func tell(given arguments, rounds <-chan fleet.Round) bool {
 	unclean, worst := 0, ledger.Figures{}
 	outcomes := map[string]int{}
+	hits, asked := 0, 0
 	for round := range rounds {
+		hits, asked = hits+round.Hits, asked+round.Asked
+		if given.Sweep == 1 {
+			fmt.Println(round.Figures.Text())
+		}
 		worst.LatePick, worst.LateDrain = max(worst.LatePick, round.Figures.LatePick), max(worst.LateDrain, round.Figures.LateDrain)
 		worst.Lag, worst.Return = max(worst.Lag, round.Figures.Lag), max(worst.Return, round.Figures.Return)
 		worst.ColdShare, worst.RepeatPct = max(worst.ColdShare, round.Figures.ColdShare), max(worst.RepeatPct, round.Figures.RepeatPct)
@@ -74,8 +79,8 @@
 		}
 		fmt.Printf("  replay: cedarrig --site %s --sweep 1 --seed %d --faults %d --fault %q --tell\n", given.Site, round.Seed, given.Faults, given.Fault)
 	}
-	fmt.Printf("%d seeds from %d, %d faults each %s: %d not clean\nworst: late pick=%v late drain=%v manifest lag=%v return=%v cold share=%.2f repeats=%.2f%%\noutcomes: %v\n",
+	fmt.Printf("%d seeds from %d, %d faults each %s: %d not clean\nworst: late pick=%v late drain=%v manifest lag=%v return=%v cold share=%.2f repeats=%.2f%%\nprefixes held: %d of %d\noutcomes: %v\n",
 		given.Sweep, given.Seed, given.Faults, given.Fault, unclean, worst.LatePick.Round(time.Millisecond), worst.LateDrain.Round(time.Millisecond),
-		worst.Lag.Round(time.Millisecond), worst.Return.Round(time.Millisecond), worst.ColdShare, worst.RepeatPct, outcomes)
+		worst.Lag.Round(time.Millisecond), worst.Return.Round(time.Millisecond), worst.ColdShare, worst.RepeatPct, hits, asked, outcomes)
 	return unclean == 0
 }
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -167,6 +167,11 @@
 		fleet.World.After(span, func() { fleet.Platform.Down = false })
 	}},
 	{"crowd", func(fleet *Fleet, span time.Duration) { fleet.Traffic(span/2, 3) }},
+	{"swing", func(fleet *Fleet, span time.Duration) {
+		for index, class := range []string{"long", "short", "long", "short"} {
+			fleet.World.After(span*time.Duration(index)/4, func() { fleet.burst(class, span/4, 25) })
+		}
+	}},
 	{"leavers", func(fleet *Fleet, span time.Duration) {
 		for index := 0; index < 20; index++ {
 			fleet.World.After(span*time.Duration(index)/20, func() {
@@ -226,6 +231,14 @@
 	})
 }
 
+// burst sends one class alone for a while.
+func (fleet *Fleet) burst(class string, span time.Duration, perSecond int64) {
+	kind := fleet.Kind(class)
+	for index := int64(0); index < perSecond*int64(span)/int64(time.Second); index++ {
+		fleet.World.After(time.Duration(index)*time.Second/time.Duration(perSecond), func() { fleet.Visit(kind).send() })
+	}
+}
+
 func FaultNames() []string {
 	names := []string{}
 	for _, fault := range faults {
--- a/fleet/sweep.go
+++ b/fleet/sweep.go
@@ -15,11 +15,15 @@
 	Figures  ledger.Figures
 	Ready    bool
 	Serves   bool
+	Hits     int
+	Asked    int
 }
 
 const (
 	troubleSpan = 50 * time.Second
 	trafficPart = 0.6
+	// trafficStarts is the brief's "about 10 seconds after the machines do".
+	trafficStarts = 10 * time.Second
 )
 
 // Day plays a seeded day: traffic all along, faults in the middle, all mended, and serving wanted again at the end.
@@ -29,6 +33,7 @@
 	if !round.Ready {
 		return round
 	}
+	fleet.Run(trafficStarts - fleet.World.Now)
 	fleet.Traffic(troubleSpan+fleet.Bounds.Return()*2, trafficPart)
 	round.Faults = fleet.Trouble(troubleSpan, count, name)
 	fleet.Run(troubleSpan)
@@ -37,6 +42,9 @@
 	round.Serves = fleet.Until(fleet.Bounds.Return(), fleet.Serves)
 	round.Breaches = fleet.Close()
 	round.Figures = fleet.Ledger.Figures
+	for _, server := range fleet.Servers {
+		round.Hits, round.Asked = round.Hits+server.PrefixHits, round.Asked+server.PrefixAsked
+	}
 	return round
 }
 
