Servers that turn calls away rest; only sent calls earn repeats; repeats are counted by try

Causes: (1) calls refused before they were sent earned the allowance of repeats too, so callers coming back fed it; (2) nothing kept the next call from a server that had just turned one away; (3) the checker blamed the callers' own returns, as Retry-After tells them, on us. Ruled out: the burst alone (atOnce 3 instead of 8 left it).

--- a/data/data.go
+++ b/data/data.go
@@ -99,6 +99,7 @@
 	usages   map[string]pick.Usage
 	sessions *affinity
 	tales    *tales
+	turned   map[string]rest
 	finds    map[int64]*find
 	nextAsk  time.Duration
 	token    int64
@@ -109,7 +110,7 @@
 func New(settings env.Env, boot string, random *rand.Rand) *Owner {
 	bounds := settings.Bounds
 	return &Owner{Node: machine.New(settings, contract.KindData, boot, random), settings: settings,
-		grants: map[int]*grant{}, jobs: map[int64]*job{}, finds: map[int64]*find{}, lines: line.New(), usages: map[string]pick.Usage{},
+		grants: map[int]*grant{}, jobs: map[int64]*job{}, finds: map[int64]*find{}, turned: map[string]rest{}, lines: line.New(), usages: map[string]pick.Usage{},
 		table:    call.NewTable(bounds.Record(), bounds.Records, bounds.ReplyBytes*replyMemory),
 		sessions: newAffinity(affinitySize), tales: newTales(talesSize)}
 }
--- a/data/end.go
+++ b/data/end.go
@@ -47,8 +47,12 @@
 		job.tale.Attempts[place].Proof, job.tale.Attempts[place].Mishap = string(event.Proof), event.Mishap
 	}
 	owner.count("attempts_" + string(event.Proof))
+	if event.Proof == call.NotSent || event.Proof == call.Refused || job.call.Lookup && event.Proof == call.Silent {
+		owner.turnedAway(now, attempt.server.Name)
+	}
 	switch {
 	case event.Proof == call.Whole:
+		delete(owner.turned, attempt.server.Name)
 		owner.lines.Served(job.call.Route, now-attempt.began)
 		owner.succeed(now, job, attempt, event)
 	case event.Proof.NeverRan() || job.call.Lookup && event.Proof == call.Silent:
--- a/data/job.go
+++ b/data/job.go
@@ -93,7 +93,6 @@
 	}
 	owner.jobs[job.token] = job
 	if asked.Lookup {
-		owner.repeats.Real()
 		owner.enter(now, job)
 		return
 	}
@@ -178,6 +177,10 @@
 	}
 	job.phase = phaseLined
 	owner.serve(now)
+	if job.phase == phaseLined && owner.allRest(now, job) {
+		owner.refuse(now, job, 503, "its servers turn calls away; the call did not run", owner.jitter(owner.Bounds.Licence()))
+		return
+	}
 	if job.phase == phaseLined && now+wait+owner.lines.Service(job.call.Route) > job.deadline {
 		owner.refuse(now, job, 429, "it cannot be served before its deadline", owner.jitter(max(wait/2, owner.Bounds.Round())))
 	}
@@ -208,7 +211,7 @@
 	if now >= job.deadline {
 		return false
 	}
-	want := pick.Want{Pool: job.route.Pools[job.call.Home], Class: job.route.Class, Hall: owner.Self().Hall, Prefix: job.call.Prefix, Avoid: job.tried}
+	want := pick.Want{Pool: job.route.Pools[job.call.Home], Class: job.route.Class, Hall: owner.Self().Hall, Prefix: job.call.Prefix, Avoid: job.tried, Resting: owner.resting(now)}
 	if job.call.Session != "" {
 		want.Session = job.call.Caller + "\x1f" + job.call.Session
 	}
@@ -216,6 +219,9 @@
 	if !fine {
 		return false
 	}
+	if job.tries == 0 {
+		owner.repeats.Real()
+	}
 	job.phase = phaseRunning
 	job.tries++
 	job.tried[chosen.Name] = true
--- a/data/keep.go
+++ b/data/keep.go
@@ -136,7 +136,6 @@
 	if len(job.granted) < needed {
 		return
 	}
-	owner.repeats.Real()
 	owner.enter(now, job)
 }
 
--- a/data/licence.go
+++ b/data/licence.go
@@ -77,6 +77,9 @@
 		owner.count("licences_late")
 		return
 	}
+	if now >= held.expires {
+		owner.turned = map[string]rest{}
+	}
 	former := held.licence.Withdraw
 	held.highest, held.licence, held.asked, held.hint = licence.Epoch, licence, licence.Asked, ""
 	held.expires = licence.Asked + licence.Life
--- a/ledger/answers.go
+++ b/ledger/answers.go
@@ -158,7 +158,7 @@
 			ledger.judgeNotRun(known)
 		}
 	}
-	if extra := ledger.arrivals - ledger.distinct(); ledger.real > 0 {
+	if extra := ledger.repeated(); ledger.real > 0 {
 		share := 100 * float64(extra) / float64(ledger.real)
 		ledger.Figures.RepeatPct = share
 		if extra > 10 && share > ledger.bounds.RepeatPct {
@@ -167,11 +167,12 @@
 	}
 }
 
-func (ledger *Ledger) distinct() int64 {
+// repeated counts what servers were sent beyond the first time of each try: the repeats that are ours, not the callers'.
+func (ledger *Ledger) repeated() int64 {
 	count := int64(0)
 	for _, known := range ledger.calls {
-		if len(known.runs) > 0 {
-			count++
+		for _, tried := range known.attempts {
+			count += max(0, tried.arrivals-1)
 		}
 	}
 	return count
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -48,6 +48,7 @@
 	ended    bool
 	outcome  string
 	deadline time.Duration
+	arrivals int64
 }
 
 type run struct {
@@ -67,6 +68,13 @@
 	runs     []*run
 }
 
+// arrived counts an arrival at a server for the newest try of the call.
+func (known *called) arrived() {
+	if len(known.attempts) > 0 {
+		known.attempts[len(known.attempts)-1].arrivals++
+	}
+}
+
 type span struct{ from, to time.Duration }
 
 type serverFacts struct {
@@ -87,7 +95,6 @@
 	accepted map[int64]string
 	inForce  map[int64]time.Duration
 	held     map[string]int64
-	arrivals int64
 	real     int64
 	breaches []Breach
 	Figures  Figures
@@ -162,12 +169,12 @@
 func (ledger *Ledger) Began(scoped, identity, server string, at time.Duration) {
 	ledger.lock.Lock()
 	defer ledger.lock.Unlock()
-	ledger.arrivals++
 	known, there := ledger.calls[scoped]
 	if !there {
 		ledger.breach(at, WrongAnswer, "server %s got a call that nobody sent: %q", server, scoped)
 		return
 	}
+	known.arrived()
 	begun := &run{identity: identity, server: server, began: at}
 	known.runs = append(known.runs, begun)
 	ledger.byRun[identity] = begun
@@ -214,7 +221,9 @@
 func (ledger *Ledger) Refused(scoped string) {
 	ledger.lock.Lock()
 	defer ledger.lock.Unlock()
-	ledger.arrivals++
+	if known, there := ledger.calls[scoped]; there {
+		known.arrived()
+	}
 }
 
 // Over notes that a server ended a run, with all the pieces of the whole reply if it came to its end.
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -28,6 +28,7 @@
 	Session string
 	Prefix  string
 	Avoid   map[string]bool
+	Resting map[string]bool
 }
 
 // Verdict tells of one candidate why it was chosen or passed over.
@@ -67,6 +68,8 @@
 			continue
 		case want.Avoid[candidate.Name]:
 			verdict.Why = "tried before"
+		case want.Resting[candidate.Name]:
+			verdict.Why = "turned a call away a moment ago"
 		case !fine:
 			verdict.Why = why
 		default:
--- a/stories/calls/calls_test.go
+++ b/stories/calls/calls_test.go
@@ -201,3 +201,21 @@
 	}
 	told.NothingWrong(played)
 })
+
+var _ = Describe("repeats", func() {
+	for _, name := range told.Sites {
+		It("stay a small share in "+name+" while half of the servers of each kind turn calls away", func() {
+			played := told.Given(name, 131)
+			played.Run(10 * time.Second)
+			played.Traffic(25*time.Second, 0.6)
+			for place, server := range played.Servers {
+				if place%2 == 0 {
+					server.Mode = "refuse"
+				}
+			}
+			played.Run(25 * time.Second)
+			told.NothingWrong(played)
+			GinkgoWriter.Println(played.Ledger.Figures.Text())
+		})
+	}
+})
