The stand-in operator closes a drain when a later undrain was accepted first

Cause, read from the trace: the drain's answer (202, a node out of reach) came after the answer of an undrain with a higher revision, and the checker opened the drain anew. A fault of the checker, not of the fleet: revision 6 had undrained the hall everywhere. Change: a drain counts only if no later undrain was accepted.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -28,6 +28,7 @@
 	awaiting  map[string]time.Duration
 	Writes    []Written
 	gone      []*Machine
+	undrained map[string]int64
 }
 
 type Option func(*Fleet)
@@ -41,7 +42,7 @@
 // New makes a fleet that has not started yet.
 func New(described site.Site, seed uint64, options ...Option) *Fleet {
 	fleet := &Fleet{World: newWorld(seed, time.Duration(described.GapMs)*time.Millisecond), Site: described, Bounds: env.DefaultBounds(),
-		processes: map[string]*Process{}, byName: map[string]*Server{}, awaiting: map[string]time.Duration{}}
+		processes: map[string]*Process{}, byName: map[string]*Server{}, awaiting: map[string]time.Duration{}, undrained: map[string]int64{}}
 	for _, option := range options {
 		option(fleet)
 	}
--- a/fleet/operate.go
+++ b/fleet/operate.go
@@ -59,7 +59,10 @@
 		}
 	}
 	fleet.Ledger.Accepted(written.Accepted.Revision, digest, fleet.World.Now)
-	if ask.Verb == contract.VerbDrain {
+	if ask.Verb == contract.VerbUndrain {
+		fleet.undrained[ask.Subject] = max(fleet.undrained[ask.Subject], written.Accepted.Revision)
+	}
+	if ask.Verb == contract.VerbDrain && written.Accepted.Revision > fleet.undrained[ask.Subject] {
 		fleet.Ledger.Drained(ask.Subject, fleet.World.Now)
 	}
 }
--- a/stories/halls/drain_test.go
+++ b/stories/halls/drain_test.go
@@ -125,3 +125,18 @@
 		told.NothingWrong(played)
 	})
 })
+
+var _ = It("an undrain that overtakes the drain's late answer is not taken for a breach, and holds", func() {
+	played := told.Given("seri", 92)
+	played.Traffic(30*time.Second, 0.5)
+	played.CutFor([]string{"m12"}, 25*time.Second, true)
+	played.Run(4 * time.Second)
+	ask := contract.Ask{Verb: contract.VerbDrain, Subject: "klang-b", Operation: "late"}
+	played.Write(played.Machines[1], ask, nil)
+	played.Run(time.Second)
+	Expect(drain(played, played.Machines[2], contract.VerbUndrain, "klang-b").Status).To(Equal(202))
+	played.Run(8 * time.Second)
+	read, _ := played.Manifest(played.Machines[3])
+	Expect(read.Drained("klang-b")).To(BeFalse())
+	told.NothingWrong(played)
+})
