A core machine that restarts tells the view of its folder to the fleet

Cause: view 2 was agreed in the central region while the coast was cut off; the region was killed before the news got out. The restarted machines knew view 2 from their folders, the coast's core machine still held view 1, and both sides refused each other's founding numbers. Ruled out: the one-way cut and the duel of campaigns (the trace shows the founding branch on all three). Change: the view that a folder held is told to the feed at the start, as any adopted view is.

--- a/chain/chain.go
+++ b/chain/chain.go
@@ -107,6 +107,7 @@
 	seen     Seen
 	started  time.Duration
 	begun    bool
+	told     bool
 	out      []contract.Command
 	loop     []contract.Letter
 }
@@ -149,6 +150,10 @@
 	owner.out = nil
 	switch event := event.(type) {
 	case Seen:
+		if !owner.told && owner.view.Number > 0 {
+			owner.told = true
+			owner.emit(Viewed{View: owner.view})
+		}
 		owner.tick(now, event)
 	case Persisted:
 		owner.persisted(now, event)
--- a/stories/core/chain_test.go
+++ b/stories/core/chain_test.go
@@ -208,3 +208,18 @@
 		told.NothingWrong(played)
 	})
 })
+
+var _ = It("a view that only the folders of killed machines know reaches the one that was cut off, and the core goes on", func() {
+	played := told.Given("brazos", 15)
+	Expect(told.Patched(played, played.Machines[1], 1).Status).To(Equal(200))
+	inside, outside := fleet.Names(played.InRegion("central")), fleet.Names(played.InRegion("coast"))
+	played.World.CutBoth(inside, outside)
+	played.Run(6 * time.Second)
+	Expect(told.ChainView(played, played.Machines[1]).Number).To(Equal(int64(2)))
+	played.KillFor(played.InRegion("central"), 3*time.Second)
+	played.World.Heal()
+	played.Run(20 * time.Second)
+	Expect(told.ChainView(played, played.Machines[1]).Chain).To(HaveLen(3))
+	Expect(told.Patched(played, played.Machines[11], 2).Status).To(Equal(200))
+	told.NothingWrong(played)
+})
