--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -23,7 +23,6 @@
 	processes map[string]*Process
 	byName    map[string]*Server
 	calls     int
-	traffic   int
 	Tell      func(string)
 	awaiting  map[string]time.Duration
 	Writes    []Written
--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -12,7 +12,6 @@
 // Probe is one call that a story sends by hand.
 type Probe struct {
 	*visit
-	last *try
 }
 
 // Probe makes a call of a class, bound to a home, that is not repeated by itself.
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -44,7 +44,6 @@
 	asks     map[int64]func(contract.Answer)
 	token    int64
 	sessions map[int64]*session
-	disk     int
 	Counts   map[string]int64
 	Gauges   map[string]int64
 }
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -11,14 +11,6 @@
 	"github.com/cedarreel/cedarreel/site"
 )
 
-const (
-	prefillPerToken = 100 * time.Microsecond
-	decodePerPiece  = 20 * time.Millisecond
-	lookupTime      = 2 * time.Millisecond
-	heldPrefixes    = 4
-	prefixGain      = 8
-)
-
 // Server stands in for a model, sync or refund server.
 type Server struct {
 	site.Server
@@ -167,20 +159,20 @@
 	server.Taken++
 	fleet.Ledger.Began(next.scoped, next.identity, server.Name, fleet.World.Now)
 	if visit.kind.Class == "lookup" {
-		fleet.World.After(lookupTime, func() { server.finishLookup(next) })
+		fleet.World.After(site.LookupTime, func() { server.finishLookup(next) })
 		return
 	}
-	span := time.Duration(visit.kind.Tokens) * prefillPerToken
+	span := time.Duration(visit.kind.Tokens) * site.PrefillPerToken
 	if visit.prefix != "" {
 		server.PrefixAsked++
 		if slices.Contains(server.prefixes, visit.prefixName()) {
 			server.PrefixHits++
-			span /= prefixGain
-		} else if server.prefixes = append(server.prefixes, visit.prefixName()); len(server.prefixes) > heldPrefixes {
+			span /= site.PrefixGain
+		} else if server.prefixes = append(server.prefixes, visit.prefixName()); len(server.prefixes) > site.HeldPrefixes {
 			server.prefixes = server.prefixes[1:]
 		}
 	}
-	fleet.World.After(span+decodePerPiece, func() { server.decode(next) })
+	fleet.World.After(span+site.DecodePerPiece, func() { server.decode(next) })
 }
 
 func (server *Server) live(next *run) bool { return server.running[next.identity] == next }
@@ -217,7 +209,7 @@
 		next.attempt.bytes(fmt.Sprintf("data: %s\n\n", content))
 	}
 	if len(next.told) < int(visit.kind.Pieces) {
-		server.fleet.World.After(decodePerPiece, func() { server.decode(next) })
+		server.fleet.World.After(site.DecodePerPiece, func() { server.decode(next) })
 		return
 	}
 	server.finish(next, id)
--- a/rig/callers.go
+++ b/rig/callers.go
@@ -91,7 +91,6 @@
 	scoped string
 	prefix string
 	nodes  []*Node
-	first  time.Duration
 }
 
 const mostTries = 3
--- a/rig/model.go
+++ b/rig/model.go
@@ -14,12 +14,6 @@
 	"github.com/cedarreel/cedarreel/site"
 )
 
-const (
-	prefillPerToken = 100 * time.Microsecond
-	decodePerPiece  = 20 * time.Millisecond
-	heldPrefixes    = 4
-)
-
 // Server stands in for a model server, or for a sync or refund server.
 type Server struct {
 	Row         site.Server
@@ -145,16 +139,16 @@
 	defer server.lock.Unlock()
 	for _, held := range server.prefixes {
 		if prefix != "" && held == prefix {
-			return time.Duration(tokens) * prefillPerToken / 8
+			return time.Duration(tokens) * site.PrefillPerToken / site.PrefixGain
 		}
 	}
 	if prefix != "" {
 		server.prefixes = append(server.prefixes, prefix)
-		if len(server.prefixes) > heldPrefixes {
+		if len(server.prefixes) > site.HeldPrefixes {
 			server.prefixes = server.prefixes[1:]
 		}
 	}
-	return time.Duration(tokens) * prefillPerToken
+	return time.Duration(tokens) * site.PrefillPerToken
 }
 
 type asked struct {
@@ -210,7 +204,7 @@
 	}
 	for place := range pieces {
 		piece := ledger.PieceOf(identity, scoped, place)
-		if !pause(request, decodePerPiece) || mode == "cut" && place >= pieces/2 {
+		if !pause(request, site.DecodePerPiece) || mode == "cut" && place >= pieces/2 {
 			server.rig.Ledger.Over(identity, told, false)
 			panic(http.ErrAbortHandler)
 		}
@@ -244,7 +238,7 @@
 	defer server.change(-1, 0)
 	identity, key := request.Header.Get("Cedar-Call"), request.PathValue("key")
 	server.rig.Ledger.Began(key, identity, server.Row.Name, server.rig.now())
-	if !pause(request, 2*time.Millisecond) {
+	if !pause(request, site.LookupTime) {
 		return
 	}
 	server.rig.Ledger.Over(identity, nil, true)
--- a/rig/rig.go
+++ b/rig/rig.go
@@ -272,15 +272,6 @@
 	}
 }
 
-func (rig *Rig) Node(name string) *Node {
-	for _, node := range rig.Nodes {
-		if node.Machine.Name == name {
-			return node
-		}
-	}
-	return nil
-}
-
 // Await asks until a condition holds or its time is over.
 func (rig *Rig) Await(what string, limit time.Duration, holds func() bool) error {
 	for began := time.Now(); time.Since(began) < limit; time.Sleep(50 * time.Millisecond) {
--- a/rig/stories.go
+++ b/rig/stories.go
@@ -9,27 +9,28 @@
 
 func allStories() map[string]story {
 	return map[string]story{
-		"calm":          func(*Rig, Plan) error { return nil },
-		"kill":          withNodes(1, (*Rig).killSome),
-		"kill many":     withNodes(4, (*Rig).killSome),
-		"kill hall":     killHall,
-		"kill cores":    killCores,
-		"kill region":   killRegion,
-		"freeze":        withNodes(3, (*Rig).freezeSome),
-		"cut":           withNodes(1, (*Rig).cutSome),
-		"cut region":    cutRegion,
-		"disk full":     onDisk("full"),
-		"disk stalled":  onDisk("stalled"),
-		"disk slow":     onDisk("slow"),
-		"wipe core":     wipeCore,
-		"server crash":  serverCrash,
-		"bad replies":   badReplies,
-		"reclaim":       reclaim,
-		"drain":         drain,
-		"scale":         scale,
-		"storm":         storm,
-		"graceful stop": gracefulStop,
-		"all":           everything,
+		"calm":            func(*Rig, Plan) error { return nil },
+		"kill":            withNodes(1, (*Rig).killSome),
+		"kill many":       withNodes(4, (*Rig).killSome),
+		"kill hall":       killHall,
+		"kill cores":      killCores,
+		"kill region":     killRegion,
+		"freeze":          withNodes(3, (*Rig).freezeSome),
+		"cut":             withNodes(1, (*Rig).cutSome),
+		"cut region":      cutRegion,
+		"disk full":       onDisk("full"),
+		"disk stalled":    onDisk("stalled"),
+		"disk slow":       onDisk("slow"),
+		"wipe core":       wipeCore,
+		"server crash":    serverCrash,
+		"bad replies":     badReplies,
+		"reclaim":         reclaim,
+		"drain":           drain,
+		"scale":           scale,
+		"storm":           storm,
+		"graceful stop":   gracefulStop,
+		"platform broken": platformBroken,
+		"all":             everything,
 	}
 }
 
@@ -222,6 +223,14 @@
 	return nil
 }
 
+func platformBroken(rig *Rig, plan Plan) error {
+	time.Sleep(plan.part(0.2))
+	rig.Platform.Break(true)
+	time.Sleep(plan.part(0.3))
+	rig.Platform.Break(false)
+	return rig.Await("serving again", rig.bounds.Return(), rig.serves)
+}
+
 func gracefulStop(rig *Rig, plan Plan) error {
 	time.Sleep(plan.part(0.3))
 	node := rig.Nodes[1]
