A session's turns meet at one server, whichever node they arrive at

Cause, found by reading: each data node remembered sessions for itself, so a traveller who moved between halls began anew at another server. Ruled out: sharing the memory between nodes (more letters for what a hash gives). Change: a session that a node does not know goes to the server that the agreed order names among those with room.

--- a/chain/agree.go
+++ b/chain/agree.go
@@ -171,7 +171,7 @@
 			suffix = append(suffix, version)
 		}
 	}
-	prepare := Prepare{Ballot: ballot, Node: owner.self, Base: owner.view, Suffix: suffix, Known: owner.committed}
+	prepare := Prepare{Ballot: ballot, Node: owner.self, Base: owner.view, Suffix: contract.Fit(suffix, true), Known: owner.committed}
 	targets := append(append([]contract.CoreNode{}, owner.view.Core...), owner.strangers()...)
 	owner.campaign.asked = len(targets)
 	for _, node := range targets {
--- a/chain/write.go
+++ b/chain/write.go
@@ -223,7 +223,7 @@
 			suffix = append(suffix, version)
 		}
 	}
-	owner.passOn(owner.sheet(suffix))
+	owner.passOn(owner.sheet(contract.Fit(suffix, false)))
 }
 
 type Fetch struct {
@@ -276,6 +276,7 @@
 			history.Versions = append(history.Versions, version)
 		}
 	}
+	history.Versions = contract.Fit(history.Versions, false)
 	owner.send(fetch.Node, LetterHistory, history)
 }
 
--- a/cmd/cedarctl/main.go
+++ b/cmd/cedarctl/main.go
@@ -65,7 +65,7 @@
 	if !there || len(words)-1 != len(command.arguments) {
 		fail(exitUsage, fmt.Errorf("no such command with %d words: %s\n%s", len(words)-1, words[0], listing()))
 	}
-	code, mishap := command.run(&client{given, &http.Client{Timeout: given.Patience}}, words[1:])
+	code, mishap := command.run(&client{common: given, web: &http.Client{Timeout: given.Patience}}, words[1:])
 	if mishap != nil {
 		fail(code, mishap)
 	}
@@ -108,6 +108,7 @@
 		"retirements": {nil, "servers that retire or did", get("/v1/retirements")},
 		"chain":       {nil, "the core's view and chain", get("/v1/chain")},
 		"why":         {[]string{"CALL"}, "why a call went where it went", get("/v1/why/*")},
+		"call":        {[]string{"CALLER", "KEY"}, "what became of a call; the node must be a cedardp", callOf},
 		"gone":        {[]string{"MACHINE"}, "say that a core machine will never return", post("/v1/machines/*/gone")},
 		"metrics":     {nil, "one node's own counters", get("/metrics")},
 	}
@@ -115,7 +116,7 @@
 
 func listing() string {
 	lines := []string{"Commands:"}
-	for _, name := range []string{"get", "revision", "history", "put", "patch", "drain", "undrain", "scale", "operation", "members", "shards", "retirements", "chain", "why", "gone", "metrics"} {
+	for _, name := range []string{"get", "revision", "history", "put", "patch", "drain", "undrain", "scale", "operation", "members", "shards", "retirements", "chain", "why", "call", "gone", "metrics"} {
 		command := verbs()[name]
 		lines = append(lines, fmt.Sprintf("  %-24s %s", strings.Join(append([]string{name}, command.arguments...), " "), command.about))
 	}
@@ -138,13 +139,19 @@
 	return client.ask(http.MethodPatch, "/v1/manifest", content)
 }
 
+func callOf(client *client, words []string) (int, error) {
+	client.caller = words[0]
+	return client.ask(http.MethodGet, "/v1/calls/"+url.PathEscape(words[1]), nil)
+}
+
 func scale(client *client, words []string) (int, error) {
 	return client.ask(http.MethodPost, "/v1/pools/"+url.PathEscape(words[0])+"/scale", []byte(words[1]))
 }
 
 type client struct {
 	common
-	web *http.Client
+	web    *http.Client
+	caller string
 }
 
 // ask tries the nodes in turn; the operation key stays the same, so a lost answer can be asked for again.
@@ -163,6 +170,7 @@
 			return exitUsage, mishap
 		}
 		request.Header.Set("Operation-Key", client.Operation)
+		request.Header.Set("Cedar-Caller", client.caller)
 		response, mishap := client.web.Do(request)
 		if mishap != nil {
 			last = fmt.Errorf("%w (operation key %s)", mishap, client.Operation)
--- a/cmd/cedarrig/sweep.go
+++ b/cmd/cedarrig/sweep.go
@@ -53,9 +53,10 @@
 func tell(given arguments, rounds <-chan fleet.Round) bool {
 	unclean, worst := 0, ledger.Figures{}
 	outcomes := map[string]int{}
-	hits, asked := 0, 0
+	hits, asked, turns, kept := 0, 0, 0, 0
 	for round := range rounds {
 		hits, asked = hits+round.Hits, asked+round.Asked
+		turns, kept = turns+round.Turns, kept+round.Kept
 		if given.Sweep == 1 {
 			fmt.Println(round.Figures.Text())
 		}
@@ -79,8 +80,8 @@
 		}
 		fmt.Printf("  replay: cedarrig --site %s --sweep 1 --seed %d --faults %d --fault %q --tell\n", given.Site, round.Seed, given.Faults, given.Fault)
 	}
-	fmt.Printf("%d seeds from %d, %d faults each %s: %d not clean\nworst: late pick=%v late drain=%v manifest lag=%v return=%v cold share=%.2f repeats=%.2f%%\nprefixes held: %d of %d\noutcomes: %v\n",
+	fmt.Printf("%d seeds from %d, %d faults each %s: %d not clean\nworst: late pick=%v late drain=%v manifest lag=%v return=%v cold share=%.2f repeats=%.2f%%\nprefixes held: %d of %d, sessions kept: %d of %d\noutcomes: %v\n",
 		given.Sweep, given.Seed, given.Faults, given.Fault, unclean, worst.LatePick.Round(time.Millisecond), worst.LateDrain.Round(time.Millisecond),
-		worst.Lag.Round(time.Millisecond), worst.Return.Round(time.Millisecond), worst.ColdShare, worst.RepeatPct, hits, asked, outcomes)
+		worst.Lag.Round(time.Millisecond), worst.Return.Round(time.Millisecond), worst.ColdShare, worst.RepeatPct, hits, asked, kept, turns, outcomes)
 	return unclean == 0
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -142,7 +142,7 @@
 	for _, revision := range revisions[:min(len(revisions), mostChanges)] {
 		versions = append(versions, owner.kept[revision])
 	}
-	return versions
+	return contract.Fit(versions, newest)
 }
 
 // Take adopts what is newer and passes the news on; a lower revision or view never replaces a higher one.
--- a/fleet/caller.go
+++ b/fleet/caller.go
@@ -14,17 +14,18 @@
 
 // visit is a caller with one call: it repeats the same key elsewhere until it has an end that it can keep.
 type visit struct {
-	fleet  *Fleet
-	kind   site.Caller
-	home   string
-	scoped string
-	prefix string
-	tries  int
-	repeat bool
-	first  time.Duration
-	leaves time.Duration
-	at     *Machine
-	Ended  string
+	fleet   *Fleet
+	kind    site.Caller
+	home    string
+	scoped  string
+	prefix  string
+	session string
+	tries   int
+	repeat  bool
+	first   time.Duration
+	leaves  time.Duration
+	at      *Machine
+	Ended   string
 }
 
 // try is one attempt of a caller at one node.
@@ -73,7 +74,8 @@
 	model := visit.kind.Class != "lookup"
 	next.index = fleet.Ledger.Sent(visit.scoped, visit.kind.Class, visit.home, model, fleet.World.Now, deadline)
 	asked := call.Call{Key: visit.scoped, Caller: "desk", Route: visit.kind.Route, Home: visit.home, Tokens: visit.kind.Tokens,
-		Repeat: visit.repeat, Deadline: deadline, Digest: contract.Digest([]byte(visit.scoped)), Lookup: !model}
+		Repeat: visit.repeat, Deadline: deadline, Digest: contract.Digest([]byte(visit.scoped)), Lookup: !model,
+		Session: visit.session}
 	if visit.repeat {
 		asked.Age = fleet.World.Now - visit.first + 1
 	} else if visit.first == 0 {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -28,6 +28,9 @@
 	Writes    []Written
 	gone      []*Machine
 	undrained map[string]int64
+	lastTurn  map[string]string
+	Turns     int
+	Kept      int
 }
 
 type Option func(*Fleet)
@@ -41,7 +44,7 @@
 // New makes a fleet that has not started yet.
 func New(described site.Site, seed uint64, options ...Option) *Fleet {
 	fleet := &Fleet{World: newWorld(seed, time.Duration(described.GapMs)*time.Millisecond), Site: described, Bounds: env.DefaultBounds(),
-		processes: map[string]*Process{}, byName: map[string]*Server{}, awaiting: map[string]time.Duration{}, undrained: map[string]int64{}}
+		processes: map[string]*Process{}, byName: map[string]*Server{}, awaiting: map[string]time.Duration{}, undrained: map[string]int64{}, lastTurn: map[string]string{}}
 	for _, option := range options {
 		option(fleet)
 	}
@@ -155,11 +158,17 @@
 	}
 }
 
+// travellers is how many sessions each home has.
+const travellers = 24
+
 // Visit makes a caller of a kind, with a home at random.
 func (fleet *Fleet) Visit(kind site.Caller) *visit {
 	fleet.calls++
 	regions := fleet.Site.Regions()
 	next := &visit{fleet: fleet, kind: kind, home: regions[fleet.World.Random.IntN(len(regions))], scoped: fmt.Sprintf("%s-%d", kind.Route, fleet.calls)}
+	if kind.Class == "short" {
+		next.session = fmt.Sprintf("%s-%d", next.home, fleet.World.Random.IntN(travellers))
+	}
 	if kind.Prefixes > 0 {
 		next.prefix = fmt.Sprintf("contract %d of %s", fleet.World.Random.Int64N(kind.Prefixes), kind.Route)
 	}
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -162,6 +162,13 @@
 		fleet.World.After(site.LookupTime, func() { server.finishLookup(next) })
 		return
 	}
+	if former, there := fleet.lastTurn[visit.session]; there && visit.session != "" {
+		fleet.Turns++
+		if former == server.Name {
+			fleet.Kept++
+		}
+	}
+	fleet.lastTurn[visit.session] = server.Name
 	span := time.Duration(visit.kind.Tokens) * site.PrefillPerToken
 	if visit.prefix != "" {
 		server.PrefixAsked++
--- a/fleet/sweep.go
+++ b/fleet/sweep.go
@@ -17,6 +17,8 @@
 	Serves   bool
 	Hits     int
 	Asked    int
+	Turns    int
+	Kept     int
 }
 
 const (
@@ -42,6 +44,7 @@
 	round.Serves = fleet.Until(fleet.Bounds.Return(), fleet.Serves)
 	round.Breaches = fleet.Close()
 	round.Figures = fleet.Ledger.Figures
+	round.Turns, round.Kept = fleet.Turns, fleet.Kept
 	for _, server := range fleet.Servers {
 		round.Hits, round.Asked = round.Hits+server.PrefixHits, round.Asked+server.PrefixAsked
 	}
--- a/link/sender.go
+++ b/link/sender.go
@@ -18,7 +18,7 @@
 const (
 	rowSize   = 512
 	batchSize = 64
-	mostBody  = 16 << 20
+	mostBody  = 32 << 20
 	Path      = "/link"
 	mostLinks = 1024
 )
@@ -78,8 +78,11 @@
 		case letter := <-ring:
 			bundle.Letters = append(bundle.Letters, letter)
 		}
-		for len(ring) > 0 && len(bundle.Letters) < batchSize {
-			bundle.Letters = append(bundle.Letters, <-ring)
+		size := len(bundle.Letters[0].Body)
+		for len(ring) > 0 && len(bundle.Letters) < batchSize && size < mostBody/4 {
+			letter := <-ring
+			size += len(letter.Body)
+			bundle.Letters = append(bundle.Letters, letter)
 		}
 		if sender.faults.Cut(address) {
 			sender.count("letters_cut", int64(len(bundle.Letters)))
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -98,6 +98,9 @@
 			return candidate, "holds the session"
 		}
 	}
+	if want.Session != "" && want.Prefix == "" {
+		return first(want.Session, open), "is the session's in the agreed order"
+	}
 	near, holding := []contract.Candidate{}, []contract.Candidate{}
 	for _, candidate := range open {
 		if candidate.Hall == want.Hall && usages[candidate.Name].Load(candidate)*ofShares < candidate.Slots*spillShare {
@@ -121,6 +124,16 @@
 	return better(open, usages, random), "spilled to another hall"
 }
 
+// first gives the server that every node would give to a new session, so that its turns meet wherever they arrive.
+func first(session string, open []contract.Candidate) contract.Candidate {
+	names := []string{}
+	for _, candidate := range open {
+		names = append(names, candidate.Name)
+	}
+	chosen, _ := byName(open, contract.Ordered("session/"+session, names)[0])
+	return chosen
+}
+
 func byName(candidates []contract.Candidate, name string) (contract.Candidate, bool) {
 	for _, candidate := range candidates {
 		if candidate.Name == name {
--- a/serve/session.go
+++ b/serve/session.go
@@ -155,6 +155,7 @@
 }
 
 func (out *writerOf) end(answer contract.Answer) error {
+	_ = out.control.SetWriteDeadline(nowPlus(out.session.shell.Settings.Bounds.Return()))
 	reply, whole := answer.Body.(data.Reply)
 	if !whole {
 		if out.pieces > 0 {
