--- a/control/gather.go
+++ b/control/gather.go
@@ -108,8 +108,9 @@
 	tales := []json.RawMessage{}
 	fits := func(member contract.Member) bool { return member.Kind == contract.KindData }
 	return owner.gather(now, fits, LetterWhyAsk, owner.statusLetter(ask.Subject), func(body json.RawMessage) bool {
-		if len(body) > 4 {
-			tales = append(tales, body)
+		var some []json.RawMessage
+		if json.Unmarshal(body, &some) == nil {
+			tales = append(tales, some...)
 		}
 		return false
 	}, func(time.Duration) []contract.Command {
--- a/shard/duty.go
+++ b/shard/duty.go
@@ -203,7 +203,8 @@
 		if !held.owning {
 			continue
 		}
-		status := Status{Region: owner.self.Region, Shard: index, Owner: owner.self.Name, Epoch: held.epoch.Number, Number: held.number}
+		status := Status{Region: owner.self.Region, Shard: index, Owner: owner.self.Name, Epoch: held.epoch.Number, Number: held.number,
+			Servers: []string{}, Retired: []Retired{}}
 		for _, row := range owner.eligible(now, held) {
 			status.Servers = append(status.Servers, row.Name)
 		}
