--- a/rig/stories.go
+++ b/rig/stories.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -22,6 +23,7 @@
 		"disk stalled":    onDisk("stalled"),
 		"disk slow":       onDisk("slow"),
 		"wipe core":       wipeCore,
+		"swap core":       swapCore,
 		"server crash":    serverCrash,
 		"bad replies":     badReplies,
 		"reclaim":         reclaim,
@@ -242,6 +244,36 @@
 	return node.Start()
 }
 
+// swapCore takes a core machine away for good and puts an empty one at a new address; it must take its place in the chain.
+func swapCore(rig *Rig, plan Plan) error {
+	time.Sleep(plan.part(0.2))
+	old := rig.where(func(node *Node) bool { return node.Machine.Core })[rig.random.IntN(3)]
+	old.Kill()
+	machine := old.Machine
+	machine.Name = "m13"
+	fresh, mishap := rig.newNode(machine)
+	if mishap != nil {
+		return mishap
+	}
+	seeds := []string{}
+	for place, node := range rig.Nodes {
+		if node == old {
+			rig.Nodes[place] = fresh
+		} else if len(seeds) < 3 {
+			seeds = append(seeds, node.Settings.Control)
+		}
+	}
+	fresh.Settings.Seeds = seeds
+	if mishap = fresh.Start(); mishap != nil {
+		return mishap
+	}
+	return errors.Join(rig.writes("after the swap"), rig.Await("the empty machine in the chain", 2*rig.bounds.Return(), func() bool {
+		_, told, mishap := rig.Operate(fresh.Settings.Control, http.MethodGet, "/v1/chain", "", nil)
+		_, chain, found := strings.Cut(string(told), `"chain":`)
+		return mishap == nil && found && strings.Contains(chain, "m13-control")
+	}))
+}
+
 func wipeCore(rig *Rig, plan Plan) error {
 	time.Sleep(plan.part(0.2))
 	node := rig.where(func(node *Node) bool { return node.Machine.Core })[rig.random.IntN(3)]
