A lagging node asks those that speak with it, and others in turn

Cause, found by reading: a node that was behind always asked the first member in the order of names, reachable or not. A node that could speak with one neighbour alone stayed behind until that neighbour happened to push the news. Change: it asks one of those whose own letters came lately, and one of all. With it: the rig takes its ports below the range of outgoing links, so that no link takes one between choosing and starting.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -96,18 +97,26 @@
 	return nil
 }
 
-// Catch asks a member that is seen to hold more.
-func (owner *Owner) Catch(now time.Duration, members []contract.Member) []contract.Command {
+// Catch asks two of the members that are seen to hold more, others each time: one of those that speak with this node, and
+// one of all, for links may be cut either way.
+func (owner *Owner) Catch(now time.Duration, members, near []contract.Member, random *rand.Rand) []contract.Command {
 	if now-owner.asked < owner.bounds.Gossip() {
 		return nil
 	}
-	for _, member := range members {
-		if owner.behind(member.Place, member.View) {
+	commands := []contract.Command{}
+	for _, group := range [][]contract.Member{near, members} {
+		ahead := []string{}
+		for _, member := range group {
+			if owner.behind(member.Place, member.View) {
+				ahead = append(ahead, member.Address)
+			}
+		}
+		if len(ahead) > 0 {
 			owner.asked = now
-			return []contract.Command{owner.ask(member.Address)}
+			commands = append(commands, owner.ask(ahead[random.IntN(len(ahead))]))
 		}
 	}
-	return nil
+	return commands
 }
 
 func (owner *Owner) ask(address string) contract.Command {
--- a/neighbour/neighbour.go
+++ b/neighbour/neighbour.go
@@ -27,6 +27,7 @@
 	member   contract.Member
 	advanced time.Duration
 	changed  time.Duration
+	heard    time.Duration
 	gone     bool
 }
 
@@ -223,6 +224,9 @@
 		}
 		owner.merge(now, member)
 	}
+	if known, there := owner.table[from]; there {
+		known.heard = now
+	}
 	for index, beat := range shuffle.Beats {
 		if index > shuffleSize {
 			break
@@ -335,6 +339,14 @@
 	return addresses
 }
 
+// Near gives the members whose own letters came here lately.
+func (owner *Owner) Near(now time.Duration) []contract.Member {
+	return owner.Live(now, func(member contract.Member) bool {
+		known, there := owner.table[member.Name]
+		return there && known.heard > 0 && now-known.heard < owner.bounds.Suspicion()
+	})
+}
+
 func (owner *Owner) Look(name string) (contract.Member, bool) {
 	if name == owner.self.Name {
 		return owner.self, true
--- a/rig/rig.go
+++ b/rig/rig.go
@@ -85,13 +85,24 @@
 	return nil
 }
 
+const (
+	firstPort = 15000
+	portCount = 17000
+	portTries = 200
+)
+
+// freeAddress finds a free port below those that the kernel gives to outgoing links, so that none is taken in between.
 func freeAddress() (string, error) {
-	listener, mishap := net.Listen("tcp", "127.0.0.1:0")
-	if mishap != nil {
-		return "", mishap
+	var mishap error
+	for range portTries {
+		var listener net.Listener
+		listener, mishap = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
+		if mishap == nil {
+			defer listener.Close()
+			return listener.Addr().String(), nil
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", mishap
 }
 
 func (rig *Rig) place() error {
--- a/stories/days/regions_test.go
+++ b/stories/days/regions_test.go
@@ -143,6 +143,22 @@
 		})
 	}
 
+	It("reaches a node that can speak with one neighbour alone, in time", func() {
+		for seed := uint64(123); seed < 131; seed++ {
+			played := told.Given("brazos", seed)
+			lone, friend := played.Machine("m12"), played.Machine("m11")
+			others := fleet.Names(played.Pick(func(machine *fleet.Machine) bool { return machine != lone && machine != friend }))
+			played.World.CutBoth([]string{"m12"}, others)
+			played.Run(5 * time.Second)
+			written := told.Patched(played, played.Machines[0], 1)
+			Expect(written.Status).To(BeElementOf(200, 202))
+			Expect(played.Until(3*time.Second, func() bool {
+				return lone.Data.Gauges["manifest_revision"] == written.Accepted.Revision
+			})).To(BeTrue(), "seed %d", seed)
+			told.NothingWrong(played)
+		}
+	})
+
 	It("is honest about a node that is out of reach", func() {
 		played := told.Given("brazos", 122)
 		played.CutFor([]string{"m12"}, 20*time.Second, true)
