A signal ends the rig and every process that it started

Cause, found by reading: a signal in the middle of the traffic ended cedarrig alone and left its 24 processes running. Seen with a SIGTERM after nine seconds: 24 processes before, none after, exit code 1.

--- a/rig/play.go
+++ b/rig/play.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -39,6 +40,11 @@
 	return names
 }
 
+type end struct {
+	clean  bool
+	mishap error
+}
+
 // Play brings a fleet up, lets the callers come, plays the story, and tells whether the ledger found nothing wrong.
 func Play(plan Plan) (bool, error) {
 	told, there := stories[plan.Story]
@@ -50,6 +56,28 @@
 		return false, mishap
 	}
 	defer rig.Close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ended := make(chan end, 1)
+	go func() {
+		clean, mishap := rig.play(plan, told)
+		ended <- end{clean, mishap}
+	}()
+	select {
+	case <-signals:
+		return false, errors.New("ended by a signal; every process that was started is ended too")
+	case over := <-ended:
+		if plan.Stay && over.mishap == nil {
+			plan.Say("the fleet stays up; end it with a signal")
+			<-signals
+		}
+		return over.clean, over.mishap
+	}
+}
+
+// play is a run from the start of the processes to the ledger's last look.
+func (rig *Rig) play(plan Plan, told story) (bool, error) {
+	mishap := error(nil)
 	if mishap = rig.Start(); mishap != nil {
 		return false, mishap
 	}
@@ -82,12 +110,6 @@
 		}
 	}
 	plan.Say(fmt.Sprintf("breaches: %d", len(breaches)))
-	if plan.Stay && mishap == nil {
-		plan.Say("the fleet stays up; end it with a signal")
-		signals := make(chan os.Signal, 1)
-		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-		<-signals
-	}
 	return len(breaches) == 0 && mishap == nil, mishap
 }
 
