--- a/chain/chain.go
+++ b/chain/chain.go
@@ -110,6 +110,7 @@
 	told     bool
 	out      []contract.Command
 	loop     []contract.Letter
+	joins    bool
 }
 
 func New(self contract.CoreNode, coreSize int, bounds env.Bounds, shelf Shelf, random *rand.Rand) *Owner {
@@ -125,6 +126,9 @@
 	return owner
 }
 
+// Founds tells whether this core machine may found a blank fleet; one that replaces another, or has lost its disk, only joins.
+func (owner *Owner) Founds(may bool) { owner.joins = !may }
+
 func (owner *Owner) View() contract.View { return owner.view }
 func (owner *Owner) Fit() bool           { return owner.fit }
 func (owner *Owner) Committed() int64    { return owner.committed }
--- a/chain/found.go
+++ b/chain/found.go
@@ -127,7 +127,7 @@
 }
 
 func (owner *Owner) blankFleet() bool {
-	if owner.view.Number > 0 || owner.seen.Held.Place.Revision > 0 || len(owner.shelf) > 0 {
+	if owner.joins || owner.view.Number > 0 || owner.seen.Held.Place.Revision > 0 || len(owner.shelf) > 0 {
 		return false
 	}
 	for _, member := range owner.seen.Members {
--- a/contract/ask.go
+++ b/contract/ask.go
@@ -13,6 +13,8 @@
 	Revision  int64  `json:"revision"`
 	Operation string `json:"operation"`
 	Forwarded bool   `json:"forwarded"`
+	// Prompt asks for the answer as soon as the write is acknowledged; without it the answer waits until it is in force everywhere.
+	Prompt bool `json:"prompt,omitempty"`
 }
 
 const (
@@ -30,6 +32,8 @@
 	VerbChain       = "chain"
 	VerbWhy         = "why"
 	VerbGone        = "gone"
+	VerbReplace     = "replace"
+	VerbUpdate      = "update"
 )
 
 // Forward passes an ask to the authority, once.
@@ -40,7 +44,7 @@
 
 func (ask Ask) Writes() bool {
 	switch ask.Verb {
-	case VerbPut, VerbPatch, VerbDrain, VerbUndrain, VerbScale:
+	case VerbPut, VerbPatch, VerbDrain, VerbUndrain, VerbScale, VerbReplace, VerbUpdate:
 		return true
 	}
 	return false
--- a/contract/epoch.go
+++ b/contract/epoch.go
@@ -24,6 +24,9 @@
 	Leaving     bool   `json:"leaving"`
 	RemainingMs int64  `json:"remainingMs"`
 	Unloaded    bool   `json:"unloaded,omitempty"`
+	// WarmMs is how much longer a server that has just started is slow; Unmeasured servers are believed ready without a report.
+	WarmMs     int64 `json:"warmMs,omitempty"`
+	Unmeasured bool  `json:"unmeasured,omitempty"`
 }
 
 type Listing struct {
@@ -56,6 +59,7 @@
 	Waiting     int64    `json:"waiting"`
 	Report      int64    `json:"report"`
 	Prefixes    []string `json:"prefixes,omitempty"`
+	WarmMs      int64    `json:"warmMs,omitempty"`
 }
 
 // LicenceAsk is sent by a data node; Asked is its own monotonic time and comes back unchanged. Shards is the division that it
@@ -74,6 +78,8 @@
 	Lingering map[string]int64 `json:"lingering,omitempty"`
 	Shards    int              `json:"shards"`
 	Back      string           `json:"back,omitempty"`
+	// Brief asks for the servers only when the list is another than the one that the asker holds.
+	Brief bool `json:"brief,omitempty"`
 }
 
 type Licence struct {
@@ -87,6 +93,7 @@
 	Withdraw []string      `json:"withdraw,omitempty"`
 	Recall   []string      `json:"recall,omitempty"`
 	Revision int64         `json:"revision"`
+	Same     bool          `json:"same,omitempty"`
 	Shards   int           `json:"shards"`
 	Back     string        `json:"back,omitempty"`
 }
--- a/control/control.go
+++ b/control/control.go
@@ -41,8 +41,12 @@
 
 type Owner struct {
 	*machine.Node
-	chain   *chain.Owner
-	shard   *shard.Owner
+	chain *chain.Owner
+	shard *shard.Owner
+	// others are the shards of the regions that this node stands in for, kept up to date so that a take-over is prompt.
+	others  map[string]*shard.Owner
+	wide    bool
+	listed  time.Duration
 	writes  map[int64]*write
 	gathers map[int64]*gather
 	reads   map[int64]contract.Ask
@@ -53,11 +57,12 @@
 // New makes the owner; shelf is nil on a machine without a data folder.
 func New(settings env.Env, boot string, shelf *chain.Shelf, random *rand.Rand) *Owner {
 	node := machine.New(settings, contract.KindControl, boot, random)
-	owner := &Owner{Node: node, shard: shard.New(node.Self(), settings.Bounds),
+	owner := &Owner{Node: node, shard: shard.New(node.Self(), settings.Bounds), others: map[string]*shard.Owner{}, wide: settings.Wide, listed: -settings.Bounds.PlatformPoll(),
 		writes: map[int64]*write{}, gathers: map[int64]*gather{}, reads: map[int64]contract.Ask{}}
 	if shelf != nil {
 		self := contract.CoreNode{Name: node.Self().Name, Boot: boot, Address: node.Self().Address}
 		owner.chain = chain.New(self, int(settings.CoreSize), settings.Bounds, *shelf, random)
+		owner.chain.Founds(!settings.Joins)
 	}
 	return owner
 }
@@ -65,7 +70,7 @@
 func (owner *Owner) Handle(now time.Duration, event contract.Event) []contract.Command {
 	commands := []contract.Command{}
 	if gap := owner.Woke(now); gap > 0 {
-		owner.shard.Woke(now)
+		owner.shardsWoke(now)
 		commands = append(commands, contract.Count{Name: "woken", By: 1}, contract.Say{What: "woken from a freeze", Detail: []any{"ms", gap.Milliseconds()}})
 	}
 	commands = append(commands, owner.Node.Handle(now, event)...)
@@ -73,7 +78,7 @@
 	case contract.Tick:
 		commands = append(commands, owner.tick(now)...)
 	case contract.Letter:
-		commands = append(commands, owner.shard.Handle(now, event)...)
+		commands = append(commands, owner.shardEvent(now, event)...)
 		commands = append(commands, owner.gathered(now, event)...)
 		if owner.chain != nil {
 			commands = append(commands, owner.chain.Handle(now, event)...)
@@ -87,7 +92,7 @@
 	case contract.Ask:
 		commands = append(commands, owner.ask(now, event)...)
 	default:
-		commands = append(commands, owner.shard.Handle(now, event)...)
+		commands = append(commands, owner.shardEvent(now, event)...)
 	}
 	return owner.absorb(now, commands)
 }
@@ -102,7 +107,7 @@
 	}
 	commands = append(commands, owner.askRefill(now, members)...)
 	if owner.Feed.Known() {
-		commands = append(commands, owner.shard.Handle(now, shard.Seen{Members: members, Manifest: owner.Feed.Manifest(), Revision: owner.Feed.Version().Place.Revision})...)
+		commands = append(commands, owner.tickShards(now, shard.Seen{Members: members, Manifest: owner.Feed.Manifest(), Revision: owner.Feed.Version().Place.Revision})...)
 	}
 	commands = append(commands, owner.tickWrites(now)...)
 	return append(commands, owner.tickGathers(now)...)
--- a/control/gather.go
+++ b/control/gather.go
@@ -39,7 +39,7 @@
 		if json.Unmarshal(letter.Body, &ask) != nil {
 			return nil
 		}
-		body, _ := json.Marshal(owner.shard.Status(now))
+		body, _ := json.Marshal(owner.status(now))
 		return []contract.Command{contract.Send{To: ask.Address, Kind: LetterStatus, Body: Status{Token: ask.Token, Node: owner.Self().Name, Body: body}}}
 	}
 	if letter.Kind != LetterStatus && letter.Kind != LetterWhy && letter.Kind != shard.LetterWithdrawn {
--- a/control/write.go
+++ b/control/write.go
@@ -125,10 +125,10 @@
 func (owner *Owner) withdraw(now time.Duration, ask contract.Ask, hall string, reach hallReach, withdrawn map[string]bool) []contract.Command {
 	covered := map[int]bool{}
 	fits := func(member contract.Member) bool {
-		return member.Kind == contract.KindControl && member.Region == reach.region
+		return member.Kind == contract.KindControl && (member.Region == reach.region || owner.wide)
 	}
 	return owner.gather(now, fits, shard.LetterWithdraw, func(token int64) any {
-		return shard.Withdraw{Hall: hall, Token: token, Address: owner.Self().Address}
+		return shard.Withdraw{Hall: hall, Region: reach.region, Token: token, Address: owner.Self().Address}
 	}, func(body json.RawMessage) bool {
 		var answer shard.Withdrawn
 		if json.Unmarshal(body, &answer) == nil {
--- a/env/env.go
+++ b/env/env.go
@@ -38,6 +38,11 @@
 	Platform string
 	CoreSize int64
 	Bounds   Bounds
+	// Joins marks a machine that must not found a blank fleet. Wide lets the control nodes of one region own the shards of another
+	// that has none alive. Zones gives the region of each zone, for a platform that tells it to its processes.
+	Joins bool
+	Wide  bool
+	Zones map[string]string
 }
 
 func DefaultBounds() Bounds {
--- a/fleet/platform.go
+++ b/fleet/platform.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
-	"github.com/cedarreel/cedarreel/platform"
+	"github.com/cedarreel/cedarreel/listing"
 	"github.com/cedarreel/cedarreel/retire"
 	"github.com/cedarreel/cedarreel/shard"
 )
@@ -78,7 +78,7 @@
 		}, func(content []byte) {
 			read := shard.ListingRead{Began: began}
 			var mishap error
-			if read.Listing, mishap = platform.ReadListing(content, command.Region); mishap != nil {
+			if read.Listing, mishap = listing.ReadListing(content, command.Region); mishap != nil {
 				read.Mishap = mishap.Error()
 			}
 			process.handle(read)
@@ -88,7 +88,7 @@
 		fleet.question(process, server.place(), limit, server.report, func(content []byte) {
 			read := shard.ReportRead{Server: command.Server, For: command, Outcome: retire.Outcome{Began: began}}
 			var mishap error
-			if read.Report, mishap = platform.ReadReport(content, command.Server); mishap != nil {
+			if read.Report, mishap = listing.ReadReport(content, command.Server); mishap != nil {
 				read.Mishap = mishap.Error()
 			}
 			process.handle(read)
--- a/platform/platform.go
+++ b/listing/platform.go
@@ -1,5 +1,5 @@
-// Package platform reads what outside systems tell: the listing of servers and the servers' reports.
-package platform
+// Package listing reads what outside systems tell: the listing of servers and the servers' reports.
+package listing
 
 import (
 	"encoding/json"
--- a/platform/platform_test.go
+++ b/listing/platform_test.go
@@ -1,4 +1,4 @@
-package platform
+package listing
 
 import (
 	"strings"
--- a/machine/machine.go
+++ b/machine/machine.go
@@ -27,7 +27,11 @@
 		address, sibling = sibling, address
 	}
 	self := contract.Member{Name: settings.Name + "-" + kind, Boot: boot, Kind: kind, Hall: settings.Hall, Region: settings.Region, Address: address}
-	return &Node{Bounds: settings.Bounds, Neighbours: neighbour.New(self, append(slices.Clone(settings.Seeds), sibling), settings.Bounds, random),
+	seeds := slices.Clone(settings.Seeds)
+	if sibling != "" {
+		seeds = append(seeds, sibling)
+	}
+	return &Node{Bounds: settings.Bounds, Neighbours: neighbour.New(self, seeds, settings.Bounds, random),
 		Feed: feed.New(address, settings.Bounds), Random: random}
 }
 
--- a/manifest/manifest.go
+++ b/manifest/manifest.go
@@ -52,6 +52,7 @@
 	Retirement   Retirement
 	RepeatShare  int64
 	RepeatAtOnce int64
+	Gateway      Gateway
 }
 
 func Read(content []byte) (Manifest, error) {
@@ -65,7 +66,7 @@
 // FromTree checks the whole tree and gives every mishap at once.
 func FromTree(tree map[string]any) (Manifest, error) {
 	reader := NewReader(tree)
-	reader.Only("", "regions", "halls", "pools", "routes", "homes", "retirement", "repeats")
+	reader.Only("", "regions", "halls", "pools", "routes", "homes", "retirement", "repeats", "gateway")
 	read := Manifest{Regions: map[string]Region{}, Halls: map[string]Hall{}, Pools: map[string]Pool{}, Routes: map[string]Route{}, Homes: map[string]string{}}
 	reader.Must("regions")
 	reader.Must("halls")
@@ -97,6 +98,7 @@
 	read.RepeatShare = reader.Number("repeats.share", 5, 0, 20)
 	read.RepeatAtOnce = reader.Number("repeats.atOnce", 10, 0, 1000)
 	read.Retirement = reader.retirement()
+	read.Gateway = reader.gateway()
 	return read, reader.Mishap()
 }
 
--- a/manifest/tree.go
+++ b/manifest/tree.go
@@ -79,6 +79,9 @@
 	if path == "" {
 		return key
 	}
+	if key == "" {
+		return path
+	}
 	return path + "." + key
 }
 
@@ -116,20 +119,31 @@
 // Reader walks a tree by dotted paths and collects every mishap it meets.
 type Reader struct {
 	tree    map[string]any
-	mishaps []string
+	prefix  string
+	mishaps *[]string
 }
 
-func NewReader(tree map[string]any) *Reader { return &Reader{tree: tree} }
+func NewReader(tree map[string]any) *Reader { return &Reader{tree: tree, mishaps: &[]string{}} }
+
+// Under reads one object below; what it finds wrong is told with the whole path.
+func (reader *Reader) Under(path string) *Reader {
+	value, _ := reader.at(path)
+	tree, fine := value.(map[string]any)
+	if !fine {
+		reader.Wrong(path, "want an object")
+	}
+	return &Reader{tree: tree, prefix: Join(reader.prefix, path), mishaps: reader.mishaps}
+}
 
 func (reader *Reader) Wrong(path, format string, detail ...any) {
-	reader.mishaps = append(reader.mishaps, path+": "+fmt.Sprintf(format, detail...))
+	*reader.mishaps = append(*reader.mishaps, Join(reader.prefix, path)+": "+fmt.Sprintf(format, detail...))
 }
 
 func (reader *Reader) Mishap() error {
-	if len(reader.mishaps) == 0 {
+	if len(*reader.mishaps) == 0 {
 		return nil
 	}
-	return eris.New(strings.Join(reader.mishaps, "; "))
+	return eris.New(strings.Join(*reader.mishaps, "; "))
 }
 
 func (reader *Reader) at(path string) (any, bool) {
@@ -244,6 +258,25 @@
 	return whole
 }
 
+// Real reads a number that need not be whole.
+func (reader *Reader) Real(path string, fallback, least, most float64) float64 {
+	value, there := reader.at(path)
+	if !there {
+		return fallback
+	}
+	number, fine := value.(json.Number)
+	if !fine {
+		reader.Wrong(path, "want a number")
+		return fallback
+	}
+	real, failure := number.Float64()
+	if failure != nil || real < least || real > most {
+		reader.Wrong(path, "want %v to %v, got %s", least, most, number)
+		return fallback
+	}
+	return real
+}
+
 func (reader *Reader) Must(path string) {
 	if _, there := reader.at(path); !there {
 		reader.Wrong(path, "is missing")
--- a/serve/control.go
+++ b/serve/control.go
@@ -15,7 +15,7 @@
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/image"
 	"github.com/cedarreel/cedarreel/link"
-	"github.com/cedarreel/cedarreel/platform"
+	"github.com/cedarreel/cedarreel/listing"
 	"github.com/cedarreel/cedarreel/retire"
 	"github.com/cedarreel/cedarreel/shard"
 	kithttp "github.com/go-kit/kit/transport/http"
@@ -139,7 +139,7 @@
 	read := shard.ListingRead{Began: shell.Loop.Now()}
 	content, mishap := shell.get(shell.Settings.Platform + "/servers?region=" + url.QueryEscape(command.Region))
 	if mishap == nil {
-		read.Listing, mishap = platform.ReadListing(content, command.Region)
+		read.Listing, mishap = listing.ReadListing(content, command.Region)
 	}
 	if mishap != nil {
 		read.Mishap = mishap.Error()
@@ -151,7 +151,7 @@
 	read := shard.ReportRead{Server: command.Server, For: command, Outcome: retire.Outcome{Began: shell.Loop.Now()}}
 	content, mishap := shell.get("http://" + command.Address + "/report")
 	if mishap == nil {
-		read.Report, mishap = platform.ReadReport(content, command.Server)
+		read.Report, mishap = listing.ReadReport(content, command.Server)
 	}
 	if mishap != nil {
 		read.Mishap = mishap.Error()
--- a/shard/list.go
+++ b/shard/list.go
@@ -16,8 +16,12 @@
 		known := owner.servers[row.Name]
 		_, retiring := held.retirements[row.Name]
 		_, pooled := owner.seen.Manifest.Pools[row.Pool]
+		_, serves := owner.seen.Manifest.Gateway.Services[row.Pool]
 		released := held.released[row.Name] == row.Incarnation
-		if row.Leaving || row.Unloaded || retiring || released || !pooled || owner.drained(row.Hall) || !known.good || known.failures >= darkAfter {
+		if row.Leaving || row.Unloaded || retiring || released || !pooled && !serves || owner.drained(row.Hall) {
+			continue
+		}
+		if !row.Unmeasured && (!known.good || known.failures >= darkAfter) {
 			continue
 		}
 		rows = append(rows, row)
@@ -34,7 +38,11 @@
 func (owner *Owner) renumber(now time.Duration, held *duty) {
 	names := []string{}
 	for _, row := range owner.eligible(now, held) {
-		names = append(names, row.Name+"@"+row.Incarnation)
+		name := row.Name + "@" + row.Incarnation
+		if now < owner.servers[row.Name].warmUntil {
+			name += "~"
+		}
+		names = append(names, name)
 	}
 	list := strings.Join(names, ",")
 	if list != held.list || held.number == 0 {
@@ -69,11 +77,16 @@
 	held.words[ask.Node], held.calls[ask.Node], held.lingering[ask.Node] = word, ask.Calls, ask.Lingering
 	licence := contract.Licence{Region: ask.Region, Shard: ask.Shard, Asked: ask.Asked, Epoch: held.epoch, Number: held.number,
 		Life: owner.bounds.Licence(), Revision: owner.seen.Revision, Shards: owner.shards, Back: ask.Back}
+	licence.Same = ask.Brief && ask.Highest == held.epoch && ask.Number == held.number
 	for _, row := range owner.eligible(now, held) {
+		if licence.Same {
+			break
+		}
 		known := owner.servers[row.Name]
 		licence.Servers = append(licence.Servers, contract.Candidate{Name: row.Name, Address: row.Address, Hall: row.Hall, Pool: row.Pool,
 			Incarnation: row.Incarnation, Slots: owner.seen.Manifest.Pools[row.Pool].Slots, Share: owner.share(now, held, row, ask.Node),
-			Running: known.report.Running, Waiting: known.report.Waiting, Report: known.report.Number, Prefixes: known.report.Prefixes})
+			Running: known.report.Running, Waiting: known.report.Waiting, Report: known.report.Number, Prefixes: known.report.Prefixes,
+			WarmMs: max(0, (known.warmUntil - now).Milliseconds())})
 	}
 	for _, name := range manifest.SortedKeys(held.retirements) {
 		licence.Withdraw = append(licence.Withdraw, name)
@@ -157,6 +170,9 @@
 }
 
 func (owner *Owner) withdraw(now time.Duration, order Withdraw) {
+	if order.Region != owner.self.Region {
+		return
+	}
 	owner.withdrawn[order.Hall] = now + owner.bounds.Deliver()*2
 	answer := Withdrawn{Token: order.Token}
 	for _, index := range manifestOrder(owner.duties) {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -25,7 +25,9 @@
 
 type ReadPlatform struct{ Region string }
 
+// ListingRead with a Region is for the owners of that region alone.
 type ListingRead struct {
+	Region  string
 	Began   time.Duration
 	Listing contract.Listing
 	Mishap  string
@@ -68,6 +70,7 @@
 
 type Withdraw struct {
 	Hall    string `json:"hall"`
+	Region  string `json:"region"`
 	Token   int64  `json:"token"`
 	Address string `json:"address"`
 }
@@ -89,6 +92,7 @@
 	ramping     bool
 	nextRead    time.Duration
 	orderedAt   time.Duration
+	warmUntil   time.Duration
 }
 
 type duty struct {
@@ -241,6 +245,9 @@
 }
 
 func (owner *Owner) listingRead(now time.Duration, event ListingRead) {
+	if event.Region != "" && event.Region != owner.self.Region {
+		return
+	}
 	owner.polling = false
 	if event.Mishap != "" {
 		owner.emit(contract.Count{Name: "listings_broken", By: 1})
@@ -270,6 +277,7 @@
 			known.incarnation, known.good, known.ramping, known.failures = row.Incarnation, false, false, 0
 			known.listedFrom = now
 		}
+		known.warmUntil = event.Began + time.Duration(row.WarmMs)*time.Millisecond
 		owner.grow(now, row.Name)
 	}
 	for name := range owner.servers {
@@ -331,7 +339,8 @@
 func (owner *Owner) readReports(now time.Duration, held *duty) {
 	for _, row := range owner.mine(held) {
 		known := owner.servers[row.Name]
-		if row.Unloaded || now < known.nextRead || known.reading && now < known.nextRead+owner.bounds.Licence() {
+		_, retiring := held.retirements[row.Name]
+		if row.Unloaded || row.Unmeasured && !retiring || now < known.nextRead || known.reading && now < known.nextRead+owner.bounds.Licence() {
 			continue
 		}
 		known.reading, known.nextRead = true, now+owner.bounds.PlatformPoll()
--- a/shard/sight.go
+++ b/shard/sight.go
@@ -23,12 +23,28 @@
 	if len(seeing) > 0 {
 		all = seeing
 	}
+	for _, member := range members {
+		if len(all) == 0 && member.Kind == contract.KindControl {
+			return First(members, nearest(members, region), index)
+		}
+	}
 	if len(all) == 0 {
 		return ""
 	}
 	return contract.Ordered(Subject(region, index), all)[0]
 }
 
+// nearest gives the region that stands in for one without control nodes: the first in the agreed order.
+func nearest(members []contract.Member, region string) string {
+	regions := []string{}
+	for _, member := range members {
+		if member.Kind == contract.KindControl {
+			regions = append(regions, member.Region)
+		}
+	}
+	return contract.Ordered("stand-in/"+region, regions)[0]
+}
+
 // watchSight makes a node blind after a licence's time without a good listing, and lets it see again only after a longer time
 // with them, so that duties do not flap.
 func (owner *Owner) watchSight(now time.Duration) {
