--- a/cmd/cedarcp/main.go
+++ b/cmd/cedarcp/main.go
@@ -2,7 +2,14 @@
 package main
 
 import (
+	"github.com/cedarreel/cedarreel/platform"
 	"github.com/cedarreel/cedarreel/serve"
 )
 
-func main() { serve.Main("cedarcp", serve.Control) }
+func main() {
+	if platform.Present() {
+		serve.MainWith("cedarcp", platform.Face{}, serve.ControlWith)
+		return
+	}
+	serve.Main("cedarcp", serve.Control)
+}
--- a/cmd/cedardp/main.go
+++ b/cmd/cedardp/main.go
@@ -2,7 +2,14 @@
 package main
 
 import (
+	"github.com/cedarreel/cedarreel/platform"
 	"github.com/cedarreel/cedarreel/serve"
 )
 
-func main() { serve.Main("cedardp", serve.Data) }
+func main() {
+	if platform.Present() {
+		serve.MainWith("cedardp", platform.Face{}, serve.Gateway)
+		return
+	}
+	serve.Main("cedardp", serve.Data)
+}
--- a/control/write.go
+++ b/control/write.go
@@ -48,6 +48,10 @@
 		return owner.refuse(ask, 400, "an operation key is missing")
 	}
 	operation := ask.Operation + "/" + fingerprint(ask)
+	if former, there := owner.standing(ask); there {
+		owner.await(now, ask, former, operation)
+		return nil
+	}
 	if former, there := owner.known(ask.Operation); there {
 		if former.Operation != operation {
 			return owner.refuse(ask, 422, "this operation key was used for another write")
@@ -62,12 +66,16 @@
 	if !fine {
 		return owner.refuse(ask, 503, "the latest version is not here; nothing was committed")
 	}
-	if ask.HasBase && ask.Base != latest.Place.Revision {
+	gateway := ask.Verb == contract.VerbReplace || ask.Verb == contract.VerbUpdate
+	if !gateway && ask.HasBase && ask.Base != latest.Place.Revision {
 		return owner.refuse(ask, 409, fmt.Sprintf("the manifest moved: base %d, now %d", ask.Base, latest.Place.Revision))
 	}
-	if ask.Verb == contract.VerbPut && !ask.HasBase {
+	if (ask.Verb == contract.VerbPut || gateway) && !ask.HasBase {
 		return owner.refuse(ask, 400, "a whole manifest needs its base revision")
 	}
+	if failure := owner.overtaken(ask, latest); failure != "" {
+		return owner.refuse(ask, 409, failure)
+	}
 	content, drains, mishap := compose(ask, latest)
 	if mishap != nil {
 		return owner.refuse(ask, 400, mishap.Error())
@@ -88,18 +96,26 @@
 	if mishap != nil {
 		return nil, nil, mishap
 	}
-	tree, former := patch, manifest.Manifest{}
+	tree, former, items := patch, manifest.Manifest{}, ask.Verb == contract.VerbReplace || ask.Verb == contract.VerbUpdate
 	if latest.Place.Revision > 0 {
 		old, mishap := manifest.Tree(latest.Manifest)
 		if mishap != nil {
 			return nil, nil, mishap
 		}
 		former, _ = manifest.FromTree(old)
-		if ask.Verb != contract.VerbPut {
+		switch {
+		case items:
+			tree = manifest.WithGateway(old, patch, ask.Verb == contract.VerbReplace)
+		case ask.Verb != contract.VerbPut:
 			tree = manifest.Merge(old, patch)
 		}
+	} else if items {
+		tree = manifest.WithGateway(patch, patch, ask.Verb == contract.VerbReplace)
 	}
 	next, mishap := manifest.FromTree(tree)
+	if mishap == nil && items && next.Gateway.Revision <= former.Gateway.Revision {
+		mishap = eris.Errorf("gateway.revision: want more than %d, got %d", former.Gateway.Revision, next.Gateway.Revision)
+	}
 	if mishap != nil {
 		return nil, nil, mishap
 	}
@@ -189,8 +205,11 @@
 		}
 		if pending.committed {
 			accepted.Lacking = owner.lacking(now, pending.revision)
-			if len(accepted.Lacking) == 0 {
+			if len(accepted.Lacking) == 0 || pending.ask.Prompt {
 				status, accepted.Outcome = 200, "in force"
+				if pending.ask.Prompt {
+					accepted.Outcome = "committed"
+				}
 			} else if now-pending.began > owner.Bounds.Deliver()*5/6 {
 				status, accepted.Outcome = 202, "committed"
 			}
--- /dev/null
+++ b/engine/engine.go
@@ -0,0 +1,107 @@
+// Package engine estimates what a batching model server keeps and still has to read, from what one node sent there.
+package engine
+
+import (
+	"container/list"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Part is a piece of a prompt: calls whose leading parts are the same share what a server has read of them.
+type Part struct {
+	ID     string
+	Tokens int64
+}
+
+// Prompt is what a call tells of its work, in tokens; the last part is its own or its session's.
+type Prompt struct {
+	Model  string
+	Input  int64
+	Output int64
+	Parts  []Part
+}
+
+// Shared gives the tokens of all parts but the last.
+func (prompt Prompt) Shared() int64 {
+	sum := int64(0)
+	for index := 0; index+1 < len(prompt.Parts); index++ {
+		sum += prompt.Parts[index].Tokens
+	}
+	return sum
+}
+
+// Anchor names the part that decides where a prompt belongs: the first that ends in the later half of what is shared.
+func (prompt Prompt) Anchor() uint64 {
+	shared, sum, keys := prompt.Shared(), int64(0), prompt.keys()
+	for index := 0; index+1 < len(prompt.Parts); index++ {
+		if sum += prompt.Parts[index].Tokens; sum*2 >= shared {
+			return keys[index]
+		}
+	}
+	return 0
+}
+
+// keys gives one key a part, each of them standing for all parts up to it.
+func (prompt Prompt) keys() []uint64 {
+	keys, digest := make([]uint64, 0, len(prompt.Parts)), xxhash.New()
+	_, _ = digest.WriteString(prompt.Model)
+	for _, part := range prompt.Parts {
+		_, _ = digest.WriteString("\x00" + part.ID)
+		keys = append(keys, digest.Sum64())
+	}
+	return keys
+}
+
+type kept struct {
+	key    uint64
+	tokens int64
+}
+
+// Memory is the estimate of the parts that a server keeps: those unused for the longest give way.
+type Memory struct {
+	most  int64
+	used  int64
+	parts map[uint64]*list.Element
+	order *list.List
+}
+
+const mostParts = 4096
+
+func NewMemory(tokens int64) *Memory {
+	return &Memory{most: tokens, parts: map[uint64]*list.Element{}, order: list.New()}
+}
+
+// Held gives the tokens at the start of a prompt that need not be read again.
+func (memory *Memory) Held(prompt Prompt) int64 {
+	held := int64(0)
+	for index, key := range prompt.keys() {
+		if _, there := memory.parts[key]; !there {
+			break
+		}
+		held += prompt.Parts[index].Tokens
+	}
+	return held
+}
+
+// Take notes that a server reads a prompt.
+func (memory *Memory) Take(prompt Prompt) {
+	for index, key := range prompt.keys() {
+		if element, there := memory.parts[key]; there {
+			memory.order.MoveToFront(element)
+			continue
+		}
+		memory.parts[key] = memory.order.PushFront(kept{key, prompt.Parts[index].Tokens})
+		memory.used += prompt.Parts[index].Tokens
+	}
+	for memory.order.Len() > 1 && (memory.used > memory.most || memory.order.Len() > mostParts) {
+		last := memory.order.Back()
+		gone := memory.order.Remove(last).(kept)
+		delete(memory.parts, gone.key)
+		memory.used -= gone.tokens
+	}
+}
+
+// Forget drops everything: the server began anew.
+func (memory *Memory) Forget() {
+	memory.parts, memory.order, memory.used = map[uint64]*list.Element{}, list.New(), 0
+}
--- /dev/null
+++ b/gateway/flow.go
@@ -0,0 +1,226 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/manifest"
+)
+
+const mostConnects = 4
+
+func (traffic *Traffic) arrive(now time.Duration, event Arrive) []contract.Command {
+	if !traffic.Ready() {
+		return one(traffic.later(event.Token, 0, "this node has no configuration or no list of servers yet"))
+	}
+	route, there := traffic.table.Find(event.Host, event.Path)
+	if !there {
+		return one(Refuse{Token: event.Token, Status: 404, Reason: "no route"})
+	}
+	left := event.Left
+	if left <= 0 || left > route.Timeout {
+		left = route.Timeout
+	}
+	work := &job{Arrive: event, route: route, came: now, ends: now + left, service: traffic.draw(route), avoid: map[string]bool{}}
+	traffic.jobs[event.Token] = work
+	traffic.budget(work.service).called(now)
+	return traffic.dispatch(now, work)
+}
+
+// draw takes one service of a route by weight.
+func (traffic *Traffic) draw(route manifest.GatewayRoute) string {
+	sum := 0.0
+	for _, share := range route.Split {
+		sum += share.Weight
+	}
+	point := traffic.random.Float64() * sum
+	for _, share := range route.Split {
+		if point -= share.Weight; point < 0 {
+			return share.Service
+		}
+	}
+	return route.Split[len(route.Split)-1].Service
+}
+
+func one(command contract.Command) []contract.Command { return []contract.Command{command} }
+
+// later is a refusal with the time to come back: short, and spread so that callers don't return together.
+func (traffic *Traffic) later(token int64, aim time.Duration, reason string) Refuse {
+	base := max(aim/8, 50*time.Millisecond)
+	return Refuse{Token: token, Status: 503, After: base + time.Duration(traffic.random.Int64N(int64(base))), Reason: reason}
+}
+
+func (traffic *Traffic) drop(work *job) { delete(traffic.jobs, work.Token) }
+
+func (traffic *Traffic) dispatch(now time.Duration, work *job) []contract.Command {
+	chosen, wait := traffic.pick(now, work)
+	if chosen == nil {
+		traffic.drop(work)
+		if work.begun {
+			return one(Fail{Token: work.Token, Status: 502, Reason: "no server to go on at"})
+		}
+		return one(traffic.later(work.Token, work.route.Aim, "no server can take it now"))
+	}
+	if left := work.ends - now; !work.begun && wait > left {
+		traffic.drop(work)
+		return one(traffic.later(work.Token, work.route.Aim, "no server can answer it in time"))
+	}
+	return one(traffic.send(now, work, chosen))
+}
+
+func (traffic *Traffic) send(now time.Duration, work *job, chosen *server) Dispatch {
+	service := traffic.read.Gateway.Services[work.service]
+	work.attempt++
+	work.sent++
+	work.server, work.at, work.unread = chosen, now, 0
+	if service.Engine != nil {
+		if chosen.memory == nil {
+			chosen.memory = newMemory(service)
+		}
+		work.unread = max(1, work.Prompt.Input-chosen.memory.Held(work.Prompt))
+		chosen.memory.Take(work.Prompt)
+		chosen.reading += work.unread
+	}
+	if chosen.until > 0 {
+		chosen.trial = true
+	}
+	chosen.own++
+	chosen.since++
+	chosen.ramp.taken(now)
+	return Dispatch{Token: work.Token, Attempt: work.attempt, Server: chosen.Candidate, Left: work.ends - now, Patience: traffic.patience(now, work),
+		Connect: traffic.connectTime(chosen), Idle: traffic.idle(work), Connections: traffic.connections(service), Priority: traffic.priority(work),
+		Stream: work.route.Kind == manifest.KindStreaming, Resumable: work.route.Resumable}
+}
+
+// release takes a dispatch off its server.
+func (traffic *Traffic) release(work *job) {
+	server := work.server
+	if server == nil {
+		return
+	}
+	server.own--
+	server.since = max(0, server.since-1)
+	server.reading -= work.unread
+	work.server, work.unread = nil, 0
+	if !server.listed && server.own == 0 {
+		delete(traffic.servers, server.Name)
+	}
+}
+
+func (traffic *Traffic) current(token int64, attempt int) *job {
+	work, there := traffic.jobs[token]
+	if !there || work.attempt != attempt || work.server == nil {
+		return nil
+	}
+	return work
+}
+
+func (traffic *Traffic) head(now time.Duration, event Head) {
+	if work := traffic.current(event.Token, event.Attempt); work != nil {
+		work.server.told(event.Load)
+		work.server.fine(now)
+	}
+}
+
+func (traffic *Traffic) first(now time.Duration, event First) {
+	work := traffic.current(event.Token, event.Attempt)
+	if work == nil {
+		return
+	}
+	work.begun = true
+	work.server.reading -= work.unread
+	work.unread = 0
+	work.server.heard = now
+}
+
+// silent decides about a server that says nothing: one that others hear is slow, not gone.
+func (traffic *Traffic) silent(now time.Duration, event Silent) []contract.Command {
+	work := traffic.current(event.Token, event.Attempt)
+	if work == nil {
+		return one(Wait{Patience: time.Second})
+	}
+	server := work.server
+	if server.heard < work.at && now >= server.until {
+		traffic.fault(now, server)
+	}
+	if now >= work.ends {
+		return one(Wait{Patience: 0})
+	}
+	if server.heard >= work.at || !work.route.Repeatable() || work.sent >= work.route.Attempts || !traffic.mayRepeat(now, work.service) {
+		return one(Wait{Patience: min(traffic.patience(now, work), work.ends-now)})
+	}
+	traffic.release(work)
+	work.avoid[server.Name] = true
+	return traffic.dispatch(now, work)
+}
+
+func (traffic *Traffic) fault(now time.Duration, server *server) {
+	server.failed(now, traffic.terms.Contact/16, traffic.terms.Contact/2)
+}
+
+func (traffic *Traffic) ended(now time.Duration, event Ended) []contract.Command {
+	work := traffic.current(event.Token, event.Attempt)
+	if work == nil {
+		return one(Fail{Token: event.Token, Status: 502, Reason: "unknown call"})
+	}
+	server, reread := work.server, work.unread > 0
+	server.told(event.Load)
+	traffic.release(work)
+	work.begun = work.begun || event.Begun
+	switch event.Outcome {
+	case Whole:
+		traffic.drop(work)
+		server.fine(now)
+		if work.route.Kind != manifest.KindStreaming {
+			server.paced(now - work.at)
+		}
+		if event.Failed && work.route.Repeatable() && work.sent < work.route.Attempts && traffic.mayRepeat(now, work.service) {
+			traffic.jobs[work.Token] = work
+			return traffic.again(now, work, server)
+		}
+		return one(Pass{Token: work.Token})
+	case Left, Late:
+		traffic.drop(work)
+		if event.Outcome == Late && !work.begun {
+			return one(Fail{Token: work.Token, Status: 504, Reason: "its time is over"})
+		}
+		return one(Fail{Token: work.Token, Status: 502, Reason: string(event.Outcome)})
+	case Unsent:
+		traffic.fault(now, server)
+		traffic.cold(now, server, traffic.warmup(server)+traffic.terms.Contact/4)
+		work.sent--
+		if work.connects++; work.connects < mostConnects {
+			return traffic.again(now, work, server)
+		}
+	case Moved:
+		server.moved = true
+		if work.sent < work.route.Attempts && traffic.mayRepeat(now, work.service) {
+			return traffic.again(now, work, server)
+		}
+	case NotRun:
+		if reread && server.memory != nil {
+			server.memory.Forget()
+		}
+		if work.sent < work.route.Attempts && traffic.mayRepeat(now, work.service) {
+			return traffic.again(now, work, server)
+		}
+	case Broken:
+		traffic.fault(now, server)
+		traffic.cold(now, server, traffic.warmup(server)+traffic.terms.Contact/4)
+		if work.route.Repeatable() && work.sent < work.route.Attempts && now < work.ends && traffic.mayRepeat(now, work.service) {
+			return traffic.again(now, work, server)
+		}
+		traffic.drop(work)
+		return one(Fail{Token: work.Token, Status: 502, Reason: event.Reason})
+	}
+	traffic.drop(work)
+	if work.begun {
+		return one(Fail{Token: work.Token, Status: 502, Reason: event.Reason})
+	}
+	return one(traffic.later(work.Token, work.route.Aim, event.Reason))
+}
+
+func (traffic *Traffic) again(now time.Duration, work *job, former *server) []contract.Command {
+	work.avoid[former.Name] = true
+	return traffic.dispatch(now, work)
+}
--- /dev/null
+++ b/gateway/node.go
@@ -0,0 +1,257 @@
+package gateway
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/env"
+	"github.com/cedarreel/cedarreel/machine"
+	"github.com/cedarreel/cedarreel/manifest"
+	"github.com/cedarreel/cedarreel/shard"
+)
+
+// Update hands what the node learned to the owner of the calls.
+type Update struct{ Event contract.Event }
+
+// Lookup asks which nodes a caller of a region and zone should go to.
+type Lookup struct {
+	Token  int64
+	Region string
+	Zone   string
+}
+
+// Addresses is the answer to a look-up: where nodes take calls, host and port.
+type Addresses struct{ Addresses []string }
+
+// Leave tells the others that this node stops.
+type Leave struct{}
+
+type list struct {
+	epoch   contract.Epoch
+	highest contract.Epoch
+	number  int64
+	asked   time.Duration
+	hint    string
+	held    bool
+}
+
+// Node follows the feed and the lists of servers that the shards' owners give.
+type Node struct {
+	*machine.Node
+	settings env.Env
+	calls    func(region string) map[string]int64
+	lists    map[string]map[int]*list
+	servers  map[string]map[int][]contract.Candidate
+	nextAsk  time.Duration
+	names    []string
+	started  time.Duration
+	begun    bool
+	out      []contract.Command
+}
+
+func NewNode(settings env.Env, boot string, calls func(region string) map[string]int64, random *rand.Rand) *Node {
+	return &Node{Node: machine.New(settings, contract.KindData, boot, random), settings: settings, calls: calls,
+		lists: map[string]map[int]*list{}, servers: map[string]map[int][]contract.Candidate{}}
+}
+
+func (node *Node) emit(commands ...contract.Command) { node.out = append(node.out, commands...) }
+
+func (node *Node) Handle(now time.Duration, event contract.Event) []contract.Command {
+	if !node.begun {
+		node.begun, node.started = true, now
+	}
+	node.out = nil
+	if gap := node.Woke(now); gap > 0 {
+		node.emit(contract.Count{Name: "woken", By: 1}, contract.Say{What: "woken from a freeze", Detail: []any{"ms", gap.Milliseconds()}})
+	}
+	for _, command := range node.Node.Handle(now, event) {
+		if adopted, fine := command.(contract.Adopted); fine {
+			node.emit(Update{Configured{Manifest: node.Feed.Manifest()}})
+			command = contract.Say{What: "manifest in force", Detail: []any{"revision", adopted.Version.Place.Revision}}
+		}
+		node.emit(command)
+	}
+	switch event := event.(type) {
+	case contract.Tick:
+		node.ask(now)
+		node.tellFleet(now)
+	case contract.Letter:
+		node.letter(now, event)
+	case Lookup:
+		node.emit(contract.Answer{Token: event.Token, Status: 200, Body: node.lookup(now, event)})
+	case Leave:
+		node.emit(node.Neighbours.Farewell()...)
+	}
+	out := node.out
+	node.out = nil
+	return out
+}
+
+// askEvery is the time between two questions for a list: a part of the bound for withdrawing a server.
+func (node *Node) askEvery() time.Duration { return node.Bounds.Withdraw() / 8 }
+
+func (node *Node) ask(now time.Duration) {
+	if now < node.nextAsk || !node.Feed.Known() {
+		return
+	}
+	node.nextAsk = now + node.askEvery()
+	members, read := node.Neighbours.Members(now), node.Feed.Manifest()
+	for _, region := range manifest.SortedKeys(read.Regions) {
+		shards := read.Regions[region].Shards
+		if node.lists[region] == nil {
+			node.lists[region], node.servers[region] = map[int]*list{}, map[int][]contract.Candidate{}
+		}
+		for index := range node.lists[region] {
+			if index >= shards {
+				delete(node.lists[region], index)
+				delete(node.servers[region], index)
+			}
+		}
+		for index := 0; index < shards; index++ {
+			if node.lists[region][index] == nil {
+				node.lists[region][index] = &list{}
+			}
+			node.askOne(now, members, region, index, shards)
+		}
+	}
+}
+
+func (node *Node) askOne(now time.Duration, members []contract.Member, region string, index, shards int) {
+	held, self := node.lists[region][index], node.Self()
+	ask := contract.LicenceAsk{Node: self.Name, Boot: self.Boot, Address: self.Address, Region: region, Shard: index, Asked: now,
+		Highest: held.highest, Number: held.number, Calls: node.calls(region), Shards: shards, Brief: held.held}
+	targets := []string{shard.First(members, region, index)}
+	if held.hint != "" && !slices.Contains(targets, held.hint) {
+		targets = append(targets, held.hint)
+	}
+	for _, name := range targets {
+		if member, there := node.Neighbours.Look(name); there {
+			node.emit(contract.Send{To: member.Address, Kind: shard.LetterAsk, Body: ask})
+		}
+	}
+	if now-held.asked <= 3*node.askEvery() {
+		return
+	}
+	others := []contract.Member{}
+	for _, member := range members {
+		if member.Kind == contract.KindControl && !slices.Contains(targets, member.Name) {
+			others = append(others, member)
+		}
+	}
+	if len(others) > 0 {
+		node.emit(contract.Count{Name: "lists_asked_around", By: 1},
+			contract.Send{To: others[node.Random.IntN(len(others))].Address, Kind: shard.LetterAround, Body: ask})
+	}
+}
+
+func (node *Node) letter(now time.Duration, letter contract.Letter) {
+	switch letter.Kind {
+	case shard.LetterLicence:
+		var licence contract.Licence
+		if json.Unmarshal(letter.Body, &licence) == nil {
+			node.take(now, licence)
+		}
+	case shard.LetterNotOwner:
+		var hint contract.NotOwner
+		if json.Unmarshal(letter.Body, &hint) == nil {
+			if held := node.lists[hint.Region][hint.Shard]; held != nil {
+				held.hint = hint.Owner
+			}
+		}
+	}
+}
+
+// take accepts a list unless a higher epoch was seen; an older list of the same epoch changes nothing.
+func (node *Node) take(now time.Duration, licence contract.Licence) {
+	held := node.lists[licence.Region][licence.Shard]
+	if held == nil || licence.Epoch.Before(held.highest) || licence.Asked > now {
+		node.emit(contract.Count{Name: "lists_refused", By: 1})
+		return
+	}
+	if licence.Epoch == held.highest && (licence.Number < held.number || licence.Asked < held.asked) {
+		return
+	}
+	if licence.Same && (licence.Epoch != held.epoch || licence.Number != held.number) {
+		return
+	}
+	held.highest, held.epoch, held.number, held.asked, held.hint = licence.Epoch, licence.Epoch, licence.Number, licence.Asked, ""
+	if licence.Same {
+		return
+	}
+	held.held = true
+	node.servers[licence.Region][licence.Shard] = licence.Servers
+	all := []contract.Candidate{}
+	for index := 0; index < len(node.lists[licence.Region]); index++ {
+		all = append(all, node.servers[licence.Region][index]...)
+	}
+	node.emit(Update{Listed{Region: licence.Region, Servers: all}},
+		contract.Say{What: "list", Detail: []any{"region", licence.Region, "epoch", licence.Epoch.Number, "number", licence.Number, "servers", len(all)}})
+}
+
+// tellFleet names the data nodes that share the limits; those that fell silent still count. It is told only when this node has had
+// the time to hear of them.
+func (node *Node) tellFleet(now time.Duration) {
+	if now-node.started < node.settings.Gateway.Contact/4 {
+		return
+	}
+	names := []string{}
+	add := func(name string) {
+		if member, there := node.Neighbours.Look(name); there && member.Kind == contract.KindData {
+			names = append(names, name)
+		}
+	}
+	for _, member := range node.Neighbours.Members(now) {
+		add(member.Name)
+	}
+	for _, name := range node.Neighbours.Silent(now) {
+		add(name)
+	}
+	slices.Sort(names)
+	if !slices.Equal(names, node.names) {
+		node.names = names
+		node.emit(Update{Fleet{Self: node.Self().Name, Names: names}})
+	}
+}
+
+const fewest = 2
+
+// lookup gives the nodes of the caller's zone that serve, or those of its region, or all, when these are too few.
+func (node *Node) lookup(now time.Duration, ask Lookup) Addresses {
+	_, port, _ := net.SplitHostPort(node.settings.Gateway.Traffic)
+	zone, region, all := []string{}, []string{}, []string{}
+	for _, member := range node.Neighbours.Members(now) {
+		if member.Kind != contract.KindData || member.Place.Revision == 0 {
+			continue
+		}
+		host, _, failure := net.SplitHostPort(member.Address)
+		if failure != nil {
+			continue
+		}
+		address := net.JoinHostPort(host, port)
+		all = append(all, address)
+		if member.Region == ask.Region {
+			region = append(region, address)
+		}
+		if member.Hall == ask.Zone {
+			zone = append(zone, address)
+		}
+	}
+	chosen := zone
+	if len(chosen) < fewest {
+		chosen = region
+	}
+	if len(chosen) < fewest {
+		chosen = all
+	}
+	if len(chosen) > mostAddresses {
+		node.Random.Shuffle(len(chosen), func(left, right int) { chosen[left], chosen[right] = chosen[right], chosen[left] })
+		chosen = chosen[:mostAddresses]
+	}
+	return Addresses{chosen}
+}
+
+const mostAddresses = 64
--- /dev/null
+++ b/gateway/pick.go
@@ -0,0 +1,174 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/engine"
+	"github.com/cedarreel/cedarreel/manifest"
+)
+
+const (
+	// tokensPerMs is how many prompt tokens an engine reads in a millisecond, until it is measured.
+	tokensPerMs = 50
+	// anchorTokens is the least shared prompt that decides where a call goes.
+	anchorTokens = 1000
+	// perRunning is what one more running call adds to another one's time.
+	perRunning = 1500 * time.Microsecond
+	// farZone and farRegion stand for the price of bytes, as time.
+	farZone      = time.Millisecond
+	farRegion    = 40 * time.Millisecond
+	regionPer10K = 150 * time.Millisecond
+)
+
+func newMemory(service manifest.Service) *engine.Memory {
+	return engine.NewMemory(service.Engine.Tokens)
+}
+
+func readTime(tokens int64) time.Duration {
+	return time.Duration(tokens) * time.Millisecond / tokensPerMs
+}
+
+// open gives the servers that may take the call now.
+func (traffic *Traffic) open(now time.Duration, work *job, resting bool) []*server {
+	most := traffic.connections(traffic.read.Gateway.Services[work.service])
+	open := []*server{}
+	for _, server := range traffic.services[work.service] {
+		if server.moved || work.avoid[server.Name] || traffic.read.Drained(server.Hall) || server.own >= most || !server.ramp.open(now) {
+			continue
+		}
+		if len(work.route.Regions) > 0 && !slices.Contains(work.route.Regions, server.region) {
+			continue
+		}
+		if !resting && (now < server.until || server.trial) {
+			continue
+		}
+		open = append(open, server)
+	}
+	return open
+}
+
+// pick gives the server whose answer is expected first, prices of bytes counted as time, and the time until it begins.
+func (traffic *Traffic) pick(now time.Duration, work *job) (*server, time.Duration) {
+	open := traffic.open(now, work, false)
+	if len(open) == 0 {
+		open = traffic.open(now, work, true)
+	}
+	if len(open) == 0 {
+		return nil, 0
+	}
+	service, holder := traffic.read.Gateway.Services[work.service], ""
+	if service.Engine != nil && work.Prompt.Shared() > 0 {
+		holder = traffic.holder(open, work.Prompt)
+	}
+	var chosen *server
+	best, wait := time.Duration(0), time.Duration(0)
+	for _, server := range open {
+		begin := traffic.begin(server, service)
+		cost := begin + traffic.distance(server, work.Size) + time.Duration(traffic.random.Int64N(int64(2*time.Millisecond)))
+		if service.Engine != nil {
+			cost += readTime(traffic.unread(server, work.Prompt, holder)) + time.Duration(server.running())*perRunning
+		}
+		if chosen == nil || cost < best {
+			chosen, best, wait = server, cost, begin
+		}
+	}
+	return chosen, wait
+}
+
+// holder names the server of the nearest region at hand that is meant to keep what the prompt shares with others.
+func (traffic *Traffic) holder(open []*server, prompt engine.Prompt) string {
+	near, all := []string{}, []string{}
+	for _, server := range open {
+		all = append(all, server.Name)
+		if server.region == traffic.settings.Region {
+			near = append(near, server.Name)
+		}
+	}
+	if len(near) > 0 {
+		all = near
+	}
+	anchor, best, chosen := prompt.Anchor(), uint64(0), ""
+	for _, name := range all {
+		if weight := contract.Weight(name) ^ anchor; chosen == "" || mix(weight) > best {
+			best, chosen = mix(weight), name
+		}
+	}
+	return chosen
+}
+
+func mix(value uint64) uint64 {
+	value ^= value >> 33
+	value *= 0xff51afd7ed558ccd
+	value ^= value >> 33
+	value *= 0xc4ceb9fe1a85ec53
+	return value ^ value>>33
+}
+
+// unread estimates what the server has still to read of a prompt.
+func (traffic *Traffic) unread(server *server, prompt engine.Prompt, holder string) int64 {
+	held := int64(0)
+	if server.memory != nil {
+		held = server.memory.Held(prompt)
+	}
+	if server.Name == holder {
+		held = max(held, prompt.Shared())
+	}
+	return max(0, prompt.Input-held)
+}
+
+// begin estimates how long a call waits at the server before its work begins.
+func (traffic *Traffic) begin(server *server, service manifest.Service) time.Duration {
+	slots, running := server.slots(service), server.running()
+	if service.Engine != nil {
+		wait := readTime(server.reading)
+		if over := running + 1 - slots; over > 0 {
+			wait += time.Duration(over) * startingPace
+		}
+		return wait
+	}
+	over := max(0, running+1-slots)
+	return server.pace*time.Duration(over)/time.Duration(slots) + server.pace*time.Duration(running)/time.Duration(4*slots) + server.pace
+}
+
+func (traffic *Traffic) distance(server *server, size int64) time.Duration {
+	switch {
+	case server.region != traffic.settings.Region:
+		return farRegion + time.Duration(size)*regionPer10K/10000
+	case server.Hall != traffic.settings.Hall:
+		return farZone
+	}
+	return 0
+}
+
+// patience is how long nothing may come before the server is doubted.
+func (traffic *Traffic) patience(now time.Duration, work *job) time.Duration {
+	usual := max(work.route.Aim, traffic.terms.Contact/8)
+	return min(max(usual, readTime(work.unread)*2), max(time.Millisecond, work.ends-now))
+}
+
+func (traffic *Traffic) connectTime(server *server) time.Duration {
+	if server.region != traffic.settings.Region {
+		return traffic.terms.Contact / 8
+	}
+	return traffic.terms.Contact / 16
+}
+
+// idle is how long a connection may have been unused: a call that must not run twice trusts only a fresh one.
+func (traffic *Traffic) idle(work *job) time.Duration {
+	if work.route.Repeatable() {
+		return traffic.terms.Contact
+	}
+	return traffic.terms.Contact / 8
+}
+
+// connections is this node's part of what a server takes from all callers together.
+func (traffic *Traffic) connections(service manifest.Service) int64 {
+	if service.Connections <= 0 {
+		return 1 << 20
+	}
+	return max(2, service.Connections*9/10/int64(traffic.nodes()))
+}
+
+func (traffic *Traffic) priority(work *job) int { return -1 }
--- /dev/null
+++ b/gateway/traffic.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/env"
+	"github.com/cedarreel/cedarreel/manifest"
+)
+
+// Traffic is the owner of the calls that pass this node.
+type Traffic struct {
+	settings env.Env
+	terms    env.Gateway
+	random   *rand.Rand
+	read     manifest.Manifest
+	table    *Table
+	servers  map[string]*server
+	services map[string][]*server
+	lists    map[string]bool
+	jobs     map[int64]*job
+	budgets  map[string]*budget
+	fleet    Fleet
+	starting bool
+}
+
+type job struct {
+	Arrive
+	route    manifest.GatewayRoute
+	service  string
+	came     time.Duration
+	ends     time.Duration
+	attempt  int
+	sent     int64
+	connects int
+	server   *server
+	unread   int64
+	at       time.Duration
+	begun    bool
+	avoid    map[string]bool
+}
+
+func NewTraffic(settings env.Env, random *rand.Rand) *Traffic {
+	return &Traffic{settings: settings, terms: settings.Gateway, random: random, servers: map[string]*server{}, services: map[string][]*server{},
+		lists: map[string]bool{}, jobs: map[int64]*job{}, budgets: map[string]*budget{}, starting: true}
+}
+
+// Ready tells whether this node can serve: it has a configuration and a list of servers.
+func (traffic *Traffic) Ready() bool { return traffic.table != nil && len(traffic.lists) > 0 }
+
+// Limits gives what bounds callers now.
+func (traffic *Traffic) Limits() manifest.Limits { return traffic.read.Gateway.Limits }
+
+// Calls tells how many calls of this node lie on each server of a region.
+func (traffic *Traffic) Calls(region string) map[string]int64 {
+	calls := map[string]int64{}
+	for name, server := range traffic.servers {
+		if server.own > 0 && server.region == region {
+			calls[name] = server.own
+		}
+	}
+	return calls
+}
+
+func (traffic *Traffic) Handle(now time.Duration, event contract.Event) []contract.Command {
+	switch event := event.(type) {
+	case Arrive:
+		return traffic.arrive(now, event)
+	case Head:
+		traffic.head(now, event)
+	case First:
+		traffic.first(now, event)
+	case Silent:
+		return traffic.silent(now, event)
+	case Ended:
+		return traffic.ended(now, event)
+	case Configured:
+		traffic.configured(now, event)
+	case Listed:
+		traffic.listed(now, event)
+	case Fleet:
+		traffic.fleet = event
+		for _, server := range traffic.servers {
+			traffic.shares(server)
+		}
+	}
+	return nil
+}
+
+func (traffic *Traffic) configured(now time.Duration, event Configured) {
+	former := traffic.read
+	traffic.read, traffic.table = event.Manifest, nil
+	if len(event.Manifest.Gateway.Routes) > 0 || event.Manifest.Gateway.Revision > 0 {
+		traffic.table = NewTable(event.Manifest.Gateway)
+	}
+	for _, server := range traffic.servers {
+		if former.Drained(server.Hall) && !event.Manifest.Drained(server.Hall) {
+			traffic.cold(now, server, traffic.warmup(server)+traffic.terms.Contact)
+		}
+		traffic.shares(server)
+	}
+	for name := range traffic.budgets {
+		if _, there := event.Manifest.Gateway.Services[name]; !there {
+			delete(traffic.budgets, name)
+		}
+	}
+	traffic.sort()
+}
+
+func (traffic *Traffic) warmup(server *server) time.Duration {
+	return traffic.read.Gateway.Services[server.Pool].Warmup
+}
+
+func (traffic *Traffic) cold(now time.Duration, server *server, span time.Duration) {
+	if span > 0 {
+		server.ramp.until = max(server.ramp.until, now+span)
+	}
+}
+
+func (traffic *Traffic) shares(server *server) {
+	server.ramp.share(server.Name, traffic.fleet.Self, traffic.fleet.Names, traffic.read.Gateway.Services[server.Pool].WarmupRate)
+}
+
+func (traffic *Traffic) listed(now time.Duration, event Listed) {
+	known := traffic.lists[event.Region]
+	traffic.lists[event.Region] = true
+	for _, server := range traffic.servers {
+		if server.region == event.Region {
+			server.listed = false
+		}
+	}
+	for _, candidate := range event.Servers {
+		held, there := traffic.servers[candidate.Name]
+		if !there {
+			held = &server{region: event.Region, pace: startingPace}
+			traffic.servers[candidate.Name] = held
+		}
+		held.Candidate, held.listed = candidate, true
+		if !there && known {
+			traffic.cold(now, held, traffic.warmup(held)+traffic.terms.Contact/4)
+		}
+		if candidate.WarmMs > 0 {
+			traffic.cold(now, held, time.Duration(candidate.WarmMs)*time.Millisecond+traffic.terms.Contact/8)
+		}
+		traffic.shares(held)
+	}
+	for name, server := range traffic.servers {
+		if !server.listed && server.own == 0 {
+			delete(traffic.servers, name)
+		}
+	}
+	traffic.sort()
+}
+
+// sort keeps the servers of each service at hand.
+func (traffic *Traffic) sort() {
+	traffic.services = map[string][]*server{}
+	for _, name := range manifest.SortedKeys(traffic.servers) {
+		if server := traffic.servers[name]; server.listed {
+			traffic.services[server.Pool] = append(traffic.services[server.Pool], server)
+		}
+	}
+}
+
+func (traffic *Traffic) budget(service string) *budget {
+	held, there := traffic.budgets[service]
+	if !there {
+		held = newBudget(traffic.terms.RepeatWindow)
+		traffic.budgets[service] = held
+	}
+	return held
+}
+
+func (traffic *Traffic) nodes() int { return max(1, len(traffic.fleet.Names)) }
+
+func (traffic *Traffic) mayRepeat(now time.Duration, service string) bool {
+	return traffic.budget(service).take(now, traffic.terms.RepeatRatio, traffic.terms.RepeatAllowance/float64(traffic.nodes()))
+}
--- a/link/operators.go
+++ b/link/operators.go
@@ -141,6 +141,21 @@
 	}
 }
 
+// Ask puts a question to this node and gives status, time to come back and body of the answer.
+func (operators *Operators) Ask(ctx context.Context, ask contract.Ask) (int, time.Duration, []byte) {
+	response, failure := operators.answer()(ctx, ask)
+	if failure != nil {
+		status := http.StatusBadRequest
+		var bad badAsk
+		if errors.As(failure, &bad) {
+			status = bad.status
+		}
+		return status, 0, []byte(failure.Error())
+	}
+	answer := response.(given)
+	return answer.status, answer.after, answer.body
+}
+
 // Forward carries an ask to the authority; a lost answer to a write is unknown, never a refusal.
 func (operators *Operators) Forward(forward contract.Forward) {
 	fail := func(mishap error) {
--- a/manifest/gateway.go
+++ b/manifest/gateway.go
@@ -159,3 +159,53 @@
 	}
 	return shares
 }
+
+// WithGateway gives a tree with another gateway section: the whole one of the change, or the former one with the items of "upsert"
+// put in, each whole, and those that "remove" names taken out. The rest of a first change is kept, later ones only add to it.
+func WithGateway(old, change map[string]any, whole bool) map[string]any {
+	tree := map[string]any{}
+	for key, value := range change {
+		tree[key] = value
+	}
+	for key, value := range old {
+		tree[key] = value
+	}
+	section, _ := change["gateway"].(map[string]any)
+	if whole {
+		tree["gateway"] = section
+		return tree
+	}
+	former, _ := old["gateway"].(map[string]any)
+	next := map[string]any{}
+	for key, value := range former {
+		next[key] = value
+	}
+	next["revision"] = section["revision"]
+	upsert, _ := section["upsert"].(map[string]any)
+	remove, _ := section["remove"].(map[string]any)
+	for _, kind := range []string{"routes", "services"} {
+		items := map[string]any{}
+		held, _ := former[kind].(map[string]any)
+		for name, item := range held {
+			items[name] = item
+		}
+		names, _ := remove[kind].([]any)
+		for _, name := range names {
+			if text, fine := name.(string); fine {
+				delete(items, text)
+			}
+		}
+		added, _ := upsert[kind].(map[string]any)
+		for name, item := range added {
+			items[name] = item
+		}
+		next[kind] = items
+	}
+	for key, value := range upsert {
+		if key != "routes" && key != "services" {
+			next[key] = value
+		}
+	}
+	tree["gateway"] = next
+	return tree
+}
--- a/manifest/tree.go
+++ b/manifest/tree.go
@@ -248,6 +248,9 @@
 		return fallback
 	}
 	whole, mishap := number.Int64()
+	if real, other := number.Float64(); mishap != nil && other == nil && real == float64(int64(real)) {
+		whole, mishap = int64(real), nil
+	}
 	if mishap != nil {
 		reader.Wrong(path, "want a whole number, got %s", number)
 		return fallback
--- a/serve/control.go
+++ b/serve/control.go
@@ -33,13 +33,25 @@
 	disk    chan chain.Persist
 	readers chan struct{}
 	client  *http.Client
+	face    Face
 }
 
 // Control runs a cedarcp until it is told to stop.
-func Control(settings env.Env, faultsPath string) error {
+func Control(settings env.Env, faultsPath string) error { return runControl(settings, faultsPath, nil) }
+
+// ControlWith runs a cedarcp that speaks in a face's manner too.
+func ControlWith(face Face) error {
+	settings, failure := face.Settings(contract.KindControl)
+	if failure != nil {
+		return failure
+	}
+	return runControl(settings, "", face)
+}
+
+func runControl(settings env.Env, faultsPath string, face Face) error {
 	name := boot()
 	var shelf *chain.Shelf
-	shell := &controlShell{disk: make(chan chain.Persist, diskRing), readers: make(chan struct{}, readersAtOnce)}
+	shell := &controlShell{face: face, disk: make(chan chain.Persist, diskRing), readers: make(chan struct{}, readersAtOnce)}
 	if settings.Folder != "" {
 		folder, mishap := image.Open(settings.Folder)
 		if mishap != nil {
@@ -62,6 +74,11 @@
 	shell.client = &http.Client{Timeout: settings.Bounds.PlatformPoll(), CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	shell.Loop.Act(shell.act)
 	go shell.write()
+	if face != nil {
+		for _, order := range face.Orders() {
+			shell.Mux.HandleFunc(order.Pattern, shell.operate(order))
+		}
+	}
 	return shell.run(settings.Control, func() {
 		shell.Loop.Post(control.Leave{})
 		settle(settings.Bounds.Gossip())
@@ -137,8 +154,10 @@
 
 func (shell *controlShell) readPlatform(command shard.ReadPlatform) {
 	read := shard.ListingRead{Began: shell.Loop.Now()}
-	content, mishap := shell.get(shell.Settings.Platform + "/servers?region=" + url.QueryEscape(command.Region))
-	if mishap == nil {
+	content, mishap := []byte{}, error(nil)
+	if shell.face != nil {
+		read.Listing, mishap = shell.face.Listing(shell.Settings, shell.get)
+	} else if content, mishap = shell.get(shell.Settings.Platform + "/servers?region=" + url.QueryEscape(command.Region)); mishap == nil {
 		read.Listing, mishap = listing.ReadListing(content, command.Region)
 	}
 	if mishap != nil {
@@ -150,7 +169,10 @@
 func (shell *controlShell) readReport(command shard.ReadReport) {
 	read := shard.ReportRead{Server: command.Server, For: command, Outcome: retire.Outcome{Began: shell.Loop.Now()}}
 	content, mishap := shell.get("http://" + command.Address + "/report")
-	if mishap == nil {
+	switch {
+	case mishap == nil && shell.face != nil:
+		read.Report, mishap = shell.face.Report(content, command.Server)
+	case mishap == nil:
 		read.Report, mishap = listing.ReadReport(content, command.Server)
 	}
 	if mishap != nil {
@@ -161,6 +183,10 @@
 
 func (shell *controlShell) order(command shard.Order) {
 	ordered := shard.Ordered{Server: command.Server, Load: command.Load}
+	if shell.face != nil {
+		shell.Loop.Post(ordered)
+		return
+	}
 	verb := "unload"
 	if command.Load {
 		verb = "load"
--- a/serve/main.go
+++ b/serve/main.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// MainWith runs one of the two programs where a platform tells it its place.
+func MainWith(program string, face Face, run func(Face) error) {
+	if failure := run(face); failure != nil {
+		fail(exitFailed, program+": "+failure.Error())
+	}
+}
+
 func fail(code int, text string) {
 	fmt.Fprintln(os.Stderr, text)
 	os.Exit(code)
