Serving returns sooner after the whole fleet was down: marked version, prompt owners

Cause: after a closing fault every node was up 0.3 s after its power but had no configuration until the core was founded anew and no list until an owner waited for licences that nobody holds; refused callers were told to come back at once, twice in vain. Change: a core machine marks the newest acknowledged version on disk and gives it out at its start; owners for nodes that use stale lists don't wait for licences; nodes ask eagerly until they hold lists; a refusal tells when the node should be ready.

--- a/chain/chain.go
+++ b/chain/chain.go
@@ -35,6 +35,8 @@
 	Versions []contract.Version
 	View     *contract.View
 	Drop     []contract.Place
+	// Committed marks the newest version that is known to be acknowledged; it is a hint for a start, never a vote.
+	Committed *contract.Place
 }
 
 type Persisted struct {
@@ -47,6 +49,18 @@
 	Versions []contract.Version
 	View     contract.View
 	Mishaps  []string
+	// Committed is the mark of the newest version that this folder knows to be acknowledged.
+	Committed contract.Place
+}
+
+// Newest gives the marked version, if the folder still has it.
+func (shelf Shelf) Newest() (contract.Version, bool) {
+	for _, version := range shelf.Versions {
+		if version.Place == shelf.Committed && version.Place.Revision > 0 {
+			return version, true
+		}
+	}
+	return contract.Version{}, false
 }
 
 // Committed tells that every member of a chain has synced a version.
@@ -63,6 +77,7 @@
 	versions []contract.Version
 	view     *contract.View
 	drop     []contract.Place
+	mark     *contract.Place
 	after    func(now time.Duration)
 }
 
@@ -111,6 +126,7 @@
 	out      []contract.Command
 	loop     []contract.Letter
 	joins    bool
+	marked   contract.Place
 }
 
 func New(self contract.CoreNode, coreSize int, bounds env.Bounds, shelf Shelf, random *rand.Rand) *Owner {
@@ -241,6 +257,7 @@
 		owner.adopt(now, seen.View)
 	}
 	owner.watchDisk(now)
+	owner.startWrite(now)
 	for name, until := range owner.doubts {
 		if now > until {
 			delete(owner.doubts, name)
@@ -282,10 +299,13 @@
 		if work.view != nil {
 			merged.view = work.view
 		}
+		if work.mark != nil {
+			merged.mark = work.mark
+		}
 	}
 	owner.token++
 	owner.writing, owner.writingSince = &merged, now
-	owner.emit(Persist{Token: owner.token, Versions: merged.versions, View: merged.view, Drop: merged.drop})
+	owner.emit(Persist{Token: owner.token, Versions: merged.versions, View: merged.view, Drop: merged.drop, Committed: merged.mark})
 }
 
 func (owner *Owner) persisted(now time.Duration, event Persisted) {
--- a/chain/found.go
+++ b/chain/found.go
@@ -308,6 +308,7 @@
 		owner.versions[image.Place.Revision] = *image
 		owner.top, owner.committed = image.Place.Revision, image.Place.Revision
 		owner.emit(Committed{Version: *image})
+		owner.settle(owner.committed)
 	}
 	owner.foundAccepted = nil
 	owner.adopt(now, foundation.View)
--- a/chain/write.go
+++ b/chain/write.go
@@ -192,6 +192,10 @@
 		}
 	}
 	owner.committed = max(owner.committed, revision)
+	if version, there := owner.versions[owner.committed]; there && version.Place != owner.marked {
+		owner.marked = version.Place
+		owner.jobs = append(owner.jobs, job{mark: &version.Place})
+	}
 	drop := []contract.Place{}
 	for old, version := range owner.versions {
 		if old <= owner.committed-owner.bounds.History {
--- a/control/regions.go
+++ b/control/regions.go
@@ -31,6 +31,7 @@
 			if _, there := owner.others[region]; !there && region != owner.Self().Region {
 				self.Region = region
 				owner.others[region] = shard.New(self, owner.Bounds)
+				owner.others[region].Prompt(true)
 			}
 		}
 		for region := range owner.others {
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -11,7 +11,7 @@
 
 func (traffic *Traffic) arrive(now time.Duration, event Arrive) []contract.Command {
 	if !traffic.Ready() {
-		return one(traffic.later(event.Token, 0, "this node has no configuration or no list of servers yet"))
+		return one(traffic.notYet(now, event.Token))
 	}
 	route, there := traffic.table.Find(event.Host, event.Path)
 	if !there {
@@ -50,6 +50,13 @@
 	return Refuse{Token: token, Status: 503, After: base + time.Duration(traffic.random.Int64N(int64(base))), Reason: reason}
 }
 
+// notYet refuses while this node has no configuration or no list of servers, until about the time when it should have them.
+func (traffic *Traffic) notYet(now time.Duration, token int64) Refuse {
+	usual := traffic.terms.Contact / 4
+	base := max(usual-(now-traffic.began), usual/4)
+	return Refuse{Token: token, Status: 503, After: base + time.Duration(traffic.random.Int64N(int64(usual/4))), Reason: "this node has no configuration or no list yet"}
+}
+
 func (traffic *Traffic) drop(work *job) { delete(traffic.jobs, work.Token) }
 
 func (traffic *Traffic) dispatch(now time.Duration, work *job) []contract.Command {
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -99,6 +99,9 @@
 		return
 	}
 	node.nextAsk = now + node.askEvery()
+	if !node.complete() {
+		node.nextAsk = now + node.askEvery()/5
+	}
 	members, read := node.Neighbours.Members(now), node.Feed.Manifest()
 	for _, region := range manifest.SortedKeys(read.Regions) {
 		shards := read.Regions[region].Shards
@@ -120,6 +123,18 @@
 	}
 }
 
+// complete tells whether every region's lists are here.
+func (node *Node) complete() bool {
+	for _, lists := range node.lists {
+		for _, held := range lists {
+			if !held.held {
+				return false
+			}
+		}
+	}
+	return len(node.lists) > 0
+}
+
 func (node *Node) askOne(now time.Duration, members []contract.Member, region string, index, shards int) {
 	held, self := node.lists[region][index], node.Self()
 	ask := contract.LicenceAsk{Node: self.Name, Boot: self.Boot, Address: self.Address, Region: region, Shard: index, Asked: now,
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -22,7 +22,8 @@
 	jobs     map[int64]*job
 	budgets  map[string]*budget
 	fleet    Fleet
-	starting bool
+	began    time.Duration
+	begun    bool
 }
 
 type job struct {
@@ -43,7 +44,7 @@
 
 func NewTraffic(settings env.Env, random *rand.Rand) *Traffic {
 	return &Traffic{settings: settings, terms: settings.Gateway, random: random, servers: map[string]*server{}, services: map[string][]*server{},
-		lists: map[string]bool{}, jobs: map[int64]*job{}, budgets: map[string]*budget{}, starting: true}
+		lists: map[string]bool{}, jobs: map[int64]*job{}, budgets: map[string]*budget{}}
 }
 
 // Ready tells whether this node can serve: it has a configuration and a list of servers.
@@ -64,6 +65,9 @@
 }
 
 func (traffic *Traffic) Handle(now time.Duration, event contract.Event) []contract.Command {
+	if !traffic.begun {
+		traffic.begun, traffic.began = true, now
+	}
 	switch event := event.(type) {
 	case Arrive:
 		return traffic.arrive(now, event)
--- a/image/image.go
+++ b/image/image.go
@@ -28,6 +28,7 @@
 const (
 	prefix   = "manifest-"
 	viewName = "view.json"
+	markName = "committed.json"
 	aside    = ".aside"
 	damaged  = ".damaged"
 )
@@ -84,6 +85,16 @@
 		}
 		names = append(names, viewName)
 	}
+	if work.Committed != nil {
+		content, mishap := wrap(*work.Committed)
+		if mishap == nil {
+			mishap = files.WriteAside(markName+aside, content)
+		}
+		if mishap != nil {
+			return eris.Wrap(mishap, "mark not written")
+		}
+		names = append(names, markName)
+	}
 	for _, name := range names {
 		if mishap := files.Settle(name+aside, name); mishap != nil {
 			return eris.Wrap(mishap, "image not renamed")
@@ -112,12 +123,14 @@
 		}
 		version := contract.Version{}
 		isVersion := strings.HasPrefix(name, prefix) && strings.HasSuffix(name, ".json")
-		if !isVersion && name != viewName {
+		if !isVersion && name != viewName && name != markName {
 			continue
 		}
 		content, mishap := files.Read(name)
 		if mishap == nil && isVersion {
 			mishap = unwrap(content, &version)
+		} else if mishap == nil && name == markName {
+			mishap = unwrap(content, &shelf.Committed)
 		} else if mishap == nil {
 			mishap = unwrap(content, &shelf.View)
 		}
--- a/neighbour/neighbour.go
+++ b/neighbour/neighbour.go
@@ -77,8 +77,13 @@
 	owner.cached = nil
 }
 
+// Seeds are other addresses to start from than those that this node was started with.
+type Seeds struct{ Addresses []string }
+
 func (owner *Owner) Handle(now time.Duration, event contract.Event) []contract.Command {
 	switch event := event.(type) {
+	case Seeds:
+		owner.seeds = event.Addresses
 	case contract.Tick:
 		return owner.tick(now)
 	case contract.Letter:
--- a/serve/control.go
+++ b/serve/control.go
@@ -75,6 +75,7 @@
 	shell.Loop.Act(shell.act)
 	go shell.write()
 	if face != nil {
+		shell.Reread = func() (env.Env, error) { return face.Settings(contract.KindControl) }
 		for _, order := range face.Orders() {
 			shell.Mux.HandleFunc(order.Pattern, shell.operate(order))
 		}
--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/gateway"
 	"github.com/cedarreel/cedarreel/manifest"
 	"github.com/cedarreel/cedarreel/upstream"
@@ -50,6 +51,7 @@
 	node := gateway.NewNode(settings, boot(), shell.calls, random)
 	shell.Process = newProcess(settings, node.Self(), node, "")
 	shell.Loop.Act(shell.act)
+	shell.Reread = func() (env.Env, error) { return face.Settings(contract.KindData) }
 	ready, lookup := face.Paths()
 	checks, lookups := http.NewServeMux(), http.NewServeMux()
 	checks.HandleFunc("GET "+ready, shell.checkReady)
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -18,6 +18,7 @@
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/link"
+	"github.com/cedarreel/cedarreel/neighbour"
 	"github.com/go-kit/log"
 	"github.com/rotisserie/eris"
 )
@@ -31,6 +32,7 @@
 	Logger   log.Logger
 	Faults   *link.Faults
 	Mux      *http.ServeMux
+	Reread   func() (env.Env, error)
 	stop     chan struct{}
 	server   *http.Server
 	forward  *link.Operators
@@ -76,6 +78,9 @@
 		IdleTimeout: process.Settings.Bounds.Deadline(), MaxHeaderBytes: 1 << 16}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go process.reread(hangups)
 	ended := make(chan error, 1)
 	go func() { ended <- process.server.Serve(listener) }()
 	go process.Loop.Run(process.stop)
@@ -97,6 +102,27 @@
 	return mishap
 }
 
+// reread takes up the seeds of a settings file that changed; all else of it is for the next start.
+func (process *Process) reread(hangups <-chan os.Signal) {
+	for {
+		select {
+		case <-process.stop:
+			return
+		case <-hangups:
+			if process.Reread == nil {
+				continue
+			}
+			settings, failure := process.Reread()
+			if failure != nil {
+				_ = process.Logger.Log("what", "settings not taken up", "why", failure.Error())
+				continue
+			}
+			process.Loop.Post(neighbour.Seeds{Addresses: settings.Seeds})
+			_ = process.Logger.Log("what", "settings taken up", "seeds", len(settings.Seeds))
+		}
+	}
+}
+
 // boundedReading gives a slow body a bounded time, which ends when the whole body has come.
 func boundedReading(inner http.Handler, patience time.Duration) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -134,6 +134,7 @@
 	shards    int
 	started   time.Duration
 	begun     bool
+	prompt    bool
 	out       []contract.Command
 }
 
@@ -142,6 +143,9 @@
 		ages: map[string]time.Duration{}}
 }
 
+// Prompt spares the wait for a former owner's licences: for nodes that go on by their last list whether a licence stands or not.
+func (owner *Owner) Prompt(prompt bool) { owner.prompt = prompt }
+
 func (owner *Owner) Handle(now time.Duration, event contract.Event) []contract.Command {
 	if !owner.begun {
 		owner.begun, owner.started = true, now
@@ -303,7 +307,11 @@
 		held.firstSince = now
 	}
 	if !held.owning {
-		ready := now-held.firstSince >= owner.bounds.Round() && now-owner.started >= owner.bounds.Licence() && owner.fresh(now)
+		settled := now-owner.started >= owner.bounds.Licence() && now-held.firstSince >= owner.bounds.Round()
+		if owner.prompt {
+			settled = now-held.firstSince >= owner.bounds.Round()/2
+		}
+		ready := settled && owner.fresh(now)
 		if !ready {
 			return
 		}
