Half of a region's servers for long prompts; the core is founded by the seeds and grows

Cause: a prompt of 17,000 tokens is read for 300 ms and more in chunks between which every other call of that server waits; the slowest chats were those behind one. Change: where short prompts go to a region too, long ones are meant for half of its servers, in an order that all nodes share; short ones see a small extra cost there.

--- a/chain/agree.go
+++ b/chain/agree.go
@@ -150,7 +150,12 @@
 			return true
 		}
 	}
-	return living < len(owner.view.Core) && len(owner.strangers()) > 0
+	return (living < len(owner.view.Core) || owner.small()) && len(owner.strangers()) > 0
+}
+
+// small holds while the core has fewer machines than it should: those that stand by then join one view after the other.
+func (owner *Owner) small() bool {
+	return len(owner.founders) > 0 && len(owner.view.Core) < owner.coreSize
 }
 
 func (owner *Owner) doubtSuccessor(now time.Duration) {
@@ -315,6 +320,9 @@
 		}
 		view.Core = append(view.Core, node)
 	}
+	for owner.small() && len(view.Core) < owner.coreSize && len(strangers) > 0 {
+		view.Core, strangers = append(view.Core, strangers[0]), strangers[1:]
+	}
 	for _, node := range view.Core {
 		identity := node.Identity()
 		if view.Rank(identity) < 0 && fits(identity) && owner.caughtUp(promises[identity]) {
--- a/chain/chain.go
+++ b/chain/chain.go
@@ -126,6 +126,7 @@
 	out      []contract.Command
 	loop     []contract.Letter
 	joins    bool
+	founders []string
 	marked   contract.Place
 }
 
@@ -142,6 +143,10 @@
 	return owner
 }
 
+// Founders names the addresses of the core machines that found a blank fleet; others join the view that these agreed on, until it
+// has the size that was asked for.
+func (owner *Owner) Founders(addresses []string) { owner.founders = addresses }
+
 // Founds tells whether this core machine may found a blank fleet; one that replaces another, or has lost its disk, only joins.
 func (owner *Owner) Founds(may bool) { owner.joins = !may }
 
--- a/chain/found.go
+++ b/chain/found.go
@@ -116,6 +116,9 @@
 		return 2
 	}
 	slices.SortStableFunc(nodes, func(left, right contract.CoreNode) int { return rank(left) - rank(right) })
+	if owner.view.Number == 0 && len(owner.founders) > 0 {
+		nodes = slices.DeleteFunc(nodes, func(node contract.CoreNode) bool { return !slices.Contains(owner.founders, node.Address) })
+	}
 	if owner.view.Number > 0 {
 		nodes = slices.DeleteFunc(nodes, func(node contract.CoreNode) bool {
 			return rank(node) == 2 && !owner.orphaned() && len(owner.declared) == 0
@@ -138,6 +141,17 @@
 	return true
 }
 
+// wholeCore is how many core machines are all that there should be now.
+func (owner *Owner) wholeCore() int {
+	switch {
+	case owner.view.Number > 0:
+		return min(len(owner.view.Core), owner.coreSize)
+	case len(owner.founders) > 0:
+		return len(owner.founders)
+	}
+	return owner.coreSize
+}
+
 func (owner *Owner) tickFounding(now time.Duration) {
 	if owner.unfoundable < 0 {
 		owner.unfoundable = now
@@ -151,7 +165,7 @@
 	}
 	fellows := owner.foundFellows()
 	waited, alone := now-owner.unfoundable, len(fellows) < 2
-	complete := len(fellows) == owner.coreSize
+	complete := len(fellows) == owner.wholeCore()
 	patience := owner.bounds.Round()
 	if !complete || owner.view.Number > 0 && !owner.replaced() {
 		patience = owner.bounds.Refound()
--- a/control/control.go
+++ b/control/control.go
@@ -63,6 +63,7 @@
 		self := contract.CoreNode{Name: node.Self().Name, Boot: boot, Address: node.Self().Address}
 		owner.chain = chain.New(self, int(settings.CoreSize), settings.Bounds, *shelf, random)
 		owner.chain.Founds(!settings.Joins)
+		owner.chain.Founders(settings.Founders)
 		if newest, there := shelf.Newest(); there && settings.Wide {
 			owner.Feed.Take(feed.Change{Versions: []contract.Version{newest}}, nil)
 		}
--- a/env/env.go
+++ b/env/env.go
@@ -40,10 +40,12 @@
 	Bounds   Bounds
 	// Joins marks a machine that must not found a blank fleet. Wide lets the control nodes of one region own the shards of another
 	// that has none alive. Zones gives the region of each zone, for a platform that tells it to its processes.
-	Joins   bool
-	Wide    bool
-	Zones   map[string]string
-	Gateway Gateway
+	Joins bool
+	// Founders are the core machines that found a blank fleet, where not all core machines do.
+	Founders []string
+	Wide     bool
+	Zones    map[string]string
+	Gateway  Gateway
 }
 
 func DefaultBounds() Bounds {
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -59,8 +59,9 @@
 		return nil, 0
 	}
 	service, holder := traffic.read.Gateway.Services[work.service], ""
+	long := work.Prompt.Shared() >= anchorTokens
 	if service.Engine != nil && work.Prompt.Shared() > 0 {
-		holder = traffic.holder(open, work.Prompt)
+		holder = traffic.holder(now, open, work.Prompt, long)
 	}
 	var chosen *server
 	best, wait := time.Duration(0), time.Duration(0)
@@ -69,24 +70,37 @@
 		cost := begin + traffic.distance(server, work.Size) + time.Duration(traffic.random.Int64N(int64(2*time.Millisecond)))
 		if service.Engine != nil {
 			cost += readTime(traffic.unread(server, work.Prompt, holder)) + time.Duration(server.running())*perRunning
+			if !long && traffic.mixed(now, work.service, server.region) && traffic.forLong(server) {
+				cost += besideLong
+			}
 		}
 		if chosen == nil || cost < best {
 			chosen, best, wait = server, cost, begin
 		}
 	}
+	if service.Engine != nil && chosen != nil {
+		traffic.note(now, work.service, chosen.region, long)
+	}
 	return chosen, wait
 }
 
-// holder names the server of the nearest region at hand that is meant to keep what the prompt shares with others.
-func (traffic *Traffic) holder(open []*server, prompt engine.Prompt) string {
-	near, all := []string{}, []string{}
+// holder names the server of the nearest region at hand that is meant to keep what the prompt shares with others. Where short
+// prompts go as well, only a part of the servers is meant for long ones, so that short ones need not wait behind them.
+func (traffic *Traffic) holder(now time.Duration, open []*server, prompt engine.Prompt, long bool) string {
+	near, all, set := []string{}, []string{}, []string{}
 	for _, server := range open {
 		all = append(all, server.Name)
 		if server.region == traffic.settings.Region {
 			near = append(near, server.Name)
+			if long && traffic.mixed(now, server.Pool, server.region) && traffic.forLong(server) {
+				set = append(set, server.Name)
+			}
 		}
 	}
-	if len(near) > 0 {
+	switch {
+	case len(set) > 0:
+		all = set
+	case len(near) > 0:
 		all = near
 	}
 	anchor, best, chosen := prompt.Anchor(), uint64(0), ""
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -26,6 +26,7 @@
 	until    time.Duration
 	trial    bool
 	ramp     ramp
+	long     bool
 }
 
 const (
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -22,6 +22,7 @@
 	jobs     map[int64]*job
 	budgets  map[string]*budget
 	fleet    Fleet
+	sizes    map[string]seen
 	began    time.Duration
 	begun    bool
 }
@@ -44,7 +45,7 @@
 
 func NewTraffic(settings env.Env, random *rand.Rand) *Traffic {
 	return &Traffic{settings: settings, terms: settings.Gateway, random: random, servers: map[string]*server{}, services: map[string][]*server{},
-		lists: map[string]bool{}, jobs: map[int64]*job{}, budgets: map[string]*budget{}}
+		lists: map[string]bool{}, jobs: map[int64]*job{}, budgets: map[string]*budget{}, sizes: map[string]seen{}}
 }
 
 // Ready tells whether this node can serve: it has a configuration and a list of servers.
@@ -165,6 +166,7 @@
 			traffic.services[server.Pool] = append(traffic.services[server.Pool], server)
 		}
 	}
+	traffic.split()
 }
 
 func (traffic *Traffic) budget(service string) *budget {
