--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -87,6 +87,7 @@
 		work.unread = max(1, work.Prompt.Input-chosen.memory.Held(work.Prompt))
 		chosen.memory.Take(work.Prompt)
 		chosen.reading += work.unread
+		chosen.queued++
 	}
 	if chosen.until > 0 {
 		chosen.trial = true
@@ -107,8 +108,8 @@
 	}
 	server.own--
 	server.since = max(0, server.since-1)
-	server.reading -= work.unread
-	work.server, work.unread = nil, 0
+	traffic.hasRead(work)
+	work.server = nil
 	if !server.listed && server.own == 0 {
 		delete(traffic.servers, server.Name)
 	}
@@ -135,11 +136,19 @@
 		return
 	}
 	work.begun = true
-	work.server.reading -= work.unread
-	work.unread = 0
+	traffic.hasRead(work)
 	work.server.heard = now
 }
 
+// hasRead takes a prompt off what its server still has to read.
+func (traffic *Traffic) hasRead(work *job) {
+	if work.unread > 0 {
+		work.server.reading -= work.unread
+		work.server.queued--
+		work.unread = 0
+	}
+}
+
 // silent decides about a server that says nothing: one that others hear is slow, not gone.
 func (traffic *Traffic) silent(now time.Duration, event Silent) []contract.Command {
 	work := traffic.current(event.Token, event.Attempt)
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -136,7 +136,7 @@
 func (traffic *Traffic) begin(server *server, service manifest.Service) time.Duration {
 	slots, running := server.slots(service), server.running()
 	if service.Engine != nil {
-		wait := readTime(server.reading)
+		wait := readTime(server.reading) + time.Duration(max(0, server.load.Waiting-server.queued))*startingPace
 		if over := running + 1 - slots; over > 0 {
 			wait += time.Duration(over) * startingPace
 		}
@@ -185,4 +185,6 @@
 	return max(2, service.Connections*9/10/int64(traffic.nodes()))
 }
 
-func (traffic *Traffic) priority(work *job) int { return -1 }
+func (traffic *Traffic) priority(work *job) int {
+	return -1
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -17,6 +17,7 @@
 	moved    bool
 	own      int64
 	reading  int64
+	queued   int64
 	load     Load
 	loaded   bool
 	since    int64
--- a/gateway/sizes.go
+++ b/gateway/sizes.go
@@ -8,7 +8,7 @@
 
 const (
 	// besideLong is what a short call expects to lose at a server that reads long prompts.
-	besideLong = 20 * time.Millisecond
+	besideLong = 40 * time.Millisecond
 	// fewestSplit is the least number of servers of a region that are split by the length of prompts.
 	fewestSplit = 4
 )
@@ -46,7 +46,7 @@
 		chosen := map[string]bool{}
 		for _, names := range regions {
 			if len(names) >= fewestSplit {
-				for _, name := range contract.Ordered("long", names)[:(len(names)+1)/2] {
+				for _, name := range contract.Ordered("long", names)[:(2*len(names)+1)/3] {
 					chosen[name] = true
 				}
 			}
