--- /dev/null
+++ b/gateway/table_test.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"github.com/cedarreel/cedarreel/manifest"
+	. "github.com/onsi/gomega"
+)
+
+var _ = DescribeTable("given routes of a host, when a call comes, then the longest prefix that begins its path has it", func(host, path, route string) {
+	routes := map[string]manifest.GatewayRoute{}
+	for name, place := range map[string][2]string{"root": {"h.example", "/"}, "a": {"h.example", "/a/"}, "ab": {"h.example", "/a/b/"}, "port": {"p.example:8080", "/"},
+		"other": {"other.example", "/x/"}} {
+		routes[name] = manifest.GatewayRoute{Name: name, Host: place[0], Prefix: place[1]}
+	}
+	found, there := NewTable(manifest.Gateway{Routes: routes}).Find(host, path)
+	Expect(there).To(Equal(route != ""))
+	Expect(found.Name).To(Equal(route))
+},
+	Entry("a path below two prefixes", "h.example", "/a/b/c", "ab"),
+	Entry("the prefix itself", "h.example", "/a/b/", "ab"),
+	Entry("a path without the prefix's last slash", "h.example", "/a/b", "a"),
+	Entry("a name that only begins alike", "h.example", "/a/bc/d", "a"),
+	Entry("a path with an empty step", "h.example", "/a//b/c", "a"),
+	Entry("any other path", "h.example", "/c", "root"),
+	Entry("an empty path", "h.example", "", ""),
+	Entry("a host in capitals", "H.Example", "/a/x", "a"),
+	Entry("a host with a port", "h.example:8161", "/a/x", "a"),
+	Entry("a host in capitals with a port", "H.EXAMPLE:8161", "/a/x", "a"),
+	Entry("a host that is configured with its port", "p.example:8080", "/x", "port"),
+	Entry("a path of no route", "other.example", "/y/z", ""),
+	Entry("a path above the only prefix", "other.example", "/x", ""),
+	Entry("an unknown host", "none.example", "/a/x", ""),
+	Entry("no host", "", "/a/x", ""),
+	Entry("a path in other letters", "other.example", "/X/z", ""),
+)
