--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -19,11 +19,8 @@
 
 func (budget *budget) turn(now time.Duration) int {
 	place := int64(now / budget.slot)
-	for ; budget.place < place; budget.place++ {
+	for budget.place = max(budget.place, place-budgetSlots); budget.place < place; budget.place++ {
 		budget.calls[(budget.place+1)%budgetSlots], budget.tries[(budget.place+1)%budgetSlots] = 0, 0
-		if place-budget.place > budgetSlots {
-			budget.place = place - budgetSlots
-		}
 	}
 	return int(place % budgetSlots)
 }
