A repeatable call leaves a silent or failing server only when another can take it

Two tests failed before: with no other server the call was taken away from the one at work and refused with 503, and a failure that the server itself answered was replaced by a 503.

--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -146,12 +146,23 @@
 	if now >= work.ends {
 		return one(Wait{Patience: 0})
 	}
-	if server.heard >= work.at || !work.route.Repeatable() || work.sent >= work.route.Attempts || !traffic.mayRepeat(now, work.service) {
-		return one(Wait{Patience: min(traffic.patience(now, work), work.ends-now)})
+	if server.heard < work.at && work.route.Repeatable() && work.sent < work.route.Attempts {
+		if chosen := traffic.elsewhere(now, work, server); chosen != nil {
+			traffic.release(work)
+			return one(traffic.send(now, work, chosen))
+		}
 	}
-	traffic.release(work)
-	work.avoid[server.Name] = true
-	return traffic.dispatch(now, work)
+	return one(Wait{Patience: min(traffic.patience(now, work), work.ends-now)})
+}
+
+// elsewhere gives another server that can still answer in time; the budget is used only when there is one.
+func (traffic *Traffic) elsewhere(now time.Duration, work *job, former *server) *server {
+	work.avoid[former.Name] = true
+	chosen, wait := traffic.pick(now, work)
+	if chosen == nil || wait > work.ends-now || !traffic.mayRepeat(now, work.service) {
+		return nil
+	}
+	return chosen
 }
 
 func (traffic *Traffic) fault(now time.Duration, server *server) {
@@ -174,9 +185,11 @@
 		if work.route.Kind != manifest.KindStreaming {
 			server.paced(now - work.at)
 		}
-		if event.Failed && work.route.Repeatable() && work.sent < work.route.Attempts && traffic.mayRepeat(now, work.service) {
-			traffic.jobs[work.Token] = work
-			return traffic.again(now, work, server)
+		if event.Failed && work.route.Repeatable() && work.sent < work.route.Attempts {
+			if chosen := traffic.elsewhere(now, work, server); chosen != nil {
+				traffic.jobs[work.Token] = work
+				return one(traffic.send(now, work, chosen))
+			}
 		}
 		return one(Pass{Token: work.Token})
 	case Left, Late:
