Servers of a service without warm-up are never held back as cold

The test of a server new on the list failed before: with no warm-up rate the ramp lets nothing through, so each new, undrained or once broken server was closed for up to the contact time.

--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -200,7 +200,7 @@
 		return one(Fail{Token: work.Token, Status: 502, Reason: string(event.Outcome)})
 	case Unsent:
 		traffic.fault(now, server)
-		traffic.cold(now, server, traffic.warmup(server)+traffic.terms.Contact/4)
+		traffic.doubt(now, server, traffic.terms.Contact/4)
 		work.sent--
 		if work.connects++; work.connects < mostConnects {
 			return traffic.again(now, work, server)
@@ -219,7 +219,7 @@
 		}
 	case Broken:
 		traffic.fault(now, server)
-		traffic.cold(now, server, traffic.warmup(server)+traffic.terms.Contact/4)
+		traffic.doubt(now, server, traffic.terms.Contact/4)
 		if work.route.Repeatable() && work.sent < work.route.Attempts && now < work.ends && traffic.mayRepeat(now, work.service) {
 			return traffic.again(now, work, server)
 		}
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -96,7 +96,7 @@
 	}
 	for _, server := range traffic.servers {
 		if former.Drained(server.Hall) && !event.Manifest.Drained(server.Hall) {
-			traffic.cold(now, server, traffic.warmup(server)+traffic.terms.Contact)
+			traffic.doubt(now, server, traffic.terms.Contact)
 		}
 		traffic.shares(server)
 	}
@@ -112,6 +112,13 @@
 	return traffic.read.Gateway.Services[server.Pool].Warmup
 }
 
+// doubt takes a server for cold that may have begun anew, unless the servers of its service are never cold.
+func (traffic *Traffic) doubt(now time.Duration, server *server, late time.Duration) {
+	if warmup := traffic.warmup(server); warmup > 0 {
+		traffic.cold(now, server, warmup+late)
+	}
+}
+
 func (traffic *Traffic) cold(now time.Duration, server *server, span time.Duration) {
 	if span > 0 {
 		server.ramp.until = max(server.ramp.until, now+span)
@@ -138,7 +145,7 @@
 		}
 		held.Candidate, held.listed = candidate, true
 		if !there && known {
-			traffic.cold(now, held, traffic.warmup(held)+traffic.terms.Contact/4)
+			traffic.doubt(now, held, traffic.terms.Contact/4)
 		}
 		if candidate.WarmMs > 0 {
 			traffic.cold(now, held, time.Duration(candidate.WarmMs)*time.Millisecond+traffic.terms.Contact/8)
