--- a/gateway/flow_test.go
+++ b/gateway/flow_test.go
@@ -87,7 +87,7 @@
 		Expect(refused(command).After).To(BeNumerically(">", 0))
 	})
 
-	It("given a server that moved away, when calls come, then it is never picked again until it is listed anew", func() {
+	It("given a server that moved away, when calls come, then it is never picked again, also when it is listed still", func() {
 		bench := started(nil, eastList("a", "b"))
 		moved := bench.sent("/read/x")
 		bench.ends(moved, Moved)
