--- a/manifest/tree.go
+++ b/manifest/tree.go
@@ -53,8 +53,7 @@
 			}
 			items = append(items, item)
 		}
-		_, mishap = decoder.Token()
-		return items, mishap
+		return items, closed(decoder, path)
 	}
 	tree := map[string]any{}
 	for decoder.More() {
@@ -71,8 +70,13 @@
 			return nil, mishap
 		}
 	}
-	_, mishap = decoder.Token()
-	return tree, mishap
+	return tree, closed(decoder, path)
+}
+
+// closed reads the end of a list or an object.
+func closed(decoder *json.Decoder, path string) error {
+	_, mishap := decoder.Token()
+	return eris.Wrapf(mishap, "%s: not JSON", path)
 }
 
 func Join(path, key string) string {
