--- a/manifest/gateway.go
+++ b/manifest/gateway.go
@@ -161,7 +161,8 @@
 }
 
 // WithGateway gives a tree with another gateway section: the whole one of the change, or the former one with the items of "upsert"
-// put in, each whole, and those that "remove" names taken out. The rest of a first change is kept, later ones only add to it.
+// put in, each whole but in the place of the one that it replaces, and those that "remove" names taken out. The rest of a first
+// change is kept, later ones only add to it.
 func WithGateway(old, change map[string]any, whole bool) map[string]any {
 	tree := map[string]any{}
 	for key, value := range change {
@@ -197,7 +198,7 @@
 		}
 		added, _ := upsert[kind].(map[string]any)
 		for name, item := range added {
-			items[name] = item
+			items[name] = placed(item, items[name])
 		}
 		next[kind] = items
 	}
@@ -209,3 +210,20 @@
 	tree["gateway"] = next
 	return tree
 }
+
+// placed gives an item with the place of the one that it replaces.
+func placed(item, former any) any {
+	held, _ := former.(map[string]any)
+	fresh, fine := item.(map[string]any)
+	place, there := held["place"]
+	if !fine || !there {
+		return item
+	}
+	moved := map[string]any{"place": place}
+	for key, value := range fresh {
+		if key != "place" {
+			moved[key] = value
+		}
+	}
+	return moved
+}
