An answer that is not final, or larger than what is kept, is no whole answer

Three tests failed before: 103 reached the caller as a 200 without the mark, 101 was passed on, and a reply over 16 MiB was cut and passed as whole.

--- a/serve/exchange.go
+++ b/serve/exchange.go
@@ -87,6 +87,9 @@
 		}
 		return end(gateway.NotRun, "the server did not run it")
 	}
+	if response.StatusCode < 200 {
+		return lost(errors.New(response.Status), "not a final answer")
+	}
 	fine := response.StatusCode/100 == 2
 	if fine && (!head.Sealed || head.Identity == "") {
 		return lost(errors.New("no mark"), "not a server's answer")
@@ -98,7 +101,7 @@
 	} else if one.begun {
 		return lost(errors.New(response.Status), "no going on")
 	} else {
-		one.reply, failure = io.ReadAll(io.LimitReader(response.Body, mostReplyBytes))
+		one.reply, failure = io.ReadAll(http.MaxBytesReader(nil, response.Body, mostReplyBytes))
 		one.status, one.header, one.sized = response.StatusCode, response.Header, response.ContentLength >= 0
 	}
 	if failure != nil {
