--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -226,11 +226,8 @@
 }
 
 func readBody(writer http.ResponseWriter, request *http.Request, most int64) ([]byte, error) {
-	if request.ContentLength > most {
-		return nil, &http.MaxBytesError{Limit: most}
-	}
 	reader := http.MaxBytesReader(writer, request.Body, most)
-	if request.ContentLength >= 0 {
+	if request.ContentLength >= 0 && request.ContentLength <= most {
 		content := make([]byte, request.ContentLength)
 		_, failure := io.ReadFull(reader, content)
 		return content, failure
