--- a/serve/relay_test.go
+++ b/serve/relay_test.go
@@ -126,3 +126,21 @@
 		Expect([]any{response.StatusCode, content}).To(Equal([]any{400, "no"}))
 	})
 })
+
+var _ = It("given a server that says nothing, when the call may run again, then another one answers and the first one's connection is closed", func() {
+	stage := staged(2, func(conn net.Conn, _ took) bool {
+		_, _ = conn.Read(make([]byte, 1))
+		return false
+	}, fine)
+	impatient := routes(3)
+	for name, route := range impatient.Manifest.Gateway.Routes {
+		route.Aim = 0
+		impatient.Manifest.Gateway.Routes[name] = route
+	}
+	stage.shell.Learn(impatient)
+	response, content, failure := stage.ask("/read/x", "b")
+	Expect(failure).NotTo(HaveOccurred())
+	Expect([]any{response.StatusCode, content}).To(Equal([]any{200, "whole"}))
+	Expect(stage.took()[0].server).NotTo(Equal(stage.took()[1].server))
+	Eventually(stage.left).Should(Equal(1))
+})
