--- a/serve/gateway_test.go
+++ b/serve/gateway_test.go
@@ -49,6 +49,23 @@
 		Expect(left).To(And(BeNumerically(">", 10000), BeNumerically("<=", 15000)))
 	})
 
+	It("given a body in chunks or none, when it is sent on, then the server reads the same body, with a length", func() {
+		stage := staged(1, fine)
+		request := stage.request("/write/x", "")
+		request.Body, request.ContentLength = io.NopCloser(strings.NewReader("in chunks")), -1
+		response, failure := http.DefaultClient.Do(request)
+		Expect(failure).NotTo(HaveOccurred())
+		Expect(response.Body.Close()).To(Succeed())
+		bare := stage.request("/read/x", "")
+		bare.Method, bare.Body, bare.ContentLength = http.MethodGet, http.NoBody, 0
+		response, failure = http.DefaultClient.Do(bare)
+		Expect(failure).NotTo(HaveOccurred())
+		Expect(response.Body.Close()).To(Succeed())
+		calls := stage.took()
+		Expect([]any{calls[0].body, calls[0].request.ContentLength, calls[0].request.TransferEncoding}).To(Equal([]any{"in chunks", int64(9), []string(nil)}))
+		Expect([]any{calls[1].request.Method, calls[1].body, calls[1].request.ContentLength}).To(Equal([]any{"GET", "", int64(0)}))
+	})
+
 	It("given whole answers, when more calls come, then they use the same connection", func() {
 		stage := staged(1, fine)
 		for range 3 {
--- a/serve/relay_test.go
+++ b/serve/relay_test.go
@@ -107,6 +107,7 @@
 	},
 		Entry("as there is no other server"),
 		Entry("as the other turns it away", says(sized("503 Service Unavailable", "full", marked[0], "X-Not-Executed: 1"), true)),
+		Entry("as all others turn it away", says(sized("503 Service Unavailable", "full", marked[0], "X-Not-Executed: 1"), true), says(sized("503 Service Unavailable", "full", marked[0], "X-Not-Executed: 1"), true)),
 		Entry("as the other has moved", says(sized("421 Misdirected Request", "", marked[0]), true)),
 		Entry("as the other fails", says(sized("500 Internal Server Error", "oh", marked...), true)),
 		Entry("as the other answers another call", says(headOf("200 OK", "X-Attempt-Id: other", marked[1], "Transfer-Encoding: chunked")+chunk(events(3, 4))+over, true)),
