--- a/serve/exchange.go
+++ b/serve/exchange.go
@@ -219,7 +219,7 @@
 	return made
 }
 
-func (watch *watch) cut() { _ = watch.conn.SetDeadline(time.Unix(1, 0)) }
+func (watch *watch) cut() { _ = watch.conn.SetDeadline(time.Now().Add(-time.Second)) }
 
 func (watch *watch) touch() {
 	watch.lock.Lock()
--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -138,7 +138,7 @@
 	traffic.SetKeepAlivesEnabled(false)
 	for time.Since(began) < grace*7/8 {
 		settle(grace / 80)
-		quiet := time.Since(time.Unix(0, shell.touched.Load()))
+		quiet := shell.Loop.Now() - time.Duration(shell.touched.Load())
 		if time.Since(began) > shell.Settings.Gateway.LookupLife*2 && shell.running.Load() == 0 && quiet > shell.Settings.Gateway.LookupLife {
 			return
 		}
@@ -176,7 +176,7 @@
 func (shell *gatewayShell) serve(writer http.ResponseWriter, request *http.Request) {
 	shell.running.Add(1)
 	defer shell.running.Add(-1)
-	shell.touched.Store(time.Now().UnixNano())
+	shell.touched.Store(int64(shell.Loop.Now()))
 	if shell.leaving.Load() {
 		writer.Header().Set("Connection", "close")
 	}
