--- a/gateway/traffic_test.go
+++ b/gateway/traffic_test.go
@@ -80,6 +80,9 @@
 })
 
 var _ = Describe("the pick of a server", func() {
+	engines := func(read *manifest.Manifest) {
+		read.Gateway.Services["s"] = manifest.Service{Engine: &manifest.Engine{Slots: 16, Tokens: 200000, Stride: 1}}
+	}
 	west := listOf("west", candidate("w1", "west-a"), candidate("w2", "west-a"))
 
 	It("given a route with homes, when no server there can take it, then it is refused rather than sent abroad", func() {
@@ -164,9 +167,6 @@
 	})
 
 	It("given nodes with the same list, when prompts that share a start come, then all nodes hold the same server for its keeper", func() {
-		engines := func(read *manifest.Manifest) {
-			read.Gateway.Services["s"] = manifest.Service{Engine: &manifest.Engine{Slots: 16, Tokens: 200000, Stride: 1}}
-		}
 		keepers := map[string]bool{}
 		for subject := range 20 {
 			prompt, names := engine.Prompt{Model: "m", Input: 5000, Parts: []engine.Part{{ID: fmt.Sprint("shared", subject), Tokens: 4500}, {ID: "own", Tokens: 500}}}, map[string]bool{}
@@ -186,15 +186,10 @@
 	})
 
 	It("given one server that leaves the list, when prompts come, then only its own subjects find another keeper", func() {
-		all := []*server{}
-		for _, name := range []string{"a", "b", "c", "d"} {
-			all = append(all, &server{Candidate: candidate(name, "east-a"), region: "east"})
-		}
-		traffic := NewTraffic(settingsFor("node000"), seeded(1))
 		for subject := range 100 {
-			prompt := engine.Prompt{Model: "m", Parts: []engine.Part{{ID: fmt.Sprint(subject), Tokens: 4000}, {ID: "own", Tokens: 1}}}
-			if before := traffic.holder(all, prompt); before != "d" {
-				Expect(traffic.holder(all[:3], prompt)).To(Equal(before))
+			prompt := engine.Prompt{Model: "m", Input: 4001, Parts: []engine.Part{{ID: fmt.Sprint(subject), Tokens: 4000}, {ID: "own", Tokens: 1}}}
+			if before := started(engines, eastList("a", "b", "c", "d")).promptly("/stream/x", prompt).Server.Name; before != "d" {
+				Expect(started(engines, eastList("a", "b", "c")).promptly("/stream/x", prompt).Server.Name).To(Equal(before))
 			}
 		}
 	})
