Short prompts are more urgent at the servers

Cause: a server reads prompts in the order in which they came, so a short one waits behind all of a long one; evacuating half of a region showed it most.

--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -186,5 +186,8 @@
 }
 
 func (traffic *Traffic) priority(work *job) int {
+	if work.Prompt.Input > 0 && work.Prompt.Shared() < anchorTokens {
+		return 2
+	}
 	return -1
 }
