One holder of a long prompt for all regions, away from short prompts

Cause: each region read every shared part anew, and long prompts slowed the short ones of the region that these are bound to.

--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/engine"
 	"github.com/cedarreel/cedarreel/manifest"
 )
@@ -18,8 +17,12 @@
 	perRunning = 1500 * time.Microsecond
 	// farZone and farRegion stand for the price of bytes, as time.
 	farZone      = time.Millisecond
-	farRegion    = 40 * time.Millisecond
-	regionPer10K = 150 * time.Millisecond
+	farRegion    = 80 * time.Millisecond
+	regionPer10K = 10 * time.Millisecond
+	// rereadTimes is how much more than its time the reading again of shared parts costs.
+	rereadTimes = 2
+	// leastApart is the part of all servers, one in so many, that must stand in regions without short prompts to take all long ones.
+	leastApart = 4
 )
 
 func newMemory(service manifest.Service) *engine.Memory {
@@ -69,8 +72,10 @@
 		begin := traffic.begin(server, service)
 		cost := begin + traffic.distance(server, work.Size) + time.Duration(traffic.random.Int64N(int64(2*time.Millisecond)))
 		if service.Engine != nil {
-			cost += readTime(traffic.unread(server, work.Prompt, holder)) + time.Duration(server.running())*perRunning
-			if !long && traffic.mixed(now, work.service, server.region) && traffic.forLong(server) {
+			unread := traffic.unread(server, work.Prompt, holder)
+			again := max(0, unread-(work.Prompt.Input-work.Prompt.Shared()))
+			cost += readTime(unread+(rereadTimes-1)*again) + time.Duration(server.running())*perRunning
+			if !long && traffic.mixed(now, work.service, server.region) && server.long {
 				cost += besideLong
 			}
 		}
@@ -84,29 +89,30 @@
 	return chosen, wait
 }
 
-// holder names the server of the nearest region at hand that is meant to keep what the prompt shares with others. Where short
-// prompts go as well, only a part of the servers is meant for long ones, so that short ones need not wait behind them.
+// holder names the server that is meant to keep what the prompt shares with others, the same one for all nodes: what one server has
+// read need not be read again elsewhere. Long prompts are meant for regions that no short ones go to, or else for a part of the
+// servers of each, so that short ones need not wait behind them.
 func (traffic *Traffic) holder(now time.Duration, open []*server, prompt engine.Prompt, long bool) string {
-	near, all, set := []string{}, []string{}, []string{}
+	apart, parts, all := []*server{}, []*server{}, open
 	for _, server := range open {
-		all = append(all, server.Name)
-		if server.region == traffic.settings.Region {
-			near = append(near, server.Name)
-			if long && traffic.mixed(now, server.Pool, server.region) && traffic.forLong(server) {
-				set = append(set, server.Name)
-			}
+		switch {
+		case !traffic.mixed(now, server.Pool, server.region):
+			apart = append(apart, server)
+		case server.long:
+			parts = append(parts, server)
 		}
 	}
 	switch {
-	case len(set) > 0:
-		all = set
-	case len(near) > 0:
-		all = near
+	case !long:
+	case len(apart)*leastApart >= len(open):
+		all = apart
+	case len(parts) > 0:
+		all = append(parts, apart...)
 	}
 	anchor, best, chosen := prompt.Anchor(), uint64(0), ""
-	for _, name := range all {
-		if weight := contract.Weight(name) ^ anchor; chosen == "" || mix(weight) > best {
-			best, chosen = mix(weight), name
+	for _, server := range all {
+		if weight := mix(server.hash ^ anchor); chosen == "" || weight > best {
+			best, chosen = weight, server.Name
 		}
 	}
 	return chosen
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -28,6 +28,7 @@
 	trial    bool
 	ramp     ramp
 	long     bool
+	hash     uint64
 }
 
 const (
--- a/gateway/sizes.go
+++ b/gateway/sizes.go
@@ -33,10 +33,7 @@
 	return there && last.short > 0 && now-last.short < traffic.terms.RepeatWindow
 }
 
-// forLong tells whether a server is one of the half of its region's servers, in an order that all nodes share, that long prompts go to.
-func (traffic *Traffic) forLong(server *server) bool { return server.long }
-
-// split marks the servers for long prompts, region by region.
+// split marks the servers for long prompts: a part of each region's, in an order that all nodes share.
 func (traffic *Traffic) split() {
 	for _, servers := range traffic.services {
 		regions := map[string][]string{}
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -145,7 +145,7 @@
 	for _, candidate := range event.Servers {
 		held, there := traffic.servers[candidate.Name]
 		if !there {
-			held = &server{region: event.Region, pace: startingPace}
+			held = &server{region: event.Region, pace: startingPace, hash: contract.Weight(candidate.Name)}
 			traffic.servers[candidate.Name] = held
 		}
 		held.Candidate, held.listed = candidate, true
