--- a/feed/feed.go
+++ b/feed/feed.go
@@ -159,6 +159,21 @@
 	}
 }
 
+// Begin asks all the given for what there is: a node that knows nothing need not wait until it hears who knows more.
+func (owner *Owner) Begin(now time.Duration, addresses []string) []contract.Command {
+	if owner.Known() || now-owner.asked < owner.bounds.Gossip() {
+		return nil
+	}
+	owner.asked = now
+	commands := []contract.Command{}
+	for _, address := range addresses {
+		if address != owner.address {
+			commands = append(commands, owner.ask(address))
+		}
+	}
+	return commands
+}
+
 func (owner *Owner) ask(address string) contract.Command {
 	return contract.Send{To: address, Kind: LetterAsk, Body: News{owner.version.Place, owner.view.Number, owner.address}}
 }
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -10,7 +10,7 @@
 const mostConnects = 4
 
 func (traffic *Traffic) arrive(now time.Duration, event Arrive) []contract.Command {
-	if !traffic.Ready() {
+	if !traffic.Ready(now) {
 		return one(traffic.notYet(now, event.Token))
 	}
 	route, there := traffic.table.Find(event.Host, event.Path)
@@ -52,9 +52,9 @@
 
 // notYet refuses while this node has no configuration or no list of servers, until about the time when it should have them.
 func (traffic *Traffic) notYet(now time.Duration, token int64) Refuse {
-	usual := traffic.terms.Contact / 4
-	base := max(usual-(now-traffic.began), usual/4)
-	return Refuse{Token: token, Status: 503, After: base + time.Duration(traffic.random.Int64N(int64(usual/4))), Reason: "this node has no configuration or no list yet"}
+	usual := traffic.terms.Contact * 3 / 20
+	base := max(usual-(now-traffic.began), usual/3)
+	return Refuse{Token: token, Status: 503, After: base + time.Duration(traffic.random.Int64N(int64(usual/3))), Reason: "this node has no configuration or no list yet"}
 }
 
 func (traffic *Traffic) drop(work *job) { delete(traffic.jobs, work.Token) }
--- a/gateway/suite_test.go
+++ b/gateway/suite_test.go
@@ -95,6 +95,9 @@
 func started(change func(*manifest.Manifest), lists ...Listed) *bench {
 	made := &bench{Traffic: NewTraffic(settingsFor("node000"), seeded(7)), now: time.Second}
 	made.Handle(made.now, config(change))
+	for region := range made.read.Regions {
+		made.Handle(made.now, Listed{Region: region})
+	}
 	for _, list := range lists {
 		made.Handle(made.now, list)
 	}
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -48,8 +48,13 @@
 		lists: map[string]bool{}, jobs: map[int64]*job{}, budgets: map[string]*budget{}, sizes: map[string]seen{}}
 }
 
-// Ready tells whether this node can serve: it has a configuration and a list of servers.
-func (traffic *Traffic) Ready() bool { return traffic.table != nil && len(traffic.lists) > 0 }
+// Ready tells whether this node can serve: it has a configuration and the lists of all regions, or some of them for a while.
+func (traffic *Traffic) Ready(now time.Duration) bool {
+	if traffic.table == nil || len(traffic.lists) == 0 {
+		return false
+	}
+	return len(traffic.lists) >= len(traffic.read.Regions) || now-traffic.began > traffic.terms.Contact/4
+}
 
 // Limits gives what bounds callers now.
 func (traffic *Traffic) Limits() manifest.Limits { return traffic.read.Gateway.Limits }
--- a/gateway/traffic_test.go
+++ b/gateway/traffic_test.go
@@ -13,7 +13,7 @@
 var _ = Describe("admission", func() {
 	It("given no configuration, when a call comes, then it is refused with a time to come back, never with 404", func() {
 		bench := &bench{Traffic: NewTraffic(settingsFor("node000"), seeded(1))}
-		Expect(bench.Ready()).To(BeFalse())
+		Expect(bench.Ready(bench.now)).To(BeFalse())
 		refusal := refused(bench.asked("/none/x", nil))
 		Expect(refusal.Status).To(Equal(503))
 		Expect(refusal.After).To(BeNumerically(">", 0))
@@ -21,9 +21,19 @@
 		Expect(refused(bench.asked("/none/x", nil)).Status).To(Equal(503))
 	})
 
+	It("given the list of one region of two, when a call comes, then it waits for the other list, but not for long", func() {
+		bench := &bench{Traffic: NewTraffic(settingsFor("node000"), seeded(1))}
+		bench.Handle(0, config(nil))
+		Expect(len(bench.read.Regions)).To(BeNumerically(">", 1))
+		bench.Handle(0, eastList("a"))
+		Expect(bench.Ready(0)).To(BeFalse())
+		Expect(refused(bench.asked("/read/x", nil)).After).To(BeNumerically(">", 0))
+		Expect(bench.Ready(bench.terms.Contact)).To(BeTrue())
+	})
+
 	It("given a manifest without any routes yet, when a call comes, then it is refused, not told that there is no route", func() {
 		bench := started(func(read *manifest.Manifest) { read.Gateway = manifest.Gateway{} }, eastList("a"))
-		Expect(bench.Ready()).To(BeFalse())
+		Expect(bench.Ready(bench.now)).To(BeFalse())
 		Expect(refused(bench.asked("/read/x", nil)).Status).To(Equal(503))
 	})
 
--- a/machine/machine.go
+++ b/machine/machine.go
@@ -54,6 +54,7 @@
 		node.Neighbours.Hold(node.Feed.Version().Place, node.Feed.View().Number, self.Core)
 		commands = append(commands, contract.Gauge{Name: "manifest_revision", Value: node.Feed.Version().Place.Revision},
 			contract.Gauge{Name: "view", Value: node.Feed.View().Number}, contract.Gauge{Name: "members", Value: int64(len(node.Neighbours.Members(now)))})
+		commands = append(commands, node.Feed.Begin(now, node.Neighbours.Seeds())...)
 		commands = append(commands, node.Feed.Catch(now, node.Neighbours.Members(now), node.Neighbours.Near(now), node.Random)...)
 	}
 	commands = append(commands, node.Neighbours.Handle(now, event)...)
--- a/neighbour/look.go
+++ b/neighbour/look.go
@@ -58,6 +58,9 @@
 	return len(owner.table) > 1 && owner.spoken > 0 && now-owner.spoken > owner.bounds.Suspicion()
 }
 
+// Seeds are the addresses that this node starts from.
+func (owner *Owner) Seeds() []string { return owner.seeds }
+
 // Blind says to the others that this node cannot do the duties that want sight of the platform.
 func (owner *Owner) Blind(blind bool) {
 	if owner.self.Blind != blind {
--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -32,7 +32,6 @@
 	traffic *gateway.Traffic
 	pool    *upstream.Pool
 	token   atomic.Int64
-	ready   atomic.Bool
 	limits  atomic.Pointer[manifest.Limits]
 	leaving atomic.Bool
 	running atomic.Int64
@@ -107,10 +106,9 @@
 	case gateway.Update:
 		shell.handle(command.Event)
 		shell.lock.Lock()
-		limits, ready := shell.traffic.Limits(), shell.traffic.Ready()
+		limits := shell.traffic.Limits()
 		shell.lock.Unlock()
 		shell.limits.Store(&limits)
-		shell.ready.Store(ready)
 	case contract.Forward:
 		go shell.forward.Forward(command)
 	default:
@@ -148,7 +146,10 @@
 }
 
 func (shell *gatewayShell) checkReady(writer http.ResponseWriter, _ *http.Request) {
-	if !shell.ready.Load() || shell.leaving.Load() {
+	shell.lock.Lock()
+	ready := shell.traffic.Ready(shell.Loop.Now())
+	shell.lock.Unlock()
+	if !ready || shell.leaving.Load() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -309,7 +309,7 @@
 	if !held.owning {
 		settled := now-owner.started >= owner.bounds.Licence() && now-held.firstSince >= owner.bounds.Round()
 		if owner.prompt {
-			settled = now-held.firstSince >= owner.bounds.Round()/2
+			settled = now-held.firstSince >= owner.bounds.Round()/5
 		}
 		ready := settled && owner.fresh(now)
 		if !ready {
