--- a/feed/feed.go
+++ b/feed/feed.go
@@ -51,12 +51,13 @@
 	view    contract.View
 	kept    map[int64]contract.Version
 	asked   time.Duration
+	told    time.Duration
 	lacked  time.Duration
 	gained  bool
 }
 
 func New(address string, bounds env.Bounds) *Owner {
-	return &Owner{address: address, bounds: bounds, kept: map[int64]contract.Version{}, asked: -bounds.Gossip()}
+	return &Owner{address: address, bounds: bounds, kept: map[int64]contract.Version{}, asked: -bounds.Gossip(), told: -bounds.Gossip()}
 }
 
 func (owner *Owner) Version() contract.Version   { return owner.version }
@@ -77,7 +78,8 @@
 	switch letter.Kind {
 	case LetterNews:
 		var news News
-		if json.Unmarshal(letter.Body, &news) == nil && owner.behind(news.Place, news.View) {
+		if json.Unmarshal(letter.Body, &news) == nil && owner.behind(news.Place, news.View) && now-owner.told >= owner.bounds.Gossip() {
+			owner.told = now
 			return []contract.Command{owner.ask(news.From)}
 		}
 	case LetterAsk:
@@ -98,6 +100,7 @@
 	case LetterChange:
 		var change Change
 		if json.Unmarshal(letter.Body, &change) == nil {
+			owner.told = now - owner.bounds.Gossip()
 			return owner.Take(change, neighbours)
 		}
 	}
--- a/link/sender.go
+++ b/link/sender.go
@@ -100,7 +100,16 @@
 		if mishap != nil {
 			return nil, mishap
 		}
-		return http.NewRequest(http.MethodPost, "http://"+address+Path, io.NopCloser(bytes.NewReader(content)))
+		body, encoding := pack(content)
+		posted, failure := http.NewRequest(http.MethodPost, "http://"+address+Path, io.NopCloser(bytes.NewReader(body)))
+		if failure != nil {
+			return nil, failure
+		}
+		posted.ContentLength = int64(len(body))
+		if encoding != "" {
+			posted.Header.Set("Content-Encoding", encoding)
+		}
+		return posted, nil
 	}
 	decode := func(_ context.Context, response *http.Response) (any, error) {
 		if response.StatusCode != http.StatusOK {
@@ -116,8 +125,11 @@
 func Receive(loop *Loop) http.Handler {
 	decode := func(_ context.Context, request *http.Request) (any, error) {
 		var bundle Bundle
-		mishap := json.NewDecoder(io.LimitReader(request.Body, mostBody)).Decode(&bundle)
-		return bundle, mishap
+		body, failure := unpack(request)
+		if failure != nil {
+			return bundle, failure
+		}
+		return bundle, json.NewDecoder(body).Decode(&bundle)
 	}
 	take := func(_ context.Context, request any) (any, error) {
 		for _, letter := range request.(Bundle).Letters {
