A node that begins asks beside, not instead of, those that it hears are ahead

Cause: the first questions to the seeds used the time stamp of the ordinary ones, so a blank core machine among blank seeds never asked the data nodes that still held the configuration.

--- a/env/gateway.go
+++ b/env/gateway.go
@@ -11,6 +11,9 @@
 	RepeatRatio     float64
 	RepeatWindow    time.Duration
 	RepeatAllowance float64
+	// WarmOverage times its rate, and WarmAllowance, is what a cold server bears in a second.
+	WarmOverage   float64
+	WarmAllowance float64
 	// Contact is how long a node must be undisturbed before it counts as in touch; Grace is the time between an order to stop and the end.
 	Contact time.Duration
 	Grace   time.Duration
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -52,12 +52,13 @@
 	kept    map[int64]contract.Version
 	asked   time.Duration
 	told    time.Duration
+	began   time.Duration
 	lacked  time.Duration
 	gained  bool
 }
 
 func New(address string, bounds env.Bounds) *Owner {
-	return &Owner{address: address, bounds: bounds, kept: map[int64]contract.Version{}, asked: -bounds.Gossip(), told: -bounds.Gossip()}
+	return &Owner{address: address, bounds: bounds, kept: map[int64]contract.Version{}, asked: -bounds.Gossip(), told: -bounds.Gossip(), began: -bounds.Gossip()}
 }
 
 func (owner *Owner) Version() contract.Version   { return owner.version }
@@ -164,10 +165,10 @@
 
 // Begin asks all the given for what there is: a node that knows nothing need not wait until it hears who knows more.
 func (owner *Owner) Begin(now time.Duration, addresses []string) []contract.Command {
-	if owner.Known() || now-owner.asked < owner.bounds.Gossip() {
+	if owner.Known() || now-owner.began < owner.bounds.Gossip() {
 		return nil
 	}
-	owner.asked = now
+	owner.began = now
 	commands := []contract.Command{}
 	for _, address := range addresses {
 		if address != owner.address {
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -44,10 +44,11 @@
 
 func one(command contract.Command) []contract.Command { return []contract.Command{command} }
 
-// later is a refusal with the time to come back: short, and spread so that callers don't return together.
+// later is a refusal with the time to come back: as long as an answer may take, since what refuses now does so for a while, and
+// spread so that callers don't return together.
 func (traffic *Traffic) later(token int64, aim time.Duration, reason string) Refuse {
-	base := max(aim/8, 50*time.Millisecond)
-	return Refuse{Token: token, Status: 503, After: base + time.Duration(traffic.random.Int64N(int64(base))), Reason: reason}
+	base := max(aim, traffic.terms.Contact/16)
+	return Refuse{Token: token, Status: 503, After: base*3/4 + time.Duration(traffic.random.Int64N(int64(base/2))), Reason: reason}
 }
 
 // notYet refuses while this node has no configuration or no list of servers, until about the time when it should have them.
--- a/gateway/ramp.go
+++ b/gateway/ramp.go
@@ -15,16 +15,24 @@
 	member bool
 }
 
+// The rate that is used is a part of what is borne, less one call that each sender may have at the edge of a second.
+const (
+	rampPart  = 0.9
+	rampLeast = 0.5
+	rampMost  = 1.25
+)
+
 // callsPerPart is the least rate, in calls a second, that a part of a cold server's rate is worth.
 const callsPerPart = 2.5
 
 // share gives this node's part: how many nodes send there, and whether it is one of them.
-func (ramp *ramp) share(server, self string, names []string, rate float64) {
+func (ramp *ramp) share(server, self string, names []string, rate, overage, allowance float64) {
 	ramp.member, ramp.period = false, 0
 	if rate <= 0 || len(names) == 0 {
 		return
 	}
 	parts := min(len(names), max(1, int(rate/callsPerPart)))
+	rate *= max(rampLeast, min(rampMost, rampPart*(overage+(allowance-float64(parts))/rate)))
 	for _, name := range contract.Ordered("ramp/"+server, names)[:parts] {
 		ramp.member = ramp.member || name == self
 	}
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -136,7 +136,8 @@
 }
 
 func (traffic *Traffic) shares(server *server) {
-	server.ramp.share(server.Name, traffic.fleet.Self, traffic.fleet.Names, traffic.read.Gateway.Services[server.Pool].WarmupRate)
+	server.ramp.share(server.Name, traffic.fleet.Self, traffic.fleet.Names, traffic.read.Gateway.Services[server.Pool].WarmupRate,
+		traffic.terms.WarmOverage, traffic.terms.WarmAllowance)
 }
 
 func (traffic *Traffic) listed(now time.Duration, event Listed) {
