A node that starts leaves new connections unread until it is ready, for 0.6 s at most

Cause: after the closing fault callers whose call was cut came back within the 0.4 s that a node needs for its configuration and lists, and were refused for good.

--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -56,24 +56,27 @@
 	checks.HandleFunc("GET "+ready, shell.checkReady)
 	lookups.HandleFunc("GET "+lookup, shell.lookup)
 	servers := []*http.Server{}
-	listen := func(address string, handler http.Handler) (*http.Server, error) {
+	listen := func(address string, handler http.Handler, first func()) (*http.Server, error) {
 		listener, failure := net.Listen("tcp", address)
 		if failure != nil {
 			return nil, eris.Wrap(failure, "cannot listen")
 		}
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: settings.Bounds.Return(), IdleTimeout: settings.Bounds.Deadline(), ErrorLog: quietLog()}
 		servers = append(servers, server)
-		go func() { _ = server.Serve(listener) }()
+		go func() {
+			first()
+			_ = server.Serve(listener)
+		}()
 		return server, nil
 	}
-	traffic, failure := listen(settings.Gateway.Traffic, http.HandlerFunc(shell.serve))
+	traffic, failure := listen(settings.Gateway.Traffic, http.HandlerFunc(shell.serve), shell.awaitReady)
 	if failure != nil {
 		return failure
 	}
-	if _, failure = listen(settings.Gateway.Ready, checks); failure != nil {
+	if _, failure = listen(settings.Gateway.Ready, checks, func() {}); failure != nil {
 		return failure
 	}
-	if _, failure = listen(settings.Gateway.Lookup, lookups); failure != nil {
+	if _, failure = listen(settings.Gateway.Lookup, lookups, func() {}); failure != nil {
 		return failure
 	}
 	go shell.sweep()
@@ -117,6 +120,20 @@
 	return true
 }
 
+// awaitReady leaves new connections unread for the moment that a start takes: whoever comes then is served, not refused. It is
+// bounded: a node that cannot get ready refuses with a time to come back.
+func (shell *gatewayShell) awaitReady() {
+	most := shell.Settings.Gateway.Contact * 3 / 20
+	for began := time.Now(); time.Since(began) < most; settle(most / 60) {
+		shell.lock.Lock()
+		ready := shell.traffic.Ready(shell.Loop.Now())
+		shell.lock.Unlock()
+		if ready {
+			return
+		}
+	}
+}
+
 func (shell *gatewayShell) sweep() {
 	ticker := time.NewTicker(shell.Settings.Gateway.Contact)
 	defer ticker.Stop()
