Calls go where the index of kept prompts matches what a server holds

The index presumes what a server keeps; a server that lost it made callers wait behind prompts read anew. Now the first piece of a call is a witness: two in a row read anew at a server at rest throw that server's index away, here and through its shard's owner on all nodes. Until it is confirmed again calls go where this node surely knows the prompt kept, else to its holder alone. Ruled out: the servers' reports (they tell what cannot give way, not what is kept).

--- a/contract/epoch.go
+++ b/contract/epoch.go
@@ -60,6 +60,8 @@
 	Report      int64    `json:"report"`
 	Prefixes    []string `json:"prefixes,omitempty"`
 	WarmMs      int64    `json:"warmMs,omitempty"`
+	// Cache counts how often the index of what the server keeps was found wrong and thrown away.
+	Cache int64 `json:"cache,omitempty"`
 }
 
 // LicenceAsk is sent by a data node; Asked is its own monotonic time and comes back unchanged. Shards is the division that it
@@ -78,6 +80,8 @@
 	Lingering map[string]int64 `json:"lingering,omitempty"`
 	Shards    int              `json:"shards"`
 	Back      string           `json:"back,omitempty"`
+	// Stale names servers whose index of kept prompts was found wrong by this node, with the count that it was found wrong in.
+	Stale map[string]int64 `json:"stale,omitempty"`
 	// Brief asks for the servers only when the list is another than the one that the asker holds.
 	Brief bool `json:"brief,omitempty"`
 }
--- /dev/null
+++ b/gateway/cache.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/cedarreel/cedarreel/engine"
+)
+
+const (
+	// missesToDoubt is how many calls in a row must be read anew, against the index, before the index of a server is doubted.
+	missesToDoubt = 2
+	// missPart is the part of the time for reading what the index calls held that a first piece must be late by to be a miss.
+	missPart = 0.7
+)
+
+// cacheState is what this node knows of how far the shared index of kept prompts holds at one server. Generation counts how often
+// the index of the server was thrown away for all nodes; the owner of its shard hands it out.
+type cacheState struct {
+	generation int64
+	misses     int
+	until      time.Duration
+	stale      bool
+}
+
+// doubted tells whether nothing may be presumed held that this node has not sent there itself since.
+func (state *cacheState) doubted(now time.Duration) bool { return now < state.until }
+
+// presumed gives the tokens of a prompt that the index says a server holds: what went there from here, and on the prompt's meant
+// holder all that it shares with others, unless the index of that server is doubted.
+func (traffic *Traffic) presumed(now time.Duration, server *server, prompt engine.Prompt, holder string) int64 {
+	held := int64(0)
+	if server.memory != nil {
+		held = server.memory.Held(prompt)
+	}
+	if server.Name == holder && !server.cache.doubted(now) {
+		held = max(held, prompt.Shared())
+	}
+	return min(held, prompt.Input)
+}
+
+// checkCache compares the first piece of a call with what the index promised. Only a call whose parts went to the same server from
+// here before, and that found it at rest, is a witness, and only if its held part would have taken far longer than all else in its way.
+func (traffic *Traffic) checkCache(now time.Duration, work *job) {
+	server, promised := work.server, readTime(work.known)
+	if work.known < anchorTokens || !work.alone || server.load.Waiting > 1 {
+		return
+	}
+	if now-work.at <= readTime(work.Prompt.Input-work.known)+traffic.reach(server)+time.Duration(float64(promised)*missPart) {
+		server.cache.misses = 0
+		return
+	}
+	if server.cache.misses++; server.cache.misses >= missesToDoubt {
+		server.cache.stale = true
+		traffic.distrust(now, server)
+		server.memory.Take(work.Prompt)
+	}
+}
+
+// reach is the most that a call and its answer are under way, with a step of a busy server.
+func (traffic *Traffic) reach(server *server) time.Duration {
+	if server.region != traffic.settings.Region {
+		return 2*farRegion + traffic.terms.Contact/40
+	}
+	return farRegion + traffic.terms.Contact/40
+}
+
+// distrust throws this node's index of a server away: calls go by what is seen from now on.
+func (traffic *Traffic) distrust(now time.Duration, server *server) {
+	server.cache.misses, server.cache.until = 0, now+traffic.terms.RepeatWindow
+	if server.memory != nil {
+		server.memory.Forget()
+	}
+}
+
+// Stale names the servers of a region whose index was found wrong here, with the generation that it was found wrong in.
+func (traffic *Traffic) Stale(region string) map[string]int64 {
+	stale := map[string]int64{}
+	for name, server := range traffic.servers {
+		if server.cache.stale && server.region == region {
+			stale[name] = server.cache.generation
+		}
+	}
+	return stale
+}
+
+// generation takes up what the owner of a shard says of a server's index.
+func (traffic *Traffic) generation(now time.Duration, server *server, told int64) {
+	if told == server.cache.generation {
+		return
+	}
+	if told > server.cache.generation && !server.cache.stale {
+		traffic.distrust(now, server)
+	}
+	server.cache.generation, server.cache.stale = told, false
+}
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -85,7 +85,8 @@
 		if chosen.memory == nil {
 			chosen.memory = newMemory(service)
 		}
-		work.unread = max(1, work.Prompt.Input-chosen.memory.Held(work.Prompt))
+		work.unread, work.alone = max(1, work.Prompt.Input-work.held), chosen.reading == 0
+		work.known = min(work.Prompt.Input, chosen.memory.Held(work.Prompt))
 		chosen.memory.Take(work.Prompt)
 		chosen.reading += work.unread
 		chosen.queued++
@@ -136,6 +137,9 @@
 	if work == nil {
 		return
 	}
+	if !work.begun {
+		traffic.checkCache(now, work)
+	}
 	work.begun = true
 	traffic.hasRead(work)
 	work.server.heard = now
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -44,6 +44,7 @@
 	*machine.Node
 	settings env.Env
 	calls    func(region string) map[string]int64
+	stale    func(region string) map[string]int64
 	lists    map[string]map[int]*list
 	servers  map[string]map[int][]contract.Candidate
 	nextAsk  time.Duration
@@ -53,8 +54,9 @@
 	out      []contract.Command
 }
 
-func NewNode(settings env.Env, boot string, calls func(region string) map[string]int64, random *rand.Rand) *Node {
-	return &Node{Node: machine.New(settings, contract.KindData, boot, random), settings: settings, calls: calls,
+// NewNode makes the owner; calls and stale tell what the owner of the calls knows of a region's servers.
+func NewNode(settings env.Env, boot string, calls, stale func(region string) map[string]int64, random *rand.Rand) *Node {
+	return &Node{Node: machine.New(settings, contract.KindData, boot, random), settings: settings, calls: calls, stale: stale,
 		lists: map[string]map[int]*list{}, servers: map[string]map[int][]contract.Candidate{}}
 }
 
@@ -138,7 +140,7 @@
 func (node *Node) askOne(now time.Duration, members []contract.Member, region string, index, shards int) {
 	held, self := node.lists[region][index], node.Self()
 	ask := contract.LicenceAsk{Node: self.Name, Boot: self.Boot, Address: self.Address, Region: region, Shard: index, Asked: now,
-		Highest: held.highest, Number: held.number, Calls: node.calls(region), Shards: shards, Brief: held.held}
+		Highest: held.highest, Number: held.number, Calls: node.calls(region), Stale: node.stale(region), Shards: shards, Brief: held.held}
 	targets := []string{shard.First(members, region, index)}
 	if held.hint != "" && !slices.Contains(targets, held.hint) {
 		targets = append(targets, held.hint)
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -72,8 +72,11 @@
 		begin := traffic.begin(server, service)
 		cost := begin + traffic.distance(server, work.Size) + time.Duration(traffic.random.Int64N(int64(2*time.Millisecond)))
 		if service.Engine != nil {
-			unread := traffic.unread(server, work.Prompt, holder)
+			unread := traffic.unread(now, server, work.Prompt, holder)
 			again := max(0, unread-(work.Prompt.Input-work.Prompt.Shared()))
+			if server.Name == holder {
+				again = 0
+			}
 			cost += readTime(unread+(rereadTimes-1)*again) + time.Duration(server.running())*perRunning
 			if !long && traffic.mixed(now, work.service, server.region) && server.long {
 				cost += besideLong
@@ -84,6 +87,7 @@
 		}
 	}
 	if service.Engine != nil && chosen != nil {
+		work.held = traffic.presumed(now, chosen, work.Prompt, holder)
 		traffic.note(now, work.service, chosen.region, long)
 	}
 	return chosen, wait
@@ -127,15 +131,8 @@
 }
 
 // unread estimates what the server has still to read of a prompt.
-func (traffic *Traffic) unread(server *server, prompt engine.Prompt, holder string) int64 {
-	held := int64(0)
-	if server.memory != nil {
-		held = server.memory.Held(prompt)
-	}
-	if server.Name == holder {
-		held = max(held, prompt.Shared())
-	}
-	return max(0, prompt.Input-held)
+func (traffic *Traffic) unread(now time.Duration, server *server, prompt engine.Prompt, holder string) int64 {
+	return max(0, prompt.Input-traffic.presumed(now, server, prompt, holder))
 }
 
 // begin estimates how long a call waits at the server before its work begins.
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -38,6 +38,9 @@
 	connects int
 	server   *server
 	unread   int64
+	held     int64
+	known    int64
+	alone    bool
 	at       time.Duration
 	begun    bool
 	avoid    map[string]bool
@@ -155,6 +158,7 @@
 			traffic.servers[candidate.Name] = held
 		}
 		held.Candidate, held.listed = candidate, true
+		traffic.generation(now, held, candidate.Cache)
 		if !there && known {
 			traffic.doubt(now, held, traffic.terms.Contact/4)
 		}
--- a/shard/list.go
+++ b/shard/list.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
@@ -42,6 +43,9 @@
 		if now < owner.servers[row.Name].warmUntil {
 			name += "~"
 		}
+		if count := owner.servers[row.Name].cache; count > 0 {
+			name += "#" + strconv.FormatInt(count, 10)
+		}
 		names = append(names, name)
 	}
 	list := strings.Join(names, ",")
@@ -51,6 +55,19 @@
 	}
 }
 
+// throwIndex has all nodes throw away what they presume of servers whose index one of them found wrong: once for one count, and not
+// again before the nodes could know.
+func (owner *Owner) throwIndex(now time.Duration, stale map[string]int64) {
+	for name, count := range stale {
+		known, there := owner.servers[name]
+		if !there || known.cache > count || known.cacheAt > 0 && now-known.cacheAt < owner.bounds.Withdraw() {
+			continue
+		}
+		known.cache, known.cacheAt = max(known.cache, count)+1, now
+		owner.emit(contract.Count{Name: "cache_indexes_thrown", By: 1}, contract.Say{What: "cache index thrown away", Detail: []any{"server", name, "count", known.cache}})
+	}
+}
+
 func (owner *Owner) ask(now time.Duration, ask contract.LicenceAsk) {
 	held, there := owner.duties[ask.Shard]
 	if !there || ask.Shards != owner.shards {
@@ -69,6 +86,7 @@
 			Body: contract.NotOwner{Region: ask.Region, Shard: ask.Shard, Owner: owner.first(held.index), Back: ask.Back}})
 		return
 	}
+	owner.throwIndex(now, ask.Stale)
 	owner.renumber(now, held)
 	word := retire.Word{Told: now, Granted: now}
 	if ask.Highest == held.epoch {
@@ -86,7 +104,7 @@
 		licence.Servers = append(licence.Servers, contract.Candidate{Name: row.Name, Address: row.Address, Hall: row.Hall, Pool: row.Pool,
 			Incarnation: row.Incarnation, Slots: owner.seen.Manifest.Pools[row.Pool].Slots, Share: owner.share(now, held, row, ask.Node),
 			Running: known.report.Running, Waiting: known.report.Waiting, Report: known.report.Number, Prefixes: known.report.Prefixes,
-			WarmMs: max(0, (known.warmUntil - now).Milliseconds())})
+			Cache: known.cache, WarmMs: max(0, (known.warmUntil - now).Milliseconds())})
 	}
 	for _, name := range manifest.SortedKeys(held.retirements) {
 		licence.Withdraw = append(licence.Withdraw, name)
