A shard's new owner waits to hear of the former epoch, except where the whole fleet starts

Cause: with a wait of 100 ms the successor had not been asked yet and took the number that the former owner had; nodes refused it until it rose. The test of stand-ins was red (epoch 2, wanted more than 2), green again.

--- a/shard/shard.go
+++ b/shard/shard.go
@@ -311,7 +311,7 @@
 	if !held.owning {
 		settled := now-owner.started >= owner.bounds.Licence() && now-held.firstSince >= owner.bounds.Round()
 		if owner.prompt {
-			settled = now-held.firstSince >= owner.bounds.Round()/5
+			settled = now-held.firstSince >= owner.patience(now)
 		}
 		ready := settled && owner.fresh(now)
 		if !ready {
@@ -326,6 +326,14 @@
 	owner.renumber(now, held)
 }
 
+// patience is how long a prompt owner waits to hear of a former one's epoch: hardly at all where the whole fleet just started.
+func (owner *Owner) patience(now time.Duration) time.Duration {
+	if now-owner.started < 2*owner.bounds.Round() {
+		return owner.bounds.Round() / 5
+	}
+	return owner.bounds.Round()
+}
+
 func (owner *Owner) takeOver(now time.Duration, held *duty) {
 	held.owning, held.taken = true, now
 	held.epoch = contract.Epoch{Number: held.highest.Number + 1, Node: owner.self.Name}
