--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -50,7 +50,7 @@
 	Expect(checked).To(BeNumerically(">", 40))
 })
 
-var owners = []string{"call", "chain", "contract", "control", "data", "feed", "ledger", "line", "machine", "manifest", "neighbour", "pick", "retire", "shard", "stream"}
+var owners = []string{"call", "chain", "contract", "control", "data", "engine", "feed", "gateway", "ledger", "line", "machine", "manifest", "neighbour", "pick", "retire", "shard", "stream"}
 
 var _ = It("no decision reads a wall clock, a network or a file", func() {
 	for _, folder := range owners {
@@ -60,7 +60,7 @@
 			}
 		}
 	}
-	for _, folder := range []string{"serve", "link", "image", "env", "platform"} {
+	for _, folder := range []string{"serve", "link", "image", "env", "platform", "upstream"} {
 		for path, source := range sources(folder, false) {
 			for _, word := range []string{".Unix(", ".UnixNano(", ".UnixMilli(", ".Round(0)", "time.Unix(", "time.Date(", "time.Parse("} {
 				Expect(source).NotTo(ContainSubstring(word), path)
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"time"
 
@@ -238,17 +237,17 @@
 
 // lookup gives the nodes of the caller's zone that serve, or those of its region, or all, when these are too few.
 func (node *Node) lookup(now time.Duration, ask Lookup) Addresses {
-	_, port, _ := net.SplitHostPort(node.settings.Gateway.Traffic)
+	_, port := splitAddress(node.settings.Gateway.Traffic)
 	zone, region, all := []string{}, []string{}, []string{}
 	for _, member := range node.Neighbours.Members(now) {
 		if member.Kind != contract.KindData || member.Place.Revision == 0 {
 			continue
 		}
-		host, _, failure := net.SplitHostPort(member.Address)
-		if failure != nil {
+		host, known := splitAddress(member.Address)
+		if known == "" {
 			continue
 		}
-		address := net.JoinHostPort(host, port)
+		address := host + ":" + port
 		all = append(all, address)
 		if member.Region == ask.Region {
 			region = append(region, address)
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net"
 	"strings"
 
 	"github.com/cedarreel/cedarreel/manifest"
@@ -30,9 +29,8 @@
 	host = strings.ToLower(host)
 	prefixes, there := table.hosts[host]
 	if !there {
-		if bare, _, failure := net.SplitHostPort(host); failure == nil {
-			prefixes = table.hosts[bare]
-		}
+		bare, _ := splitAddress(host)
+		prefixes = table.hosts[bare]
 	}
 	if len(prefixes) == 0 {
 		return manifest.GatewayRoute{}, false
@@ -44,3 +42,12 @@
 	}
 	return manifest.GatewayRoute{}, false
 }
+
+// splitAddress gives host and port of an address; an address in brackets loses them.
+func splitAddress(address string) (host, port string) {
+	place := strings.LastIndexByte(address, ':')
+	if place < 0 || strings.HasSuffix(address, "]") {
+		return strings.Trim(address, "[]"), ""
+	}
+	return strings.Trim(address[:place], "[]"), address[place+1:]
+}
--- a/serve/exchange.go
+++ b/serve/exchange.go
@@ -29,7 +29,6 @@
 	status   int
 	header   http.Header
 	reply    []byte
-	sized    bool
 }
 
 // run sends the call to one server and gives what comes next, as the owner of the calls decides.
@@ -94,6 +93,9 @@
 	if fine && (!head.Sealed || head.Identity == "") {
 		return lost(errors.New("no mark"), "not a server's answer")
 	}
+	if fine && response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return lost(errors.New("no length"), "nothing tells where the answer ends")
+	}
 	shell.handle(gateway.Head{Token: dispatch.Token, Attempt: dispatch.Attempt, Load: head.Load})
 	ended.Failed = response.StatusCode >= 500
 	if fine && dispatch.Stream {
@@ -102,7 +104,7 @@
 		return lost(errors.New(response.Status), "no going on")
 	} else {
 		one.reply, failure = io.ReadAll(http.MaxBytesReader(nil, response.Body, mostReplyBytes))
-		one.status, one.header, one.sized = response.StatusCode, response.Header, response.ContentLength >= 0
+		one.status, one.header = response.StatusCode, response.Header
 	}
 	if failure != nil {
 		return lost(failure, "the answer broke off")
--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -240,6 +240,9 @@
 			one.pass()
 			return
 		case gateway.Refuse:
+			if one.begun {
+				panic(http.ErrAbortHandler)
+			}
 			shell.refuse(writer, next)
 			return
 		case gateway.Fail:
@@ -279,8 +282,6 @@
 	writer.WriteHeader(refuse.Status)
 }
 
-var errSilent = eris.New("the server says nothing")
-
 func (shell *gatewayShell) dial(ctx context.Context, dispatch gateway.Dispatch) (*upstream.Conn, error) {
 	if conn := shell.pool.Take(dispatch.Server.Address, dispatch.Idle); conn != nil {
 		return conn, nil
