--- /dev/null
+++ b/emulator/machine.go
@@ -0,0 +1,224 @@
+package emulator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/emulator/rules"
+	"github.com/cedarreel/cedarreel/env"
+)
+
+// machine runs a control and a data process; one of the core has a disk.
+type machine struct {
+	day     *Day
+	name    string
+	zone    string
+	region  string
+	core    bool
+	number  int
+	address string
+	disk    *disk
+	control *controlShell
+	data    *dataShell
+	boots   int
+	freezes int
+	founded bool
+	gone    bool
+	wall    time.Duration
+	record  *rules.Machine
+}
+
+// process is one life of a program: while it is frozen everything waits for it, when it is dead everything is lost.
+type process struct {
+	day     *Day
+	machine *machine
+	kind    string
+	boot    string
+	began   time.Duration
+	up      bool
+	frozen  bool
+	waiting []func()
+	owner   contract.Owner
+	perform func(contract.Command) bool
+}
+
+const (
+	controlPort = "7400"
+	dataPort    = "7500"
+	trafficPort = "7600"
+	readyPort   = "7601"
+	lookupPort  = "7602"
+)
+
+func (machine *machine) place() place {
+	return place{machine.name, machine.zone, machine.region, false}
+}
+
+func (machine *machine) settings() env.Env {
+	day, bounds := machine.day, machine.day.site.Bounds
+	settings := env.New(env.WithName(machine.name), env.WithHall(machine.zone), env.WithRegion(machine.region), env.WithSeeds(day.seeds(machine)),
+		env.WithControl(machine.address+":"+controlPort), env.WithData(machine.address+":"+dataPort), env.WithPlatform("http://10.200.0.1:80"))
+	settings.Zones = map[string]string{}
+	for _, zone := range day.site.Zones {
+		settings.Zones[zone.Name] = zone.Region
+	}
+	settings.Joins, settings.Wide = machine.founded, true
+	settings.CoreSize = min(2*int64(bounds.ToleratedMachines)+1, 9)
+	settings.Bounds.WithdrawMs, settings.Bounds.EvacuateMs, settings.Bounds.DeliverMs = bounds.DrainMs, bounds.EvacuateMs, bounds.PropagateMs
+	settings.Bounds.ReturnMs, settings.Bounds.History, settings.Bounds.BodyBytes = int64(bounds.RecoverS*1000), 32, 32<<20
+	settings.Gateway = env.Gateway{Traffic: machine.address + ":" + trafficPort, Ready: machine.address + ":" + readyPort, Lookup: machine.address + ":" + lookupPort,
+		RepeatRatio: bounds.RetryRatio, RepeatWindow: seconds(bounds.RetryWindowS), RepeatAllowance: bounds.RetryAllowance,
+		Contact: milliseconds(bounds.ContactMs), Grace: seconds(bounds.GraceS), LookupLife: seconds(bounds.LookupLifeS) / 5}
+	for _, change := range day.changes {
+		change.apply(&settings)
+	}
+	return settings
+}
+
+func milliseconds(count int64) time.Duration { return time.Duration(count) * time.Millisecond }
+
+// start begins a new life of both processes.
+func (machine *machine) start() {
+	if machine.gone || machine.up() {
+		return
+	}
+	machine.boots++
+	settings := machine.settings()
+	machine.founded = true
+	machine.control = newControlShell(machine, settings)
+	machine.data = newDataShell(machine, settings)
+	for _, process := range []*process{machine.control.process, machine.data.process} {
+		process.after(time.Duration(machine.day.world.random.Int64N(int64(settings.Bounds.Tick()))), func() { process.tick(settings.Bounds.Tick()) })
+	}
+}
+
+func (machine *machine) up() bool { return machine.data != nil && machine.data.up }
+
+func (machine *machine) process(kind string, owner contract.Owner) *process {
+	made := &process{day: machine.day, machine: machine, kind: kind, boot: machine.boot(), began: machine.day.world.Now, up: true, owner: owner}
+	return made
+}
+
+func (machine *machine) boot() string { return fmt.Sprintf("b%d", machine.boots) }
+
+func (machine *machine) random() *rand.Rand {
+	return rand.New(rand.NewPCG(machine.day.world.random.Uint64(), 5))
+}
+
+func (process *process) now() time.Duration { return process.day.world.Now - process.began }
+
+// do runs something inside the process: later if it is frozen, never if it died.
+func (process *process) do(then func()) {
+	switch {
+	case !process.up:
+	case process.frozen:
+		process.waiting = append(process.waiting, then)
+	default:
+		then()
+	}
+}
+
+func (process *process) after(span time.Duration, then func()) {
+	process.day.world.after(span, func() { process.do(then) })
+}
+
+func (process *process) tick(every time.Duration) {
+	process.handle(contract.Tick{})
+	process.after(every, func() { process.tick(every) })
+}
+
+func (process *process) event(event contract.Event) { process.do(func() { process.handle(event) }) }
+
+func (process *process) handle(event contract.Event) {
+	for _, command := range process.owner.Handle(process.now(), event) {
+		switch command := command.(type) {
+		case contract.Send:
+			process.send(command)
+		case contract.Count:
+			process.day.counts[process.kind+" "+command.Name] += command.By
+		case contract.Gauge, contract.Took:
+		case contract.Say:
+			process.day.say(process.machine.name+"-"+process.kind, command.What, command.Detail...)
+		default:
+			if !process.perform(command) {
+				panic(fmt.Sprintf("a command that nobody carries out: %T", command))
+			}
+		}
+	}
+}
+
+func (process *process) send(command contract.Send) {
+	target := process.day.listening(command.To)
+	if target == nil {
+		return
+	}
+	letter := contract.Letter{Kind: command.Kind, From: process.machine.name + "-" + process.kind, Boot: process.boot, Body: content(command.Body)}
+	process.day.world.post(process.machine.place(), target.machine.place(), func() {
+		if current := process.day.listening(command.To); current != nil {
+			current.event(letter)
+		}
+	})
+}
+
+// kill ends both processes; their connections are reset.
+func (machine *machine) kill() {
+	machine.end(func(shell *dataShell) { shell.reset() })
+}
+
+// powerLost ends them without a word, and takes what was not synced.
+func (machine *machine) powerLost() {
+	machine.end(func(shell *dataShell) { shell.vanish() })
+	if machine.disk != nil {
+		machine.disk.powerLost()
+	}
+}
+
+func (machine *machine) end(connections func(*dataShell)) {
+	machine.freezes = 0
+	if !machine.up() {
+		return
+	}
+	for _, process := range []*process{machine.control.process, machine.data.process} {
+		process.up, process.frozen, process.waiting = false, false, nil
+	}
+	connections(machine.data)
+	if machine.disk != nil {
+		machine.disk.work = nil
+	}
+}
+
+func (machine *machine) freeze() (thaw func()) {
+	if !machine.up() {
+		return func() {}
+	}
+	boots := machine.boots
+	machine.freezes++
+	machine.control.frozen, machine.data.frozen = true, true
+	return func() {
+		if machine.boots != boots || machine.freezes == 0 {
+			return
+		}
+		if machine.freezes--; machine.freezes > 0 {
+			return
+		}
+		for _, process := range []*process{machine.control.process, machine.data.process} {
+			process.frozen = false
+			waiting := process.waiting
+			process.waiting = nil
+			for _, then := range waiting {
+				process.do(then)
+			}
+		}
+	}
+}
+
+// ill notes trouble on a machine from a moment on; its end is noted by the caller.
+func (machine *machine) ill(from, until time.Duration) {
+	span := rules.Span{From: from, Until: until}
+	machine.record.Troubles = append(machine.record.Troubles, span)
+	if machine.core {
+		machine.day.record.CoreTroubles = append(machine.day.record.CoreTroubles, span)
+	}
+}
