--- a/cmd/cedarrig/main.go
+++ b/cmd/cedarrig/main.go
@@ -16,7 +16,7 @@
 )
 
 type arguments struct {
-	Site    string  `long:"site" description:"folder of a deployment" default:"deploy/brazos"`
+	Site    string  `long:"site" description:"folder of a deployment, or its file with --play" default:"deploy/brazos"`
 	Bin     string  `long:"bin" description:"folder of the programs; beside cedarrig when not given"`
 	Folder  string  `long:"folder" description:"folder for settings, logs and data; a new temporary one when not given"`
 	Seconds int     `long:"seconds" description:"how long traffic runs" default:"20"`
@@ -32,6 +32,9 @@
 	Retire  int     `long:"retire" description:"instead of processes, measure so many seeded retirements of each cause in memory"`
 	Load    int     `long:"load" description:"instead of processes, play each scene of load in memory with so many seeds"`
 	Beside  int     `long:"beside" description:"days of a sweep played side by side" default:"8"`
+	Play    int     `long:"play" description:"instead of processes, emulate so many seeded days of the site file that --site names"`
+	Vs      string  `long:"vs" description:"with --play, compare with another setting of the product over the same seeds: gateway.repeatRatio=0.1"`
+	Plot    string  `long:"plot" description:"file that takes the plot of a comparison" default:"target/vs.svg"`
 	Tell    bool    `long:"tell" description:"print every change of state in a sweep"`
 	Version bool    `long:"version" description:"print the version and stop"`
 }
@@ -74,6 +77,9 @@
 	if given.Load > 0 {
 		run = loads
 	}
+	if given.Play > 0 {
+		run = playDays
+	}
 	clean, mishap := run(given)
 	if mishap != nil {
 		fmt.Fprintln(os.Stderr, "cedarrig:", mishap)
--- a/emulator/data.go
+++ b/emulator/data.go
@@ -23,6 +23,7 @@
 	servers   map[*conn]bool
 	exchanges int
 	leaving   bool
+	shut      bool
 	touched   time.Duration
 }
 
@@ -90,7 +91,7 @@
 	look = func() {
 		passed := shell.now() - began
 		quiet := shell.now() - shell.touched
-		if passed >= grace*(endParts-1)/endParts || passed > life*2 && shell.exchanges == 0 && quiet > life {
+		if shell.shut = shell.shut || passed >= grace*(endParts-1)/endParts || passed > life*2 && shell.exchanges == 0 && quiet > life; shell.shut && shell.exchanges == 0 {
 			then()
 			return
 		}
--- a/emulator/exchange.go
+++ b/emulator/exchange.go
@@ -91,7 +91,7 @@
 
 // accept takes a caller's connection.
 func (shell *dataShell) accept(conn *conn) bool {
-	if !shell.up {
+	if !shell.up || shell.shut {
 		return false
 	}
 	shell.callers[conn] = nil
--- a/emulator/rules/answers.go
+++ b/emulator/rules/answers.go
@@ -155,7 +155,7 @@
 	}
 }
 
-// lostAround: a request that a process had read ends without an answer while its machine stops as planned.
+// lost: a request that a process had read ends without an answer while its machine stops as planned.
 func (judge *judge) lost() {
 	for _, try := range judge.Tries {
 		if try.Status != 0 && try.Whole || try.Status/100 == 5 || promises(try.Status) || try.Read == 0 || try.GivenUp {
@@ -189,7 +189,7 @@
 			return true
 		}
 		for _, stop := range judge.machines[try.Machine].Stops {
-			if late := stop + judge.Bounds.Grace/2; arrival.Ran && arrival.RanAt <= late && arrival.Ended >= late {
+			if arrival.At <= stop+judge.Bounds.Grace && arrival.Ended >= stop+judge.Bounds.Grace/2 {
 				return true
 			}
 		}
--- a/emulator/site.go
+++ b/emulator/site.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -207,3 +208,19 @@
 	site.Traffic, site.DayS = sources, day.Seconds()
 	return site
 }
+
+// Length of the traffic of a day.
+func (site Site) Length() time.Duration { return seconds(site.DayS) }
+
+// Named gives the site's troubles of a kind, or of a kind and variant as "kind/how", each at a moment of its own.
+func (site Site) Named(name string) []Trouble {
+	kind, how, varied := strings.Cut(name, "/")
+	troubles := []Trouble{}
+	for _, one := range site.Troubles {
+		if one.Kind == kind && (!varied || one.How == how) {
+			one.AtS = earliest + float64(len(troubles))*usualSpan
+			troubles = append(troubles, one)
+		}
+	}
+	return troubles
+}
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -175,6 +175,7 @@
 	ends   [2]place
 	last   [2]time.Duration
 	live   [2]bool
+	queue  [2][]func()
 	closed [2]func()
 	number int64
 }
@@ -192,8 +193,7 @@
 	if from.region != to.region {
 		world.far += size
 	}
-	conn.last[side] = max(conn.last[side]+1, world.Now+world.delay(from, to))
-	world.carry(from, to, conn.last[side], func() {
+	conn.bring(side, func() {
 		if conn.live[1-side] {
 			then()
 			return
@@ -202,6 +202,18 @@
 	})
 }
 
+// bring carries something from one side to the other; what arrives first is always what was sent first.
+func (conn *conn) bring(side int, then func()) {
+	world, from, to := conn.world, conn.ends[side], conn.ends[1-side]
+	conn.last[side] = max(conn.last[side]+1, world.Now+world.delay(from, to))
+	conn.queue[side] = append(conn.queue[side], then)
+	world.carry(from, to, conn.last[side], func() {
+		first := conn.queue[side][0]
+		conn.queue[side] = conn.queue[side][1:]
+		first()
+	})
+}
+
 func (conn *conn) gone(side int) {
 	if !conn.live[side] {
 		return
@@ -218,9 +230,7 @@
 		return
 	}
 	conn.live[side] = false
-	world, from, to := conn.world, conn.ends[side], conn.ends[1-side]
-	conn.last[side] = max(conn.last[side]+1, world.Now+world.delay(from, to))
-	world.carry(from, to, conn.last[side], func() { conn.gone(1 - side) })
+	conn.bring(side, func() { conn.gone(1 - side) })
 }
 
 // lose ends one side without a word.
