--- a/emulator/caller.go
+++ b/emulator/caller.go
@@ -17,6 +17,7 @@
 	region  string
 	random  *rand.Rand
 	keeps   bool
+	hasty   bool
 	holds   time.Duration
 	known   []string
 	until   time.Duration
@@ -36,6 +37,8 @@
 	askPatience   = time.Second
 	mostAsked     = 3
 	longHolders   = 4
+	hastyOnes     = 6
+	hastyTries    = 3
 	longHold      = 3
 	failedFor     = 2 * time.Second
 	askPause      = 300 * time.Millisecond
@@ -203,7 +206,7 @@
 		visitors := []*visitor{}
 		for index := range max(1, source.Callers) {
 			made := &visitor{day: day, name: source.Zone + name(index), zone: source.Zone, region: day.site.region(source.Zone),
-				random: day.world.source("visitor " + source.Zone + name(index)), failed: map[string]time.Duration{}, keeps: index%3 > 0}
+				random: day.world.source("visitor " + source.Zone + name(index)), failed: map[string]time.Duration{}, keeps: index%3 > 0, hasty: index%hastyOnes == 1}
 			made.holds = seconds(day.site.Bounds.LookupLifeS) / 5
 			if index%longHolders == 0 {
 				made.holds *= longHold
@@ -256,6 +259,9 @@
 	day.calls++
 	one := &call{day: day, visitor: visitor, class: class, route: class.Name, began: day.world.Now, tries: class.Tries + 1,
 		ends: day.world.Now + seconds(class.DeadlineMs/1000), work: seconds(class.WorkMs.draw(random) / 1000)}
+	if visitor.hasty {
+		one.tries += hastyTries
+	}
 	one.Figure = &Figure{Class: class.Name}
 	day.figures = append(day.figures, one.Figure)
 	if class.Pieces.Mean > 0 {
--- a/emulator/changes.go
+++ b/emulator/changes.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"strings"
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
@@ -150,7 +151,15 @@
 		zone = day.site.Zones[day.chance.IntN(len(day.site.Zones))].Name
 	}
 	day.operator.evacuate(zone, false, nil)
-	day.world.after(trouble.span(), func() { day.operator.evacuate(zone, true, nil) })
+	day.world.after(trouble.span(), func() {
+		day.operator.evacuate(zone, true, func() {
+			for _, server := range day.order {
+				if server.up && server.zone == zone && !strings.Contains(trouble.How, "warm") {
+					server.coldUntil = day.world.Now + seconds(server.service.ColdS)
+				}
+			}
+		})
+	})
 }
 
 // killAfterAck takes the power of the machine that acknowledges next; wipeAfterAck its disk too.
@@ -203,7 +212,7 @@
 	for _, old := range day.nodes(trouble) {
 		old.ill(day.world.Now, day.world.Now+seconds(trouble.times())+returnTime)
 		old.kill()
-		old.gone = true
+		old.gone, old.removed = true, day.world.Now
 		day.world.darken(old.name)
 		day.world.after(seconds(trouble.times()), func() {
 			made := day.addMachine(old.zone, true)
--- a/emulator/data.go
+++ b/emulator/data.go
@@ -39,7 +39,9 @@
 func (shell *dataShell) act(command contract.Command) bool {
 	switch command := command.(type) {
 	case gateway.Update:
-		shell.traffic.Handle(shell.now(), command.Event)
+		if event := command.Event; shell.day.sieve == nil || shell.day.sieve(shell.machine, &event) {
+			shell.traffic.Handle(shell.now(), event)
+		}
 	case contract.Forward:
 		forward(shell.process, command, func(contract.Answer) {})
 	case contract.Answer:
--- a/emulator/day.go
+++ b/emulator/day.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/emulator/rules"
 )
 
@@ -35,6 +36,7 @@
 	shared    map[string]bool
 	chance    *rand.Rand
 	tell      func(string)
+	sieve     func(*machine, *contract.Event) bool
 	plan      []string
 	calls     int64
 	tries     int64
@@ -65,6 +67,11 @@
 // WithChanges plays with other settings of the product.
 func WithChanges(changes ...Change) Option { return func(day *Day) { day.changes = changes } }
 
+// withSieve puts a fault into every node: what its calls learn goes through a sieve.
+func withSieve(sieve func(*machine, *contract.Event) bool) Option {
+	return func(day *Day) { day.sieve = sieve }
+}
+
 // New makes a day that has not begun.
 func New(site Site, seed uint64, options ...Option) *Day {
 	bounds := site.Bounds
@@ -145,9 +152,19 @@
 	return nil
 }
 
-// seen is the list of nodes that callers and the operator have: those that are not gone.
+// seen is the list of nodes that callers and the operator have, as it was a while ago.
 func (day *Day) seen() []*machine {
-	return slices.DeleteFunc(slices.Clone(day.machines), func(machine *machine) bool { return machine.gone || machine.boots == 0 })
+	return slices.DeleteFunc(slices.Clone(day.machines), func(machine *machine) bool {
+		return machine.boots == 0 || machine.listed > day.world.Now || machine.gone && machine.removed+day.listDelay() <= day.world.Now
+	})
+}
+
+// listDelay is how late the list of nodes is; those that are there from the start are on it.
+func (day *Day) listDelay() time.Duration {
+	if day.world.Now == 0 {
+		return 0
+	}
+	return seconds(day.site.Bounds.SeedDelayS)
 }
 
 func (day *Day) at(address string) *server {
@@ -247,9 +264,10 @@
 	if closing != "" {
 		day.world.at(lead+length, func() { day.close(closing) })
 	}
-	day.world.runUntil(until + settleTime)
-	day.operator.readBack(day.world.Now + day.record.Bounds.Contact + time.Second)
-	day.world.runUntil(day.world.Now + day.record.Bounds.Contact + 2*time.Second)
+	last := until + settleTime
+	day.world.runUntil(last - day.record.Bounds.Contact)
+	day.operator.readBack(last + time.Second)
+	day.world.runUntil(last + 2*time.Second)
 	day.record.End = day.world.Now
 	return day.result(seed)
 }
--- a/emulator/machine.go
+++ b/emulator/machine.go
@@ -26,6 +26,8 @@
 	freezes int
 	founded bool
 	gone    bool
+	listed  time.Duration
+	removed time.Duration
 	wall    time.Duration
 	record  *rules.Machine
 }
@@ -86,6 +88,9 @@
 	}
 	machine.boots++
 	settings := machine.settings()
+	if !machine.founded || machine.listed == 0 {
+		machine.listed = machine.day.world.Now + machine.day.listDelay()
+	}
 	machine.founded = true
 	machine.control = newControlShell(machine, settings)
 	machine.data = newDataShell(machine, settings)
--- /dev/null
+++ b/emulator/planted_test.go
@@ -0,0 +1,76 @@
+package emulator
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/gateway"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const plantedFrom = 8 * time.Second
+
+// deaf lets nodes learn nothing of a kind any more once traffic runs.
+func deaf[Kind any]() Option {
+	return withSieve(func(machine *machine, event *contract.Event) bool {
+		_, kind := (*event).(Kind)
+		return !kind || machine.day.world.Now < plantedFrom
+	})
+}
+
+func broken(result Result) []string {
+	names, known := []string{}, map[string]bool{}
+	for _, breach := range result.Breaches {
+		if !known[breach.Rule] {
+			known[breach.Rule] = true
+			names = append(names, breach.Rule)
+		}
+	}
+	return names
+}
+
+var _ = Describe("a fault that is planted in the nodes", func() {
+	DescribeTable("is seen", func(rule string, trouble Trouble, option Option) {
+		trouble.AtS = 2
+		Expect(broken(Play(small("brazos"), 2, Plan{Troubles: []Trouble{trouble}}, option))).To(ContainElement(rule))
+	},
+		Entry("lists are not followed: a server that leaves", "DRAIN", Trouble{Kind: "scale_in", Service: "model", Share: 0.3}, deaf[gateway.Listed]()),
+		Entry("configurations are not followed: a change", "CONFIG", Trouble{Kind: "config_change", How: "idle"}, deaf[gateway.Configured]()),
+		Entry("nothing is followed: an evacuation", "EVAC", Trouble{Kind: "evacuate", ForS: 12, Zone: "prairie-b"}, withSieve(func(machine *machine, event *contract.Event) bool {
+			return machine.day.world.Now < plantedFrom
+		})),
+		Entry("further tries are not bounded", "BUDGET", Trouble{Kind: "answer_lost", Share: 1, X: 0.95, ForS: 8}, WithChanges(unbounded())),
+	)
+
+	It("is seen when cold servers are taken for warm ones, and only then", func() {
+		site := small("brazos").Scaled(4, storyLength)
+		site.Services = slices.Clone(site.Services)
+		site.Services[0].ColdPerS = 4
+		plan := Plan{Troubles: []Trouble{{Kind: "cold_return", AtS: 2, Zone: "prairie-a", ForS: 2}}}
+		blind := withSieve(func(_ *machine, event *contract.Event) bool {
+			if configured, fine := (*event).(gateway.Configured); fine {
+				services := maps.Clone(configured.Manifest.Gateway.Services)
+				for name, service := range services {
+					service.WarmupRate = 1e6
+					services[name] = service
+				}
+				configured.Manifest.Gateway.Services = services
+				*event = configured
+			}
+			return true
+		})
+		Expect(broken(Play(site, 2, plan, blind))).To(ContainElement("FAILBACK"))
+		Expect(broken(Play(site, 2, plan))).To(BeEmpty())
+	})
+})
+
+func unbounded() Change {
+	change, failure := ReadChange("gateway.repeatRatio=100")
+	if failure != nil {
+		panic(failure)
+	}
+	return change
+}
--- a/emulator/troubles.go
+++ b/emulator/troubles.go
@@ -194,13 +194,18 @@
 
 // spareCore is how many more machines of the core may be lost now; one that came back counts as lost for a while.
 func (day *Day) spareCore() int {
-	lost := 0
+	size, well := 0, 0
+	for _, group := range day.site.Machines {
+		if group.Core {
+			size += group.Count
+		}
+	}
 	for _, machine := range day.machines {
-		if machine.core && !machine.gone && (!machine.up() || within(machine.record.Troubles, day.world.Now-returnTime, day.world.Now)) {
-			lost++
+		if machine.core && !machine.gone && machine.up() && !within(machine.record.Troubles, day.world.Now-returnTime, day.world.Now) {
+			well++
 		}
 	}
-	return max(0, day.site.Bounds.ToleratedMachines-lost)
+	return max(0, day.site.Bounds.ToleratedMachines-(size-well))
 }
 
 // returnTime is how long a machine that is back still counts as lost.
--- a/emulator/try.go
+++ b/emulator/try.go
@@ -182,6 +182,9 @@
 		one.got = 0
 	}
 	wait := max(backOff, min(one.after, left/3))
+	if one.visitor.hasty {
+		wait = backOff
+	}
 	one.day.world.after(wait, func() { one.call.send(true) })
 }
 
