--- a/emulator/rules/answers.go
+++ b/emulator/rules/answers.go
@@ -155,25 +155,69 @@
 	}
 }
 
-// lost: a request that a process had read ends without an answer while its machine stops as planned.
+// lost: a request that a process had read ends without an answer while its machine stops as planned, or much more often while the
+// configuration changes than at other times.
 func (judge *judge) lost() {
+	changes := map[string][2]int{}
 	for _, try := range judge.Tries {
-		if try.Status != 0 && try.Whole || try.Status/100 == 5 || promises(try.Status) || try.Read == 0 || try.GivenUp {
+		machine := judge.machines[try.Machine]
+		if machine == nil || !judge.endedOpen(try) || judge.serverBroke(try) || judge.disturbed(try) {
 			continue
 		}
-		if try.Status != 0 && try.Status/100 != 2 || try.Ended >= try.Deadline {
+		passed := len(judge.arrivals[try.Identity]) > 0
+		if !passed && try.Ended-try.Sent <= judge.Bounds.Loss {
 			continue
 		}
-		machine := judge.machines[try.Machine]
-		if machine == nil || !judge.stopping(machine, try) || judge.serverBroke(try) {
+		if judge.stopping(machine, try) {
+			judge.breach("LOST", try.Ended, "%s was read by %s while it stopped, and got no whole answer", try.Identity, try.Machine)
 			continue
 		}
-		passed := len(judge.arrivals[try.Identity]) > 0
-		if !passed && try.Ended-try.Sent <= judge.Bounds.Loss || judge.disturbed(machine, try) {
-			continue
+		count := changes[try.Machine]
+		if judge.changing(try.Ended) {
+			count[0]++
+		} else {
+			count[1]++
+		}
+		changes[try.Machine] = count
+	}
+	within, beyond := judge.changingTime()
+	for name, count := range changes {
+		during, others := float64(count[0])*beyond.Seconds(), float64(count[1])*within.Seconds()
+		if count[0] >= fewestLost && during > mostOften*others {
+			judge.breach("LOST", judge.End, "%s ended %d requests without an answer in %v of changes, %d in %v of other times", name, count[0], within, count[1], beyond)
+		}
+	}
+}
+
+const (
+	fewestLost = 3
+	mostOften  = 3
+)
+
+// endedOpen tells whether a request that was read got no whole answer, before its time was over.
+func (judge *judge) endedOpen(try *Try) bool {
+	open := try.Status == 0 || try.Status/100 == 2 && !try.Whole
+	return open && try.Read > 0 && !try.GivenUp && try.Ended < try.Deadline
+}
+
+// changing tells whether a change of the configuration is under way.
+func (judge *judge) changing(at time.Duration) bool {
+	return slices.ContainsFunc(judge.taken(), func(version *Version) bool {
+		return version.Took && version.Sent <= at && at <= version.Acked+judge.Bounds.Propagate+time.Second
+	})
+}
+
+// changingTime gives how long changes were under way while traffic ran, and how long none was.
+func (judge *judge) changingTime() (within, beyond time.Duration) {
+	const step = 100 * time.Millisecond
+	for at := judge.Traffic.From; at < judge.Traffic.Until; at += step {
+		if judge.changing(at) {
+			within += step
+		} else {
+			beyond += step
 		}
-		judge.breach("LOST", try.Ended, "%s was read by %s while it stopped, and got no whole answer", try.Identity, try.Machine)
 	}
+	return within, beyond
 }
 
 func (judge *judge) stopping(machine *Machine, try *Try) bool {
@@ -197,6 +241,6 @@
 	return false
 }
 
-func (judge *judge) disturbed(machine *Machine, try *Try) bool {
+func (judge *judge) disturbed(try *Try) bool {
 	return within(judge.Unplanned, try.Sent-judge.Bounds.Contact, try.Ended)
 }
--- a/emulator/rules/record.go
+++ b/emulator/rules/record.go
@@ -2,7 +2,9 @@
 package rules
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -187,6 +189,9 @@
 		judge.recovered, judge.acknowledged} {
 		rule()
 	}
+	slices.SortStableFunc(judge.breaches, func(left, right Breach) int {
+		return cmp.Or(cmp.Compare(left.At, right.At), cmp.Compare(left.Rule, right.Rule), cmp.Compare(left.Detail, right.Detail))
+	})
 	return judge.breaches
 }
 
--- a/emulator/rules/rules_test.go
+++ b/emulator/rules/rules_test.go
@@ -104,6 +104,13 @@
 			try, run := record.serve("cut", "check", "model", 20*second+second/2)
 			try.Status, try.Whole, try.Sealed, try.AnswerOf, try.Ended, run.Ended = 0, false, false, "", 21*second, 21*second
 		}),
+		Entry("changes that cut requests", "LOST", func(record *Record) {
+			record.version(2, 1, 30*second, record.Versions[0].Routes)
+			for index := range 3 {
+				try, run := record.serve(fmt.Sprintf("cut-%d", index), "check", "model", 31*second)
+				try.Status, try.Whole, try.Sealed, try.AnswerOf, run.Ended = 0, false, false, "", 31*second+second/10
+			}
+		}),
 		Entry("a route that is not known yet", "CONFIG", func(record *Record) {
 			record.version(2, 1, 20*second, map[string]Route{"check": {Services: []string{"model"}}, "added": {Services: []string{"other"}}})
 			try, run := record.serve("added-1", "added", "other", 30*second)
