--- a/emulator/changes.go
+++ b/emulator/changes.go
@@ -150,15 +150,15 @@
 	if zone == "" {
 		zone = day.site.Zones[day.chance.IntN(len(day.site.Zones))].Name
 	}
-	day.operator.evacuate(zone, false, nil)
-	day.world.after(trouble.span(), func() {
-		day.operator.evacuate(zone, true, func() {
-			for _, server := range day.order {
-				if server.up && server.zone == zone && !strings.Contains(trouble.How, "warm") {
-					server.coldUntil = day.world.Now + seconds(server.service.ColdS)
-				}
+	back := func() {
+		for _, server := range day.order {
+			if server.up && server.zone == zone && !strings.Contains(trouble.How, "warm") {
+				server.coldUntil = day.world.Now + seconds(server.service.ColdS)
 			}
-		})
+		}
+	}
+	day.operator.evacuate(zone, false, func() {
+		day.world.after(trouble.span(), func() { day.operator.evacuate(zone, true, back) })
 	})
 }
 
--- a/emulator/rules/limits.go
+++ b/emulator/rules/limits.go
@@ -41,8 +41,8 @@
 		}
 		back := judge.End
 		for _, other := range judge.Evacuations {
-			if other.Off && other.Zone == order.Zone && other.Sent > order.Acked {
-				back = min(back, other.Sent)
+			if other.Off && other.Zone == order.Zone && (!other.Took || other.Acked > order.Sent) {
+				back = min(back, max(other.Sent, order.Acked))
 			}
 		}
 		for _, arrival := range judge.Arrivals {
--- a/emulator/rules/rules_test.go
+++ b/emulator/rules/rules_test.go
@@ -209,6 +209,10 @@
 			record.Leavings = []Leaving{{"model-1", 30 * second}}
 			record.ListTroubles = []Span{{30 * second, 36 * second}}
 		}),
+		Entry("an evacuation whose taking back was under way when it was acknowledged", func(record *Record) {
+			record.Evacuations = []*Evacuation{{Zone: "a", Sent: 20 * second, Acked: 21 * second, Took: true, Ended: 21 * second},
+				{Zone: "a", Off: true, Sent: 20*second + second/2, Acked: 22 * second, Took: true, Ended: 22 * second}}
+		}),
 		Entry("an unsettled core", func(record *Record) {
 			record.version(2, 1, 20*second, record.Versions[0].Routes).Took = false
 			record.CoreTroubles = append(record.CoreTroubles, Span{24 * second, 24 * second})
