--- a/emulator/data.go
+++ b/emulator/data.go
@@ -30,7 +30,7 @@
 func newDataShell(machine *machine, settings env.Env) *dataShell {
 	shell := &dataShell{settings: settings, traffic: gateway.NewTraffic(settings, machine.random()), pool: map[string][]*pooled{}, answers: map[int64]func(contract.Answer){},
 		callers: map[*conn]func(){}, servers: map[*conn]bool{}}
-	shell.process = machine.process(contract.KindData, gateway.NewNode(settings, machine.boot(), shell.traffic.Calls, machine.random()))
+	shell.process = machine.process(contract.KindData, gateway.NewNode(settings, machine.boot(), shell.traffic.Calls, shell.traffic.Stale, machine.random()))
 	shell.perform = shell.act
 	shell.sweep()
 	return shell
@@ -65,7 +65,7 @@
 	return commands[0]
 }
 
-func (shell *dataShell) ready() bool { return shell.traffic.Ready() && !shell.leaving }
+func (shell *dataShell) ready() bool { return shell.traffic.Ready(shell.now()) && !shell.leaving }
 
 // lookup answers a caller that asks where to go, with the machines' addresses.
 func (shell *dataShell) lookup(region, zone string, take func([]string)) {
--- a/emulator/known_test.go
+++ b/emulator/found_test.go
@@ -16,9 +16,9 @@
 // usual is how long a call takes at a server that nobody has measured yet.
 const usual = 60 * time.Millisecond
 
-// These stories wait for the product: each fails today, for the cause that it tells.
-var _ = Describe("known to be red", func() {
-	PIt("a node that stops is named to no caller", func() {
+// Each of these was red when it was written, for the cause that it tells.
+var _ = Describe("faults that were found here", func() {
+	It("a node that stops is named to no caller", func() {
 		day := live()
 		leaving := day.machines[0]
 		leaving.data.leave(func() {})
@@ -30,7 +30,7 @@
 		}
 	})
 
-	PIt("a server that was silent and wakes cold is sent no more than it bears", func() {
+	It("a server that was silent and wakes cold is sent no more than it bears", func() {
 		for _, seed := range []uint64{1, 4} {
 			site := small("brazos").Scaled(4, storyLength)
 			site.Services = slices.Clone(site.Services)
@@ -41,7 +41,7 @@
 	})
 
 	for _, outcome := range []gateway.Outcome{gateway.Left, gateway.Late, gateway.NotRun} {
-		PIt("a server that was doubted is tried again after a trial that ended as "+string(outcome), func() {
+		It("a server that was doubted is tried again after a trial that ended as "+string(outcome), func() {
 			settings := env.Env{Region: "near", Hall: "a", Gateway: env.Gateway{Contact: 4 * time.Second, RepeatWindow: 10 * time.Second, RepeatRatio: 0.2, RepeatAllowance: 64}}
 			traffic := gateway.NewTraffic(settings, rand.New(rand.NewPCG(1, 1)))
 			route := manifest.GatewayRoute{Name: "a", Host: "h", Prefix: "/", Kind: manifest.KindMutating, Timeout: 8 * time.Second, Aim: time.Second, Attempts: 1,
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -111,7 +111,7 @@
 	server.own--
 	server.since = max(0, server.since-1)
 	traffic.hasRead(work)
-	work.server = nil
+	work.server, server.trial = nil, false
 	if !server.listed && server.own == 0 {
 		delete(traffic.servers, server.Name)
 	}
@@ -128,10 +128,18 @@
 func (traffic *Traffic) head(now time.Duration, event Head) {
 	if work := traffic.current(event.Token, event.Attempt); work != nil {
 		work.server.told(event.Load)
-		work.server.fine(now)
+		traffic.returned(now, work.server)
 	}
 }
 
+// returned takes a server that failed before for one that may have begun anew, and for a good one from now on.
+func (traffic *Traffic) returned(now time.Duration, server *server) {
+	if server.failures > 0 {
+		traffic.doubt(now, server, traffic.terms.Contact/4)
+	}
+	server.fine(now)
+}
+
 func (traffic *Traffic) first(now time.Duration, event First) {
 	work := traffic.current(event.Token, event.Attempt)
 	if work == nil {
@@ -163,6 +171,7 @@
 	server := work.server
 	if server.heard < work.at && now >= server.until {
 		traffic.fault(now, server)
+		traffic.doubt(now, server, traffic.terms.Contact/4)
 	}
 	if now >= work.ends {
 		return one(Wait{Patience: 0})
@@ -202,7 +211,7 @@
 	switch event.Outcome {
 	case Whole:
 		traffic.drop(work)
-		server.fine(now)
+		traffic.returned(now, server)
 		if work.route.Kind != manifest.KindStreaming {
 			server.paced(now - work.at)
 		}
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -240,7 +240,7 @@
 	_, port := splitAddress(node.settings.Gateway.Traffic)
 	zone, region, all := []string{}, []string{}, []string{}
 	for _, member := range node.Neighbours.Members(now) {
-		if member.Kind != contract.KindData || member.Place.Revision == 0 {
+		if member.Kind != contract.KindData || member.Place.Revision == 0 || member.Name == node.Self().Name && node.Neighbours.Left() {
 			continue
 		}
 		host, known := splitAddress(member.Address)
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -38,7 +38,7 @@
 	most := traffic.connections(traffic.read.Gateway.Services[work.service])
 	open := []*server{}
 	for _, server := range traffic.services[work.service] {
-		if server.moved || work.avoid[server.Name] || traffic.read.Drained(server.Hall) || server.own >= most || !server.ramp.open(now) {
+		if server.moved || work.avoid[server.Name] || traffic.read.Drained(server.Hall) || server.own >= most || traffic.closed(now, server) {
 			continue
 		}
 		if len(work.route.Regions) > 0 && !slices.Contains(work.route.Regions, server.region) {
--- a/gateway/ramp.go
+++ b/gateway/ramp.go
@@ -15,11 +15,12 @@
 	member bool
 }
 
-// The rate that is used is a part of what is borne, less one call that each sender may have at the edge of a second.
+// The rate that is used is a part of what is borne, less one call that each sender may have at the edge of a second, and less what
+// may come from nodes that do not know yet that the server is cold.
 const (
 	rampPart  = 0.9
 	rampLeast = 0.5
-	rampMost  = 1.25
+	rampMost  = 1.1
 )
 
 // callsPerPart is the least rate, in calls a second, that a part of a cold server's rate is worth.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -28,6 +28,7 @@
 	trial    bool
 	ramp     ramp
 	long     bool
+	division int
 	cache    cacheState
 	hash     uint64
 }
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -23,6 +23,7 @@
 	budgets  map[string]*budget
 	fleet    Fleet
 	sizes    map[string]seen
+	division int
 	began    time.Duration
 	begun    bool
 }
@@ -48,7 +49,7 @@
 
 func NewTraffic(settings env.Env, random *rand.Rand) *Traffic {
 	return &Traffic{settings: settings, terms: settings.Gateway, random: random, servers: map[string]*server{}, services: map[string][]*server{},
-		lists: map[string]bool{}, jobs: map[int64]*job{}, budgets: map[string]*budget{}, sizes: map[string]seen{}}
+		lists: map[string]bool{}, jobs: map[int64]*job{}, budgets: map[string]*budget{}, sizes: map[string]seen{}, division: 1}
 }
 
 // Ready tells whether this node can serve: it has a configuration and the lists of all regions, or some of them for a while.
@@ -94,9 +95,7 @@
 		traffic.listed(now, event)
 	case Fleet:
 		traffic.fleet = event
-		for _, server := range traffic.servers {
-			traffic.shares(server)
-		}
+		traffic.division++
 	}
 	return nil
 }
@@ -111,8 +110,8 @@
 		if former.Drained(server.Hall) && !event.Manifest.Drained(server.Hall) {
 			traffic.doubt(now, server, traffic.terms.Contact)
 		}
-		traffic.shares(server)
 	}
+	traffic.division++
 	for name := range traffic.budgets {
 		if _, there := event.Manifest.Gateway.Services[name]; !there {
 			delete(traffic.budgets, name)
@@ -138,7 +137,17 @@
 	}
 }
 
+// closed tells whether a cold server may not be sent a call now. Its parts are worked out only when it is cold and the fleet or the
+// configuration is another than the last time.
+func (traffic *Traffic) closed(now time.Duration, server *server) bool {
+	if now < server.ramp.until && server.division != traffic.division {
+		traffic.shares(server)
+	}
+	return !server.ramp.open(now)
+}
+
 func (traffic *Traffic) shares(server *server) {
+	server.division = traffic.division
 	server.ramp.share(server.Name, traffic.fleet.Self, traffic.fleet.Names, traffic.read.Gateway.Services[server.Pool].WarmupRate,
 		traffic.terms.WarmOverage, traffic.terms.WarmAllowance)
 }
@@ -165,7 +174,6 @@
 		if candidate.WarmMs > 0 {
 			traffic.cold(now, held, time.Duration(candidate.WarmMs)*time.Millisecond+traffic.terms.Contact/8)
 		}
-		traffic.shares(held)
 	}
 	for name, server := range traffic.servers {
 		if !server.listed && server.own == 0 {
--- a/neighbour/look.go
+++ b/neighbour/look.go
@@ -58,6 +58,9 @@
 	return len(owner.table) > 1 && owner.spoken > 0 && now-owner.spoken > owner.bounds.Suspicion()
 }
 
+// Left tells whether this node has said goodbye: it tells nobody of itself any more.
+func (owner *Owner) Left() bool { return owner.left }
+
 // Seeds are the addresses that this node starts from.
 func (owner *Owner) Seeds() []string { return owner.seeds }
 
--- a/neighbour/neighbour.go
+++ b/neighbour/neighbour.go
@@ -46,6 +46,7 @@
 	cachedAt time.Duration
 	ordered  []string
 	spoken   time.Duration
+	left     bool
 }
 
 // Shuffle carries whole rows of members that are new or changed lately and a few others, and beats of the rest.
@@ -55,9 +56,11 @@
 	Answer  bool              `json:"answer"`
 }
 
+// Bye carries the last beat, so that older news of the member don't bring it back.
 type Bye struct {
-	Name string `json:"name"`
-	Boot string `json:"boot"`
+	Name      string `json:"name"`
+	Boot      string `json:"boot"`
+	Heartbeat int64  `json:"heartbeat"`
 }
 
 const (
@@ -99,6 +102,8 @@
 			if json.Unmarshal(event.Body, &bye) == nil {
 				if known, there := owner.table[bye.Name]; there && known.member.Boot == bye.Boot {
 					known.gone, owner.cached = true, nil
+					known.member.Heartbeat = max(known.member.Heartbeat, bye.Heartbeat)
+					known.told = known.member.Heartbeat
 				}
 			}
 		}
@@ -119,14 +124,15 @@
 
 func (owner *Owner) Farewell() []contract.Command {
 	commands := []contract.Command{}
+	owner.left = true
 	for _, name := range owner.names() {
-		commands = append(commands, contract.Send{To: owner.table[name].member.Address, Kind: LetterBye, Body: Bye{owner.self.Name, owner.self.Boot}})
+		commands = append(commands, contract.Send{To: owner.table[name].member.Address, Kind: LetterBye, Body: Bye{owner.self.Name, owner.self.Boot, owner.self.Heartbeat}})
 	}
 	return commands
 }
 
 func (owner *Owner) tick(now time.Duration) []contract.Command {
-	if now < owner.next {
+	if now < owner.next || owner.left {
 		return nil
 	}
 	owner.next = now + owner.bounds.Gossip()
@@ -262,7 +268,7 @@
 		}
 		owner.beat(now, beat)
 	}
-	if shuffle.Answer || address == "" {
+	if shuffle.Answer || address == "" || owner.left {
 		return nil
 	}
 	answer := owner.sample(now, newcomer)
