--- a/cmd/cedarrig/main.go
+++ b/cmd/cedarrig/main.go
@@ -32,6 +32,12 @@
 	Retire  int     `long:"retire" description:"instead of processes, measure so many seeded retirements of each cause in memory"`
 	Load    int     `long:"load" description:"instead of processes, play each scene of load in memory with so many seeds"`
 	Beside  int     `long:"beside" description:"days of a sweep played side by side" default:"8"`
+	Hollow  string  `long:"hollow" description:"instead of processes, measure fleets without servers and callers of these sizes, with commas between"`
+	Vary    string  `long:"vary" description:"what the sizes of hollow fleets are of: plan (all in proportion to data nodes), nodes, controls, regions, servers, routes, changes (in a hundred seconds) or calls" default:"plan"`
+	Scene   string  `long:"scene" description:"what happens to a hollow fleet at the end: calm, storm, zone or region" default:"calm"`
+	Seeds   int     `long:"seeds" description:"how many seeds each hollow fleet is played with" default:"1"`
+	Warmup  bool    `long:"warmup" description:"the services of hollow fleets bound what a cold server takes"`
+	Out     string  `long:"out" description:"folder that takes figures, fitted lines and a picture of hollow fleets"`
 	Tell    bool    `long:"tell" description:"print every change of state in a sweep"`
 	Version bool    `long:"version" description:"print the version and stop"`
 }
@@ -74,6 +80,9 @@
 	if given.Load > 0 {
 		run = loads
 	}
+	if given.Hollow != "" {
+		run = hollowFleets
+	}
 	clean, mishap := run(given)
 	if mishap != nil {
 		fmt.Fprintln(os.Stderr, "cedarrig:", mishap)
--- /dev/null
+++ b/hollow/hollow_test.go
@@ -0,0 +1,77 @@
+package hollow
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/link"
+	"github.com/cedarreel/cedarreel/manifest"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestHollow(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "hollow")
+}
+
+func small() Plan {
+	plan := Proportional(12)
+	plan.Span, plan.Seed = 4*time.Second, 1
+	return plan
+}
+
+var _ = Describe("hollow fleet", func() {
+	It("founds its core, lists every server and brings a change everywhere", func() {
+		result := Play(small())
+		Expect(result.Stopped).To(BeEmpty())
+		Expect(result.Converged).To(BeNumerically(">", 0))
+		Expect(result.Listed).To(BeNumerically(">=", 0))
+		Expect(result.Force).NotTo(BeEmpty())
+		Expect(result.Lacking).To(HaveEach(0))
+		Expect(result.Roles[RoleData].Count).To(Equal(12))
+		Expect(result.Roles[RoleCore].Count).To(Equal(3))
+	})
+
+	It("counts the same letters with the same seed, however many workers there are", func() {
+		alone := small()
+		alone.Workers = 1
+		first, second := Play(small()), Play(alone)
+		Expect(first.Network).To(Equal(second.Network))
+		Expect(first.Force).To(Equal(second.Force))
+	})
+
+	It("takes the loss of a zone with a core machine", func() {
+		plan := small()
+		plan.Scene = Zone
+		event := Play(plan).Event
+		Expect(event.View).To(BeNumerically(">", 0))
+		Expect(event.Force).To(BeNumerically(">", 0))
+		Expect(event.Lacking).To(BeZero())
+	})
+
+	It("counts a letter as large as its bundle is", func() {
+		letters := []contract.Letter{{Kind: "shuffle", From: "node", Boot: "b1", Body: json.RawMessage(`{"answer":true}`)}, {Kind: "feed-news", From: "node", Boot: "b1", Body: json.RawMessage(`{}`)}}
+		content, failure := json.Marshal(link.Bundle{Letters: letters})
+		Expect(failure).NotTo(HaveOccurred())
+		size := 0
+		for index, letter := range letters {
+			size += sizeOf(letter, index)
+		}
+		Expect(size).To(Equal(len(content)))
+	})
+
+	It("has a configuration that can be read, in the plan's proportions", func() {
+		plan := Proportional(PlannedNodes)
+		Expect([]int{plan.Controls, plan.Servers, plan.Regions, plan.Zones}).To(Equal([]int{PlannedControls, PlannedServers, PlannedRegions, PlannedZones}))
+		read, failure := manifest.Read(plan.Configuration())
+		Expect(failure).NotTo(HaveOccurred())
+		Expect(read.Regions).To(HaveLen(PlannedRegions))
+		Expect(read.Halls).To(HaveLen(PlannedZones))
+		for _, row := range plan.servers() {
+			Expect(read.Halls[row.Hall].Region).To(Equal(row.Region))
+		}
+	})
+})
