--- a/cmd/cedarrig/hollow.go
+++ b/cmd/cedarrig/hollow.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -11,9 +12,16 @@
 	"github.com/rotisserie/eris"
 )
 
+const (
+	hollowGarbage = 400
+	hollowMemory  = 8 << 30
+)
+
 // hollowFleets plays fleets of several sizes without servers and callers and keeps what they cost.
 func hollowFleets(given arguments) (bool, error) {
-	sweep := hollow.Sweep{Vary: given.Vary, Scene: given.Scene, Command: "cedarrig " + strings.Join(os.Args[1:], " ")}
+	debug.SetGCPercent(hollowGarbage)
+	debug.SetMemoryLimit(hollowMemory)
+	sweep := hollow.Sweep{Vary: given.Vary, Scene: given.Scene, Warmup: given.Warmup, Command: "cedarrig " + strings.Join(os.Args[1:], " ")}
 	clean := true
 	for _, text := range strings.Split(given.Hollow, ",") {
 		value, failure := strconv.Atoi(strings.TrimSpace(text))
--- a/hollow/draw.go
+++ b/hollow/draw.go
@@ -43,7 +43,10 @@
 	if sweep.Scene != Calm {
 		name += "-" + sweep.Scene
 	}
-	content, failure := json.MarshalIndent(sweep, "", " ")
+	if sweep.Warmup {
+		name += "-warmup"
+	}
+	content, failure := json.Marshal(sweep)
 	if failure != nil {
 		return eris.Wrap(failure, "capacity")
 	}
@@ -110,7 +113,7 @@
 func (sweep *Sweep) series(one *plot.Plot, index int, name string, part float64) error {
 	points := plotter.XYs{}
 	for place, result := range sweep.Results {
-		if figure, there := result.Figures()[name]; there && result.Stopped == "" {
+		if figure, there := result.Figures()[name]; there && result.Measured >= leastMeasured {
 			points = append(points, plotter.XY{X: sweep.Values[place], Y: figure * part})
 		}
 	}
--- a/hollow/hollow_test.go
+++ b/hollow/hollow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -75,3 +76,46 @@
 		}
 	})
 })
+
+var _ = Describe("lines", func() {
+	sweep := func() *Sweep {
+		sweep := &Sweep{Vary: "nodes", Scene: Calm}
+		for _, value := range []float64{10, 20, 40, 80} {
+			for seed := range uint64(2) {
+				sweep.Values = append(sweep.Values, value)
+				sweep.Results = append(sweep.Results, Result{Plan: Plan{Seed: seed}, Measured: 10, Network: 100 + value*float64(seed+2)})
+			}
+		}
+		return sweep
+	}
+	It("give the slope of a figure, its spread over the seeds and its height at the plan's number", func() {
+		lines := sweep()
+		lines.Fitted()
+		for _, fit := range lines.Fits {
+			if fit.Figure == "fleet.network" {
+				Expect([]float64{fit.Slope, fit.Least, fit.Most, fit.Base}).To(HaveExactElements(BeNumerically("~", 2.5, 1e-9), BeNumerically("~", 2, 1e-9), BeNumerically("~", 3, 1e-9), BeNumerically("~", 100, 1e-9)))
+				Expect(fit.AtPlan).To(BeNumerically("~", 100+2.5*PlannedNodes, 1e-6))
+			}
+		}
+	})
+	It("leave out runs that were stopped before they measured anything", func() {
+		lines := sweep()
+		for place := range lines.Results {
+			lines.Results[place].Measured = 0
+		}
+		lines.Fitted()
+		Expect(lines.Fits).To(BeEmpty())
+	})
+	It("are written with their figures and a picture", func() {
+		lines, folder := sweep(), GinkgoT().TempDir()
+		lines.Fitted()
+		Expect(lines.Write(folder)).To(Succeed())
+		for _, name := range []string{"nodes.json", "nodes.csv", "nodes.svg"} {
+			Expect(filepath.Join(folder, name)).To(BeARegularFile())
+		}
+	})
+	It("are of known things alone", func() {
+		_, failure := Vary(Base(), "weather", 1)
+		Expect(failure).To(HaveOccurred())
+	})
+})
--- a/hollow/plan.go
+++ b/hollow/plan.go
@@ -54,7 +54,7 @@
 func Proportional(nodes int) Plan {
 	return Plan{Nodes: nodes, Controls: part(PlannedControls, nodes, 3), Core: 3, Regions: part(PlannedRegions, nodes, 2),
 		Zones: part(PlannedZones, nodes, 4), Servers: part(PlannedServers, nodes, PlannedModels), Routes: 2 * PlannedModels,
-		Changes: PlannedChanges, Loss: 0.001, Start: 12 * time.Second, Span: 20 * time.Second, Scene: Calm, Workers: 3}
+		Changes: PlannedChanges, Loss: 0.001, Start: 8 * time.Second, Span: 20 * time.Second, Scene: Calm, Workers: 3}
 }
 
 func (plan Plan) bounds() env.Bounds {
--- a/hollow/result.go
+++ b/hollow/result.go
@@ -29,6 +29,7 @@
 type Result struct {
 	Plan       Plan            `json:"plan"`
 	Roles      map[string]Role `json:"roles"`
+	Measured   float64         `json:"measuredSeconds"`
 	Document   int             `json:"configurationBytes"`
 	Converged  float64         `json:"membersKnownSeconds"`
 	KnownMean  float64         `json:"membersKnownMean"`
--- a/hollow/run.go
+++ b/hollow/run.go
@@ -18,6 +18,7 @@
 
 	step      = 100 * time.Millisecond
 	patience  = 30 * time.Second
+	meeting   = 5 * time.Second
 	mostHeap  = 10 << 30
 	mostWall  = 170 * time.Second
 	onlookers = 40
@@ -96,7 +97,11 @@
 
 // until gives the seconds from a moment until something holds, or less than zero.
 func (run *run) until(from time.Duration, holds func() bool) float64 {
-	for limit := run.world.Now + patience; run.world.Now < limit && run.result.Stopped == ""; {
+	return run.within(patience, from, holds)
+}
+
+func (run *run) within(span, from time.Duration, holds func() bool) float64 {
+	for limit := run.world.Now + span; run.world.Now < limit && run.result.Stopped == ""; {
 		if holds() {
 			return (run.world.Now - from).Seconds()
 		}
@@ -109,7 +114,7 @@
 }
 
 func (run *run) boot() {
-	run.result.Converged = run.until(0, func() bool { _, least := run.known(); return least == 1 })
+	run.result.Converged = run.within(meeting, 0, func() bool { _, least := run.known(); return least == 1 })
 	headed := run.until(0, func() bool { return run.head() != nil })
 	if headed < 0 {
 		run.stop("no core was founded")
@@ -128,7 +133,7 @@
 	}
 	run.result.Configured = (run.world.Now - began).Seconds()
 	began = run.world.Now
-	run.result.Listed = run.until(began, run.listed)
+	run.result.Listed = run.within(meeting, began, run.listed)
 	run.pass(max(step, run.plan.Start-run.world.Now))
 	run.open()
 	run.changes = nil
@@ -274,7 +279,8 @@
 			sum, samples, least = sum+mean, samples+1, min(least, lowest)
 		}
 	}
-	span := run.world.Now - began
+	span := max(step, run.world.Now-began)
+	run.result.Measured = span.Seconds()
 	run.result.Roles, run.result.Network = roles(run.world.processes, span)
 	run.result.KnownMean, run.result.KnownLeast = sum/float64(max(1, samples)), least
 	for _, process := range run.world.processes {
--- a/hollow/sweep.go
+++ b/hollow/sweep.go
@@ -19,7 +19,7 @@
 
 // Base is the fleet of which a sweep varies one thing.
 func Base() Plan {
-	plan := Proportional(96)
+	plan := Proportional(48)
 	plan.Controls, plan.Regions, plan.Zones, plan.Servers = 4, 4, 16, 400
 	return plan
 }
@@ -67,6 +67,7 @@
 type Sweep struct {
 	Vary    string    `json:"vary"`
 	Scene   string    `json:"scene"`
+	Warmup  bool      `json:"warmup"`
 	Command string    `json:"command"`
 	Fits    []Fit     `json:"fits"`
 	Results []Result  `json:"results"`
@@ -100,6 +101,9 @@
 	return figures
 }
 
+// leastMeasured seconds make a run count, also one that was stopped later.
+const leastMeasured = 3
+
 // Fitted draws lines through every figure that at least three runs have.
 func (sweep *Sweep) Fitted() {
 	type point struct {
@@ -108,7 +112,7 @@
 	}
 	points := map[string][]point{}
 	for place, result := range sweep.Results {
-		if result.Stopped != "" {
+		if result.Measured < leastMeasured {
 			continue
 		}
 		for name, figure := range result.Figures() {
--- /dev/null
+++ b/shard/cost_test.go
@@ -0,0 +1,29 @@
+package shard_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/hollow"
+	"github.com/cedarreel/cedarreel/shard"
+)
+
+// BenchmarkFirst finds the owner of a shard among all members, as every question for a list does.
+func BenchmarkFirst(b *testing.B) {
+	for _, nodes := range []int{48, 350, hollow.PlannedNodes} {
+		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
+			members := []contract.Member{}
+			for index := range nodes + nodes*hollow.PlannedControls/hollow.PlannedNodes {
+				member := contract.Member{Name: fmt.Sprintf("node-%05d", index), Kind: contract.KindData, Region: fmt.Sprintf("region-%02d", index%hollow.PlannedRegions)}
+				if index >= nodes {
+					member.Kind = contract.KindControl
+				}
+				members = append(members, member)
+			}
+			for range b.N {
+				shard.First(members, "region-07", 0)
+			}
+		})
+	}
+}
