--- a/cmd/cedarrig/hollow.go
+++ b/cmd/cedarrig/hollow.go
@@ -51,3 +51,12 @@
 	}
 	return clean, sweep.Write(given.Out)
 }
+
+// capacity fits what the runs of a folder cost and tells it at the size planned for.
+func capacity(given arguments) (bool, error) {
+	explained, failure := hollow.Model(given.Capacity, given.Routes)
+	for _, one := range explained {
+		fmt.Println(one.Text())
+	}
+	return true, failure
+}
--- a/hollow/hollow_test.go
+++ b/hollow/hollow_test.go
@@ -119,3 +119,19 @@
 		Expect(failure).To(HaveOccurred())
 	})
 })
+
+var _ = It("a model finds what causes a cost, and tells it at the plan", func() {
+	results := []Result{}
+	for _, nodes := range []int{12, 24, 48} {
+		for _, regions := range []int{2, 4, 8} {
+			plan := Plan{Nodes: nodes, Controls: 4, Regions: regions}
+			results = append(results, Result{Plan: plan, Measured: 10, Roles: map[string]Role{RoleData: {Kinds: map[string]Rate{"licence-ask": {BytesOut: 7 + 400*float64(regions)}}}}})
+		}
+	}
+	for _, explained := range Explain(results, Proportional(PlannedNodes)) {
+		if explained.Name == "data: questions for lists, out" {
+			Expect(explained.Slopes["region"]).To(BeNumerically("~", 400, 1e-6))
+			Expect(explained.AtPlan).To(BeNumerically("~", 7+400*PlannedRegions, 1e-4))
+		}
+	}
+})
--- a/hollow/plan.go
+++ b/hollow/plan.go
@@ -74,21 +74,21 @@
 	return fmt.Sprintf("zone-%03d", region+(index/plan.Regions%count)*plan.Regions)
 }
 
-func model(index int) string { return fmt.Sprintf("model-%d", index%PlannedModels) }
+func modelName(index int) string { return fmt.Sprintf("model-%d", index%PlannedModels) }
 
 func (plan Plan) servers() []contract.ServerRow {
 	rows := make([]contract.ServerRow, plan.Servers)
 	for index := range rows {
 		name := fmt.Sprintf("server-%05d", index)
 		rows[index] = contract.ServerRow{Name: name, Incarnation: name, Address: fmt.Sprintf("10.%d.%d.%d:8000", 100+index>>16, index>>8&255, index&255),
-			Region: plan.region(index), Hall: plan.zone(index), Pool: model(index / plan.Regions), Unmeasured: true}
+			Region: plan.region(index), Hall: plan.zone(index), Pool: modelName(index / plan.Regions), Unmeasured: true}
 	}
 	return rows
 }
 
 func (plan Plan) route(index int, rank int64) map[string]any {
 	route := map[string]any{"host": fmt.Sprintf("tenant-%05d.example.com", index), "prefix": "/v1/", "kind": manifest.KindStreaming, "timeoutMs": 60000,
-		"aimMs": 1400, "gapMs": 71, "rank": rank, "attempts": 2, "resumable": true, "affinity": true, "service": model(index), "place": index}
+		"aimMs": 1400, "gapMs": 71, "rank": rank, "attempts": 2, "resumable": true, "affinity": true, "service": modelName(index), "place": index}
 	if index%100 < boundPercent {
 		route["regions"] = []string{plan.region(index)}
 	}
@@ -111,7 +111,7 @@
 		if plan.Warmup {
 			service["warmupS"], service["warmupPerS"] = 30, 20
 		}
-		services[model(index)] = service
+		services[modelName(index)] = service
 	}
 	for index := range plan.Routes {
 		routes[routeName(index)] = plan.route(index, 1)
--- a/hollow/run.go
+++ b/hollow/run.go
@@ -258,7 +258,7 @@
 	for _, process := range run.world.processes[run.plan.Controls:] {
 		for index := range run.plan.Calls {
 			process.traffic.Handle(run.world.Now, gateway.Arrive{Token: int64(index) + 1, Host: fmt.Sprintf("tenant-%05d.example.com", index%run.plan.Routes),
-				Path: "/v1/chat", Left: time.Hour, Prompt: engine.Prompt{Model: model(index), Input: 100, Output: 100}, Size: 1000})
+				Path: "/v1/chat", Left: time.Hour, Prompt: engine.Prompt{Model: modelName(index), Input: 100, Output: 100}, Size: 1000})
 		}
 	}
 }
@@ -287,7 +287,11 @@
 		run.result.Gap = max(run.result.Gap, process.gap.Seconds())
 	}
 	if len(run.changes) > 0 {
-		run.until(run.world.Now, func() bool { return run.everywhere(run.numbered(run.changes[len(run.changes)-1])) })
+		run.until(run.world.Now, func() bool {
+			change := run.changes[len(run.changes)-1]
+			revision := run.numbered(change)
+			return run.refused(change) || revision > 0 && run.everywhere(revision)
+		})
 	}
 	for _, change := range run.changes {
 		run.tell(change)
