--- a/hollow/run.go
+++ b/hollow/run.go
@@ -163,14 +163,21 @@
 	return sum / float64(count), least
 }
 
+// head gives the head of the newest view, if it knows that it is.
 func (run *run) head() *Process {
+	newest, head := int64(0), (*Process)(nil)
 	for _, process := range run.world.processes[:run.plan.Core] {
-		node, there := process.node.Feed.View().Head()
-		if head := run.world.addresses[node.Address]; process.up && there && head != nil && head.up && head.node.Feed.View().Number == process.node.Feed.View().Number {
-			return head
+		view := process.node.Feed.View()
+		node, there := view.Head()
+		if !process.up || !there || view.Number < newest {
+			continue
+		}
+		newest = view.Number
+		if named := run.world.addresses[node.Address]; named != nil && named.up && named.node.Feed.View().Number == newest {
+			head = named
 		}
 	}
-	return nil
+	return head
 }
 
 func (run *run) ask(verb string, body []byte) {
--- a/hollow/scene.go
+++ b/hollow/scene.go
@@ -134,7 +134,10 @@
 	event.KnownAgain = run.until(mended, func() bool { _, least := run.known(); return least == 1 })
 	if len(run.changes) > 0 {
 		revision := run.numbered(run.changes[0])
-		lacking, last := run.force(max(1, revision))
-		event.Force, event.Lacking = (last - mended).Seconds(), lacking
+		if revision > 0 && run.until(mended, func() bool { return run.everywhere(revision) }) >= 0 {
+			_, last := run.force(revision)
+			event.Force = (last - mended).Seconds()
+		}
+		event.Lacking, _ = run.force(max(1, revision))
 	}
 }
