--- /dev/null
+++ b/chain/vouch_test.go
@@ -0,0 +1,46 @@
+package chain
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/env"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a chain that shrank to one member", func() {
+	node := func(name string) contract.CoreNode {
+		return contract.CoreNode{Name: name, Boot: "boot", Address: name}
+	}
+	letter := func(kind, from string, body any) contract.Letter {
+		content, failure := json.Marshal(body)
+		Expect(failure).NotTo(HaveOccurred())
+		return contract.Letter{Kind: kind, From: from, Boot: "boot", Body: content}
+	}
+	nodes := []contract.CoreNode{node("head"), node("middle"), node("tail")}
+	names := []string{nodes[0].Identity(), nodes[1].Identity(), nodes[2].Identity()}
+
+	// member is the middle of a chain that has taken a version and not yet heard whether its tail has it.
+	member := func() *Owner {
+		owner := New(nodes[1], 3, env.DefaultBounds(), Shelf{}, rand.New(rand.NewPCG(1, 1)))
+		owner.Handle(0, letter(LetterNews, "head", contract.View{Number: 1, Core: nodes, Chain: names, Holders: names}))
+		content := []byte(`{}`)
+		version := contract.Version{Place: contract.Place{View: 1, Revision: 1}, Operation: "first", Digest: contract.Digest(content), Manifest: content}
+		owner.Handle(0, letter(LetterPass, "head", Pass{View: 1, Versions: []contract.Version{version}, Top: 1}))
+		for token := int64(1); token <= 4; token++ {
+			owner.Handle(time.Millisecond, Persisted{Token: token})
+		}
+		Expect(owner.top).To(Equal(int64(1)))
+		Expect(owner.Committed()).To(BeZero())
+		return owner
+	}
+
+	It("given a version that the former tail may have acknowledged, when it alone is asked, then it does not answer with an older one", func() {
+		owner := member()
+		owner.Handle(2*time.Millisecond, letter(LetterNews, "tail", contract.View{Number: 2, Core: nodes, Chain: names[1:2], Holders: names}))
+		Expect(owner.IsTail()).To(BeTrue())
+		Expect(owner.Vouch(3*time.Millisecond, 7)).To(ConsistOf(Vouched{Token: 7}))
+	})
+})
