A drain that asks for what is so makes a version of its own on our own interface

Cause: the short cut for the platform's repeated orders held for operation keys too, which then named no version. The story of racing drains was red (2 versions, wanted 4), green again. Nothing changes for orders that come through a face.

--- a/control/gateway.go
+++ b/control/gateway.go
@@ -26,9 +26,9 @@
 	return ""
 }
 
-// standing gives the newest version when a drain or an undrain asks for what already is so.
+// standing gives the newest version when a drain or an undrain asks for what already is so, and wants no version of its own.
 func (owner *Owner) standing(ask contract.Ask) (contract.Version, bool) {
-	if ask.Verb != contract.VerbDrain && ask.Verb != contract.VerbUndrain {
+	if !ask.Prompt || ask.Verb != contract.VerbDrain && ask.Verb != contract.VerbUndrain {
 		return contract.Version{}, false
 	}
 	latest, fine := owner.chain.Latest()
