An owner that began anew is told from its former self

Cause: a control machine that was killed and came back took its shard at once, under the epoch number that its former life had; nodes then dropped its lists as older, or took them for the same, until the number of lists had passed. Ruled out: the listing (withdrawn 60 ms after its notice), the links. Change: an epoch carries the owner's life, which makes it another epoch without ordering it. gateway/node_test.go was red without it.

--- a/contract/epoch.go
+++ b/contract/epoch.go
@@ -2,9 +2,11 @@
 
 import "time"
 
+// Epoch is one turn of an owner. Life tells a restarted owner from its former self, whose numbers mean nothing to it; it does not order.
 type Epoch struct {
 	Number int64  `json:"number"`
 	Node   string `json:"node"`
+	Life   string `json:"life,omitempty"`
 }
 
 func (epoch Epoch) Before(other Epoch) bool {
--- a/gateway/node_test.go
+++ b/gateway/node_test.go
@@ -262,3 +262,17 @@
 		Expect(last).To(Equal(Fleet{Self: "node000-data", Names: []string{"a2-data", "node000-data"}}))
 	})
 })
+
+var _ = Describe("lists of an owner that began anew", func() {
+	It("given an owner that restarted under the number of its former self, when its list has a lower number, then the list is taken", func() {
+		node := following()
+		node.take(contract.Tick{})
+		former := licence(2, 5, node.now, "a", "b")
+		former.Epoch.Life = "first"
+		Expect(lists(node.take(letter(shard.LetterLicence, "owner-control", former)))).To(HaveLen(1))
+		node.now += time.Second
+		reborn := licence(2, 1, node.now, "a")
+		reborn.Epoch.Life = "second"
+		Expect(lists(node.take(letter(shard.LetterLicence, "owner-control", reborn)))).To(Equal([][]string{{"a"}}))
+	})
+})
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -336,7 +336,7 @@
 
 func (owner *Owner) takeOver(now time.Duration, held *duty) {
 	held.owning, held.taken = true, now
-	held.epoch = contract.Epoch{Number: held.highest.Number + 1, Node: owner.self.Name}
+	held.epoch = contract.Epoch{Number: held.highest.Number + 1, Node: owner.self.Name, Life: owner.self.Boot}
 	held.highest, held.number, held.list = held.epoch, 0, ""
 	held.words, held.calls, held.lingering = map[string]retire.Word{}, map[string]map[string]int64{}, map[string]map[string]int64{}
 	held.shares = map[string]map[string]int64{}
