A configuration is read four times as fast: tokens by library, paths only when told

Profile: 81% in Tree, most of it errors that encoding/json makes for each token, and paths written for each value in case something is wrong. Changed: jsontext reads tokens; where a value stands is a chain of steps that becomes text only for a message; paths are cut, not split. Before: 44.4 ms, 6.3 MB, 227,000 allocations at 1,000 routes. After: 9.9 ms, 3.1 MB, 65,000 (BenchmarkRead, one core).

--- a/manifest/tree.go
+++ b/manifest/tree.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"io"
 	"sort"
+	"strconv"
 	"strings"
 
+	"github.com/go-json-experiment/json/jsontext"
 	"github.com/rotisserie/eris"
 )
 
@@ -16,13 +18,12 @@
 
 // Tree reads one JSON object: duplicate keys, trailing data and too deep nesting are refused, numbers stay exact.
 func Tree(content []byte) (map[string]any, error) {
-	decoder := json.NewDecoder(bytes.NewReader(content))
-	decoder.UseNumber()
-	value, mishap := branch(decoder, "", 0)
+	decoder := jsontext.NewDecoder(bytes.NewBuffer(content), jsontext.AllowDuplicateNames(true), jsontext.AllowInvalidUTF8(true))
+	value, mishap := branch(decoder, nil)
 	if mishap != nil {
 		return nil, mishap
 	}
-	if _, mishap = decoder.Token(); mishap != io.EOF {
+	if _, mishap = decoder.ReadToken(); mishap != io.EOF {
 		return nil, eris.New("data after the end of the object")
 	}
 	tree, fine := value.(map[string]any)
@@ -32,51 +33,86 @@
 	return tree, nil
 }
 
-func branch(decoder *json.Decoder, path string, depth int) (any, error) {
-	if depth > deepest {
-		return nil, eris.Errorf("%s: nested too deep", path)
+// step is one step of the way to a value; the way becomes text only when something there is wrong.
+type step struct {
+	above *step
+	key   string
+	index int
+	depth int
+}
+
+func (here *step) under(key string, index int) *step {
+	depth := 1
+	if here != nil {
+		depth = here.depth + 1
 	}
-	token, mishap := decoder.Token()
-	if mishap != nil {
-		return nil, eris.Wrapf(mishap, "%s: not JSON", path)
+	return &step{above: here, key: key, index: index, depth: depth}
+}
+
+func (here *step) String() string {
+	switch {
+	case here == nil:
+		return ""
+	case here.index >= 0:
+		return here.above.String() + "[" + strconv.Itoa(here.index) + "]"
+	}
+	return Join(here.above.String(), here.key)
+}
+
+func branch(decoder *jsontext.Decoder, here *step) (any, error) {
+	if here != nil && here.depth > deepest {
+		return nil, eris.Errorf("%s: nested too deep", here)
 	}
-	delimiter, fine := token.(json.Delim)
-	if !fine {
-		return token, nil
+	token, mishap := decoder.ReadToken()
+	if mishap != nil {
+		return nil, eris.Wrapf(mishap, "%s: not JSON", here)
 	}
-	if delimiter == '[' {
+	switch token.Kind() {
+	case '{':
+		return object(decoder, here)
+	case '[':
 		items := []any{}
-		for decoder.More() {
-			item, mishap := branch(decoder, fmt.Sprintf("%s[%d]", path, len(items)), depth+1)
+		for decoder.PeekKind() != ']' {
+			item, mishap := branch(decoder, here.under("", len(items)))
 			if mishap != nil {
 				return nil, mishap
 			}
 			items = append(items, item)
 		}
-		return items, closed(decoder, path)
-	}
+		return items, closed(decoder, here)
+	case '0':
+		return json.Number(token.String()), nil
+	case '"':
+		return token.String(), nil
+	case 't', 'f':
+		return token.Bool(), nil
+	}
+	return nil, nil
+}
+
+func object(decoder *jsontext.Decoder, here *step) (any, error) {
 	tree := map[string]any{}
-	for decoder.More() {
-		token, mishap := decoder.Token()
+	for decoder.PeekKind() != '}' {
+		token, mishap := decoder.ReadToken()
 		if mishap != nil {
-			return nil, eris.Wrapf(mishap, "%s: not JSON", path)
+			return nil, eris.Wrapf(mishap, "%s: not JSON", here)
 		}
-		key := token.(string)
+		key := token.String()
+		inside := here.under(key, -1)
 		if _, double := tree[key]; double {
-			return nil, eris.Errorf("%s: key given twice", Join(path, key))
+			return nil, eris.Errorf("%s: key given twice", inside)
 		}
-		tree[key], mishap = branch(decoder, Join(path, key), depth+1)
-		if mishap != nil {
+		if tree[key], mishap = branch(decoder, inside); mishap != nil {
 			return nil, mishap
 		}
 	}
-	return tree, closed(decoder, path)
+	return tree, closed(decoder, here)
 }
 
 // closed reads the end of a list or an object.
-func closed(decoder *json.Decoder, path string) error {
-	_, mishap := decoder.Token()
-	return eris.Wrapf(mishap, "%s: not JSON", path)
+func closed(decoder *jsontext.Decoder, here *step) error {
+	_, mishap := decoder.ReadToken()
+	return eris.Wrapf(mishap, "%s: not JSON", here)
 }
 
 func Join(path, key string) string {
@@ -155,7 +191,9 @@
 	if path == "" {
 		return value, true
 	}
-	for _, key := range strings.Split(path, ".") {
+	for rest, more := path, true; more; {
+		var key string
+		key, rest, more = strings.Cut(rest, ".")
 		tree, fine := value.(map[string]any)
 		if !fine {
 			return nil, false
