One event queue and one scheduler of virtual time for the three simulations

Cause: emulator, fleet and hollow each had the heap of (moment, order) written out, and emulator and fleet the same After, At and RunUntil; a mend of one would not reach the others. Ruled out: hollow on the scheduler too. It takes windows of events for many nodes at once and plays them side by side, so that only the queue is the same. fleet's drifting clock of a machine stands once and stays. Change: virtual.Queue, a generic event queue, and virtual.Scheduler over it; emulator's and fleet's World embed it. emulator's after, at and runUntil became After, At and RunUntil, in its tests as well. "agenda" and "happening" became the field's event queue and event. A popped event is let go by the queue, as hollow's was already.

--- a/emulator/batch.go
+++ b/emulator/batch.go
@@ -220,7 +220,7 @@
 		}
 	}
 	span := engine.StepMs + engine.PerRunningMs*float64(len(server.running)) + engine.ContextMsPerK*float64(context)/1000 + float64(read)/engine.TokensPerMs
-	server.day.world.after(seconds(span*server.speed/1000), func() {
+	server.day.world.After(seconds(span*server.speed/1000), func() {
 		batch.awake = false
 		if !server.up {
 			return
--- a/emulator/caller.go
+++ b/emulator/caller.go
@@ -75,7 +75,7 @@
 func (visitor *visitor) askOne(targets []*machine) {
 	world := visitor.day.world
 	if len(targets) == 0 {
-		world.after(askPause, func() {
+		world.After(askPause, func() {
 			visitor.asking = false
 			visitor.ask()
 		})
@@ -93,7 +93,7 @@
 		}
 		visitor.learned(addresses)
 	}
-	world.after(askPatience, func() { end(nil) })
+	world.After(askPatience, func() { end(nil) })
 	world.post(visitor.place(), target.place(), func() {
 		if !target.up() {
 			world.post(target.place(), visitor.place(), func() { end(nil) })
@@ -231,9 +231,9 @@
 		}
 		day.visit(random, zone)
 		rate := source.PerS * day.swing(source, day.world.Now-from) * day.burst()
-		day.world.after(time.Duration(random.ExpFloat64()/rate*float64(time.Second)), next)
+		day.world.After(time.Duration(random.ExpFloat64()/rate*float64(time.Second)), next)
 	}
-	day.world.at(from+time.Duration(random.ExpFloat64()/source.PerS*float64(time.Second)), next)
+	day.world.At(from+time.Duration(random.ExpFloat64()/source.PerS*float64(time.Second)), next)
 }
 
 // visit draws a call and sends it.
--- a/emulator/caller_test.go
+++ b/emulator/caller_test.go
@@ -15,9 +15,9 @@
 		machine.start()
 	}
 	day.operator.begin()
-	day.world.runUntil(8 * time.Second)
+	day.world.RunUntil(8 * time.Second)
 	day.traffic(day.world.Now, day.world.Now)
-	day.world.runUntil(9 * time.Second)
+	day.world.RunUntil(9 * time.Second)
 	return day
 }
 
@@ -45,7 +45,7 @@
 			visitor := day.caller("prairie-a", index)
 			day.asks(visitor, "availability")
 			began := day.world.Now
-			day.world.runUntil(began + 500*time.Millisecond)
+			day.world.RunUntil(began + 500*time.Millisecond)
 			Expect(visitor.until - began).To(BeNumerically("~", life, 50*time.Millisecond))
 			Expect(visitor.known).NotTo(BeEmpty())
 		}
@@ -56,8 +56,8 @@
 		visitor := day.caller("prairie-a", 1)
 		visitor.known, visitor.until = []string{"10.9.9.9:" + trafficPort}, time.Hour
 		one := day.asks(visitor, "policy-check")
-		day.world.after(time.Millisecond, func() { visitor.known = []string{day.machines[0].address + ":" + trafficPort} })
-		day.world.runUntil(day.world.Now + 8*time.Second)
+		day.world.After(time.Millisecond, func() { visitor.known = []string{day.machines[0].address + ":" + trafficPort} })
+		day.world.RunUntil(day.world.Now + 8*time.Second)
 		Expect(one.Outcome).To(Or(Equal("served"), Equal("late")))
 		Expect(day.record.Tries).To(HaveLen(2))
 	})
@@ -69,8 +69,8 @@
 		frozen.freeze()
 		visitor.known, visitor.until = []string{frozen.address + ":" + trafficPort}, time.Hour
 		one := day.asks(visitor, "reply-draft")
-		day.world.after(time.Second/2, func() { visitor.known = append(visitor.known, other.address+":"+trafficPort) })
-		day.world.runUntil(day.world.Now + 6*time.Second)
+		day.world.After(time.Second/2, func() { visitor.known = append(visitor.known, other.address+":"+trafficPort) })
+		day.world.RunUntil(day.world.Now + 6*time.Second)
 		Expect(one.Outcome).To(Equal("late"))
 		Expect(one.First).To(BeNumerically("~", 1100*time.Millisecond, 300*time.Millisecond))
 	})
@@ -82,7 +82,7 @@
 		}
 		visitor := day.caller("prairie-a", 2)
 		one := day.asks(visitor, "policy-check")
-		day.world.runUntil(day.world.Now + 12*time.Second)
+		day.world.RunUntil(day.world.Now + 12*time.Second)
 		Expect(one.Outcome).To(Or(Equal("failed"), Equal("refused")))
 		for _, try := range day.record.Tries {
 			Expect(try.Pieces).To(BeEmpty())
@@ -95,11 +95,11 @@
 			for _, server := range day.order {
 				server.crash()
 			}
-			day.world.runUntil(day.world.Now + 6*time.Second)
+			day.world.RunUntil(day.world.Now + 6*time.Second)
 			visitor := day.caller("prairie-a", 2-index)
 			Expect(visitor.hasty).To(Equal(index == 1))
 			one := day.asks(visitor, "policy-check")
-			day.world.runUntil(day.world.Now + 6*time.Second)
+			day.world.RunUntil(day.world.Now + 6*time.Second)
 			Expect(one.Outcome).To(Equal("refused"))
 			gap := day.record.Tries[1].Sent - day.record.Tries[0].Ended
 			if least == 0 {
@@ -116,10 +116,10 @@
 		one := day.call(visitor, day.classNamed("reply-draft"), rand.New(rand.NewPCG(1, 1)))
 		one.pieces, one.prompt.Output = 60, 300
 		one.send(false)
-		day.world.runUntil(day.world.Now + 400*time.Millisecond)
+		day.world.RunUntil(day.world.Now + 400*time.Millisecond)
 		Expect(one.got).To(BeNumerically(">", 0))
 		day.byName[day.record.Tries[0].Machine].kill()
-		day.world.runUntil(day.world.Now + 5*time.Second)
+		day.world.RunUntil(day.world.Now + 5*time.Second)
 		Expect(day.record.Tries).To(HaveLen(2))
 		Expect(day.record.Tries[1].After).To(BeNumerically(">", 0))
 		Expect(one.got).To(Equal(60))
--- a/emulator/changes.go
+++ b/emulator/changes.go
@@ -51,7 +51,7 @@
 
 // probeAll sends a few requests straight to each machine, on routes that came or went and on one that never was.
 func (day *Day) probeAll(routes []string, after time.Duration) {
-	day.world.after(after, func() {
+	day.world.After(after, func() {
 		for _, machine := range day.machines {
 			if !machine.up() || !machine.data.ready() {
 				continue
@@ -102,7 +102,7 @@
 				operator.send(sent, ask, func() {
 					day.probeAll([]string{added}, seconds(0.5))
 					if left--; left == 0 {
-						day.world.after(trouble.gap(), done)
+						day.world.After(trouble.gap(), done)
 					}
 				})
 			}
@@ -112,7 +112,7 @@
 
 func (day *Day) storm(trouble Trouble) {
 	for span := time.Duration(0); span < trouble.span(); span += trouble.gap() {
-		day.world.after(span, func() { day.change(Trouble{How: "timeout"}) })
+		day.world.After(span, func() { day.change(Trouble{How: "timeout"}) })
 	}
 }
 
@@ -140,7 +140,7 @@
 			next.routes["bad"] = route
 			sent, ask := operator.version(next, contract.VerbReplace, nil, nil)
 			sent.Invalid = true
-			operator.send(sent, ask, func() { day.world.after(trouble.gap(), done) })
+			operator.send(sent, ask, func() { day.world.After(trouble.gap(), done) })
 		})
 	}
 }
@@ -158,7 +158,7 @@
 		}
 	}
 	day.operator.evacuate(zone, false, func() {
-		day.world.after(trouble.span(), func() { day.operator.evacuate(zone, true, back) })
+		day.world.After(trouble.span(), func() { day.operator.evacuate(zone, true, back) })
 	})
 }
 
@@ -195,13 +195,13 @@
 	for _, machine := range day.nodes(trouble) {
 		machine.ill(day.world.Now, day.world.Now+trouble.span())
 		if day.chance.IntN(2) == 0 {
-			day.world.after(trouble.span(), day.world.cut([]string{machine.name}, others))
+			day.world.After(trouble.span(), day.world.cut([]string{machine.name}, others))
 			continue
 		}
 		for _, other := range day.machines {
 			others = append(others, other.name)
 		}
-		day.world.after(trouble.span(), day.world.cut([]string{machine.name}, others))
+		day.world.After(trouble.span(), day.world.cut([]string{machine.name}, others))
 	}
 	day.beside(trouble)
 }
@@ -214,7 +214,7 @@
 		old.kill()
 		old.gone, old.removed = true, day.world.Now
 		day.world.darken(old.name)
-		day.world.after(seconds(trouble.times()), func() {
+		day.world.After(seconds(trouble.times()), func() {
 			made := day.addMachine(old.zone, true)
 			made.founded = true
 			made.ill(day.world.Now, day.world.Now)
@@ -229,7 +229,7 @@
 	for _, machine := range day.nodes(trouble) {
 		machine.ill(day.world.Now, day.world.Now+trouble.span())
 		begin(machine.disk)
-		day.world.after(trouble.span(), func() { end(machine.disk) })
+		day.world.After(trouble.span(), func() { end(machine.disk) })
 	}
 }
 
--- a/emulator/control.go
+++ b/emulator/control.go
@@ -175,7 +175,7 @@
 	process.after(limit, func() { end(nil) })
 	world.post(here, there, func() {
 		answer, span := look()
-		world.after(span, func() { world.post(there, here, func() { end(answer) }) })
+		world.After(span, func() { world.post(there, here, func() { end(answer) }) })
 	})
 }
 
--- a/emulator/day.go
+++ b/emulator/day.go
@@ -262,12 +262,12 @@
 		day.schedule(trouble)
 	}
 	if closing != "" {
-		day.world.at(lead+length, func() { day.close(closing) })
+		day.world.At(lead+length, func() { day.close(closing) })
 	}
 	last := until + settleTime
-	day.world.runUntil(last - day.record.Bounds.Contact)
+	day.world.RunUntil(last - day.record.Bounds.Contact)
 	day.operator.readBack(last + time.Second)
-	day.world.runUntil(last + 2*time.Second)
+	day.world.RunUntil(last + 2*time.Second)
 	day.record.End = day.world.Now
 	return day.result(seed)
 }
--- a/emulator/disk.go
+++ b/emulator/disk.go
@@ -43,9 +43,9 @@
 		return
 	}
 	span := time.Duration(float64(syncTime*syncsPerSave) * max(1, disk.slow))
-	world.after(span, func() {
+	world.After(span, func() {
 		if disk.stalled > 0 {
-			world.after(diskPause, func() { disk.next(world) })
+			world.After(diskPause, func() { disk.next(world) })
 			return
 		}
 		if len(disk.work) > 0 {
--- a/emulator/found_test.go
+++ b/emulator/found_test.go
@@ -22,7 +22,7 @@
 		day := live()
 		leaving := day.machines[0]
 		leaving.data.leave(func() {})
-		day.world.runUntil(day.world.Now + 2*time.Second)
+		day.world.RunUntil(day.world.Now + 2*time.Second)
 		for _, machine := range day.machines {
 			named := []string{}
 			machine.data.lookup("central", "prairie-a", func(addresses []string) { named = addresses })
--- a/emulator/list.go
+++ b/emulator/list.go
@@ -51,7 +51,7 @@
 }
 
 func (list *list) crashed(server *server) {
-	list.day.world.after(crashStays, func() { list.show(row{server: server, gone: true}) })
+	list.day.world.After(crashStays, func() { list.show(row{server: server, gone: true}) })
 }
 
 // page gives a part of the list, and whether more follows.
@@ -133,7 +133,7 @@
 		shown.ends = server.ends
 	}
 	server.day.list.show(shown)
-	server.day.world.after(span, server.vanish)
+	server.day.world.After(span, server.vanish)
 }
 
 // vanish ends a server that left; its address is free for others after a while.
@@ -143,5 +143,5 @@
 	}
 	day := server.day
 	day.list.show(row{server: server, gone: true})
-	day.world.after(seconds(day.site.Bounds.ReuseS), func() { day.free = append(day.free, server.address) })
+	day.world.After(seconds(day.site.Bounds.ReuseS), func() { day.free = append(day.free, server.address) })
 }
--- a/emulator/machine.go
+++ b/emulator/machine.go
@@ -126,7 +126,7 @@
 }
 
 func (process *process) after(span time.Duration, then func()) {
-	process.day.world.after(span, func() { process.do(then) })
+	process.day.world.After(span, func() { process.do(then) })
 }
 
 func (process *process) tick(every time.Duration) {
--- a/emulator/mischief.go
+++ b/emulator/mischief.go
@@ -22,7 +22,7 @@
 func (day *Day) rush(trouble Trouble) {
 	surge := &surge{class: trouble.Class, times: trouble.times()}
 	day.bursts = append(day.bursts, surge)
-	day.world.after(trouble.span(), func() { surge.times = 1 })
+	day.world.After(trouble.span(), func() { surge.times = 1 })
 }
 
 // move sends a share of a zone's callers to another zone.
@@ -33,7 +33,7 @@
 	}
 	zone := day.site.Zones[from].Name
 	day.shifts[zone] = shift{share: max(0.1, trouble.Share), to: day.site.Zones[to].Name}
-	day.world.after(trouble.span(), func() { delete(day.shifts, zone) })
+	day.world.After(trouble.span(), func() { delete(day.shifts, zone) })
 }
 
 // crashServers ends servers; new ones come in their place unless they are gone. Dark ones are silent for a while and then go on.
@@ -42,7 +42,7 @@
 		if strings.Contains(trouble.How, "dark") {
 			light := day.world.darken(server.name)
 			server.dark = true
-			day.world.after(trouble.span(), func() {
+			day.world.After(trouble.span(), func() {
 				server.dark = false
 				light()
 			})
@@ -50,23 +50,23 @@
 		}
 		server.crash()
 		if !strings.Contains(trouble.How, "gone") {
-			day.world.after(trouble.span(), func() { day.addServer(server.service, server.zone) })
+			day.world.After(trouble.span(), func() { day.addServer(server.service, server.zone) })
 		}
-		day.world.after(crashStays+seconds(day.site.Bounds.ReuseS), func() { day.free = append(day.free, server.address) })
+		day.world.After(crashStays+seconds(day.site.Bounds.ReuseS), func() { day.free = append(day.free, server.address) })
 	}
 }
 
 func (day *Day) garble(trouble Trouble) {
 	for _, server := range day.some(trouble) {
 		server.garbled = max(0.01, trouble.X)
-		day.world.after(trouble.span(), func() { server.garbled = 0 })
+		day.world.After(trouble.span(), func() { server.garbled = 0 })
 	}
 }
 
 func (day *Day) loseAnswers(trouble Trouble) {
 	for _, server := range day.some(trouble) {
 		server.lossy = max(0.01, trouble.X)
-		day.world.after(trouble.span(), func() { server.lossy = 0 })
+		day.world.After(trouble.span(), func() { server.lossy = 0 })
 	}
 }
 
@@ -79,7 +79,7 @@
 // release replaces servers one after the other: a new one comes, an old one leaves.
 func (day *Day) release(trouble Trouble) {
 	for index, server := range day.some(trouble) {
-		day.world.after(time.Duration(index)*trouble.gap(), func() {
+		day.world.After(time.Duration(index)*trouble.gap(), func() {
 			if server.up && !server.leaving {
 				day.addServer(server.service, server.zone)
 				server.depart(day.drainTime(), false)
@@ -108,14 +108,14 @@
 		if strings.Contains(trouble.How, "dark") {
 			light := day.world.darken(server.name)
 			server.dark = true
-			day.world.after(trouble.span(), func() {
+			day.world.After(trouble.span(), func() {
 				server.dark, server.coldUntil = false, day.world.Now+seconds(server.service.ColdS)
 				light()
 			})
 			continue
 		}
 		server.crash()
-		day.world.after(trouble.span(), func() { day.addServer(server.service, server.zone) })
+		day.world.After(trouble.span(), func() { day.addServer(server.service, server.zone) })
 	}
 }
 
@@ -136,7 +136,7 @@
 		machine.disk.wipe()
 	}
 	boots := machine.boots
-	day.world.after(span, func() {
+	day.world.After(span, func() {
 		light()
 		if machine.boots == boots {
 			machine.start()
@@ -170,7 +170,7 @@
 func (day *Day) freezeNodes(trouble Trouble) {
 	for _, machine := range day.nodes(trouble) {
 		machine.ill(day.world.Now, day.world.Now+trouble.span())
-		day.world.after(trouble.span(), machine.freeze())
+		day.world.After(trouble.span(), machine.freeze())
 	}
 	day.beside(trouble)
 }
@@ -180,7 +180,7 @@
 	for _, machine := range day.nodes(trouble) {
 		machine.ill(day.world.Now, day.world.Now+trouble.span())
 		if day.chance.IntN(2) == 0 {
-			day.world.after(trouble.span(), day.world.darken(machine.name))
+			day.world.After(trouble.span(), day.world.darken(machine.name))
 			continue
 		}
 		names := []string{"list"}
@@ -190,7 +190,7 @@
 		for _, server := range day.order {
 			names = append(names, server.name)
 		}
-		day.world.after(trouble.span(), day.world.cut([]string{machine.name}, names))
+		day.world.After(trouble.span(), day.world.cut([]string{machine.name}, names))
 	}
 }
 
@@ -207,7 +207,7 @@
 		trouble.Share = 0.35
 	}
 	for index, machine := range all[:trouble.count(len(all))] {
-		day.world.after(time.Duration(index)*trouble.gap(), func() { day.term(machine) })
+		day.world.After(time.Duration(index)*trouble.gap(), func() { day.term(machine) })
 	}
 }
 
@@ -222,7 +222,7 @@
 		return
 	}
 	if machine.core && day.spareCore() == 0 {
-		day.world.after(waitCore, func() { day.term(machine) })
+		day.world.After(waitCore, func() { day.term(machine) })
 		return
 	}
 	grace, boots, left := seconds(day.site.Bounds.GraceS), machine.boots, 2
@@ -235,7 +235,7 @@
 		}
 		machine.kill()
 		machine.record.Troubles[index].Until = day.world.Now + termReturn
-		day.world.after(termReturn, machine.start)
+		day.world.After(termReturn, machine.start)
 	}
 	over := func() {
 		if left--; left == 0 {
@@ -244,7 +244,7 @@
 	}
 	machine.control.leave(over)
 	machine.data.leave(over)
-	day.world.after(grace, end)
+	day.world.After(grace, end)
 }
 
 func (day *Day) killHerd(trouble Trouble) {
@@ -262,7 +262,7 @@
 			}
 			machine.wall += step
 			machine.ill(day.world.Now, day.world.Now)
-			day.world.after(trouble.span(), func() {
+			day.world.After(trouble.span(), func() {
 				machine.wall -= step
 				machine.ill(day.world.Now, day.world.Now)
 			})
--- a/emulator/operator.go
+++ b/emulator/operator.go
@@ -66,7 +66,7 @@
 	}
 	operator.current = first
 	operator.busy = true
-	operator.day.world.at(firstSent, func() {
+	operator.day.world.At(firstSent, func() {
 		next, ask := operator.version(first, contract.VerbReplace, nil, nil)
 		operator.send(next, ask, func() {
 			operator.busy = false
@@ -219,9 +219,9 @@
 				over = true
 				return
 			}
-			world.after(pause, func() { send(min(longestPause, pause*pauseGrows/pauseParts)) })
+			world.After(pause, func() { send(min(longestPause, pause*pauseGrows/pauseParts)) })
 		}
-		world.after(answerTime, func() { end(contract.Answer{}) })
+		world.After(answerTime, func() { end(contract.Answer{}) })
 		world.post(from, node.place(), func() {
 			if !node.up() {
 				world.post(node.place(), from, func() { end(contract.Answer{}) })
@@ -299,7 +299,7 @@
 				})
 			}
 		})
-		world.after(readPause, read)
+		world.After(readPause, read)
 	}
 	read()
 }
--- a/emulator/server.go
+++ b/emulator/server.go
@@ -78,7 +78,7 @@
 
 // idle closes a connection that was unused for its time.
 func (server *server) idle(conn *conn) {
-	server.day.world.after(keptIdle, func() {
+	server.day.world.After(keptIdle, func() {
 		used, there := server.conns[conn]
 		switch {
 		case !there:
@@ -143,7 +143,7 @@
 		return
 	}
 	if arrival.Cold && server.overload(now) {
-		world.after(0, func() { server.crash() })
+		world.After(0, func() { server.crash() })
 		return
 	}
 	if server.lossy > 0 && world.random.Float64() < server.lossy {
@@ -156,7 +156,7 @@
 		return
 	}
 	server.queue = append(server.queue, job)
-	world.after(asked.left, func() {
+	world.After(asked.left, func() {
 		if !job.over && !arrival.Ran {
 			server.queue = slices.DeleteFunc(server.queue, func(other *task) bool { return other == job })
 			server.remove(job)
@@ -228,7 +228,7 @@
 		server.running = append(server.running, job)
 		server.began(job)
 		full := 1 + 0.5*float64(len(server.running))/float64(server.service.Slots)
-		server.day.world.after(time.Duration(float64(job.request.work)*server.speed*full), func() {
+		server.day.world.After(time.Duration(float64(job.request.work)*server.speed*full), func() {
 			if job.over || !server.up {
 				return
 			}
--- a/emulator/server_test.go
+++ b/emulator/server_test.go
@@ -68,7 +68,7 @@
 	return one
 }
 
-func (bench *bench) run(span time.Duration) { bench.day.world.runUntil(bench.day.world.Now + span) }
+func (bench *bench) run(span time.Duration) { bench.day.world.RunUntil(bench.day.world.Now + span) }
 
 func part(id string, tokens int64) engine.Part { return engine.Part{ID: id, Tokens: tokens} }
 
--- a/emulator/troubles.go
+++ b/emulator/troubles.go
@@ -121,7 +121,7 @@
 		panic("no such trouble: " + trouble.Kind)
 	}
 	day.plan = append(day.plan, trouble.String())
-	day.world.at(seconds(day.site.LeadS+trouble.AtS), func() {
+	day.world.At(seconds(day.site.LeadS+trouble.AtS), func() {
 		day.say("trouble", trouble.String())
 		if !kind.planned {
 			day.record.Unplanned = append(day.record.Unplanned, rules.Span{From: day.world.Now, Until: day.world.Now + trouble.span()})
--- a/emulator/try.go
+++ b/emulator/try.go
@@ -73,9 +73,9 @@
 	}
 	asked := &request{try: one.try, class: class, host: day.host(), path: "/" + one.route + "/x", prompt: one.prompt, left: left, work: one.work, size: class.Bytes}
 	opened.send(near, class.Bytes, func() { machine.data.serve(opened, asked, one) })
-	day.world.after(left, one.giveUp)
+	day.world.After(left, one.giveUp)
 	if one.try.Repeatable {
-		day.world.after(min(time.Second, left/3), func() {
+		day.world.After(min(time.Second, left/3), func() {
 			if one.try.Read == 0 {
 				one.visitor.fail(address)
 				one.giveUp()
@@ -90,7 +90,7 @@
 // listen gives a stream up after a silence.
 func (one *attempt) listen() {
 	patience := max(silenceLeast, seconds(one.class.AimMs/1000*silenceAims), seconds(one.class.GapMs/1000*silenceGaps))
-	one.day.world.at(one.touched+patience, func() {
+	one.day.world.At(one.touched+patience, func() {
 		switch {
 		case one.over:
 		case one.day.world.Now-one.touched >= patience:
@@ -185,7 +185,7 @@
 	if one.visitor.hasty {
 		wait = backOff
 	}
-	one.day.world.after(wait, func() { one.call.send(true) })
+	one.day.world.After(wait, func() { one.call.send(true) })
 }
 
 // settle notes how a call ended.
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -3,44 +3,18 @@
 package emulator
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/virtual"
 )
 
-type happening struct {
-	at    time.Duration
-	order int64
-	then  func()
-}
-
-type agenda []*happening
-
-func (agenda agenda) Len() int { return len(agenda) }
-func (agenda agenda) Less(left, right int) bool {
-	if agenda[left].at != agenda[right].at {
-		return agenda[left].at < agenda[right].at
-	}
-	return agenda[left].order < agenda[right].order
-}
-func (agenda agenda) Swap(left, right int) { agenda[left], agenda[right] = agenda[right], agenda[left] }
-func (agenda *agenda) Push(item any)       { *agenda = append(*agenda, item.(*happening)) }
-func (agenda *agenda) Pop() any {
-	old := *agenda
-	last := old[len(old)-1]
-	*agenda = old[:len(old)-1]
-	return last
-}
-
 // World is virtual time and the links between places.
 type World struct {
-	Now    time.Duration
+	virtual.Scheduler
 	seed   uint64
 	random *rand.Rand
-	agenda agenda
-	order  int64
 	net    Net
 	cuts   map[[2]string]int
 	dark   map[string]int
@@ -69,22 +43,6 @@
 	return rand.New(rand.NewPCG(world.seed, contract.Weight(name)))
 }
 
-func (world *World) after(span time.Duration, then func()) {
-	world.order++
-	heap.Push(&world.agenda, &happening{at: world.Now + max(0, span), order: world.order, then: then})
-}
-
-func (world *World) at(moment time.Duration, then func()) { world.after(moment-world.Now, then) }
-
-func (world *World) runUntil(moment time.Duration) {
-	for len(world.agenda) > 0 && world.agenda[0].at <= moment {
-		next := heap.Pop(&world.agenda).(*happening)
-		world.Now = next.at
-		next.then()
-	}
-	world.Now = moment
-}
-
 func (world *World) delay(from, to place) time.Duration {
 	span := seconds(world.net.ZoneMs / 1000)
 	switch {
@@ -108,7 +66,7 @@
 	if world.broken(from, to) {
 		return
 	}
-	world.after(world.delay(from, to), func() {
+	world.After(world.delay(from, to), func() {
 		if !world.broken(from, to) {
 			then()
 		}
@@ -117,7 +75,7 @@
 
 // carry brings something at a moment; a cut holds it up.
 func (world *World) carry(from, to place, moment time.Duration, then func()) {
-	world.at(moment, func() {
+	world.At(moment, func() {
 		if world.broken(from, to) {
 			world.held = append(world.held, parcel{from, to, then})
 			return
@@ -135,7 +93,7 @@
 			world.held = append(world.held, one)
 			continue
 		}
-		world.after(world.delay(one.from, one.to), one.then)
+		world.After(world.delay(one.from, one.to), one.then)
 	}
 }
 
@@ -250,7 +208,7 @@
 		over = true
 		then(opened)
 	}
-	world.after(limit, func() { end(nil) })
+	world.After(limit, func() { end(nil) })
 	made.last[near] = world.Now + world.delay(from, to)
 	world.carry(from, to, made.last[near], func() {
 		fine := accept(made)
--- a/fleet/world.go
+++ b/fleet/world.go
@@ -3,41 +3,16 @@
 package fleet
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
-)
-
-type happening struct {
-	at    time.Duration
-	order int64
-	then  func()
-}
-
-type agenda []*happening
 
-func (agenda agenda) Len() int { return len(agenda) }
-func (agenda agenda) Less(left, right int) bool {
-	if agenda[left].at != agenda[right].at {
-		return agenda[left].at < agenda[right].at
-	}
-	return agenda[left].order < agenda[right].order
-}
-func (agenda agenda) Swap(left, right int) { agenda[left], agenda[right] = agenda[right], agenda[left] }
-func (agenda *agenda) Push(item any)       { *agenda = append(*agenda, item.(*happening)) }
-func (agenda *agenda) Pop() any {
-	old := *agenda
-	last := old[len(old)-1]
-	*agenda = old[:len(old)-1]
-	return last
-}
+	"github.com/cedarreel/cedarreel/virtual"
+)
 
 // World is virtual time and the links; nothing in it looks at a real clock.
 type World struct {
-	Now    time.Duration
+	virtual.Scheduler
 	Random *rand.Rand
-	agenda agenda
-	order  int64
 	cut    map[[2]string]int
 	heals  int
 	Loss   float64
@@ -49,23 +24,6 @@
 	return &World{Random: rand.New(rand.NewPCG(seed, 77)), cut: map[[2]string]int{}, gap: gap}
 }
 
-func (world *World) After(span time.Duration, then func()) {
-	world.order++
-	heap.Push(&world.agenda, &happening{at: world.Now + max(0, span), order: world.order, then: then})
-}
-
-func (world *World) At(moment time.Duration, then func()) { world.After(moment-world.Now, then) }
-
-// RunUntil lets everything happen up to a moment.
-func (world *World) RunUntil(moment time.Duration) {
-	for len(world.agenda) > 0 && world.agenda[0].at <= moment {
-		next := heap.Pop(&world.agenda).(*happening)
-		world.Now = next.at
-		next.then()
-	}
-	world.Now = moment
-}
-
 const (
 	linkBase   = 300 * time.Microsecond
 	linkSpread = 700 * time.Microsecond
--- a/hollow/result.go
+++ b/hollow/result.go
@@ -3,6 +3,8 @@
 import (
 	"runtime"
 	"time"
+
+	"github.com/cedarreel/cedarreel/virtual"
 )
 
 // Rate is what one node of a role does a second; processor time is a part of a core.
@@ -120,7 +122,7 @@
 
 // weigh lets the nodes of one role after the other go and gives what each of them held.
 func weigh(world *World) map[string]float64 {
-	world.queue, world.active = nil, nil
+	world.queue, world.active = virtual.Queue[*delivery]{}, nil
 	for _, process := range world.processes {
 		process.inbox, process.outbox, process.uses = nil, nil, nil
 	}
--- a/hollow/world.go
+++ b/hollow/world.go
@@ -1,13 +1,13 @@
 package hollow
 
 import (
-	"container/heap"
 	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/virtual"
 )
 
 // leastDelay is the shortest link: what happens within it at one node cannot reach another, so that nodes are played side by side.
@@ -18,7 +18,6 @@
 
 type delivery struct {
 	at     time.Duration
-	order  int64
 	from   *Process
 	target *Process
 	event  contract.Event
@@ -28,30 +27,10 @@
 	region string
 }
 
-type queue []*delivery
-
-func (queue queue) Len() int { return len(queue) }
-func (queue queue) Less(left, right int) bool {
-	if queue[left].at != queue[right].at {
-		return queue[left].at < queue[right].at
-	}
-	return queue[left].order < queue[right].order
-}
-func (queue queue) Swap(left, right int) { queue[left], queue[right] = queue[right], queue[left] }
-func (queue *queue) Push(item any)       { *queue = append(*queue, item.(*delivery)) }
-func (queue *queue) Pop() any {
-	old := *queue
-	last := old[len(old)-1]
-	old[len(old)-1] = nil
-	*queue = old[:len(old)-1]
-	return last
-}
-
 // World is virtual time: windows of the shortest delay, the nodes of a window in parallel, their letters merged in a fixed order.
 type World struct {
 	Now       time.Duration
-	queue     queue
-	order     int64
+	queue     virtual.Queue[*delivery]
 	processes []*Process
 	addresses map[string]*Process
 	servers   []contract.ServerRow
@@ -92,21 +71,18 @@
 	}
 }
 
-func (world *World) push(item *delivery) {
-	world.order++
-	item.order = world.order
-	heap.Push(&world.queue, item)
-}
+func (world *World) push(item *delivery) { world.queue.Push(item.at, item) }
 
 // Run lets virtual time pass up to a moment.
 func (world *World) Run(until time.Duration) {
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
-	for len(world.queue) > 0 && world.queue[0].at <= until {
-		ends := min(world.queue[0].at+leastDelay, until+1)
+	for world.due(until + 1) {
+		began, _ := world.queue.Next()
+		ends := min(began+leastDelay, until+1)
 		world.active = world.active[:0]
-		for len(world.queue) > 0 && world.queue[0].at < ends {
-			next := heap.Pop(&world.queue).(*delivery)
+		for world.due(ends) {
+			next := world.queue.Pop()
 			if len(next.target.inbox) == 0 {
 				world.active = append(world.active, next.target)
 			}
@@ -124,6 +100,12 @@
 	world.Now = until
 }
 
+// due tells whether anything happens before a moment.
+func (world *World) due(moment time.Duration) bool {
+	at, there := world.queue.Next()
+	return there && at < moment
+}
+
 func (world *World) play() {
 	world.turn.Store(0)
 	if len(world.active) < fewest {
