One simulated disk for emulator and fleet, its strictness as options

Ruled out: making fleet's disk as strict as emulator's here. Change: virtual.Disk, with Full, Stalled, Lies and Torn, and two options: LosesUnsynced (a loss of power takes what was not synced) and Serial (one save at a time). emulator plays with both, fleet with neither, as before.

--- a/emulator/changes.go
+++ b/emulator/changes.go
@@ -238,9 +238,9 @@
 }
 
 func (day *Day) fillDisks(trouble Trouble) {
-	day.disks(trouble, func(disk *disk) { disk.full++ }, func(disk *disk) { disk.full-- })
+	day.disks(trouble, func(disk *disk) { disk.fill(1) }, func(disk *disk) { disk.fill(-1) })
 }
 
 func (day *Day) stallDisks(trouble Trouble) {
-	day.disks(trouble, func(disk *disk) { disk.stalled++ }, func(disk *disk) { disk.stalled-- })
+	day.disks(trouble, func(disk *disk) { disk.stall(1) }, func(disk *disk) { disk.stall(-1) })
 }
--- a/emulator/control.go
+++ b/emulator/control.go
@@ -39,7 +39,7 @@
 func (shell *controlShell) act(command contract.Command) bool {
 	switch command := command.(type) {
 	case chain.Persist:
-		shell.machine.disk.save(shell.day.world, func() {
+		shell.machine.disk.Save(func() {
 			persisted := chain.Persisted{Token: command.Token}
 			if failure := image.Save(shell.machine.disk, command); failure != nil {
 				persisted.Mishap = failure.Error()
--- a/emulator/day.go
+++ b/emulator/day.go
@@ -108,7 +108,7 @@
 	made := &machine{day: day, name: "node-" + name(number), zone: zone, region: day.site.region(zone), core: core, number: number,
 		address: fmt.Sprintf("10.1.%d.%d", number/200, number%200+1)}
 	if core {
-		made.disk = newDisk()
+		made.disk = newDisk(day.world)
 	}
 	made.record = &rules.Machine{Name: made.name, Region: made.region, Core: core}
 	day.record.Machines = append(day.record.Machines, made.record)
--- a/emulator/machine.go
+++ b/emulator/machine.go
@@ -176,7 +176,7 @@
 func (machine *machine) powerLost() {
 	machine.end(func(shell *dataShell) { shell.vanish() })
 	if machine.disk != nil {
-		machine.disk.powerLost()
+		machine.disk.LosePower()
 	}
 }
 
@@ -190,7 +190,7 @@
 	}
 	connections(machine.data)
 	if machine.disk != nil {
-		machine.disk.work = nil
+		machine.disk.Abandon()
 	}
 }
 
--- a/emulator/mischief.go
+++ b/emulator/mischief.go
@@ -133,7 +133,7 @@
 		machine.kill()
 	}
 	if wiped && machine.disk != nil {
-		machine.disk.wipe()
+		machine.disk.Wipe()
 	}
 	boots := machine.boots
 	day.world.After(span, func() {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -79,7 +79,7 @@
 	machine.env.Bounds = fleet.Bounds
 	machine.env.Seeds = []string{"10.0.0.1:7400", "10.0.0.5:7400", "10.0.0.9:7400"}
 	if row.Core {
-		machine.Disk = newDisk()
+		machine.Disk = newDisk(fleet.World)
 	}
 	return machine
 }
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -217,19 +217,17 @@
 }
 
 func (process *Process) persist(work chain.Persist) {
-	disk, fleet := process.machine.Disk, process.machine.fleet
-	fleet.World.After(disk.took(fleet.World.Random), func() {
-		disk.whenMoving(func() {
-			if !process.up {
-				return
-			}
-			persisted := chain.Persisted{Token: work.Token}
-			if mishap := image.Save(disk, work); mishap != nil {
-				persisted.Mishap = mishap.Error()
-			}
-			disk.saved()
-			process.Event(persisted)
-		})
+	disk := process.machine.Disk
+	disk.Save(func() {
+		if !process.up {
+			return
+		}
+		persisted := chain.Persisted{Token: work.Token}
+		if mishap := image.Save(disk, work); mishap != nil {
+			persisted.Mishap = mishap.Error()
+		}
+		disk.Acknowledged()
+		process.Event(persisted)
 	})
 }
 
@@ -243,7 +241,7 @@
 		}
 	}
 	if machine.Disk != nil {
-		machine.Disk.powerLost()
+		machine.Disk.LosePower()
 	}
 	machine.freezes = 0
 	machine.ill()
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -57,7 +57,7 @@
 func onDisk[Value any](field func(*Disk) *Value, value Value) func(*Fleet, time.Duration) {
 	return func(fleet *Fleet, span time.Duration) {
 		disk := one(fleet, fleet.Cores()).Disk
-		overlap(fleet, field(disk), value, span, disk.unstall)
+		overlap(fleet, field(disk), value, span, disk.Resume)
 	}
 }
 
@@ -126,7 +126,7 @@
 	{"disks stalled", func(fleet *Fleet, span time.Duration) {
 		fleet.writes(span, 12)
 		for _, machine := range fleet.Cores()[:2] {
-			overlap(fleet, &machine.Disk.Stalled, true, span, machine.Disk.unstall)
+			overlap(fleet, &machine.Disk.Stalled, true, span, machine.Disk.Resume)
 		}
 	}},
 	{"disks full", func(fleet *Fleet, span time.Duration) {
@@ -318,8 +318,8 @@
 	}
 	for _, machine := range fleet.Machines {
 		if machine.Disk != nil {
-			machine.Disk.Full, machine.Disk.Slow = false, 0
-			machine.Disk.Unstall()
+			machine.Disk.Full, machine.Disk.Stalled, machine.Disk.Slow = false, false, 0
+			machine.Disk.Resume()
 		}
 		if machine.Up() {
 			machine.Wake()
