One process that freezes, thaws and dies for emulator and fleet

Cause: what a frozen process holds back and what a dead one loses stood twice, word for word. Ruled out: the freezes of a machine too. They look alike, but emulator leaves a dead machine alone and fleet notes it as ill. Change: virtual.Process with Do, Thaw and Kill, within emulator's and fleet's own; emulator's do became Do.

--- a/emulator/control.go
+++ b/emulator/control.go
@@ -68,7 +68,7 @@
 
 // ask puts an operator's question to this process.
 func (shell *controlShell) ask(ask contract.Ask, take func(contract.Answer)) {
-	shell.do(func() {
+	shell.Do(func() {
 		shell.token++
 		ask.Token = shell.token
 		shell.asks[ask.Token] = take
@@ -83,7 +83,7 @@
 		if !given {
 			given = true
 			answer.Token = forward.Ask.Token
-			process.do(func() { give(answer) })
+			process.Do(func() { give(answer) })
 		}
 	}
 	process.after(process.machine.settings().Bounds.Deliver()*2, func() {
@@ -95,7 +95,7 @@
 		return
 	}
 	day.world.post(process.machine.place(), target.machine.place(), func() {
-		if !target.up {
+		if !target.Up {
 			day.world.post(target.machine.place(), process.machine.place(), func() { end(contract.Refuse(0, 503, "the authority cannot be reached; nothing was done", 0)) })
 			return
 		}
@@ -169,7 +169,7 @@
 	end := func(answer any) {
 		if !done {
 			done = true
-			process.do(func() { take(answer) })
+			process.Do(func() { take(answer) })
 		}
 	}
 	process.after(limit, func() { end(nil) })
--- a/emulator/data.go
+++ b/emulator/data.go
@@ -69,7 +69,7 @@
 
 // lookup answers a caller that asks where to go, with the machines' addresses.
 func (shell *dataShell) lookup(region, zone string, take func([]string)) {
-	shell.do(func() {
+	shell.Do(func() {
 		shell.token++
 		shell.answers[shell.token] = func(answer contract.Answer) {
 			found := answer.Body.(gateway.Addresses)
--- a/emulator/exchange.go
+++ b/emulator/exchange.go
@@ -91,12 +91,12 @@
 
 // accept takes a caller's connection.
 func (shell *dataShell) accept(conn *conn) bool {
-	if !shell.up || shell.shut {
+	if !shell.Up || shell.shut {
 		return false
 	}
 	shell.callers[conn] = nil
 	conn.closed[far] = func() {
-		shell.do(func() {
+		shell.Do(func() {
 			left := shell.callers[conn]
 			delete(shell.callers, conn)
 			if left != nil {
@@ -109,7 +109,7 @@
 
 // serve takes one call, has it decided, and carries out what was decided until it is over.
 func (shell *dataShell) serve(conn *conn, request *request, back caller) {
-	shell.do(func() {
+	shell.Do(func() {
 		if _, there := shell.callers[conn]; !there {
 			return
 		}
@@ -224,13 +224,13 @@
 	}
 	shell.day.opened++
 	shell.day.world.dial(shell.machine.place(), to, min(dispatch.Connect, dispatch.Left), accept, func(opened *conn) {
-		if !shell.up {
+		if !shell.Up {
 			if opened != nil {
 				opened.close(near)
 			}
 			return
 		}
-		shell.do(func() {
+		shell.Do(func() {
 			switch {
 			case one.over || one.number != number:
 				if opened != nil {
@@ -249,7 +249,7 @@
 func (one *exchange) write(upstream *conn) {
 	shell, number, dispatch := one.shell, one.number, one.dispatch
 	guard := func(then func()) {
-		shell.do(func() {
+		shell.Do(func() {
 			if !one.over && one.number == number {
 				then()
 			}
--- a/emulator/machine.go
+++ b/emulator/machine.go
@@ -8,6 +8,7 @@
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/emulator/rules"
 	"github.com/cedarreel/cedarreel/env"
+	"github.com/cedarreel/cedarreel/virtual"
 )
 
 // machine runs a control and a data process; one of the core has a disk.
@@ -32,16 +33,14 @@
 	record  *rules.Machine
 }
 
-// process is one life of a program: while it is frozen everything waits for it, when it is dead everything is lost.
+// process is one life of a program.
 type process struct {
+	virtual.Process
 	day     *Day
 	machine *machine
 	kind    string
 	boot    string
 	began   time.Duration
-	up      bool
-	frozen  bool
-	waiting []func()
 	owner   contract.Owner
 	perform func(contract.Command) bool
 }
@@ -99,10 +98,10 @@
 	}
 }
 
-func (machine *machine) up() bool { return machine.data != nil && machine.data.up }
+func (machine *machine) up() bool { return machine.data != nil && machine.data.Up }
 
 func (machine *machine) process(kind string, owner contract.Owner) *process {
-	made := &process{day: machine.day, machine: machine, kind: kind, boot: machine.boot(), began: machine.day.world.Now, up: true, owner: owner}
+	made := &process{day: machine.day, machine: machine, kind: kind, boot: machine.boot(), began: machine.day.world.Now, owner: owner, Process: virtual.Process{Up: true}}
 	return made
 }
 
@@ -114,19 +113,8 @@
 
 func (process *process) now() time.Duration { return process.day.world.Now - process.began }
 
-// do runs something inside the process: later if it is frozen, never if it died.
-func (process *process) do(then func()) {
-	switch {
-	case !process.up:
-	case process.frozen:
-		process.waiting = append(process.waiting, then)
-	default:
-		then()
-	}
-}
-
 func (process *process) after(span time.Duration, then func()) {
-	process.day.world.After(span, func() { process.do(then) })
+	process.day.world.After(span, func() { process.Do(then) })
 }
 
 func (process *process) tick(every time.Duration) {
@@ -134,7 +122,7 @@
 	process.after(every, func() { process.tick(every) })
 }
 
-func (process *process) event(event contract.Event) { process.do(func() { process.handle(event) }) }
+func (process *process) event(event contract.Event) { process.Do(func() { process.handle(event) }) }
 
 func (process *process) handle(event contract.Event) {
 	for _, command := range process.owner.Handle(process.now(), event) {
@@ -186,7 +174,7 @@
 		return
 	}
 	for _, process := range []*process{machine.control.process, machine.data.process} {
-		process.up, process.frozen, process.waiting = false, false, nil
+		process.Kill()
 	}
 	connections(machine.data)
 	if machine.disk != nil {
@@ -200,7 +188,7 @@
 	}
 	boots := machine.boots
 	machine.freezes++
-	machine.control.frozen, machine.data.frozen = true, true
+	machine.control.Frozen, machine.data.Frozen = true, true
 	return func() {
 		if machine.boots != boots || machine.freezes == 0 {
 			return
@@ -209,12 +197,7 @@
 			return
 		}
 		for _, process := range []*process{machine.control.process, machine.data.process} {
-			process.frozen = false
-			waiting := process.waiting
-			process.waiting = nil
-			for _, then := range waiting {
-				process.do(then)
-			}
+			process.Thaw()
 		}
 	}
 }
--- a/emulator/troubles.go
+++ b/emulator/troubles.go
@@ -156,7 +156,7 @@
 func (day *Day) leader() *machine {
 	best := (*machine)(nil)
 	for _, machine := range day.machines {
-		if !machine.up() || machine.control.frozen {
+		if !machine.up() || machine.control.Frozen {
 			continue
 		}
 		if head := machine.head(); head != "" && day.byName[head] != nil && day.byName[head].up() {
--- a/fleet/caller.go
+++ b/fleet/caller.go
@@ -100,7 +100,7 @@
 	}
 	lost := func() { next.stuck = true }
 	sent := fleet.World.carry(visit.place(), machine.place(), false, func() {
-		if !process.up {
+		if !process.Up {
 			fleet.World.carry(machine.place(), visit.place(), false, func() { next.end("not_run", 0) }, lost)
 			return
 		}
--- a/fleet/operate.go
+++ b/fleet/operate.go
@@ -51,7 +51,7 @@
 func (fleet *Fleet) accepted(ask contract.Ask, written Written) {
 	digest := ""
 	for _, machine := range fleet.Machines {
-		if machine.Control == nil || !machine.Control.up {
+		if machine.Control == nil || !machine.Control.Up {
 			continue
 		}
 		if version, there := fleet.held(machine, written.Accepted.Revision); there {
--- a/fleet/passage.go
+++ b/fleet/passage.go
@@ -30,7 +30,7 @@
 	process.after(pass.Limit+process.machine.env.Bounds.Round()/2, func() { process.Do(session.lost) })
 	target := fleet.processes[nodes[0]]
 	fleet.World.travel(process.machine.place(), target.machine.place(), false, func() {
-		if !target.up {
+		if !target.Up {
 			fleet.World.travel(target.machine.place(), process.machine.place(), false, next)
 			return
 		}
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -13,6 +13,7 @@
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/image"
 	"github.com/cedarreel/cedarreel/site"
+	"github.com/cedarreel/cedarreel/virtual"
 )
 
 // Machine runs a control and a data process; a core machine has a disk.
@@ -33,16 +34,14 @@
 	return place{machine.Name, machine.Hall, machine.Region}
 }
 
-// Process is one program: while it is frozen everything waits for it, when it is dead everything is lost.
+// Process is one life of a program.
 type Process struct {
+	virtual.Process
 	machine  *Machine
 	owner    contract.Owner
 	kind     string
 	boot     string
 	began    time.Duration
-	up       bool
-	frozen   bool
-	waiting  []func()
 	asks     map[int64]func(contract.Answer)
 	token    int64
 	sessions map[int64]*session
@@ -74,7 +73,7 @@
 }
 
 func (machine *Machine) process(kind string) *Process {
-	return &Process{machine: machine, kind: kind, boot: fmt.Sprintf("b%d", machine.boots), began: machine.read(), up: true,
+	return &Process{machine: machine, kind: kind, boot: fmt.Sprintf("b%d", machine.boots), began: machine.read(), Process: virtual.Process{Up: true},
 		asks: map[int64]func(contract.Answer){}, sessions: map[int64]*session{}, Counts: map[string]int64{}, Gauges: map[string]int64{}}
 }
 
@@ -85,22 +84,11 @@
 	return process.machine.env.Data
 }
 
-// Do runs something inside the process, later if it is frozen, never if it died.
-func (process *Process) Do(then func()) {
-	switch {
-	case !process.up:
-	case process.frozen:
-		process.waiting = append(process.waiting, then)
-	default:
-		then()
-	}
-}
-
 func (process *Process) tick() {
-	if !process.up {
+	if !process.Up {
 		return
 	}
-	if !process.frozen {
+	if !process.Frozen {
 		process.handle(contract.Tick{})
 	}
 	process.after(process.machine.env.Bounds.Tick(), process.tick)
@@ -204,7 +192,7 @@
 		return
 	}
 	fleet.World.travel(process.machine.place(), target.machine.place(), false, func() {
-		if target != fleet.processes[forward.Address] || !target.up {
+		if target != fleet.processes[forward.Address] || !target.Up {
 			fleet.World.travel(target.machine.place(), process.machine.place(), false, func() {
 				give(contract.Refuse(0, 503, "the authority cannot be reached; nothing was done", process.machine.env.Bounds.Round()))
 			})
@@ -219,7 +207,7 @@
 func (process *Process) persist(work chain.Persist) {
 	disk := process.machine.Disk
 	disk.Save(func() {
-		if !process.up {
+		if !process.Up {
 			return
 		}
 		persisted := chain.Persisted{Token: work.Token}
@@ -234,8 +222,7 @@
 // Kill ends both processes; what the disk only said it kept may go with them.
 func (machine *Machine) Kill() {
 	for _, process := range []*Process{machine.Control, machine.Data} {
-		process.up, process.frozen = false, false
-		process.waiting = nil
+		process.Kill()
 		for _, session := range process.sortedSessions() {
 			session.broken()
 		}
@@ -249,7 +236,7 @@
 	machine.fleet.Ledger.Restarted(machine.Name + "-control")
 }
 
-func (machine *Machine) Up() bool { return machine.Control != nil && machine.Control.up }
+func (machine *Machine) Up() bool { return machine.Control != nil && machine.Control.Up }
 
 // illSince tells whether a machine was dead or frozen at any time since a moment; a cut of its links is no illness.
 func (machine *Machine) illSince(moment time.Duration) bool {
@@ -261,7 +248,7 @@
 // Freeze stops a machine; the end of one freeze wakes it only if no other lasts.
 func (machine *Machine) Freeze() (thaw func()) {
 	machine.ill()
-	machine.Control.frozen, machine.Data.frozen = true, true
+	machine.Control.Frozen, machine.Data.Frozen = true, true
 	machine.freezes++
 	boots := machine.boots
 	return func() {
@@ -277,15 +264,7 @@
 	machine.ill()
 	machine.freezes = 0
 	for _, process := range []*Process{machine.Control, machine.Data} {
-		if !process.frozen {
-			continue
-		}
-		process.frozen = false
-		waiting := process.waiting
-		process.waiting = nil
-		for _, then := range waiting {
-			process.Do(then)
-		}
+		process.Thaw()
 	}
 }
 
--- a/fleet/readback.go
+++ b/fleet/readback.go
@@ -13,7 +13,7 @@
 // readBack asks the fleet for every accepted revision that must still be kept (the last ones up to the newest, which an operator who
 // got no answer may have written), and compares it with what its operator sent.
 func (fleet *Fleet) readBack() {
-	live := fleet.Pick(func(machine *Machine) bool { return machine.Up() && !machine.Control.frozen })
+	live := fleet.Pick(func(machine *Machine) bool { return machine.Up() && !machine.Control.Frozen })
 	if len(live) == 0 {
 		return
 	}
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -40,7 +40,7 @@
 }
 
 func (fleet *Fleet) anyNode() *Machine {
-	live := fleet.Pick(func(machine *Machine) bool { return machine.Up() && !machine.Control.frozen })
+	live := fleet.Pick(func(machine *Machine) bool { return machine.Up() && !machine.Control.Frozen })
 	if len(live) == 0 {
 		return fleet.Machines[0]
 	}
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -65,7 +65,7 @@
 	}
 }
 
-func (process *Process) well() bool { return process.up && !process.frozen }
+func (process *Process) well() bool { return process.Up && !process.Frozen }
 
 func (machine *Machine) processes() []*Process {
 	if machine.Control == nil {
