One choice of data nodes for a pass and for backing; one way to write an image aside

Cause: data.homeNodes and data.backersOf differed in the region, the subject and the count alone; image.Save wrote versions, view and mark aside with the same four lines each. Ruled out: loops that only look alike (tables of events, the tick with its signal to stop, sets of names with an end), readers of settings whose checks differ, types of the same shape, asks of two stand-ins with other tables behind them. Change: dataNodes in data, write within image.Save. What is written, in which order, and what an error says stay. Tests of image, emulator, hollow, virtual, stories/core, stories/calls and stories/halls pass; data has none of its own, stories/calls plays it.

--- a/data/handover.go
+++ b/data/handover.go
@@ -57,19 +57,7 @@
 // backersOf gives nodes of other regions that keep a call too, and are not waited for: if every node of the home region is
 // lost at once, they hand the records back.
 func (owner *Owner) backersOf(now time.Duration, scoped string) []string {
-	addresses, names := map[string]string{}, []string{}
-	for _, member := range owner.Neighbours.Members(now) {
-		if member.Kind == contract.KindData && member.Region != owner.Self().Region {
-			names, addresses[member.Name] = append(names, member.Name), member.Address
-		}
-	}
-	backers := []string{}
-	for _, name := range contract.Ordered("back/"+scoped, names) {
-		if len(backers) < backersMost {
-			backers = append(backers, addresses[name])
-		}
-	}
-	return backers
+	return owner.dataNodes(now, "back/"+scoped, backersMost, func(region string) bool { return region != owner.Self().Region })
 }
 
 func (owner *Owner) share(now time.Duration, ask Share) {
--- a/data/pass.go
+++ b/data/pass.go
@@ -27,15 +27,20 @@
 
 // homeNodes gives live data nodes of a region, in an order of the call's own.
 func (owner *Owner) homeNodes(now time.Duration, home, subject string) []string {
+	return owner.dataNodes(now, "pass/"+subject, passMost, func(region string) bool { return region == home })
+}
+
+// dataNodes gives the addresses of live data nodes in fitting regions, at most so many, in an order of the subject's own.
+func (owner *Owner) dataNodes(now time.Duration, subject string, most int, fits func(region string) bool) []string {
 	addresses, names := map[string]string{}, []string{}
 	for _, member := range owner.Neighbours.Members(now) {
-		if member.Kind == contract.KindData && member.Region == home {
+		if member.Kind == contract.KindData && fits(member.Region) {
 			names, addresses[member.Name] = append(names, member.Name), member.Address
 		}
 	}
 	nodes := []string{}
-	for _, name := range contract.Ordered("pass/"+subject, names) {
-		if len(nodes) < passMost {
+	for _, name := range contract.Ordered(subject, names) {
+		if len(nodes) < most {
 			nodes = append(nodes, addresses[name])
 		}
 	}
--- a/image/image.go
+++ b/image/image.go
@@ -63,37 +63,30 @@
 
 func Save(files Files, work chain.Persist) error {
 	names := []string{}
-	for _, version := range work.Versions {
-		content, mishap := wrap(version)
+	write := func(name string, value any) error {
+		content, mishap := wrap(value)
 		if mishap == nil {
-			mishap = files.WriteAside(nameOf(version.Place)+aside, content)
+			mishap = files.WriteAside(name+aside, content)
 		}
-		if mishap != nil {
+		names = append(names, name)
+		return mishap
+	}
+	for _, version := range work.Versions {
+		if mishap := write(nameOf(version.Place), version); mishap != nil {
 			return eris.Wrap(mishap, "version not written")
 		}
-		names = append(names, nameOf(version.Place))
 	}
 	slices.Sort(names)
 	names = slices.Compact(names)
 	if work.View != nil {
-		content, mishap := wrap(*work.View)
-		if mishap == nil {
-			mishap = files.WriteAside(viewName+aside, content)
-		}
-		if mishap != nil {
+		if mishap := write(viewName, *work.View); mishap != nil {
 			return eris.Wrap(mishap, "view not written")
 		}
-		names = append(names, viewName)
 	}
 	if work.Committed != nil {
-		content, mishap := wrap(*work.Committed)
-		if mishap == nil {
-			mishap = files.WriteAside(markName+aside, content)
-		}
-		if mishap != nil {
+		if mishap := write(markName, *work.Committed); mishap != nil {
 			return eris.Wrap(mishap, "mark not written")
 		}
-		names = append(names, markName)
 	}
 	for _, name := range names {
 		if mishap := files.Settle(name+aside, name); mishap != nil {
