--- a/emulator/day.go
+++ b/emulator/day.go
@@ -108,7 +108,7 @@
 	made := &machine{day: day, name: "node-" + name(number), zone: zone, region: day.site.region(zone), core: core, number: number,
 		address: fmt.Sprintf("10.1.%d.%d", number/200, number%200+1)}
 	if core {
-		made.disk = newDisk()
+		made.disk = newDisk(day.world)
 	}
 	made.record = &rules.Machine{Name: made.name, Region: made.region, Core: core}
 	day.record.Machines = append(day.record.Machines, made.record)
@@ -262,12 +262,12 @@
 		day.schedule(trouble)
 	}
 	if closing != "" {
-		day.world.at(lead+length, func() { day.close(closing) })
+		day.world.At(lead+length, func() { day.close(closing) })
 	}
 	last := until + settleTime
-	day.world.runUntil(last - day.record.Bounds.Contact)
+	day.world.RunUntil(last - day.record.Bounds.Contact)
 	day.operator.readBack(last + time.Second)
-	day.world.runUntil(last + 2*time.Second)
+	day.world.RunUntil(last + 2*time.Second)
 	day.record.End = day.world.Now
 	return day.result(seed)
 }
--- a/emulator/troubles.go
+++ b/emulator/troubles.go
@@ -121,7 +121,7 @@
 		panic("no such trouble: " + trouble.Kind)
 	}
 	day.plan = append(day.plan, trouble.String())
-	day.world.at(seconds(day.site.LeadS+trouble.AtS), func() {
+	day.world.At(seconds(day.site.LeadS+trouble.AtS), func() {
 		day.say("trouble", trouble.String())
 		if !kind.planned {
 			day.record.Unplanned = append(day.record.Unplanned, rules.Span{From: day.world.Now, Until: day.world.Now + trouble.span()})
@@ -156,7 +156,7 @@
 func (day *Day) leader() *machine {
 	best := (*machine)(nil)
 	for _, machine := range day.machines {
-		if !machine.up() || machine.control.frozen {
+		if !machine.up() || machine.control.Frozen {
 			continue
 		}
 		if head := machine.head(); head != "" && day.byName[head] != nil && day.byName[head].up() {
