One function rests a server that failed and takes it for possibly cold

Cause: three places (no answer, no connection, broken answer) each called fault and then doubt with the same margin; one that forgot the second would send a cold server too much. Change: fault does both; it had no other callers. Behaviour stays. Seen: go test ./gateway passes.

--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -171,7 +171,6 @@
 	server := work.server
 	if server.heard < work.at && now >= server.until {
 		traffic.fault(now, server)
-		traffic.doubt(now, server, traffic.terms.Contact/4)
 	}
 	if now >= work.ends {
 		return one(Wait{Patience: 0})
@@ -195,8 +194,10 @@
 	return chosen
 }
 
+// fault rests a server that failed, and takes it for one that may come back cold.
 func (traffic *Traffic) fault(now time.Duration, server *server) {
 	server.failed(now, traffic.terms.Contact/16, traffic.terms.Contact/2)
+	traffic.doubt(now, server, traffic.terms.Contact/4)
 }
 
 func (traffic *Traffic) ended(now time.Duration, event Ended) []contract.Command {
@@ -230,7 +231,6 @@
 		return one(Fail{Token: work.Token, Status: 502, Reason: string(event.Outcome)})
 	case Unsent:
 		traffic.fault(now, server)
-		traffic.doubt(now, server, traffic.terms.Contact/4)
 		work.sent--
 		if work.connects++; work.connects < mostConnects {
 			return traffic.again(now, work, server)
@@ -249,7 +249,6 @@
 		}
 	case Broken:
 		traffic.fault(now, server)
-		traffic.doubt(now, server, traffic.terms.Contact/4)
 		if work.route.Repeatable() && work.sent < work.route.Attempts && now < work.ends && traffic.mayRepeat(now, work.service) {
 			return traffic.again(now, work, server)
 		}
