Further attempts go one way, and the budget is used only when a server can take the call

Cause: a call that its server did not run, that met another server's address or whose answer broke took from the budget first and looked for a server then; with none to take it the budget was used for nothing. Silence and failures of the server's own already looked first (elsewhere); two ways did the same. Change: again is gone, elsewhere serves all of them. The statuses stay: a broken call that may run again and finds no server is still refused with a time to come back, one without budget or attempts still fails. The reason in a refusal is now the first server's. Seen: three unit stories (no other server, budget left whole) red before, green after; go test ./gateway passes.

--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -60,16 +60,14 @@
 
 func (traffic *Traffic) drop(work *job) { delete(traffic.jobs, work.Token) }
 
+// dispatch sends a call that has just arrived.
 func (traffic *Traffic) dispatch(now time.Duration, work *job) []contract.Command {
 	chosen, wait := traffic.pick(now, work)
 	if chosen == nil {
 		traffic.drop(work)
-		if work.begun {
-			return one(Fail{Token: work.Token, Status: 502, Reason: "no server to go on at"})
-		}
 		return one(traffic.later(work.Token, work.route.Aim, "no server can take it now"))
 	}
-	if left := work.ends - now; !work.begun && wait > left {
+	if wait > work.ends-now {
 		traffic.drop(work)
 		return one(traffic.later(work.Token, work.route.Aim, "no server can answer it in time"))
 	}
@@ -175,23 +173,30 @@
 	if now >= work.ends {
 		return one(Wait{Patience: 0})
 	}
-	if server.heard < work.at && work.route.Repeatable() && work.sent < work.route.Attempts {
-		if chosen := traffic.elsewhere(now, work, server); chosen != nil {
-			traffic.release(work)
-			return one(traffic.send(now, work, chosen))
+	if server.heard < work.at && work.route.Repeatable() {
+		if sent, _ := traffic.elsewhere(now, work, server, false); sent != nil {
+			return sent
 		}
 	}
 	return one(Wait{Patience: min(traffic.patience(now, work), work.ends-now)})
 }
 
-// elsewhere gives another server that can still answer in time; the budget is used only when there is one.
-func (traffic *Traffic) elsewhere(now time.Duration, work *job, former *server) *server {
+// elsewhere sends a call to another server that can still answer in time, or tells that there is none. Unless it is free, as for a call
+// of which nothing was sent, that is one more attempt, and the budget is used only when there is a server.
+func (traffic *Traffic) elsewhere(now time.Duration, work *job, former *server, free bool) (sent []contract.Command, none bool) {
 	work.avoid[former.Name] = true
+	if !free && work.sent >= work.route.Attempts {
+		return nil, false
+	}
 	chosen, wait := traffic.pick(now, work)
-	if chosen == nil || wait > work.ends-now || !traffic.mayRepeat(now, work.service) {
-		return nil
+	if chosen == nil || !work.begun && wait > work.ends-now {
+		return nil, true
 	}
-	return chosen
+	if !free && !traffic.mayRepeat(now, work.service) {
+		return nil, false
+	}
+	traffic.release(work)
+	return one(traffic.send(now, work, chosen)), false
 }
 
 // fault rests a server that failed, and takes it for one that may come back cold.
@@ -209,19 +214,19 @@
 	server.told(event.Load)
 	traffic.release(work)
 	work.begun = work.begun || event.Begun
+	again, none := true, false
 	switch event.Outcome {
 	case Whole:
-		traffic.drop(work)
 		traffic.returned(now, server)
 		if work.route.Kind != manifest.KindStreaming {
 			server.paced(now - work.at)
 		}
-		if event.Failed && work.route.Repeatable() && work.sent < work.route.Attempts {
-			if chosen := traffic.elsewhere(now, work, server); chosen != nil {
-				traffic.jobs[work.Token] = work
-				return one(traffic.send(now, work, chosen))
+		if event.Failed && work.route.Repeatable() {
+			if sent, _ := traffic.elsewhere(now, work, server, false); sent != nil {
+				return sent
 			}
 		}
+		traffic.drop(work)
 		return one(Pass{Token: work.Token})
 	case Left, Late:
 		traffic.drop(work)
@@ -232,37 +237,27 @@
 	case Unsent:
 		traffic.fault(now, server)
 		work.sent--
-		if work.connects++; work.connects < mostConnects {
-			return traffic.again(now, work, server)
-		}
+		work.connects++
+		again = work.connects < mostConnects
 	case Moved:
 		server.moved = true
-		if work.sent < work.route.Attempts && traffic.mayRepeat(now, work.service) {
-			return traffic.again(now, work, server)
-		}
 	case NotRun:
 		if reread && server.memory != nil {
 			server.memory.Forget()
 		}
-		if work.sent < work.route.Attempts && traffic.mayRepeat(now, work.service) {
-			return traffic.again(now, work, server)
-		}
 	case Broken:
 		traffic.fault(now, server)
-		if work.route.Repeatable() && work.sent < work.route.Attempts && now < work.ends && traffic.mayRepeat(now, work.service) {
-			return traffic.again(now, work, server)
+		again = work.route.Repeatable() && now < work.ends
+	}
+	if again {
+		var sent []contract.Command
+		if sent, none = traffic.elsewhere(now, work, server, event.Outcome == Unsent); sent != nil {
+			return sent
 		}
-		traffic.drop(work)
-		return one(Fail{Token: work.Token, Status: 502, Reason: event.Reason})
 	}
 	traffic.drop(work)
-	if work.begun {
+	if work.begun || event.Outcome == Broken && !none {
 		return one(Fail{Token: work.Token, Status: 502, Reason: event.Reason})
 	}
 	return one(traffic.later(work.Token, work.route.Aim, event.Reason))
 }
-
-func (traffic *Traffic) again(now time.Duration, work *job, former *server) []contract.Command {
-	work.avoid[former.Name] = true
-	return traffic.dispatch(now, work)
-}
--- a/gateway/flow_test.go
+++ b/gateway/flow_test.go
@@ -72,6 +72,14 @@
 		})
 	}
 
+	for _, outcome := range []Outcome{NotRun, Moved, Broken} {
+		It("given no other server, when a call ends as "+string(outcome)+", then the budget of further tries is left whole", func() {
+			bench := started(nil, eastList("a"))
+			Expect(refused(bench.ends(bench.sent("/read/x"), outcome)).Status).To(Equal(503))
+			Expect(bench.budget("s").tries).To(HaveEach(0.0))
+		})
+	}
+
 	It("given three attempts, when all servers turn it away, then three get it and no more", func() {
 		bench := started(nil, eastList("a", "b", "c", "d", "e"))
 		command, sent := contract.Command(bench.sent("/write/x")), 0
