Fields that nobody reads are gone: server.loaded, Dispatch.Connections, job.came

Ruled out: an unused case of Traffic.priority. Both of its values are used (2 for prompts without a long shared part, none for all else), so it stays as it is. Seen: go vet and go test ./gateway pass.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -23,17 +23,16 @@
 // Dispatch sends a call to a server. Left is what may still pass until the answer is whole; after Patience without a first byte the
 // gateway is asked what to do. Idle is the longest that a kept connection may have been unused.
 type Dispatch struct {
-	Token       int64
-	Attempt     int
-	Server      contract.Candidate
-	Left        time.Duration
-	Patience    time.Duration
-	Connect     time.Duration
-	Idle        time.Duration
-	Connections int64
-	Priority    int
-	Stream      bool
-	Resumable   bool
+	Token     int64
+	Attempt   int
+	Server    contract.Candidate
+	Left      time.Duration
+	Patience  time.Duration
+	Connect   time.Duration
+	Idle      time.Duration
+	Priority  int
+	Stream    bool
+	Resumable bool
 }
 
 // Wait goes on waiting for the same server.
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -21,7 +21,7 @@
 	if left <= 0 || left > route.Timeout {
 		left = route.Timeout
 	}
-	work := &job{Arrive: event, route: route, came: now, ends: now + left, service: traffic.draw(route), avoid: map[string]bool{}}
+	work := &job{Arrive: event, route: route, ends: now + left, service: traffic.draw(route), avoid: map[string]bool{}}
 	traffic.jobs[event.Token] = work
 	traffic.budget(work.service).called(now)
 	return traffic.dispatch(now, work)
@@ -96,7 +96,7 @@
 	chosen.since++
 	chosen.ramp.taken(now)
 	return Dispatch{Token: work.Token, Attempt: work.attempt, Server: chosen.Candidate, Left: work.ends - now, Patience: traffic.patience(now, work),
-		Connect: traffic.connectTime(chosen), Idle: traffic.idle(work), Connections: traffic.connections(service), Priority: traffic.priority(work),
+		Connect: traffic.connectTime(chosen), Idle: traffic.idle(work), Priority: traffic.priority(work),
 		Stream: work.route.Kind == manifest.KindStreaming, Resumable: work.route.Resumable}
 }
 
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -19,7 +19,6 @@
 	reading  int64
 	queued   int64
 	load     Load
-	loaded   bool
 	since    int64
 	pace     time.Duration
 	heard    time.Duration
@@ -45,7 +44,7 @@
 
 func (server *server) told(load *Load) {
 	if load != nil {
-		server.load, server.loaded, server.since = *load, true, 0
+		server.load, server.since = *load, 0
 	}
 }
 
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -32,7 +32,6 @@
 	Arrive
 	route    manifest.GatewayRoute
 	service  string
-	came     time.Duration
 	ends     time.Duration
 	attempt  int
 	sent     int64
