A server's condition is shared by the nodes through the owner of its shard

Cause: each data node learned by itself that a server is ill. A server that was silent and woke cold got 21 of 20 calls in a second at 12 nodes, since those that sent nothing during the silence did not know; an ill server cost each node a failed call of its own. Change: a node tells with its question what became of its calls, only for servers that failed it lately or that the list suspects (contract.Tally). The owner joins the words (shard/condition.go): one word of no sign of life makes a server suspected, so that every node binds it by the ramp until a warm-up after the suspicion; most of the zones that call it must find it bad, twice as bad as its service's mean, before it rests for all, at most half of a service. Two nodes try it, then a quarter, then all; it rests twice as long when it falls ill again. gateway/condition.go takes that up; no call is repeated for it.

--- a/contract/epoch.go
+++ b/contract/epoch.go
@@ -64,6 +64,9 @@
 	WarmMs      int64    `json:"warmMs,omitempty"`
 	// Cache counts how often the index of what the server keeps was found wrong and thrown away.
 	Cache int64 `json:"cache,omitempty"`
+	// Suspected servers may come back cold. Ill ones rest, and have so many steps to go until they serve again.
+	Suspected bool  `json:"suspected,omitempty"`
+	Ill       int64 `json:"ill,omitempty"`
 }
 
 // LicenceAsk is sent by a data node; Asked is its own monotonic time and comes back unchanged. Shards is the division that it
@@ -86,6 +89,8 @@
 	Stale map[string]int64 `json:"stale,omitempty"`
 	// Brief asks for the servers only when the list is another than the one that the asker holds.
 	Brief bool `json:"brief,omitempty"`
+	// Tallies tells of servers where calls failed lately, and of those that the list calls suspected.
+	Tallies map[string]Tally `json:"tallies,omitempty"`
 }
 
 type Licence struct {
--- a/control/regions_test.go
+++ b/control/regions_test.go
@@ -77,9 +77,9 @@
 	settings := env.New(env.WithName(machine), env.WithHall(region+"-a"), env.WithRegion(region), env.WithControl(machine+"-control"), env.WithData(machine+"-data"),
 		env.WithSeeds([]string{"east-m0-control", "north-m0-control", "west-m0-control"}))
 	settings.Wide, settings.Gateway = true, env.Gateway{Traffic: "10.0.0.1:80", Contact: 4 * time.Second, RepeatWindow: 10 * time.Second}
-	boot, none := fmt.Sprint("boot", world.boots), func(string) map[string]int64 { return nil }
+	boot := fmt.Sprint("boot", world.boots)
 	world.nodes[machine+"-control"] = &node{name: machine + "-control", region: region, owner: New(settings, boot, nil, world.random)}
-	world.nodes[machine+"-data"] = &node{name: machine + "-data", region: region, owner: gateway.NewNode(settings, boot, none, none, world.random), lists: map[string][]string{}}
+	world.nodes[machine+"-data"] = &node{name: machine + "-data", region: region, owner: gateway.NewNode(settings, boot, gateway.NewTraffic(settings, world.random), world.random), lists: map[string][]string{}}
 	delete(world.down, machine+"-control")
 }
 
--- a/emulator/data.go
+++ b/emulator/data.go
@@ -30,7 +30,7 @@
 func newDataShell(machine *machine, settings env.Env) *dataShell {
 	shell := &dataShell{settings: settings, traffic: gateway.NewTraffic(settings, machine.random()), pool: map[string][]*pooled{}, answers: map[int64]func(contract.Answer){},
 		callers: map[*conn]func(){}, servers: map[*conn]bool{}}
-	shell.process = machine.process(contract.KindData, gateway.NewNode(settings, machine.boot(), shell.traffic.Calls, shell.traffic.Stale, machine.random()))
+	shell.process = machine.process(contract.KindData, gateway.NewNode(settings, machine.boot(), shell.traffic, machine.random()))
 	shell.perform = shell.act
 	shell.sweep()
 	return shell
--- a/emulator/found_test.go
+++ b/emulator/found_test.go
@@ -30,7 +30,7 @@
 		}
 	})
 
-	PIt("a server that was silent and wakes cold is sent no more than it bears", func() {
+	It("a server that was silent and wakes cold is sent no more than it bears", func() {
 		for _, seed := range []uint64{1, 4} {
 			site := small("brazos").Scaled(4, storyLength)
 			site.Services = slices.Clone(site.Services)
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -89,8 +89,8 @@
 		chosen.reading += work.unread
 		chosen.queued++
 	}
-	if chosen.until > 0 {
-		chosen.trial = true
+	if chosen.until > 0 || chosen.Ill > 0 {
+		chosen.trial, chosen.nextTrial = true, now+traffic.terms.Contact/4
 	}
 	chosen.own++
 	chosen.since++
@@ -169,6 +169,7 @@
 	server := work.server
 	if server.heard < work.at && now >= server.until {
 		traffic.fault(now, server)
+		traffic.tally(now, server).Lost++
 	}
 	if now >= work.ends {
 		return one(Wait{Patience: 0})
@@ -218,6 +219,11 @@
 	switch event.Outcome {
 	case Whole:
 		traffic.returned(now, server)
+		if event.Failed {
+			traffic.tally(now, server).Failed++
+		} else {
+			traffic.tally(now, server).Well++
+		}
 		if work.route.Kind != manifest.KindStreaming {
 			server.paced(now - work.at)
 		}
@@ -236,6 +242,7 @@
 		return one(Fail{Token: work.Token, Status: 502, Reason: string(event.Outcome)})
 	case Unsent:
 		traffic.fault(now, server)
+		traffic.tally(now, server).Lost++
 		work.sent--
 		work.connects++
 		again = work.connects < mostConnects
@@ -247,6 +254,7 @@
 		}
 	case Broken:
 		traffic.fault(now, server)
+		traffic.tally(now, server).Failed++
 		again = work.route.Repeatable() && now < work.ends
 	}
 	if again {
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -42,8 +42,7 @@
 type Node struct {
 	*machine.Node
 	settings env.Env
-	calls    func(region string) map[string]int64
-	stale    func(region string) map[string]int64
+	known    Known
 	lists    map[string]map[int]*list
 	servers  map[string]map[int][]contract.Candidate
 	nextAsk  time.Duration
@@ -53,9 +52,15 @@
 	out      []contract.Command
 }
 
-// NewNode makes the owner; calls and stale tell what the owner of the calls knows of a region's servers.
-func NewNode(settings env.Env, boot string, calls, stale func(region string) map[string]int64, random *rand.Rand) *Node {
-	return &Node{Node: machine.New(settings, contract.KindData, boot, random), settings: settings, calls: calls, stale: stale,
+// Known tells what the owner of the calls knows of a region's servers.
+type Known interface {
+	Calls(region string) map[string]int64
+	Stale(region string) map[string]int64
+	Tallies(now time.Duration, region string) map[string]contract.Tally
+}
+
+func NewNode(settings env.Env, boot string, known Known, random *rand.Rand) *Node {
+	return &Node{Node: machine.New(settings, contract.KindData, boot, random), settings: settings, known: known,
 		lists: map[string]map[int]*list{}, servers: map[string]map[int][]contract.Candidate{}}
 }
 
@@ -139,7 +144,8 @@
 func (node *Node) askOne(now time.Duration, members []contract.Member, region string, index, shards int) {
 	held, self := node.lists[region][index], node.Self()
 	ask := contract.LicenceAsk{Node: self.Name, Boot: self.Boot, Address: self.Address, Region: region, Shard: index, Asked: now,
-		Highest: held.highest, Number: held.number, Calls: node.calls(region), Stale: node.stale(region), Shards: shards, Brief: held.held}
+		Highest: held.highest, Number: held.number, Calls: node.known.Calls(region), Stale: node.known.Stale(region),
+		Tallies: node.known.Tallies(now, region), Shards: shards, Brief: held.held}
 	targets := []string{shard.First(members, region, index)}
 	if held.hint != "" && !slices.Contains(targets, held.hint) {
 		targets = append(targets, held.hint)
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -38,13 +38,13 @@
 	most := traffic.connections(traffic.read.Gateway.Services[work.service])
 	open := []*server{}
 	for _, server := range traffic.services[work.service] {
-		if server.moved || work.avoid[server.Name] || traffic.read.Drained(server.Hall) || server.own >= most || traffic.closed(now, server) {
+		if server.moved || work.avoid[server.Name] || traffic.read.Drained(server.Hall) || server.own >= most || traffic.closed(now, server, resting && len(work.avoid) == 0) {
 			continue
 		}
 		if len(work.route.Regions) > 0 && !slices.Contains(work.route.Regions, server.region) {
 			continue
 		}
-		if !resting && (now < server.until || server.trial) {
+		if !resting && (now < server.until || server.trial || traffic.rests(now, server)) {
 			continue
 		}
 		open = append(open, server)
--- a/gateway/ramp.go
+++ b/gateway/ramp.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
@@ -13,6 +15,10 @@
 	next   time.Duration
 	period time.Duration
 	member bool
+	// held is a suspicion of the server's owner: it may come back cold at any moment.
+	held bool
+	// rank is this node's place in the order.
+	rank int
 }
 
 // The rate that is used is a part of what is borne, less one call that each sender may have at the edge of a second, and less what
@@ -28,25 +34,30 @@
 
 // share gives this node's part: how many nodes send there, and whether it is one of them.
 func (ramp *ramp) share(server, self string, names []string, rate, overage, allowance float64) {
-	ramp.member, ramp.period = false, 0
+	ordered := contract.Ordered("ramp/"+server, names)
+	ramp.member, ramp.period, ramp.rank = false, 0, slices.Index(ordered, self)
+	if ramp.rank < 0 {
+		ramp.rank = math.MaxInt
+	}
 	if rate <= 0 || len(names) == 0 {
 		return
 	}
 	parts := min(len(names), max(1, int(rate/callsPerPart)))
 	rate *= max(rampLeast, min(rampMost, rampPart*(overage+(allowance-float64(parts))/rate)))
-	for _, name := range contract.Ordered("ramp/"+server, names)[:parts] {
-		ramp.member = ramp.member || name == self
-	}
+	ramp.member = ramp.rank < parts
 	ramp.period = time.Duration(float64(time.Second) * float64(parts) / rate)
 }
 
+// cold tells whether the server may be cold now.
+func (ramp *ramp) cold(now time.Duration) bool { return ramp.held || now < ramp.until }
+
 // open tells whether a call may go to the server now; taken notes that one went.
 func (ramp *ramp) open(now time.Duration) bool {
-	return now >= ramp.until || ramp.member && now >= ramp.next
+	return !ramp.cold(now) || ramp.member && now >= ramp.next
 }
 
 func (ramp *ramp) taken(now time.Duration) {
-	if now < ramp.until {
+	if ramp.cold(now) {
 		ramp.next = max(ramp.next, now) + ramp.period
 	}
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -25,11 +25,14 @@
 	failures int
 	until    time.Duration
 	trial    bool
-	ramp     ramp
-	long     bool
-	division int
-	cache    cacheState
-	hash     uint64
+	// nextTrial is when this node may try again a server that is ill for all.
+	nextTrial time.Duration
+	tallies   tallies
+	ramp      ramp
+	long      bool
+	division  int
+	cache     cacheState
+	hash      uint64
 }
 
 const (
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -136,16 +136,23 @@
 	}
 }
 
-// closed tells whether a cold server may not be sent a call now. Its parts are worked out only when it is cold and the fleet or the
-// configuration is another than the last time.
-func (traffic *Traffic) closed(now time.Duration, server *server) bool {
-	if now < server.ramp.until && server.division != traffic.division {
-		traffic.shares(server)
+// closed tells whether a cold server may not be sent a call now. At last, when no other server is left, one that is only suspected may.
+// Its parts are worked out only when it is cold and the fleet or the configuration is another than the last time.
+func (traffic *Traffic) closed(now time.Duration, server *server, last bool) bool {
+	if last && now >= server.ramp.until {
+		return false
+	}
+	if server.ramp.cold(now) {
+		traffic.sharesFor(server)
 	}
 	return !server.ramp.open(now)
 }
 
-func (traffic *Traffic) shares(server *server) {
+// sharesFor works out this node's part in what a server gets that not all nodes may call.
+func (traffic *Traffic) sharesFor(server *server) {
+	if server.division == traffic.division {
+		return
+	}
 	server.division = traffic.division
 	server.ramp.share(server.Name, traffic.fleet.Self, traffic.fleet.Names, traffic.read.Gateway.Services[server.Pool].WarmupRate,
 		traffic.terms.WarmOverage, traffic.terms.WarmAllowance)
@@ -167,6 +174,7 @@
 		}
 		held.Candidate, held.listed = candidate, true
 		traffic.generation(now, held, candidate.Cache)
+		traffic.condition(now, held, candidate.Suspected)
 		if !there && known {
 			traffic.doubt(now, held, traffic.terms.Contact/4)
 		}
--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -47,7 +47,7 @@
 	random := source()
 	shell := &gatewayShell{face: face, traffic: gateway.NewTraffic(settings, source()), pool: upstream.NewPool(idlePerServer, settings.Gateway.Contact*2)}
 	shell.limits.Store(&manifest.Limits{})
-	node := gateway.NewNode(settings, boot(), shell.calls, shell.stale, random)
+	node := gateway.NewNode(settings, boot(), shell, random)
 	shell.Process = newProcess(settings, node.Self(), node, "")
 	shell.Loop.Act(shell.act)
 	shell.Reread = func() (env.Env, error) { return face.Settings(contract.KindData) }
@@ -98,18 +98,24 @@
 	return commands[0]
 }
 
-func (shell *gatewayShell) calls(region string) map[string]int64 {
+func (shell *gatewayShell) Calls(region string) map[string]int64 {
 	shell.lock.Lock()
 	defer shell.lock.Unlock()
 	return shell.traffic.Calls(region)
 }
 
-func (shell *gatewayShell) stale(region string) map[string]int64 {
+func (shell *gatewayShell) Stale(region string) map[string]int64 {
 	shell.lock.Lock()
 	defer shell.lock.Unlock()
 	return shell.traffic.Stale(region)
 }
 
+func (shell *gatewayShell) Tallies(now time.Duration, region string) map[string]contract.Tally {
+	shell.lock.Lock()
+	defer shell.lock.Unlock()
+	return shell.traffic.Tallies(now, region)
+}
+
 func (shell *gatewayShell) act(command contract.Command) bool {
 	switch command := command.(type) {
 	case gateway.Update:
--- a/shard/list.go
+++ b/shard/list.go
@@ -35,7 +35,7 @@
 	return early || owner.seen.Manifest.Drained(hall)
 }
 
-// renumber raises the list's number whenever its set of servers changed.
+// renumber raises the list's number whenever its set of servers or their condition changed.
 func (owner *Owner) renumber(now time.Duration, held *duty) {
 	names := []string{}
 	for _, row := range owner.eligible(now, held) {
@@ -46,6 +46,9 @@
 		if count := owner.servers[row.Name].cache; count > 0 {
 			name += "#" + strconv.FormatInt(count, 10)
 		}
+		if suspected, ill := held.conditionOf(now, row.Name); suspected {
+			name += "!" + strconv.FormatInt(ill, 10)
+		}
 		names = append(names, name)
 	}
 	list := strings.Join(names, ",")
@@ -92,6 +95,7 @@
 	if ask.Highest == held.epoch {
 		word.Number = ask.Number
 	}
+	held.tallies[ask.Node] = ask.Tallies
 	held.words[ask.Node], held.calls[ask.Node], held.lingering[ask.Node] = word, ask.Calls, ask.Lingering
 	licence := contract.Licence{Region: ask.Region, Shard: ask.Shard, Asked: ask.Asked, Epoch: held.epoch, Number: held.number,
 		Life: owner.bounds.Licence(), Revision: owner.seen.Revision, Shards: owner.shards, Back: ask.Back}
@@ -101,10 +105,11 @@
 			break
 		}
 		known := owner.servers[row.Name]
+		suspected, ill := held.conditionOf(now, row.Name)
 		licence.Servers = append(licence.Servers, contract.Candidate{Name: row.Name, Address: row.Address, Hall: row.Hall, Pool: row.Pool,
 			Incarnation: row.Incarnation, Slots: owner.seen.Manifest.Pools[row.Pool].Slots, Share: owner.share(now, held, row, ask.Node),
 			Running: known.report.Running, Waiting: known.report.Waiting, Report: known.report.Number, Prefixes: known.report.Prefixes,
-			Cache: known.cache, WarmMs: max(0, (known.warmUntil - now).Milliseconds())})
+			Cache: known.cache, Suspected: suspected, Ill: ill, WarmMs: max(0, (known.warmUntil - now).Milliseconds())})
 	}
 	for _, name := range manifest.SortedKeys(held.retirements) {
 		licence.Withdraw = append(licence.Withdraw, name)
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -113,6 +113,9 @@
 	retirements map[string]*retire.Retirement
 	released    map[string]string
 	aborted     map[string]int64
+	tallies     map[string]map[string]contract.Tally
+	conditions  map[string]*condition
+	nextJudge   time.Duration
 	past        []Retired
 }
 
@@ -218,7 +221,8 @@
 	for index := 0; index < shards; index++ {
 		if _, there := owner.duties[index]; !there {
 			owner.duties[index] = &duty{index: index, firstSince: -1, words: map[string]retire.Word{}, calls: map[string]map[string]int64{}, lingering: map[string]map[string]int64{},
-				retirements: map[string]*retire.Retirement{}, released: map[string]string{}, aborted: map[string]int64{}}
+				retirements: map[string]*retire.Retirement{}, released: map[string]string{}, aborted: map[string]int64{},
+				tallies: map[string]map[string]contract.Tally{}, conditions: map[string]*condition{}}
 		}
 	}
 	if owner.shards != shards {
@@ -323,6 +327,7 @@
 	if owner.listed {
 		owner.retireAll(now, held)
 	}
+	owner.judge(now, held)
 	owner.renumber(now, held)
 }
 
@@ -339,6 +344,7 @@
 	held.epoch = contract.Epoch{Number: held.highest.Number + 1, Node: owner.self.Name, Life: owner.self.Boot}
 	held.highest, held.number, held.list = held.epoch, 0, ""
 	held.words, held.calls, held.lingering = map[string]retire.Word{}, map[string]map[string]int64{}, map[string]map[string]int64{}
+	held.tallies, held.conditions = map[string]map[string]contract.Tally{}, map[string]*condition{}
 	held.shares = map[string]map[string]int64{}
 	held.retirements, held.released = map[string]*retire.Retirement{}, map[string]string{}
 	owner.emit(contract.Count{Name: "take_overs", By: 1}, contract.Say{What: "shard taken", Detail: []any{"shard", held.index, "epoch", held.epoch.Number}})
