A suspected server is bound by the ramp only at nodes that did not hear of it lately

Cause: the first form bound every node from the first word on; a node that hears a server all the time knows that it is not silent, and lost the prompts that it keeps for nothing. Change: a node takes a suspected server for cold once it has not heard of it for half the time of contact (gateway.Traffic.suspect), and stays so until a warm-up after the suspicion.

--- a/gateway/condition.go
+++ b/gateway/condition.go
@@ -82,13 +82,20 @@
 	return told
 }
 
-// condition takes up what the list says of a server. A suspected one is taken for cold as long as it is, and for a warm-up afterwards.
-func (traffic *Traffic) condition(now time.Duration, server *server, suspected bool) {
-	warmup := traffic.warmup(server)
-	if server.ramp.held && !suspected {
-		traffic.cold(now, server, warmup)
+// cleared ends a suspicion that the list has no more: the server is taken for cold for a warm-up.
+func (traffic *Traffic) cleared(now time.Duration, server *server) {
+	if server.ramp.held && !server.Suspected {
+		server.ramp.held = false
+		traffic.doubt(now, server, 0)
+	}
+}
+
+// suspect takes a suspected server for cold once this node has not heard of it for a while. One that it hears all the time was not
+// silent, whatever others lost there.
+func (traffic *Traffic) suspect(now time.Duration, server *server) {
+	if server.Suspected && now-server.heard > traffic.terms.Contact/2 && traffic.warmup(server) > 0 {
+		server.ramp.held = true
 	}
-	server.ramp.held = suspected && warmup > 0
 }
 
 // rests tells whether the server is ill for all and this node is none of those that may try it now.
--- a/gateway/condition_test.go
+++ b/gateway/condition_test.go
@@ -151,6 +151,31 @@
 		Expect(sentTo(bench, "a", time.Second)).To(BeNumerically(">", 50))
 	})
 
+	It("given a node that hears it all the time, when calls press, then nothing changes there, until it was silent for a while", func() {
+		bench := started(warming, told(false, 0))
+		bench.now += 10 * time.Second
+		sentTo(bench, "a", time.Second)
+		bench.Handle(bench.now, told(true, 0))
+		Expect(sentTo(bench, "a", 5*time.Second)).To(BeNumerically(">", 250))
+		bench.now += bench.terms.Contact
+		Expect(sentTo(bench, "a", time.Second)).To(BeNumerically("<=", 10*1.5+5))
+		bench.Handle(bench.now, told(false, 0))
+		Expect(sentTo(bench, "a", time.Second)).To(BeNumerically("<=", 10*1.5+5))
+	})
+
+	It("given a call that waits while a suspected server is silent, when the answer comes, then the server is taken for cold", func() {
+		bench := started(warming, told(false, 0))
+		bench.now += 10 * time.Second
+		waiting := bench.sent("/write/x")
+		for waiting.Server.Name != "a" {
+			waiting = bench.sent("/write/x")
+		}
+		bench.Handle(bench.now, told(true, 0))
+		bench.now += bench.terms.Contact
+		bench.Handle(bench.now, Head{Token: waiting.Token, Attempt: waiting.Attempt})
+		Expect(sentTo(bench, "a", time.Second)).To(BeNumerically("<=", 10*1.5+5))
+	})
+
 	It("given a service whose servers are never cold, when one is suspected, then nothing changes", func() {
 		bench := started(nil, told(true, 0))
 		Expect(sentTo(bench, "a", time.Second)).To(BeNumerically(">", 50))
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -132,6 +132,7 @@
 
 // returned takes a server that failed before for one that may have begun anew, and for a good one from now on.
 func (traffic *Traffic) returned(now time.Duration, server *server) {
+	traffic.suspect(now, server)
 	if server.failures > 0 {
 		traffic.doubt(now, server, traffic.terms.Contact/4)
 	}
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -142,6 +142,7 @@
 	if last && now >= server.ramp.until {
 		return false
 	}
+	traffic.suspect(now, server)
 	if server.ramp.cold(now) {
 		traffic.sharesFor(server)
 	}
@@ -174,7 +175,7 @@
 		}
 		held.Candidate, held.listed = candidate, true
 		traffic.generation(now, held, candidate.Cache)
-		traffic.condition(now, held, candidate.Suspected)
+		traffic.cleared(now, held)
 		if !there && known {
 			traffic.doubt(now, held, traffic.terms.Contact/4)
 		}
