Only a refused connection makes a server suspected; rests for all in large fleets alone

At 39 nodes, with 6 servers that lose 30 % of their answers, shared parts read again rose from 720,534 to 2,557,312 tokens: silence, which a slow server shows too, and three nodes with broken answers bound servers by the ramp and sent prompts away from where they are kept. Change: silence and broken answers only make a server watched (nodes tell how it fares); a connection that did not come up makes it suspected. A server rests only in fleets of 24 nodes or more, and at a third of bad calls, five at least. Seen: unit stories and the story of the cold that wakes pass.

--- a/contract/epoch.go
+++ b/contract/epoch.go
@@ -64,7 +64,9 @@
 	WarmMs      int64    `json:"warmMs,omitempty"`
 	// Cache counts how often the index of what the server keeps was found wrong and thrown away.
 	Cache int64 `json:"cache,omitempty"`
-	// Suspected servers may come back cold. Ill ones rest, and have so many steps to go until they serve again.
+	// Nodes tell how calls fare at Watched servers. Suspected ones may come back cold. Ill ones rest, and have so many steps to go until
+	// they serve again.
+	Watched   bool  `json:"watched,omitempty"`
 	Suspected bool  `json:"suspected,omitempty"`
 	Ill       int64 `json:"ill,omitempty"`
 }
--- a/contract/tally.go
+++ b/contract/tally.go
@@ -1,7 +1,7 @@
 package contract
 
-// Tally is what a data node saw of its calls at a server lately: those that got no sign of life or no connection, those that failed in
-// another way, and those that were answered well.
+// Tally is what a data node saw of its calls at a server lately: those that got no connection, those that failed in another
+// way, and those that were answered well.
 type Tally struct {
 	Lost   int64 `json:"l,omitempty"`
 	Failed int64 `json:"f,omitempty"`
--- a/gateway/condition.go
+++ b/gateway/condition.go
@@ -61,7 +61,7 @@
 		if tally.Lost > 0 && tally.Well == 0 {
 			lost++
 		}
-		if server.region == region && (server.Suspected || tally.Bad() > 0) {
+		if server.region == region && (server.Watched || tally.Bad() > 0) {
 			told[name], names = tally, append(names, name)
 		}
 	}
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -170,7 +170,7 @@
 	server := work.server
 	if server.heard < work.at && now >= server.until {
 		traffic.fault(now, server)
-		traffic.tally(now, server).Lost++
+		traffic.tally(now, server).Failed++
 	}
 	if now >= work.ends {
 		return one(Wait{Patience: 0})
--- a/shard/condition.go
+++ b/shard/condition.go
@@ -13,6 +13,7 @@
 	incarnation string
 	since       time.Duration
 	until       time.Duration
+	lostUntil   time.Duration
 	ill         int64
 	stepped     time.Duration
 	relapses    int
@@ -23,11 +24,14 @@
 	// illSteps is how many steps an ill server takes to come back.
 	illSteps = 2
 	// badPart is the part of its calls, one in so many, that must fail before a server counts as ill, and twice the mean of its service.
-	badPart   = 5
+	badPart   = 3
 	meanTimes = 2
 	// leastBad is the least number of bad calls, and leastFailed of nodes with failures, that say anything.
-	leastBad    = 3
+	leastBad    = 5
 	leastFailed = 3
+	// fewestNodes is the least size of a fleet where servers rest for all: in a smaller one each node calls a server often enough to
+	// know by itself, and knows better.
+	fewestNodes = 24
 	// leastWitnesses is how many nodes, and how many zones, must find a server bad before it rests for all.
 	leastWitnesses = 2
 	// untriedTimes is how many rests a server that nobody tries stays at a step.
@@ -63,7 +67,7 @@
 			found++
 		}
 	}
-	return witness.all.Bad() >= leastBad && bad(witness.all) && witness.lost+witness.failed >= min(leastWitnesses, nodes) &&
+	return witness.all.Bad() >= leastBad && bad(witness.all) && witness.lost+witness.failed >= leastWitnesses &&
 		found >= min(leastWitnesses, zones) && 2*found > len(witness.zones)
 }
 
@@ -127,6 +131,9 @@
 			known.since = now
 		}
 		known.until = now + owner.bounds.Licence()
+		if one.lost > 0 {
+			known.lostUntil = known.until
+		}
 	}
 	for name, known := range held.conditions {
 		if !present[name] || now >= known.until && known.ill == 0 && now-known.healed > calmTimes*owner.rest(known) {
@@ -162,13 +169,14 @@
 	}
 }
 
-// conditionOf gives what the list says of a server: whether it may come back cold, and how many steps it has to go until it serves.
-func (held *duty) conditionOf(now time.Duration, name string) (suspected bool, ill int64) {
+// conditionOf gives what the list says of a server: whether nodes tell how it fares, whether it may come back cold, and how many steps
+// it has to go until it serves.
+func (held *duty) conditionOf(now time.Duration, name string) (watched, suspected bool, ill int64) {
 	known := held.conditions[name]
 	if known == nil {
-		return false, 0
+		return false, false, 0
 	}
-	return now < known.until || known.ill > 0, known.ill
+	return now < known.until || known.ill > 0, now < known.lostUntil, known.ill
 }
 
 func (owner *Owner) judgePool(now time.Duration, held *duty, rows []contract.ServerRow, joined map[string]*witness, nodes, zones int) {
@@ -186,7 +194,7 @@
 		case known.ill > 0:
 			owner.recover(now, known, row.Name, one)
 		case one == nil || now-known.since < owner.bounds.Licence() || now >= known.until:
-		case one.agreed(nodes, zones) && one.share() >= meanTimes*mean && 2*(ill+1) <= len(rows):
+		case nodes >= fewestNodes && one.agreed(nodes, zones) && one.share() >= meanTimes*mean && 2*(ill+1) <= len(rows):
 			ill++
 			if known.healed > 0 {
 				known.relapses++
--- a/shard/list.go
+++ b/shard/list.go
@@ -46,8 +46,8 @@
 		if count := owner.servers[row.Name].cache; count > 0 {
 			name += "#" + strconv.FormatInt(count, 10)
 		}
-		if suspected, ill := held.conditionOf(now, row.Name); suspected {
-			name += "!" + strconv.FormatInt(ill, 10)
+		if watched, suspected, ill := held.conditionOf(now, row.Name); watched {
+			name += "!" + strconv.FormatBool(suspected) + strconv.FormatInt(ill, 10)
 		}
 		names = append(names, name)
 	}
@@ -105,11 +105,11 @@
 			break
 		}
 		known := owner.servers[row.Name]
-		suspected, ill := held.conditionOf(now, row.Name)
+		watched, suspected, ill := held.conditionOf(now, row.Name)
 		licence.Servers = append(licence.Servers, contract.Candidate{Name: row.Name, Address: row.Address, Hall: row.Hall, Pool: row.Pool,
 			Incarnation: row.Incarnation, Slots: owner.seen.Manifest.Pools[row.Pool].Slots, Share: owner.share(now, held, row, ask.Node),
 			Running: known.report.Running, Waiting: known.report.Waiting, Report: known.report.Number, Prefixes: known.report.Prefixes,
-			Cache: known.cache, Suspected: suspected, Ill: ill, WarmMs: max(0, (known.warmUntil - now).Milliseconds())})
+			Cache: known.cache, Watched: watched, Suspected: suspected, Ill: ill, WarmMs: max(0, (known.warmUntil - now).Milliseconds())})
 	}
 	for _, name := range manifest.SortedKeys(held.retirements) {
 		licence.Withdraw = append(licence.Withdraw, name)
