--- a/shard/condition.go
+++ b/shard/condition.go
@@ -24,7 +24,7 @@
 	// illSteps is how many steps an ill server takes to come back.
 	illSteps = 2
 	// badPart is the part of its calls, one in so many, that must fail before a server counts as ill, and twice the mean of its service.
-	badPart   = 3
+	badPart   = 5
 	meanTimes = 2
 	// leastBad is the least number of bad calls, and leastFailed of nodes with failures, that say anything.
 	leastBad    = 5
