--- a/shard/condition.go
+++ b/shard/condition.go
@@ -104,7 +104,7 @@
 	return joined, nodes, len(seen)
 }
 
-// judge goes through the servers of a shard. One node's word that a server gave no sign of life makes it suspected; it rests only when
+// judge goes through the servers of a shard. One node that got no connection makes it suspected; it rests only in a large fleet, when
 // nodes of several zones agree, and never more than half of a service's servers do: a server must be twice as bad as the mean.
 func (owner *Owner) judge(now time.Duration, held *duty) {
 	if now < held.nextJudge {
