--- a/gateway/server.go
+++ b/gateway/server.go
@@ -19,18 +19,20 @@
 	reading  int64
 	queued   int64
 	load     Load
-	loaded   bool
 	since    int64
 	pace     time.Duration
 	heard    time.Duration
 	failures int
 	until    time.Duration
 	trial    bool
-	ramp     ramp
-	long     bool
-	division int
-	cache    cacheState
-	hash     uint64
+	// nextTrial is when this node may try again a server that is ill for all.
+	nextTrial time.Duration
+	tallies   tallies
+	ramp      ramp
+	long      bool
+	division  int
+	cache     cacheState
+	hash      uint64
 }
 
 const (
@@ -45,7 +47,7 @@
 
 func (server *server) told(load *Load) {
 	if load != nil {
-		server.load, server.loaded, server.since = *load, true, 0
+		server.load, server.since = *load, 0
 	}
 }
 
