--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -21,7 +21,7 @@
 	if left <= 0 || left > route.Timeout {
 		left = route.Timeout
 	}
-	work := &job{Arrive: event, route: route, came: now, ends: now + left, service: traffic.draw(route), avoid: map[string]bool{}}
+	work := &job{Arrive: event, route: route, ends: now + left, service: traffic.draw(route), avoid: map[string]bool{}}
 	traffic.jobs[event.Token] = work
 	traffic.budget(work.service).called(now)
 	return traffic.dispatch(now, work)
@@ -60,16 +60,14 @@
 
 func (traffic *Traffic) drop(work *job) { delete(traffic.jobs, work.Token) }
 
+// dispatch sends a call that has just arrived.
 func (traffic *Traffic) dispatch(now time.Duration, work *job) []contract.Command {
 	chosen, wait := traffic.pick(now, work)
 	if chosen == nil {
 		traffic.drop(work)
-		if work.begun {
-			return one(Fail{Token: work.Token, Status: 502, Reason: "no server to go on at"})
-		}
 		return one(traffic.later(work.Token, work.route.Aim, "no server can take it now"))
 	}
-	if left := work.ends - now; !work.begun && wait > left {
+	if wait > work.ends-now {
 		traffic.drop(work)
 		return one(traffic.later(work.Token, work.route.Aim, "no server can answer it in time"))
 	}
@@ -91,14 +89,14 @@
 		chosen.reading += work.unread
 		chosen.queued++
 	}
-	if chosen.until > 0 {
-		chosen.trial = true
+	if chosen.until > 0 || chosen.Ill > 0 {
+		chosen.trial, chosen.nextTrial = true, now+traffic.terms.Contact/4
 	}
 	chosen.own++
 	chosen.since++
 	chosen.ramp.taken(now)
 	return Dispatch{Token: work.Token, Attempt: work.attempt, Server: chosen.Candidate, Left: work.ends - now, Patience: traffic.patience(now, work),
-		Connect: traffic.connectTime(chosen), Idle: traffic.idle(work), Connections: traffic.connections(service), Priority: traffic.priority(work),
+		Connect: traffic.connectTime(chosen), Idle: traffic.idle(work), Priority: traffic.priority(work),
 		Stream: work.route.Kind == manifest.KindStreaming, Resumable: work.route.Resumable}
 }
 
@@ -134,6 +132,7 @@
 
 // returned takes a server that failed before for one that may have begun anew, and for a good one from now on.
 func (traffic *Traffic) returned(now time.Duration, server *server) {
+	traffic.suspect(now, server)
 	if server.failures > 0 {
 		traffic.doubt(now, server, traffic.terms.Contact/4)
 	}
@@ -171,32 +170,41 @@
 	server := work.server
 	if server.heard < work.at && now >= server.until {
 		traffic.fault(now, server)
-		traffic.doubt(now, server, traffic.terms.Contact/4)
+		traffic.tally(now, server).Failed++
 	}
 	if now >= work.ends {
 		return one(Wait{Patience: 0})
 	}
-	if server.heard < work.at && work.route.Repeatable() && work.sent < work.route.Attempts {
-		if chosen := traffic.elsewhere(now, work, server); chosen != nil {
-			traffic.release(work)
-			return one(traffic.send(now, work, chosen))
+	if server.heard < work.at && work.route.Repeatable() {
+		if sent, _ := traffic.elsewhere(now, work, server, false); sent != nil {
+			return sent
 		}
 	}
 	return one(Wait{Patience: min(traffic.patience(now, work), work.ends-now)})
 }
 
-// elsewhere gives another server that can still answer in time; the budget is used only when there is one.
-func (traffic *Traffic) elsewhere(now time.Duration, work *job, former *server) *server {
+// elsewhere sends a call to another server that can still answer in time, or tells that there is none. Unless it is free, as for a call
+// of which nothing was sent, that is one more attempt, and the budget is used only when there is a server.
+func (traffic *Traffic) elsewhere(now time.Duration, work *job, former *server, free bool) (sent []contract.Command, none bool) {
 	work.avoid[former.Name] = true
+	if !free && work.sent >= work.route.Attempts {
+		return nil, false
+	}
 	chosen, wait := traffic.pick(now, work)
-	if chosen == nil || wait > work.ends-now || !traffic.mayRepeat(now, work.service) {
-		return nil
+	if chosen == nil || !work.begun && wait > work.ends-now {
+		return nil, true
+	}
+	if !free && !traffic.mayRepeat(now, work.service) {
+		return nil, false
 	}
-	return chosen
+	traffic.release(work)
+	return one(traffic.send(now, work, chosen)), false
 }
 
+// fault rests a server that failed, and takes it for one that may come back cold.
 func (traffic *Traffic) fault(now time.Duration, server *server) {
 	server.failed(now, traffic.terms.Contact/16, traffic.terms.Contact/2)
+	traffic.doubt(now, server, traffic.terms.Contact/4)
 }
 
 func (traffic *Traffic) ended(now time.Duration, event Ended) []contract.Command {
@@ -208,19 +216,24 @@
 	server.told(event.Load)
 	traffic.release(work)
 	work.begun = work.begun || event.Begun
+	again, none := true, false
 	switch event.Outcome {
 	case Whole:
-		traffic.drop(work)
 		traffic.returned(now, server)
+		if event.Failed {
+			traffic.tally(now, server).Failed++
+		} else {
+			traffic.tally(now, server).Well++
+		}
 		if work.route.Kind != manifest.KindStreaming {
 			server.paced(now - work.at)
 		}
-		if event.Failed && work.route.Repeatable() && work.sent < work.route.Attempts {
-			if chosen := traffic.elsewhere(now, work, server); chosen != nil {
-				traffic.jobs[work.Token] = work
-				return one(traffic.send(now, work, chosen))
+		if event.Failed && work.route.Repeatable() {
+			if sent, _ := traffic.elsewhere(now, work, server, false); sent != nil {
+				return sent
 			}
 		}
+		traffic.drop(work)
 		return one(Pass{Token: work.Token})
 	case Left, Late:
 		traffic.drop(work)
@@ -230,40 +243,30 @@
 		return one(Fail{Token: work.Token, Status: 502, Reason: string(event.Outcome)})
 	case Unsent:
 		traffic.fault(now, server)
-		traffic.doubt(now, server, traffic.terms.Contact/4)
+		traffic.tally(now, server).Lost++
 		work.sent--
-		if work.connects++; work.connects < mostConnects {
-			return traffic.again(now, work, server)
-		}
+		work.connects++
+		again = work.connects < mostConnects
 	case Moved:
 		server.moved = true
-		if work.sent < work.route.Attempts && traffic.mayRepeat(now, work.service) {
-			return traffic.again(now, work, server)
-		}
 	case NotRun:
 		if reread && server.memory != nil {
 			server.memory.Forget()
 		}
-		if work.sent < work.route.Attempts && traffic.mayRepeat(now, work.service) {
-			return traffic.again(now, work, server)
-		}
 	case Broken:
 		traffic.fault(now, server)
-		traffic.doubt(now, server, traffic.terms.Contact/4)
-		if work.route.Repeatable() && work.sent < work.route.Attempts && now < work.ends && traffic.mayRepeat(now, work.service) {
-			return traffic.again(now, work, server)
+		traffic.tally(now, server).Failed++
+		again = work.route.Repeatable() && now < work.ends
+	}
+	if again {
+		var sent []contract.Command
+		if sent, none = traffic.elsewhere(now, work, server, event.Outcome == Unsent); sent != nil {
+			return sent
 		}
-		traffic.drop(work)
-		return one(Fail{Token: work.Token, Status: 502, Reason: event.Reason})
 	}
 	traffic.drop(work)
-	if work.begun {
+	if work.begun || event.Outcome == Broken && !none {
 		return one(Fail{Token: work.Token, Status: 502, Reason: event.Reason})
 	}
 	return one(traffic.later(work.Token, work.route.Aim, event.Reason))
 }
-
-func (traffic *Traffic) again(now time.Duration, work *job, former *server) []contract.Command {
-	work.avoid[former.Name] = true
-	return traffic.dispatch(now, work)
-}
