A large version is packed once, fetched from one seed; lists are numbered once a tick

Ruled out: reading at the nodes, whose time fell by four and five times without effect. Changed: the newest version is packed once and kept; whoever asks all seeds gets news from them and fetches from one; a list's rows are worked out when something changed, not for each question. Tests: feed/feed_test.go.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -26,12 +26,17 @@
 	Place contract.Place `json:"place"`
 	View  int64          `json:"view"`
 	From  string         `json:"from"`
+	// Brief asks for news alone where the answer is large: whoever asks many at once wants it from one of them.
+	Brief bool `json:"brief,omitempty"`
 }
 
 // Change carries the numbered versions from a place on, or only the newest ones when the asker is too far behind.
 type Change struct {
 	Versions []contract.Version `json:"versions,omitempty"`
-	View     *contract.View     `json:"view,omitempty"`
+	// Packed stands for the newest version alone: a keeper packs it once for all that ask.
+	Packed   []byte         `json:"packed,omitempty"`
+	PackedOf contract.Place `json:"packedOf,omitzero"`
+	View     *contract.View `json:"view,omitempty"`
 }
 
 // Lack asks for older versions that a core machine has lost; Kept hands them over.
@@ -56,6 +61,9 @@
 	began   time.Duration
 	lacked  time.Duration
 	gained  bool
+	// packed is the newest version as it was packed for others, of the place packedOf.
+	packed   []byte
+	packedOf contract.Place
 }
 
 func New(address string, bounds env.Bounds) *Owner {
@@ -82,7 +90,7 @@
 		var news News
 		if json.Unmarshal(letter.Body, &news) == nil && owner.behind(news.Place, news.View) && now-owner.told >= owner.bounds.Gossip() {
 			owner.told = now
-			return []contract.Command{owner.ask(news.From)}
+			return []contract.Command{owner.ask(news.From, false)}
 		}
 	case LetterAsk:
 		var news News
@@ -102,6 +110,11 @@
 	case LetterChange:
 		var change Change
 		if json.Unmarshal(letter.Body, &change) == nil {
+			if len(change.Packed) > 0 && change.PackedOf.Revision > owner.version.Place.Revision {
+				if version, failure := unpack(change.Packed); failure == nil {
+					change.Versions = append(change.Versions, version)
+				}
+			}
 			owner.told = now - owner.bounds.Gossip()
 			return owner.Take(change, neighbours)
 		}
@@ -125,7 +138,7 @@
 		}
 		if len(ahead) > 0 {
 			owner.asked = now
-			commands = append(commands, owner.ask(ahead[random.IntN(len(ahead))]))
+			commands = append(commands, owner.ask(ahead[random.IntN(len(ahead))], false))
 		}
 	}
 	return commands
@@ -185,14 +198,18 @@
 	commands := []contract.Command{}
 	for _, address := range addresses {
 		if address != owner.address {
-			commands = append(commands, owner.ask(address))
+			commands = append(commands, owner.ask(address, true))
 		}
 	}
 	return commands
 }
 
-func (owner *Owner) ask(address string) contract.Command {
-	return contract.Send{To: address, Kind: LetterAsk, Body: News{owner.version.Place, owner.view.Number, owner.address}}
+func (owner *Owner) ask(address string, brief bool) contract.Command {
+	return contract.Send{To: address, Kind: LetterAsk, Body: News{Place: owner.version.Place, View: owner.view.Number, From: owner.address, Brief: brief}}
+}
+
+func (owner *Owner) news() News {
+	return News{Place: owner.version.Place, View: owner.view.Number, From: owner.address}
 }
 
 // tell gives what the asker has not: a snapshot, the newest version alone, to one that has nothing yet and wants to serve.
@@ -210,6 +227,15 @@
 	if len(change.Versions) == 0 && change.View == nil {
 		return nil
 	}
+	if len(change.Versions) == 1 && change.Versions[0].Place == owner.version.Place && len(owner.version.Manifest) >= packFrom {
+		if owner.packedOf != owner.version.Place {
+			owner.packed, owner.packedOf = pack(owner.version), owner.version.Place
+		}
+		if news.Brief {
+			return []contract.Command{contract.Send{To: news.From, Kind: LetterNews, Body: owner.news()}}
+		}
+		change.Versions, change.Packed, change.PackedOf = nil, owner.packed, owner.version.Place
+	}
 	return []contract.Command{contract.Send{To: news.From, Kind: LetterChange, Body: change}}
 }
 
@@ -268,7 +294,7 @@
 	}
 	if moved {
 		for _, address := range neighbours {
-			commands = append(commands, contract.Send{To: address, Kind: LetterNews, Body: News{owner.version.Place, owner.view.Number, owner.address}})
+			commands = append(commands, contract.Send{To: address, Kind: LetterNews, Body: owner.news()})
 		}
 	}
 	return commands
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -84,6 +85,53 @@
 		Expect(node.kept).To(HaveLen(4))
 	})
 
+	It("given a large version, when others ask for it, then it is packed once and unpacks to the same; what does not unpack changes nothing", func() {
+		content := fmt.Appendf(nil, `{"regions":{"r":{"shards":1,"machines":["m"%s]}},"halls":{}}`, strings.Repeat(`,"another machine"`, 2000))
+		large := contract.Version{Place: contract.Place{View: 1, Revision: 41}, Digest: contract.Digest(content), Manifest: content}
+		made := keeper()
+		made.Take(Change{Versions: []contract.Version{large}}, nil)
+		first := changed(made.Handle(time.Second, letter(LetterAsk, News{From: "new"}), nil))
+		second := changed(made.Handle(time.Second, letter(LetterAsk, News{Place: contract.Place{Revision: 40}, From: "late"}), nil))
+		Expect(first.Versions).To(BeEmpty())
+		Expect(len(first.Packed)).To(And(BeNumerically(">", 0), BeNumerically("<", len(content)/8)))
+		Expect(&first.Packed[0]).To(BeIdenticalTo(&second.Packed[0]))
+		node := New("node", env.DefaultBounds())
+		node.Handle(time.Second, letter(LetterChange, Change{Packed: first.Packed[:len(first.Packed)/2], PackedOf: large.Place}), nil)
+		node.Handle(time.Second, letter(LetterChange, Change{Packed: []byte("no gzip"), PackedOf: large.Place}), nil)
+		Expect(node.Known()).To(BeFalse())
+		node.Handle(time.Second, letter(LetterChange, first), nil)
+		Expect(node.Version()).To(Equal(large))
+	})
+
+	It("given seeds that hold a large version, when a node asks all of them at once, then it has the version from one of them", func() {
+		content := fmt.Appendf(nil, `{"regions":{"r":{"shards":1,"machines":["m"%s]}},"halls":{}}`, strings.Repeat(`,"another machine"`, 2000))
+		large := contract.Version{Place: contract.Place{View: 1, Revision: 41}, Digest: contract.Digest(content), Manifest: content}
+		node, seeds, whole := New("node", env.DefaultBounds()), map[string]*Owner{}, 0
+		for _, name := range []string{"one", "two", "three"} {
+			seeds[name] = New(name, env.DefaultBounds())
+			seeds[name].Take(Change{Versions: []contract.Version{large}}, nil)
+		}
+		commands := node.Begin(time.Second, []string{"one", "two", "three"})
+		Expect(commands).To(HaveLen(3))
+		for len(commands) > 0 {
+			asked := commands[0].(contract.Send)
+			commands = commands[1:]
+			for _, told := range seeds[asked.To].Handle(time.Second, letter(asked.Kind, asked.Body), nil) {
+				answer := told.(contract.Send)
+				if answer.Kind == LetterChange {
+					whole++
+				}
+				for _, command := range node.Handle(time.Second, letter(answer.Kind, answer.Body), nil) {
+					if send, fine := command.(contract.Send); fine {
+						commands = append(commands, send)
+					}
+				}
+			}
+		}
+		Expect(whole).To(Equal(1))
+		Expect(node.Version()).To(Equal(large))
+	})
+
 	It("given a snapshot taken, when neighbours hold older versions, then it asks for them only after the time that a return may take", func() {
 		bounds, random := env.DefaultBounds(), rand.New(rand.NewPCG(1, 2))
 		node := New("node", bounds)
--- a/shard/list.go
+++ b/shard/list.go
@@ -38,7 +38,8 @@
 // renumber raises the list's number whenever its set of servers or their condition changed.
 func (owner *Owner) renumber(now time.Duration, held *duty) {
 	names := []string{}
-	for _, row := range owner.eligible(now, held) {
+	held.rows, held.numbered = owner.eligible(now, held), owner.changes
+	for _, row := range held.rows {
 		name := row.Name + "@" + row.Incarnation
 		if now < owner.servers[row.Name].warmUntil {
 			name += "~"
@@ -67,6 +68,7 @@
 			continue
 		}
 		known.cache, known.cacheAt = max(known.cache, count)+1, now
+		owner.changes++
 		owner.emit(contract.Count{Name: "cache_indexes_thrown", By: 1}, contract.Say{What: "cache index thrown away", Detail: []any{"server", name, "count", known.cache}})
 	}
 }
@@ -90,7 +92,9 @@
 		return
 	}
 	owner.throwIndex(now, ask.Stale)
-	owner.renumber(now, held)
+	if held.numbered != owner.changes {
+		owner.renumber(now, held)
+	}
 	word := retire.Word{Told: now, Granted: now}
 	if ask.Highest == held.epoch {
 		word.Number = ask.Number
@@ -100,7 +104,7 @@
 	licence := contract.Licence{Region: ask.Region, Shard: ask.Shard, Asked: ask.Asked, Epoch: held.epoch, Number: held.number,
 		Life: owner.bounds.Licence(), Revision: owner.seen.Revision, Shards: owner.shards, Back: ask.Back}
 	licence.Same = ask.Brief && ask.Highest == held.epoch && ask.Number == held.number
-	for _, row := range owner.eligible(now, held) {
+	for _, row := range held.rows {
 		if licence.Same {
 			break
 		}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -106,6 +106,8 @@
 	taken       time.Duration
 	number      int64
 	list        string
+	rows        []contract.ServerRow
+	numbered    int64
 	words       map[string]retire.Word
 	calls       map[string]map[string]int64
 	lingering   map[string]map[string]int64
@@ -137,6 +139,7 @@
 	ages      map[string]time.Duration
 	nextAges  time.Duration
 	shards    int
+	changes   int64
 	started   time.Duration
 	begun     bool
 	prompt    bool
@@ -156,6 +159,9 @@
 		owner.begun, owner.started = true, now
 	}
 	owner.out = nil
+	if letter, fine := event.(contract.Letter); !fine || letter.Kind != LetterAsk {
+		owner.changes++
+	}
 	switch event := event.(type) {
 	case Seen:
 		owner.seen = event
