Neighbours are chosen by nearness: most letters stay in the zone

Hollow fleet of 93 nodes: 45 KB/s a data node, nearly all shuffles, 33.6 KB/s of it to other regions, since any of 99 members is an equal neighbour. Ruled out: questions for lists (2 KB/s a node), the feed (1 KB/s). Changed: two of four neighbours are of the own zone, one of the region, one of any; one of another region is passed over most times in a large fleet; seeds and any members are tried less often as the table grows. The hollow fleet tells bytes to other zones and regions. Ways weighed: slower gossip or smaller samples (a suspicion of 2 s fails already at 192 nodes), delegates of zones (next, for more nodes).

--- a/hollow/process.go
+++ b/hollow/process.go
@@ -34,12 +34,16 @@
 	BytesIn    int64
 	Handle     time.Duration
 	Link       time.Duration
+	// BytesZone went out to other zones of the region, BytesRegion to other regions.
+	BytesZone   int64
+	BytesRegion int64
 }
 
 func (use *Use) add(other Use) {
 	use.LettersOut, use.BytesOut = use.LettersOut+other.LettersOut, use.BytesOut+other.BytesOut
 	use.LettersIn, use.BytesIn = use.LettersIn+other.LettersIn, use.BytesIn+other.BytesIn
 	use.Handle, use.Link = use.Handle+other.Handle, use.Link+other.Link
+	use.BytesZone, use.BytesRegion = use.BytesZone+other.BytesZone, use.BytesRegion+other.BytesRegion
 }
 
 type adoption struct {
@@ -251,6 +255,13 @@
 		use := process.use(letter.Kind)
 		use.LettersOut++
 		use.BytesOut += int64(size)
+		switch {
+		case target == nil:
+		case target.region != process.region:
+			use.BytesRegion += int64(size)
+		case target.zone != process.zone:
+			use.BytesZone += int64(size)
+		}
 		if lost {
 			continue
 		}
--- a/hollow/result.go
+++ b/hollow/result.go
@@ -13,6 +13,8 @@
 	BytesIn    float64 `json:"bytesIn"`
 	Handle     float64 `json:"handleCores"`
 	Link       float64 `json:"linkCores"`
+	Zone       float64 `json:"bytesToOtherZones"`
+	Region     float64 `json:"bytesToOtherRegions"`
 }
 
 // Role sums up the nodes of one role: means, the worst node, and the parts by kind of event.
@@ -66,16 +68,18 @@
 func rate(use Use, span time.Duration) Rate {
 	seconds := span.Seconds()
 	return Rate{float64(use.LettersOut) / seconds, float64(use.BytesOut) / seconds, float64(use.LettersIn) / seconds, float64(use.BytesIn) / seconds,
-		use.Handle.Seconds() / seconds, use.Link.Seconds() / seconds}
+		use.Handle.Seconds() / seconds, use.Link.Seconds() / seconds, float64(use.BytesZone) / seconds, float64(use.BytesRegion) / seconds}
 }
 
 func (rate Rate) scaled(part float64) Rate {
-	return Rate{rate.LettersOut * part, rate.BytesOut * part, rate.LettersIn * part, rate.BytesIn * part, rate.Handle * part, rate.Link * part}
+	return Rate{rate.LettersOut * part, rate.BytesOut * part, rate.LettersIn * part, rate.BytesIn * part, rate.Handle * part, rate.Link * part,
+		rate.Zone * part, rate.Region * part}
 }
 
 func (rate Rate) worse(other Rate) Rate {
 	return Rate{max(rate.LettersOut, other.LettersOut), max(rate.BytesOut, other.BytesOut), max(rate.LettersIn, other.LettersIn),
-		max(rate.BytesIn, other.BytesIn), max(rate.Handle, other.Handle), max(rate.Link, other.Link)}
+		max(rate.BytesIn, other.BytesIn), max(rate.Handle, other.Handle), max(rate.Link, other.Link),
+		max(rate.Zone, other.Zone), max(rate.Region, other.Region)}
 }
 
 func roles(processes []*Process, span time.Duration) (map[string]Role, float64) {
--- a/hollow/sweep.go
+++ b/hollow/sweep.go
@@ -82,6 +82,7 @@
 		figures[name+".bytesOut"], figures[name+".bytesIn"] = rate.BytesOut, rate.BytesIn
 		figures[name+".lettersOut"], figures[name+".lettersIn"] = rate.LettersOut, rate.LettersIn
 		figures[name+".handle"], figures[name+".link"] = rate.Handle, rate.Link
+		figures[name+".bytesZone"], figures[name+".bytesRegion"] = rate.Zone, rate.Region
 	}
 	for name, role := range result.Roles {
 		put(name, role.Mean)
@@ -176,7 +177,7 @@
 		result.Listed, result.Force, result.Lacking, result.Gap, result.Wall, result.HeapPeak>>20, result.Stopped)
 	for _, name := range []string{RoleData, RoleControl, RoleCore} {
 		if role, there := result.Roles[name]; there {
-			text += fmt.Sprintf("\n  %-8s out %.0f letters %.1f KB/s, in %.0f letters %.1f KB/s, owner %.2f%%, link %.2f%% of a core, heap %.2f MB", name, role.Mean.LettersOut, role.Mean.BytesOut/1e3,
+			text += fmt.Sprintf("\n  %-8s out %.0f letters %.1f KB/s (to other zones %.1f, to other regions %.1f), in %.0f letters %.1f KB/s, owner %.2f%%, link %.2f%% of a core, heap %.2f MB", name, role.Mean.LettersOut, role.Mean.BytesOut/1e3, role.Mean.Zone/1e3, role.Mean.Region/1e3,
 				role.Mean.LettersIn, role.Mean.BytesIn/1e3, role.Mean.Handle*100, role.Mean.Link*100, role.Heap/1e6)
 		}
 	}
--- a/neighbour/neighbour.go
+++ b/neighbour/neighbour.go
@@ -20,7 +20,7 @@
 	shuffleSize = 48
 	wholeRows   = 1
 	tableSize   = 1024
-	healOdds    = 6
+	leastOdds   = 6
 	renewOdds   = 8
 )
 
@@ -141,16 +141,16 @@
 	owner.renewActive(now)
 	targets := map[string]bool{}
 	for index := 0; index < 2 && len(owner.active) > 0; index++ {
-		name := owner.active[owner.random.IntN(len(owner.active))]
+		name := owner.drawActive()
 		targets[owner.table[name].member.Address] = true
 	}
-	if len(owner.active) < activeSize || owner.random.IntN(healOdds) == 0 {
+	if len(owner.active) < activeSize || owner.random.IntN(owner.healOdds()) == 0 {
 		if len(owner.seeds) > 0 {
 			targets[owner.seeds[owner.random.IntN(len(owner.seeds))]] = true
 		}
 	}
 	lonely := now-owner.spoken > owner.bounds.Suspicion()/4
-	if names := owner.names(); len(names) > 0 && (lonely || owner.random.IntN(healOdds) == 0) {
+	if names := owner.names(); len(names) > 0 && (lonely || owner.random.IntN(owner.healOdds()) == 0) {
 		targets[owner.table[names[owner.random.IntN(len(names))]].member.Address] = true
 	}
 	if lonely {
@@ -192,26 +192,15 @@
 		place := owner.random.IntN(len(owner.active))
 		owner.active = append(owner.active[:place], owner.active[place+1:]...)
 	}
-	passive, near := []string{}, []string{}
+	passive := []string{}
 	for _, name := range owner.names() {
-		inside := false
-		for _, other := range owner.active {
-			inside = inside || other == name
-		}
-		if !inside && owner.Alive(now, name) {
+		if owner.Alive(now, name) && !slices.Contains(owner.active, name) {
 			passive = append(passive, name)
-			if known := owner.table[name]; known.heard > 0 && now-known.heard < owner.bounds.Suspicion() {
-				near = append(near, name)
-			}
 		}
 	}
 	for len(owner.active) < activeSize && len(passive) > 0 {
-		chosen := passive[owner.random.IntN(len(passive))]
-		if len(near) > 0 && owner.random.IntN(2) == 0 {
-			chosen = near[owner.random.IntN(len(near))]
-		}
-		without := func(name string) bool { return name == chosen }
-		passive, near = slices.DeleteFunc(passive, without), slices.DeleteFunc(near, without)
+		chosen := owner.chooseActive(now, passive)
+		passive = slices.DeleteFunc(passive, func(name string) bool { return name == chosen })
 		owner.active = append(owner.active, chosen)
 		owner.table[chosen].joined = now
 	}
