--- a/neighbour/near_test.go
+++ b/neighbour/near_test.go
@@ -34,6 +34,7 @@
 	now := time.Duration(0)
 	for range rounds {
 		now += owner.bounds.Gossip()
+		owner.spoken = now
 		for _, known := range owner.table {
 			known.advanced, known.heard = now, now
 		}
