An index shared by all nodes says which server keeps a long prompt

Each node worked out by a hash which server should keep a long shared prompt.

Package index is the owner: the first live control node in an order that all agree on, with soft state. A data node asks it once at first sight of a prompt and goes on by the hash if nobody answers within its patience; a late answer serves later calls. The owner takes the first candidate with at most 1.25 of its part of the work (consistent hashing with bounded loads). A server that a node lost is no candidate for half of the time to withdraw, and a place moves at most once in that time.

Nothing is decided exclusively, so there is no epoch, and no call is sent a second time for it. A caller that leaves while its node asks leaves nothing behind.

--- a/contract/ask.go
+++ b/contract/ask.go
@@ -34,6 +34,7 @@
 	VerbGone        = "gone"
 	VerbReplace     = "replace"
 	VerbUpdate      = "update"
+	VerbPlace       = "place"
 )
 
 // Forward passes an ask to the authority, once.
--- a/control/control.go
+++ b/control/control.go
@@ -10,6 +10,7 @@
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/feed"
+	"github.com/cedarreel/cedarreel/index"
 	"github.com/cedarreel/cedarreel/machine"
 	"github.com/cedarreel/cedarreel/shard"
 )
@@ -43,6 +44,7 @@
 	*machine.Node
 	chain *chain.Owner
 	shard *shard.Owner
+	index *index.Owner
 	// others are the shards of the regions that this node stands in for, kept up to date so that a take-over is prompt.
 	others  map[string]*shard.Owner
 	wide    bool
@@ -57,7 +59,8 @@
 // New makes the owner; shelf is nil on a machine without a data folder.
 func New(settings env.Env, boot string, shelf *chain.Shelf, random *rand.Rand) *Owner {
 	node := machine.New(settings, contract.KindControl, boot, random)
-	owner := &Owner{Node: node, shard: shard.New(node.Self(), settings.Bounds), others: map[string]*shard.Owner{}, wide: settings.Wide, listed: -settings.Bounds.PlatformPoll(),
+	owner := &Owner{Node: node, shard: shard.New(node.Self(), settings.Bounds), index: index.New(settings.Bounds.Return(), settings.Bounds.Withdraw()/2),
+		others: map[string]*shard.Owner{}, wide: settings.Wide, listed: -settings.Bounds.PlatformPoll(),
 		writes: map[int64]*write{}, gathers: map[int64]*gather{}, reads: map[int64]contract.Ask{}}
 	if shelf != nil {
 		self := contract.CoreNode{Name: node.Self().Name, Boot: boot, Address: node.Self().Address}
@@ -84,6 +87,7 @@
 		commands = append(commands, owner.tick(now)...)
 	case contract.Letter:
 		commands = append(commands, owner.shardEvent(now, event)...)
+		commands = append(commands, owner.index.Handle(now, event)...)
 		commands = append(commands, owner.gathered(now, event)...)
 		if owner.chain != nil {
 			commands = append(commands, owner.chain.Handle(now, event)...)
@@ -178,6 +182,9 @@
 	if ask.Verb == contract.VerbGone {
 		return owner.gone(now, ask)
 	}
+	if ask.Verb == contract.VerbPlace {
+		return owner.place(now, ask)
+	}
 	if !owner.authority(ask) {
 		node, there := ask.Authority(owner.Feed.View())
 		if !there || ask.Forwarded {
@@ -205,6 +212,19 @@
 	return owner.write(now, ask, nil)
 }
 
+// place says where a prompt belongs; any control node that is asked answers, since a wrong place costs reading alone.
+func (owner *Owner) place(now time.Duration, ask contract.Ask) []contract.Command {
+	var asked index.Ask
+	if json.Unmarshal(ask.Body, &asked) != nil {
+		return []contract.Command{contract.Refuse(ask.Token, 400, "not a question for a place", 0)}
+	}
+	place, there := owner.index.Place(now, asked)
+	if !there {
+		return []contract.Command{contract.Refuse(ask.Token, 404, "no candidate for this place", 0)}
+	}
+	return []contract.Command{contract.Answer{Token: ask.Token, Status: 200, Body: place}, contract.Gauge{Name: "index_places", Value: int64(owner.index.Len())}}
+}
+
 // gone tells every live core machine what an operator knows: there may be no authority left to tell.
 func (owner *Owner) gone(now time.Duration, ask contract.Ask) []contract.Command {
 	word, commands := Gone{Name: ask.Subject + "-" + contract.KindControl}, []contract.Command{}
--- /dev/null
+++ b/control/place_test.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"encoding/json"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/index"
+	"github.com/cedarreel/cedarreel/manifest"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func (world *world) asks(name string, body []byte) contract.Answer {
+	GinkgoHelper()
+	answers := []contract.Answer{}
+	for _, command := range world.nodes[name].owner.Handle(world.now, contract.Ask{Token: 7, Verb: contract.VerbPlace, Body: body, Forwarded: true}) {
+		if answer, fine := command.(contract.Answer); fine {
+			answers = append(answers, answer)
+		}
+	}
+	Expect(answers).To(HaveLen(1))
+	Expect(answers[0].Token).To(Equal(int64(7)))
+	return answers[0]
+}
+
+func (world *world) controls() []string {
+	names := []string{}
+	for _, name := range manifest.SortedKeys(world.nodes) {
+		if _, control := world.nodes[name].owner.(*Owner); control {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func placeAsk(anchor uint64, candidates ...string) []byte {
+	GinkgoHelper()
+	body, failure := json.Marshal(index.Ask{Key: index.Key{Scope: "s", Anchor: anchor}, Candidates: candidates, Work: 10})
+	Expect(failure).NotTo(HaveOccurred())
+	return body
+}
+
+var _ = Describe("the place of a prompt", func() {
+	It("given any control node, also one that knows nobody, when it is asked, then it answers itself", func() {
+		world := newWorld(3)
+		for _, name := range world.controls() {
+			answer := world.asks(name, placeAsk(1, name+"-own", "b"))
+			Expect(answer.Status).To(Equal(200))
+			Expect(answer.Body).To(Equal(index.Place{Key: index.Key{Scope: "s", Anchor: 1}, Server: name + "-own"}))
+		}
+	})
+
+	It("given a question that cannot be read or has no candidate, when it comes, then it is refused", func() {
+		world := newWorld(3)
+		Expect(world.asks("east-m0-control", []byte(`{"candidates":7}`)).Status).To(Equal(400))
+		Expect(world.asks("east-m0-control", placeAsk(1)).Status).To(Equal(404))
+	})
+})
--- a/control/regions_test.go
+++ b/control/regions_test.go
@@ -12,6 +12,7 @@
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/feed"
 	"github.com/cedarreel/cedarreel/gateway"
+	"github.com/cedarreel/cedarreel/index"
 	"github.com/cedarreel/cedarreel/manifest"
 	"github.com/cedarreel/cedarreel/shard"
 	. "github.com/onsi/ginkgo/v2"
@@ -79,7 +80,7 @@
 	settings.Wide, settings.Gateway = true, env.Gateway{Traffic: "10.0.0.1:80", Contact: 4 * time.Second, RepeatWindow: 10 * time.Second}
 	boot, none := fmt.Sprint("boot", world.boots), func(string) map[string]int64 { return nil }
 	world.nodes[machine+"-control"] = &node{name: machine + "-control", region: region, owner: New(settings, boot, nil, world.random)}
-	world.nodes[machine+"-data"] = &node{name: machine + "-data", region: region, owner: gateway.NewNode(settings, boot, none, none, world.random), lists: map[string][]string{}}
+	world.nodes[machine+"-data"] = &node{name: machine + "-data", region: region, owner: gateway.NewNode(settings, boot, none, none, func() []index.Use { return nil }, world.random), lists: map[string][]string{}}
 	delete(world.down, machine+"-control")
 }
 
--- a/emulator/data.go
+++ b/emulator/data.go
@@ -8,6 +8,7 @@
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/gateway"
+	"github.com/cedarreel/cedarreel/index"
 	"github.com/cedarreel/cedarreel/manifest"
 )
 
@@ -30,7 +31,7 @@
 func newDataShell(machine *machine, settings env.Env) *dataShell {
 	shell := &dataShell{settings: settings, traffic: gateway.NewTraffic(settings, machine.random()), pool: map[string][]*pooled{}, answers: map[int64]func(contract.Answer){},
 		callers: map[*conn]func(){}, servers: map[*conn]bool{}}
-	shell.process = machine.process(contract.KindData, gateway.NewNode(settings, machine.boot(), shell.traffic.Calls, shell.traffic.Stale, machine.random()))
+	shell.process = machine.process(contract.KindData, gateway.NewNode(settings, machine.boot(), shell.traffic.Calls, shell.traffic.Stale, shell.traffic.Uses, machine.random()))
 	shell.perform = shell.act
 	shell.sweep()
 	return shell
@@ -43,7 +44,7 @@
 			shell.traffic.Handle(shell.now(), event)
 		}
 	case contract.Forward:
-		forward(shell.process, command, func(contract.Answer) {})
+		forward(shell.process, command, func(answer contract.Answer) { shell.act(answer) })
 	case contract.Answer:
 		take := shell.answers[command.Token]
 		delete(shell.answers, command.Token)
@@ -79,6 +80,27 @@
 	})
 }
 
+// ask puts a question about a prompt's place and goes on after its patience; a late answer serves later calls.
+func (shell *dataShell) ask(asked gateway.Place, take func(gateway.Placed)) {
+	shell.token++
+	token, placed, over := shell.token, gateway.Placed{Token: asked.Token}, false
+	end := func() {
+		if !over {
+			over = true
+			take(placed)
+		}
+	}
+	shell.answers[token] = func(answer contract.Answer) {
+		if place, fine := answer.Body.(index.Place); fine {
+			placed.Place = place
+			shell.traffic.Handle(shell.now(), gateway.Relocated{Places: []index.Place{place}})
+		}
+		end()
+	}
+	shell.after(asked.Patience, end)
+	shell.handle(gateway.AskPlace{Token: token, Ask: asked.Ask})
+}
+
 const (
 	leaveParts = 80
 	endParts   = 8
--- a/emulator/exchange.go
+++ b/emulator/exchange.go
@@ -131,6 +131,12 @@
 	switch command := command.(type) {
 	case gateway.Dispatch:
 		one.run(command)
+	case gateway.Place:
+		one.shell.ask(command, func(placed gateway.Placed) {
+			if !one.over {
+				one.perform(one.shell.decide(placed))
+			}
+		})
 	case gateway.Pass:
 		one.answer(answer{status: one.reply.status, sealed: one.reply.sealed, of: one.reply.identity, whole: true})
 	case gateway.Refuse:
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -24,6 +24,14 @@
 	work := &job{Arrive: event, route: route, came: now, ends: now + left, service: traffic.draw(route), avoid: map[string]bool{}}
 	traffic.jobs[event.Token] = work
 	traffic.budget(work.service).called(now)
+	return traffic.admit(now, work)
+}
+
+// admit sends a call on, after it has asked where its prompt belongs if that is not known here.
+func (traffic *Traffic) admit(now time.Duration, work *job) []contract.Command {
+	if place, asks := traffic.place(now, work); asks {
+		return one(place)
+	}
 	return traffic.dispatch(now, work)
 }
 
@@ -147,6 +155,7 @@
 	}
 	if !work.begun {
 		traffic.checkCache(now, work)
+		traffic.use(now, work)
 	}
 	work.begun = true
 	traffic.hasRead(work)
@@ -202,6 +211,9 @@
 func (traffic *Traffic) ended(now time.Duration, event Ended) []contract.Command {
 	work := traffic.current(event.Token, event.Attempt)
 	if work == nil {
+		if asking, there := traffic.jobs[event.Token]; there && asking.server == nil {
+			traffic.drop(asking)
+		}
 		return one(Fail{Token: event.Token, Status: 502, Reason: "unknown call"})
 	}
 	server, reread := work.server, work.unread > 0
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -8,6 +8,7 @@
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/env"
+	"github.com/cedarreel/cedarreel/index"
 	"github.com/cedarreel/cedarreel/machine"
 	"github.com/cedarreel/cedarreel/manifest"
 	"github.com/cedarreel/cedarreel/shard"
@@ -26,6 +27,12 @@
 // Addresses is the answer to a look-up: where nodes take calls, host and port.
 type Addresses struct{ Addresses []string }
 
+// AskPlace carries a question of the owner of the calls to the owner of the index; the answer has an index.Place as its body.
+type AskPlace struct {
+	Token int64
+	Ask   index.Ask
+}
+
 // Leave tells the others that this node stops.
 type Leave struct{}
 
@@ -44,18 +51,22 @@
 	settings env.Env
 	calls    func(region string) map[string]int64
 	stale    func(region string) map[string]int64
+	uses     func() []index.Use
+	indexed  bool
 	lists    map[string]map[int]*list
 	servers  map[string]map[int][]contract.Candidate
 	nextAsk  time.Duration
+	nextTell time.Duration
 	names    []string
 	started  time.Duration
 	begun    bool
 	out      []contract.Command
 }
 
-// NewNode makes the owner; calls and stale tell what the owner of the calls knows of a region's servers.
-func NewNode(settings env.Env, boot string, calls, stale func(region string) map[string]int64, random *rand.Rand) *Node {
-	return &Node{Node: machine.New(settings, contract.KindData, boot, random), settings: settings, calls: calls, stale: stale,
+// NewNode makes the owner; calls and stale tell what the owner of the calls knows of a region's servers, uses what it sent to places
+// of the index.
+func NewNode(settings env.Env, boot string, calls, stale func(region string) map[string]int64, uses func() []index.Use, random *rand.Rand) *Node {
+	return &Node{Node: machine.New(settings, contract.KindData, boot, random), settings: settings, calls: calls, stale: stale, uses: uses,
 		lists: map[string]map[int]*list{}, servers: map[string]map[int][]contract.Candidate{}}
 }
 
@@ -80,10 +91,13 @@
 	case contract.Tick:
 		node.ask(now)
 		node.tellFleet(now)
+		node.tellIndex(now)
 	case contract.Letter:
 		node.letter(now, event)
 	case Lookup:
 		node.emit(contract.Answer{Token: event.Token, Status: 200, Body: node.lookup(now, event)})
+	case AskPlace:
+		node.askPlace(now, event)
 	case Leave:
 		node.emit(node.Neighbours.Farewell()...)
 	}
@@ -171,6 +185,11 @@
 		if json.Unmarshal(letter.Body, &licence) == nil {
 			node.take(now, licence)
 		}
+	case index.LetterMoved:
+		var moved index.Moved
+		if json.Unmarshal(letter.Body, &moved) == nil {
+			node.emit(Update{Relocated{Places: moved.Places}})
+		}
 	case shard.LetterNotOwner:
 		var hint contract.NotOwner
 		if json.Unmarshal(letter.Body, &hint) == nil {
--- a/gateway/node_test.go
+++ b/gateway/node_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/feed"
+	"github.com/cedarreel/cedarreel/index"
 	"github.com/cedarreel/cedarreel/neighbour"
 	"github.com/cedarreel/cedarreel/shard"
 	. "github.com/onsi/gomega"
@@ -31,7 +32,7 @@
 }
 
 func following() *follower {
-	made := &follower{Node: NewNode(settingsFor("node000"), "boot", func(string) map[string]int64 { return nil }, func(string) map[string]int64 { return nil }, seeded(3)), now: time.Second}
+	made := &follower{Node: NewNode(settingsFor("node000"), "boot", func(string) map[string]int64 { return nil }, func(string) map[string]int64 { return nil }, func() []index.Use { return nil }, seeded(3)), now: time.Second}
 	version := contract.Version{Place: contract.Place{View: 1, Revision: 1}, Manifest: json.RawMessage(regions), Digest: contract.Digest([]byte(regions))}
 	made.take(letter(feed.LetterChange, "", feed.Change{Versions: []contract.Version{version}}))
 	made.take(contract.Tick{})
@@ -223,7 +224,7 @@
 	})
 
 	It("given a node that has no configuration itself, when a caller asks, then it does not name itself", func() {
-		node := &follower{Node: NewNode(settingsFor("node000"), "boot", func(string) map[string]int64 { return nil }, func(string) map[string]int64 { return nil }, seeded(3)), now: time.Second}
+		node := &follower{Node: NewNode(settingsFor("node000"), "boot", func(string) map[string]int64 { return nil }, func(string) map[string]int64 { return nil }, func() []index.Use { return nil }, seeded(3)), now: time.Second}
 		node.take(contract.Tick{})
 		Expect(look(node, "east", "east-a")).To(BeEmpty())
 	})
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -64,7 +64,7 @@
 	service, holder := traffic.read.Gateway.Services[work.service], ""
 	long := work.Prompt.Shared() >= anchorTokens
 	if service.Engine != nil && work.Prompt.Shared() > 0 {
-		holder = traffic.holder(now, open, work.Prompt, long)
+		holder = traffic.holder(now, open, work, long)
 	}
 	var chosen *server
 	best, wait := time.Duration(0), time.Duration(0)
@@ -93,11 +93,29 @@
 	return chosen, wait
 }
 
-// holder names the server that is meant to keep what the prompt shares with others, the same one for all nodes: what one server has
-// read need not be read again elsewhere. Long prompts are meant for regions that no short ones go to, or else for a part of the
-// servers of each, so that short ones need not wait behind them.
-func (traffic *Traffic) holder(now time.Duration, open []*server, prompt engine.Prompt, long bool) string {
-	apart, parts, all := []*server{}, []*server{}, open
+// holder names the server that is meant to keep what the prompt shares with others: the index says so, or else an order that all nodes
+// share. What one server has read need not be read again elsewhere.
+func (traffic *Traffic) holder(now time.Duration, open []*server, work *job, long bool) string {
+	all := open
+	if long {
+		if slices.ContainsFunc(open, func(server *server) bool { return server.Name == work.holder }) {
+			return work.holder
+		}
+		all = traffic.apart(now, open)
+	}
+	anchor, best, chosen := work.Prompt.Anchor(), uint64(0), ""
+	for _, server := range all {
+		if weight := mix(server.hash ^ anchor); chosen == "" || weight > best {
+			best, chosen = weight, server.Name
+		}
+	}
+	return chosen
+}
+
+// apart gives the servers that are meant for long prompts: those of regions that no short ones go to, or else a part of the servers of
+// each, so that short ones need not wait behind them.
+func (traffic *Traffic) apart(now time.Duration, open []*server) []*server {
+	apart, parts := []*server{}, []*server{}
 	for _, server := range open {
 		switch {
 		case !traffic.mixed(now, server.Pool, server.region):
@@ -107,19 +125,12 @@
 		}
 	}
 	switch {
-	case !long:
 	case len(apart)*leastApart >= len(open):
-		all = apart
+		return apart
 	case len(parts) > 0:
-		all = append(parts, apart...)
-	}
-	anchor, best, chosen := prompt.Anchor(), uint64(0), ""
-	for _, server := range all {
-		if weight := mix(server.hash ^ anchor); chosen == "" || weight > best {
-			best, chosen = weight, server.Name
-		}
+		return append(parts, apart...)
 	}
-	return chosen
+	return open
 }
 
 func mix(value uint64) uint64 {
--- /dev/null
+++ b/gateway/places.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cedarreel/cedarreel/engine"
+	"github.com/cedarreel/cedarreel/index"
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// Place asks the owner of the index where the prompt of a call belongs; after Patience it goes on without.
+type Place struct {
+	Token    int64
+	Ask      index.Ask
+	Patience time.Duration
+}
+
+// Placed answers; without a server nobody did in time.
+type Placed struct {
+	Token int64
+	Place index.Place
+}
+
+// Relocated brings places that are others than this node believed.
+type Relocated struct{ Places []index.Place }
+
+// Indexed tells whether there is an owner of the index to ask.
+type Indexed struct{ Known bool }
+
+const (
+	mostPlaces = 1 << 12
+	mostAsks   = 2
+)
+
+// places is what this node knows of the shared index of prompts.
+type places struct {
+	known *lru.LRU[index.Key, string]
+	uses  []index.Use
+	owned bool
+	quiet time.Duration
+}
+
+func newPlaces() places {
+	known, failure := lru.NewLRU[index.Key, string](mostPlaces, nil)
+	if failure != nil {
+		panic(failure)
+	}
+	return places{known: known}
+}
+
+func keyOf(work *job) index.Key {
+	return index.Key{Scope: work.service + "\x00" + strings.Join(work.route.Regions, ","), Anchor: work.Prompt.Anchor()}
+}
+
+// place gives the question that a call with a long shared prompt has to ask before it is sent, if any.
+func (traffic *Traffic) place(now time.Duration, work *job) (Place, bool) {
+	if traffic.read.Gateway.Services[work.service].Engine == nil || work.Prompt.Shared() < anchorTokens {
+		return Place{}, false
+	}
+	if work.key.Scope == "" {
+		work.key = keyOf(work)
+	}
+	name, there := traffic.places.known.Get(work.key)
+	if there && !traffic.lost(now, name) {
+		work.holder = name
+		return Place{}, false
+	}
+	if work.asks >= mostAsks || !traffic.places.owned || now < traffic.places.quiet {
+		return Place{}, false
+	}
+	open := traffic.open(now, work, false)
+	if len(open) < 2 {
+		return Place{}, false
+	}
+	work.asks++
+	ask := index.Ask{Key: work.key, Lost: name, Work: readTime(work.Prompt.Input).Milliseconds()}
+	for _, server := range traffic.candidates(now, open, work.Prompt) {
+		ask.Candidates = append(ask.Candidates, server.Name)
+	}
+	return Place{Token: work.Token, Ask: ask, Patience: traffic.terms.Contact / 16}, true
+}
+
+// lost tells whether a place is gone for longer than a moment.
+func (traffic *Traffic) lost(now time.Duration, name string) bool {
+	server, there := traffic.servers[name]
+	return !there || !server.listed || server.moved || traffic.read.Drained(server.Hall) || now < server.until && server.failures > 1
+}
+
+// candidates gives the servers that may be a prompt's place, in an order that is the same at all nodes.
+func (traffic *Traffic) candidates(now time.Duration, open []*server, prompt engine.Prompt) []*server {
+	anchor := prompt.Anchor()
+	ordered := slices.Clone(traffic.apart(now, open))
+	slices.SortFunc(ordered, func(left, right *server) int { return cmp.Compare(mix(right.hash^anchor), mix(left.hash^anchor)) })
+	return ordered[:min(len(ordered), index.MostCandidates)]
+}
+
+func (traffic *Traffic) placed(now time.Duration, event Placed) {
+	if event.Place.Server == "" {
+		traffic.places.quiet = now + traffic.terms.Contact/4
+		return
+	}
+	traffic.places.known.Add(event.Place.Key, event.Place.Server)
+}
+
+func (traffic *Traffic) relocated(event Relocated) {
+	for _, place := range event.Places {
+		traffic.places.known.Add(place.Key, place.Server)
+	}
+}
+
+// use notes what the owner of the index is told.
+func (traffic *Traffic) use(now time.Duration, work *job) {
+	if work.holder != "" && work.server.Name == work.holder && len(traffic.places.uses) < index.MostUses {
+		traffic.places.uses = append(traffic.places.uses, index.Use{Key: work.key, Server: work.holder, Took: (now - work.at).Milliseconds()})
+	}
+}
+
+// Uses gives what was noted since it was last asked for.
+func (traffic *Traffic) Uses() []index.Use {
+	uses := traffic.places.uses
+	traffic.places.uses = nil
+	return uses
+}
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -6,6 +6,7 @@
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/env"
+	"github.com/cedarreel/cedarreel/index"
 	"github.com/cedarreel/cedarreel/manifest"
 )
 
@@ -26,6 +27,7 @@
 	division int
 	began    time.Duration
 	begun    bool
+	places   places
 }
 
 type job struct {
@@ -45,11 +47,14 @@
 	at       time.Duration
 	begun    bool
 	avoid    map[string]bool
+	key      index.Key
+	holder   string
+	asks     int
 }
 
 func NewTraffic(settings env.Env, random *rand.Rand) *Traffic {
 	return &Traffic{settings: settings, terms: settings.Gateway, random: random, servers: map[string]*server{}, services: map[string][]*server{},
-		lists: map[string]bool{}, jobs: map[int64]*job{}, budgets: map[string]*budget{}, sizes: map[string]seen{}, division: 1}
+		lists: map[string]bool{}, jobs: map[int64]*job{}, budgets: map[string]*budget{}, sizes: map[string]seen{}, division: 1, places: newPlaces()}
 }
 
 // Ready tells whether this node can serve: it has a configuration and the lists of all regions, or some of them for a while.
@@ -89,6 +94,16 @@
 		return traffic.silent(now, event)
 	case Ended:
 		return traffic.ended(now, event)
+	case Placed:
+		traffic.placed(now, event)
+		if work, there := traffic.jobs[event.Token]; there {
+			return traffic.admit(now, work)
+		}
+		return one(Fail{Token: event.Token, Status: 502, Reason: "unknown call"})
+	case Relocated:
+		traffic.relocated(event)
+	case Indexed:
+		traffic.places.owned = event.Known
 	case Configured:
 		traffic.configured(now, event)
 	case Listed:
--- a/hollow/process.go
+++ b/hollow/process.go
@@ -94,7 +94,7 @@
 	if role == RoleData {
 		settings.Data = address
 		process.traffic = gateway.NewTraffic(settings, random())
-		node := gateway.NewNode(settings, "b1", process.traffic.Calls, process.traffic.Stale, random())
+		node := gateway.NewNode(settings, "b1", process.traffic.Calls, process.traffic.Stale, process.traffic.Uses, random())
 		process.owner, process.node = node, node.Node
 		return process
 	}
--- /dev/null
+++ b/index/index.go
@@ -0,0 +1,204 @@
+// Package index keeps where prompts that calls share belong: which server is meant to keep what one of them has read, for all nodes.
+package index
+
+import (
+	"encoding/json"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// LetterUsed carries what a node sent where, LetterMoved the places that its index has wrong.
+const (
+	LetterUsed  = "index-used"
+	LetterMoved = "index-moved"
+)
+
+// Key names a shared prompt: scope is the service with the regions that the calls are bound to, anchor stands for its leading parts.
+type Key struct {
+	Scope  string `json:"scope"`
+	Anchor uint64 `json:"anchor"`
+}
+
+// Place says that a server is meant to keep a prompt.
+type Place struct {
+	Key
+	Server string `json:"server"`
+}
+
+// Ask wants a prompt's place: one of the candidates, the preferred one first, if it has none yet, or if its place is Lost. Work is
+// the milliseconds that reading the prompt takes.
+type Ask struct {
+	Key
+	Candidates []string `json:"candidates"`
+	Lost       string   `json:"lost,omitempty"`
+	Work       int64    `json:"work"`
+}
+
+// Use is one call that went to a prompt's place and waited so many milliseconds for its first piece.
+type Use struct {
+	Key
+	Server string `json:"server"`
+	Took   int64  `json:"took"`
+}
+
+// Used is what a node at Address sent since it last told.
+type Used struct {
+	Address string `json:"address"`
+	Uses    []Use  `json:"uses"`
+}
+
+// Moved are places that are others than their asker believes.
+type Moved struct {
+	Places []Place `json:"places"`
+}
+
+const (
+	mostPlaces  = 1 << 16
+	mostServers = 1 << 14
+	// capacityFactor is how many times its part of the work a server may have and still get a new prompt.
+	capacityFactor = 1.25
+	// MostUses bounds what a node tells at once.
+	MostUses = 256
+	// MostCandidates bounds what an asker offers.
+	MostCandidates = 16
+)
+
+// Owner keeps the index. It may be lost at any time: nodes tell a successor what they know with what they use.
+type Owner struct {
+	halfLife time.Duration
+	rest     time.Duration
+	places   *lru.LRU[Key, entry]
+	loads    *lru.LRU[string, load]
+}
+
+type entry struct {
+	server string
+	moved  time.Duration
+}
+
+// load is the work given to a server, forgotten by half in a half-life.
+type load struct {
+	work float64
+	at   time.Duration
+	lost time.Duration
+}
+
+// New makes an owner that forgets half of a server's work in halfLife; a place rests that long when it has moved, and a server is
+// believed lost for as long.
+func New(halfLife, rest time.Duration) *Owner {
+	return &Owner{halfLife: halfLife, rest: rest, places: bounded[Key, entry](mostPlaces), loads: bounded[string, load](mostServers)}
+}
+
+func bounded[Name comparable, Value any](most int) *lru.LRU[Name, Value] {
+	made, failure := lru.NewLRU[Name, Value](most, nil)
+	if failure != nil {
+		panic(failure)
+	}
+	return made
+}
+
+// Len is the number of places that are kept.
+func (owner *Owner) Len() int { return owner.places.Len() }
+
+func (owner *Owner) work(now time.Duration, server string) float64 {
+	known, there := owner.loads.Peek(server)
+	if !there {
+		return 0
+	}
+	return known.work * math.Exp2(-float64(now-known.at)/float64(owner.halfLife))
+}
+
+func (owner *Owner) add(now time.Duration, server string, work int64) {
+	known, _ := owner.loads.Peek(server)
+	owner.loads.Add(server, load{owner.work(now, server) + float64(work), now, known.lost})
+}
+
+// lose notes a word that a server is lost; until it has rested, nothing is placed there.
+func (owner *Owner) lose(now time.Duration, server string) {
+	if server != "" {
+		owner.loads.Add(server, load{owner.work(now, server), now, now + owner.rest})
+	}
+}
+
+func (owner *Owner) lost(now time.Duration, server string) bool {
+	known, there := owner.loads.Peek(server)
+	return there && now < known.lost
+}
+
+// Place answers an ask: the known place, or a candidate that has little work. A place does not move twice within the rest.
+func (owner *Owner) Place(now time.Duration, ask Ask) (Place, bool) {
+	owner.lose(now, ask.Lost)
+	known, there := owner.places.Get(ask.Key)
+	if there && known.server != ask.Lost {
+		return Place{Key: ask.Key, Server: known.server}, true
+	}
+	if there && now < known.moved+owner.rest || len(ask.Candidates) > MostCandidates {
+		return Place{}, false
+	}
+	candidates := slices.DeleteFunc(slices.Clone(ask.Candidates), func(name string) bool { return owner.lost(now, name) })
+	if len(candidates) == 0 {
+		return Place{}, false
+	}
+	chosen := owner.choose(now, candidates, float64(max(0, ask.Work)))
+	owner.places.Add(ask.Key, entry{chosen, now})
+	owner.add(now, chosen, max(0, ask.Work))
+	return Place{Key: ask.Key, Server: chosen}, true
+}
+
+// choose gives the first candidate, in their own order, that has not much more than its part of the work. Most prompts get their first
+// choice, so an index that is lost is mostly found again (Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded Loads").
+func (owner *Owner) choose(now time.Duration, candidates []string, work float64) string {
+	sum, least := work, candidates[0]
+	for _, name := range candidates {
+		sum += owner.work(now, name)
+		if owner.work(now, name) < owner.work(now, least) {
+			least = name
+		}
+	}
+	for _, name := range candidates {
+		if owner.work(now, name)+work <= capacityFactor*sum/float64(len(candidates)) {
+			return name
+		}
+	}
+	return least
+}
+
+// Handle takes what nodes used.
+func (owner *Owner) Handle(now time.Duration, event contract.Event) []contract.Command {
+	if letter, fine := event.(contract.Letter); fine && letter.Kind == LetterUsed {
+		return owner.used(now, letter)
+	}
+	return nil
+}
+
+var broken = []contract.Command{contract.Count{Name: "letters_broken", By: 1}}
+
+// used takes a place that is not known from the node; one that is another is put right there.
+func (owner *Owner) used(now time.Duration, letter contract.Letter) []contract.Command {
+	var used Used
+	if json.Unmarshal(letter.Body, &used) != nil {
+		return broken
+	}
+	moved := Moved{}
+	for _, use := range used.Uses[:min(len(used.Uses), MostUses)] {
+		if use.Server == "" {
+			continue
+		}
+		owner.add(now, use.Server, max(0, use.Took))
+		known, there := owner.places.Get(use.Key)
+		switch {
+		case !there:
+			owner.places.Add(use.Key, entry{use.Server, now})
+		case known.server != use.Server:
+			moved.Places = append(moved.Places, Place{Key: use.Key, Server: known.server})
+		}
+	}
+	if len(moved.Places) == 0 {
+		return nil
+	}
+	return []contract.Command{contract.Send{To: used.Address, Kind: LetterMoved, Body: moved}}
+}
--- a/link/operators.go
+++ b/link/operators.go
@@ -196,6 +196,14 @@
 	operators.loop.Answer(contract.Answer{Token: forward.Ask.Token, Body: given{response.StatusCode, time.Duration(seconds) * time.Second, bytes.TrimSpace(body)}})
 }
 
+// Given is status and body of another node's answer.
+func Given(answer contract.Answer) (int, []byte) {
+	if passed, fine := answer.Body.(given); fine {
+		return passed.status, passed.body
+	}
+	return answer.Status, nil
+}
+
 func encodeGiven(_ context.Context, writer http.ResponseWriter, response any) error {
 	answer := response.(given)
 	writer.Header().Set("Content-Type", "application/json")
--- a/serve/export_test.go
+++ b/serve/export_test.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"encoding/json"
 	"net/http"
 	"time"
 
@@ -27,6 +28,34 @@
 
 func (test *TestGateway) Learn(event contract.Event) { test.shell.act(gateway.Update{Event: event}) }
 
+// forwarding has every question for a place asked at one address.
+type forwarding struct{ address string }
+
+func (owner forwarding) Handle(_ time.Duration, event contract.Event) []contract.Command {
+	asked, fine := event.(gateway.AskPlace)
+	if !fine {
+		return nil
+	}
+	body, failure := json.Marshal(asked.Ask)
+	if failure != nil {
+		panic(failure)
+	}
+	return []contract.Command{contract.Forward{Ask: contract.Ask{Token: asked.Token, Verb: contract.VerbPlace, Body: body}, Address: owner.address}}
+}
+
+// AskAt has questions for places go to a control node on a real socket until stop is closed.
+func (test *TestGateway) AskAt(address string, stop chan struct{}) {
+	shell := test.shell
+	shell.Loop = link.NewLoop(forwarding{address}, time.Hour, nil, log.NewNopLogger())
+	shell.Loop.Act(shell.act)
+	shell.forward = link.NewOperators(shell.Loop, 1<<20, 10*time.Second, link.NewFaults("", stop))
+	go shell.Loop.Run(stop)
+}
+
+func (test *TestGateway) Counts() map[string]int64 { return test.shell.Loop.Counts() }
+
+func (test *TestGateway) Running() int { return int(test.shell.running.Load()) }
+
 func (test *TestGateway) Idle() int { return test.shell.pool.Idle() }
 
 const MostReplyBytes = mostReplyBytes
--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/gateway"
+	"github.com/cedarreel/cedarreel/index"
 	"github.com/cedarreel/cedarreel/manifest"
 	"github.com/cedarreel/cedarreel/upstream"
 	"github.com/rotisserie/eris"
@@ -47,7 +48,7 @@
 	random := source()
 	shell := &gatewayShell{face: face, traffic: gateway.NewTraffic(settings, source()), pool: upstream.NewPool(idlePerServer, settings.Gateway.Contact*2)}
 	shell.limits.Store(&manifest.Limits{})
-	node := gateway.NewNode(settings, boot(), shell.calls, shell.stale, random)
+	node := gateway.NewNode(settings, boot(), shell.calls, shell.stale, shell.uses, random)
 	shell.Process = newProcess(settings, node.Self(), node, "")
 	shell.Loop.Act(shell.act)
 	shell.Reread = func() (env.Env, error) { return face.Settings(contract.KindData) }
@@ -110,6 +111,12 @@
 	return shell.traffic.Stale(region)
 }
 
+func (shell *gatewayShell) uses() []index.Use {
+	shell.lock.Lock()
+	defer shell.lock.Unlock()
+	return shell.traffic.Uses()
+}
+
 func (shell *gatewayShell) act(command contract.Command) bool {
 	switch command := command.(type) {
 	case gateway.Update:
@@ -236,6 +243,8 @@
 		switch next := command.(type) {
 		case gateway.Dispatch:
 			command = one.run(next)
+		case gateway.Place:
+			command = shell.place(request.Context(), next)
 		case gateway.Pass:
 			one.pass()
 			return
--- /dev/null
+++ b/serve/place.go
@@ -0,0 +1,41 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/gateway"
+	"github.com/cedarreel/cedarreel/index"
+	"github.com/cedarreel/cedarreel/link"
+)
+
+// place asks where a call's prompt belongs and goes on after its patience with or without an answer; a late one serves later calls.
+func (shell *gatewayShell) place(caller context.Context, asked gateway.Place) contract.Command {
+	placed, answers := gateway.Placed{Token: asked.Token}, make(chan index.Place, 1)
+	token := shell.Loop.Token(func(answer contract.Answer) {
+		var place index.Place
+		if status, body := link.Given(answer); status == 200 && json.Unmarshal(body, &place) == nil {
+			shell.handle(gateway.Relocated{Places: []index.Place{place}})
+			shell.Loop.Count("places_answered", 1)
+			answers <- place
+			return
+		}
+		answers <- index.Place{}
+	})
+	if !shell.Loop.Try(gateway.AskPlace{Token: token, Ask: asked.Ask}) {
+		shell.Loop.Forget(token)
+		return shell.decide(placed)
+	}
+	timer := time.NewTimer(asked.Patience)
+	defer timer.Stop()
+	select {
+	case placed.Place = <-answers:
+	case <-caller.Done():
+		return shell.decide(gateway.Ended{Token: asked.Token, Outcome: gateway.Left})
+	case <-timer.C:
+		shell.Loop.Count("places_unanswered", 1)
+	}
+	return shell.decide(placed)
+}
