The index of prompts outlives a loss of all power, on disk and at other nodes

It is a file of its own, written aside, synced and renamed by a goroutine of its own, so that a slow, full or stalled disk holds up neither the loop nor the chain's ring. Damaged files are left out and counted.

On the same beat control nodes tell each other what changed, 1,024 places a letter, and those with a disk tell a peer that was not there before what they keep: the owner after the restart may be one without a disk. What comes from disk or from others is hearsay until a use confirms or replaces it, so a node that was away for long cannot move prompts back.

--- a/control/control.go
+++ b/control/control.go
@@ -94,6 +94,8 @@
 			commands = append(commands, owner.refill(now, event)...)
 			commands = append(commands, owner.told(event)...)
 		}
+	case index.Persisted:
+		commands = append(commands, owner.index.Handle(now, event)...)
 	case chain.Persisted:
 		commands = append(commands, owner.chain.Handle(now, event)...)
 	case Leave:
@@ -118,6 +120,7 @@
 	if owner.Feed.Known() {
 		commands = append(commands, owner.tickShards(now, shard.Seen{Members: members, Manifest: owner.Feed.Manifest(), Revision: owner.Feed.Version().Place.Revision})...)
 	}
+	commands = append(commands, owner.index.Tick(now, owner.peers(members))...)
 	commands = append(commands, owner.tickWrites(now)...)
 	return append(commands, owner.tickGathers(now)...)
 }
@@ -212,6 +215,19 @@
 	return owner.write(now, ask, nil)
 }
 
+// Restore takes up what a disk kept of the index and has it saved there from now on.
+func (owner *Owner) Restore(snapshot index.Snapshot) { owner.index.Restore(snapshot) }
+
+func (owner *Owner) peers(members []contract.Member) []contract.Member {
+	peers := []contract.Member{}
+	for _, member := range members {
+		if member.Kind == contract.KindControl && member.Name != owner.Self().Name {
+			peers = append(peers, member)
+		}
+	}
+	return peers
+}
+
 // place says where a prompt belongs; any control node that is asked answers, since a wrong place costs reading alone.
 func (owner *Owner) place(now time.Duration, ask contract.Ask) []contract.Command {
 	var asked index.Ask
--- a/control/place_test.go
+++ b/control/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/index"
@@ -55,4 +56,43 @@
 		Expect(world.asks("east-m0-control", []byte(`{"candidates":7}`)).Status).To(Equal(400))
 		Expect(world.asks("east-m0-control", placeAsk(1)).Status).To(Equal(404))
 	})
+
+	It("given a place at one control node, when the beat has passed, then every other gives the same, and no data node is told", func() {
+		world := newWorld(3)
+		world.run(15 * time.Second)
+		world.asks("west-m1-control", placeAsk(1, "a", "b"))
+		world.run(4 * time.Second)
+		for _, name := range world.controls() {
+			Expect(world.asks(name, placeAsk(1, "other")).Body.(index.Place).Server).To(Equal("a"), name)
+		}
+	})
+
+	It("given a node with a disk, when it has a place, then it hands a snapshot out, and one without a disk does not", func() {
+		world := newWorld(3)
+		world.run(time.Second)
+		handed := func(owner *Owner) []index.Snapshot {
+			snapshots := []index.Snapshot{}
+			for range 100 {
+				world.now += 50 * time.Millisecond
+				for _, command := range owner.Handle(world.now, contract.Tick{}) {
+					if persist, fine := command.(index.Persist); fine {
+						snapshots = append(snapshots, persist.Snapshot)
+						Expect(owner.Handle(world.now, index.Persisted{Mishap: "full"})).To(ContainElement(contract.Count{Name: "index_unsaved", By: 1}))
+					}
+				}
+			}
+			return snapshots
+		}
+		kept := index.Snapshot{Places: []index.Place{{Key: index.Key{Scope: "s", Anchor: 1}, Server: "a"}}}
+		disk := world.nodes["east-m0-control"].owner.(*Owner)
+		disk.Restore(kept)
+		Expect(world.asks("east-m0-control", placeAsk(1, "b")).Body.(index.Place).Server).To(Equal("a"))
+		world.asks("east-m0-control", placeAsk(2, "b"))
+		kept.Places = append(kept.Places, index.Place{Key: index.Key{Scope: "s", Anchor: 2}, Server: "b"})
+		snapshots := handed(disk)
+		Expect(len(snapshots)).To(And(BeNumerically(">=", 1), BeNumerically("<=", 2)), "a beat each")
+		Expect(snapshots[0]).To(Equal(kept))
+		world.asks("east-m1-control", placeAsk(2, "b"))
+		Expect(handed(world.nodes["east-m1-control"].owner.(*Owner))).To(BeEmpty())
+	})
 })
--- a/emulator/control.go
+++ b/emulator/control.go
@@ -9,6 +9,7 @@
 	"github.com/cedarreel/cedarreel/control"
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/image"
+	"github.com/cedarreel/cedarreel/index"
 	"github.com/cedarreel/cedarreel/retire"
 	"github.com/cedarreel/cedarreel/shard"
 )
@@ -31,7 +32,14 @@
 		shelf = &loaded
 	}
 	shell := &controlShell{settings: settings, asks: map[int64]func(contract.Answer){}}
-	shell.process = machine.process(contract.KindControl, control.New(settings, machine.boot(), shelf, machine.random()))
+	owner := control.New(settings, machine.boot(), shelf, machine.random())
+	if machine.disk != nil {
+		snapshot, damaged := image.LoadIndex(machine.disk)
+		machine.day.counts["control index_snapshots_damaged"] += int64(damaged)
+		machine.day.counts["control index_places_restored"] += int64(len(snapshot.Places))
+		owner.Restore(snapshot)
+	}
+	shell.process = machine.process(contract.KindControl, owner)
 	shell.perform = shell.act
 	return shell
 }
@@ -46,6 +54,14 @@
 			}
 			shell.event(persisted)
 		})
+	case index.Persist:
+		shell.machine.disk.save(shell.day.world, func() {
+			persisted := index.Persisted{}
+			if failure := image.SaveIndex(shell.machine.disk, command.Snapshot); failure != nil {
+				persisted.Mishap = failure.Error()
+			}
+			shell.event(persisted)
+		})
 	case shard.ReadPlatform:
 		shell.readList()
 	case shard.ReadReport:
--- /dev/null
+++ b/image/index_test.go
@@ -0,0 +1,142 @@
+package image
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/cedarreel/cedarreel/chain"
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/index"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// refusing is a disk that fails at one step.
+type refusing struct {
+	Files
+	step string
+}
+
+func (disk refusing) WriteAside(name string, content []byte) error {
+	if disk.step == "write" {
+		_ = disk.Files.WriteAside(name, content[:len(content)/2])
+		return os.ErrInvalid
+	}
+	return disk.Files.WriteAside(name, content)
+}
+
+func (disk refusing) Settle(aside, name string) error {
+	if disk.step == "rename" {
+		return os.ErrInvalid
+	}
+	return disk.Files.Settle(aside, name)
+}
+
+func (disk refusing) SyncFolder() error {
+	if disk.step == "sync" {
+		return os.ErrInvalid
+	}
+	return disk.Files.SyncFolder()
+}
+
+func (disk refusing) List() ([]string, error) {
+	if disk.step == "list" {
+		return nil, os.ErrInvalid
+	}
+	return disk.Files.List()
+}
+
+var _ = Describe("the saved index", func() {
+	var folder Folder
+	snapshot := func(server string) index.Snapshot {
+		return index.Snapshot{Places: []index.Place{{Key: index.Key{Scope: "s\x00east", Anchor: 1<<64 - 1}, Server: server}}}
+	}
+	names := func() []string {
+		names, failure := folder.List()
+		Expect(failure).NotTo(HaveOccurred())
+		return names
+	}
+	load := func() (index.Snapshot, int) { return LoadIndex(folder) }
+
+	BeforeEach(func() {
+		opened, failure := Open(filepath.Join(GinkgoT().TempDir(), "data"))
+		Expect(failure).NotTo(HaveOccurred())
+		folder = opened
+	})
+
+	It("given nothing saved, when it is loaded, then it is empty and nothing is damaged", func() {
+		loaded, damaged := load()
+		Expect(loaded.Places).To(BeEmpty())
+		Expect(damaged).To(BeZero())
+	})
+
+	It("given many saves, when it is loaded, then it is the last one, and two files stay", func() {
+		for _, server := range strings.Split("a b c d e f g h i j k l", " ") {
+			Expect(SaveIndex(folder, snapshot(server))).To(Succeed())
+		}
+		loaded, damaged := load()
+		Expect(loaded).To(Equal(snapshot("l")))
+		Expect(damaged).To(BeZero())
+		Expect(names()).To(Equal([]string{"index-0000000000000011.json", "index-0000000000000012.json"}))
+	})
+
+	DescribeTable("given a damaged last file, when it is loaded, then the one before is used and the damage counted", func(damage func([]byte) []byte) {
+		Expect(SaveIndex(folder, snapshot("a"))).To(Succeed())
+		Expect(SaveIndex(folder, snapshot("b"))).To(Succeed())
+		path := filepath.Join(folder.Path, names()[1])
+		content, failure := os.ReadFile(path)
+		Expect(failure).NotTo(HaveOccurred())
+		Expect(os.WriteFile(path, damage(content), 0o600)).To(Succeed())
+		loaded, damaged := load()
+		Expect(loaded).To(Equal(snapshot("a")))
+		Expect(damaged).To(Equal(1))
+		Expect(SaveIndex(folder, snapshot("c"))).To(Succeed())
+		loaded, _ = load()
+		Expect(loaded).To(Equal(snapshot("c")))
+	},
+		Entry("torn", func(content []byte) []byte { return content[:len(content)/2] }),
+		Entry("one byte changed", func(content []byte) []byte { return []byte(strings.Replace(string(content), `"b"`, `"z"`, 1)) }),
+		Entry("emptied", func([]byte) []byte { return nil }),
+	)
+
+	It("given files under odd names, when the next is saved, then they do not matter", func() {
+		for _, name := range []string{"index-odd.json", "index-77.json", "index-0000000000000009.json.aside"} {
+			Expect(os.WriteFile(filepath.Join(folder.Path, name), []byte("{}"), 0o600)).To(Succeed())
+		}
+		_, damaged := load()
+		Expect(damaged).To(BeZero())
+		Expect(SaveIndex(folder, snapshot("a"))).To(Succeed())
+		Expect(SaveIndex(folder, snapshot("b"))).To(Succeed())
+		loaded, _ := load()
+		Expect(loaded).To(Equal(snapshot("b")))
+	})
+
+	for _, step := range []string{"write", "rename", "sync", "list"} {
+		It("given a disk that fails to "+step+", when it is saved, then that is told, the former is still there and nothing half stays", func() {
+			Expect(SaveIndex(folder, snapshot("a"))).To(Succeed())
+			Expect(SaveIndex(refusing{folder, step}, snapshot("b"))).NotTo(Succeed())
+			all, _ := folder.List()
+			for _, name := range all {
+				Expect(name).NotTo(HaveSuffix(aside))
+			}
+			Expect(all).To(ContainElement("index-0000000000000001.json"))
+			Expect(SaveIndex(folder, snapshot("c"))).To(Succeed())
+			loaded, _ := load()
+			Expect(loaded).To(Equal(snapshot("c")))
+		})
+	}
+
+	It("given versions of the manifest in the same folder, when either is saved or loaded, then the other is untouched", func() {
+		Expect(Save(folder, chain.Persist{View: &contract.View{Number: 3}})).To(Succeed())
+		Expect(SaveIndex(folder, snapshot("a"))).To(Succeed())
+		Expect(Save(folder, chain.Persist{})).To(Succeed())
+		shelf, failure := Load(folder)
+		Expect(failure).NotTo(HaveOccurred())
+		Expect(shelf.Mishaps).To(BeEmpty())
+		Expect(shelf.View.Number).To(Equal(int64(3)))
+		loaded, damaged := load()
+		Expect(loaded).To(Equal(snapshot("a")))
+		Expect(damaged).To(BeZero())
+	})
+})
--- a/index/index.go
+++ b/index/index.go
@@ -11,10 +11,11 @@
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
-// LetterUsed carries what a node sent where, LetterMoved the places that its index has wrong.
+// LetterUsed carries what a node sent where, LetterMoved the places that its index has wrong, LetterTold places between control nodes.
 const (
 	LetterUsed  = "index-used"
 	LetterMoved = "index-moved"
+	LetterTold  = "index-told"
 )
 
 // Key names a shared prompt: scope is the service with the regions that the calls are bound to, anchor stands for its leading parts.
@@ -73,11 +74,14 @@
 	rest     time.Duration
 	places   *lru.LRU[Key, entry]
 	loads    *lru.LRU[string, load]
+	replication
 }
 
+// entry is a place; a confirmed one was given out by this owner or used by a node, others are hearsay that the first use decides.
 type entry struct {
-	server string
-	moved  time.Duration
+	server    string
+	moved     time.Duration
+	confirmed bool
 }
 
 // load is the work given to a server, forgotten by half in a half-life.
@@ -90,7 +94,8 @@
 // New makes an owner that forgets half of a server's work in halfLife; a place rests that long when it has moved, and a server is
 // believed lost for as long.
 func New(halfLife, rest time.Duration) *Owner {
-	return &Owner{halfLife: halfLife, rest: rest, places: bounded[Key, entry](mostPlaces), loads: bounded[string, load](mostServers)}
+	return &Owner{halfLife: halfLife, rest: rest, places: bounded[Key, entry](mostPlaces), loads: bounded[string, load](mostServers),
+		replication: replication{changed: bounded[Key, struct{}](MostSaved)}}
 }
 
 func bounded[Name comparable, Value any](most int) *lru.LRU[Name, Value] {
@@ -144,7 +149,7 @@
 		return Place{}, false
 	}
 	chosen := owner.choose(now, candidates, float64(max(0, ask.Work)))
-	owner.places.Add(ask.Key, entry{chosen, now})
+	owner.put(ask.Key, entry{chosen, now, true})
 	owner.add(now, chosen, max(0, ask.Work))
 	return Place{Key: ask.Key, Server: chosen}, true
 }
@@ -167,17 +172,32 @@
 	return least
 }
 
-// Handle takes what nodes used.
+// put keeps a place that is new here or moved, to be told and saved.
+func (owner *Owner) put(key Key, place entry) {
+	owner.places.Add(key, place)
+	owner.changed.Add(key, struct{}{})
+	owner.dirty = true
+}
+
+// Handle takes what nodes used and what other control nodes tell.
 func (owner *Owner) Handle(now time.Duration, event contract.Event) []contract.Command {
-	if letter, fine := event.(contract.Letter); fine && letter.Kind == LetterUsed {
-		return owner.used(now, letter)
+	switch event := event.(type) {
+	case Persisted:
+		return owner.persisted(event)
+	case contract.Letter:
+		switch event.Kind {
+		case LetterUsed:
+			return owner.used(now, event)
+		case LetterTold:
+			return owner.told(now, event)
+		}
 	}
 	return nil
 }
 
 var broken = []contract.Command{contract.Count{Name: "letters_broken", By: 1}}
 
-// used takes a place that is not known from the node; one that is another is put right there.
+// used confirms places; one that is not known or only hearsay is taken from the node, one that is another is put right there.
 func (owner *Owner) used(now time.Duration, letter contract.Letter) []contract.Command {
 	var used Used
 	if json.Unmarshal(letter.Body, &used) != nil {
@@ -191,9 +211,12 @@
 		owner.add(now, use.Server, max(0, use.Took))
 		known, there := owner.places.Get(use.Key)
 		switch {
-		case !there:
-			owner.places.Add(use.Key, entry{use.Server, now})
-		case known.server != use.Server:
+		case !there || !known.confirmed && known.server != use.Server:
+			owner.put(use.Key, entry{use.Server, now, true})
+		case known.server == use.Server:
+			known.confirmed = true
+			owner.places.Add(use.Key, known)
+		default:
 			moved.Places = append(moved.Places, Place{Key: use.Key, Server: known.server})
 		}
 	}
--- a/index/index_test.go
+++ b/index/index_test.go
@@ -196,7 +196,9 @@
 
 	It("given letters that cannot be read or are of other kinds, when they come, then they are counted or ignored and change nothing", func() {
 		bench := started()
-		Expect(bench.Handle(bench.now, contract.Letter{Kind: LetterUsed, Body: []byte(`{"uses":7}`)})).To(Equal([]contract.Command{contract.Count{Name: "letters_broken", By: 1}}))
+		for _, kind := range []string{LetterUsed, LetterTold} {
+			Expect(bench.Handle(bench.now, contract.Letter{Kind: kind, Body: []byte(`{"uses":7,"places":7}`)})).To(Equal([]contract.Command{contract.Count{Name: "letters_broken", By: 1}}))
+		}
 		Expect(bench.Handle(bench.now, contract.Letter{Kind: "other", Body: []byte(`{`)})).To(BeEmpty())
 		Expect(bench.Handle(bench.now, contract.Tick{})).To(BeEmpty())
 		Expect(bench.Len()).To(BeZero())
--- /dev/null
+++ b/index/replication.go
@@ -0,0 +1,139 @@
+package index
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// MostSaved bounds a snapshot.
+	MostSaved = 1 << 12
+	// mostTold bounds the places in a letter.
+	mostTold = 1 << 10
+	// beatsPerHalfLife is how often in a half-life changes are told and saved.
+	beatsPerHalfLife = 4
+)
+
+// Snapshot is the places that were used last, the latest at the end.
+type Snapshot struct {
+	Places []Place `json:"places"`
+}
+
+// Persist asks for a snapshot to be saved, never a second one before the first is Persisted.
+type Persist struct{ Snapshot Snapshot }
+
+// Persisted ends a Persist; a Mishap has it tried again.
+type Persisted struct{ Mishap string }
+
+// Told are places that changed, or with Kept those that the receiver may have missed: these only fill gaps.
+type Told struct {
+	Places []Place `json:"places"`
+	Kept   bool    `json:"kept,omitempty"`
+}
+
+// replication is what keeps an index beyond its owner: on disk, and at the other control nodes.
+type replication struct {
+	changed *lru.LRU[Key, struct{}]
+	met     map[string]bool
+	beat    time.Duration
+	disk    bool
+	dirty   bool
+	saving  bool
+}
+
+// Restore takes up what the disk kept, if anything; from then on changes are handed out to be saved.
+func (owner *Owner) Restore(snapshot Snapshot) {
+	owner.disk = true
+	for _, place := range snapshot.Places[max(0, len(snapshot.Places)-MostSaved):] {
+		if place.Server != "" {
+			owner.places.Add(place.Key, entry{server: place.Server, moved: -owner.rest})
+		}
+	}
+}
+
+// Snapshot gives the places that were used last.
+func (owner *Owner) Snapshot() Snapshot { return Snapshot{owner.latest(MostSaved)} }
+
+func (owner *Owner) latest(most int) []Place {
+	keys := owner.places.Keys()
+	return owner.named(keys[max(0, len(keys)-most):])
+}
+
+func (owner *Owner) named(keys []Key) []Place {
+	places := make([]Place, 0, len(keys))
+	for _, key := range keys {
+		if known, there := owner.places.Peek(key); there {
+			places = append(places, Place{Key: key, Server: known.server})
+		}
+	}
+	return places
+}
+
+// Tick tells the other control nodes what changed and has it saved, on a beat. A peer that was not there before is told by those with
+// a disk what they keep.
+func (owner *Owner) Tick(now time.Duration, peers []contract.Member) []contract.Command {
+	commands, met, kept := []contract.Command{}, make(map[string]bool, len(peers)), []Place{}
+	for _, peer := range peers {
+		life := peer.Name + "#" + peer.Boot
+		met[life] = true
+		if owner.disk && !owner.met[life] && owner.Len() > 0 {
+			if len(kept) == 0 {
+				kept = owner.latest(mostTold)
+			}
+			commands = append(commands, contract.Send{To: peer.Address, Kind: LetterTold, Body: Told{kept, true}})
+		}
+	}
+	owner.met = met
+	if now < owner.beat {
+		return commands
+	}
+	owner.beat = now + owner.halfLife/beatsPerHalfLife
+	if keys := owner.changed.Keys(); len(keys) > 0 {
+		keys = keys[:min(len(keys), mostTold)]
+		for _, key := range keys {
+			owner.changed.Remove(key)
+		}
+		told := Told{Places: owner.named(keys)}
+		for _, peer := range peers {
+			commands = append(commands, contract.Send{To: peer.Address, Kind: LetterTold, Body: told})
+		}
+	}
+	if owner.disk && owner.dirty && !owner.saving {
+		owner.dirty, owner.saving = false, true
+		commands = append(commands, Persist{owner.Snapshot()})
+	}
+	return commands
+}
+
+func (owner *Owner) persisted(event Persisted) []contract.Command {
+	owner.saving = false
+	if event.Mishap == "" {
+		return nil
+	}
+	owner.dirty = true
+	return []contract.Command{contract.Count{Name: "index_unsaved", By: 1}}
+}
+
+// told takes places of another control node as hearsay; they are not told further. One that just changed does not move again at once.
+func (owner *Owner) told(now time.Duration, letter contract.Letter) []contract.Command {
+	var told Told
+	if json.Unmarshal(letter.Body, &told) != nil {
+		return broken
+	}
+	moved := now
+	if told.Kept {
+		moved -= owner.rest
+	}
+	for _, place := range told.Places[:min(len(told.Places), mostTold)] {
+		known, there := owner.places.Peek(place.Key)
+		if place.Server == "" || there && (told.Kept || known.server == place.Server) {
+			continue
+		}
+		owner.places.Add(place.Key, entry{server: place.Server, moved: moved})
+		owner.dirty = true
+	}
+	return nil
+}
--- a/serve/control.go
+++ b/serve/control.go
@@ -14,6 +14,7 @@
 	"github.com/cedarreel/cedarreel/control"
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/image"
+	"github.com/cedarreel/cedarreel/index"
 	"github.com/cedarreel/cedarreel/link"
 	"github.com/cedarreel/cedarreel/listing"
 	"github.com/cedarreel/cedarreel/retire"
@@ -66,6 +67,10 @@
 	owner := control.New(settings, name, shelf, source())
 	shell.Process = newProcess(settings, owner.Self(), owner, faultsPath)
 	if shelf != nil {
+		snapshot, damaged := image.LoadIndex(shell.files)
+		owner.Restore(snapshot)
+		shell.Loop.Count("index_snapshots_damaged", int64(damaged))
+		shell.Loop.Count("index_places_restored", int64(len(snapshot.Places)))
 		shell.files = link.FaultyDisk(shell.files, shell.Faults)
 		for _, mishap := range shelf.Mishaps {
 			_ = shell.Logger.Log("what", "image put aside", "mishap", mishap)
@@ -90,6 +95,8 @@
 	switch command := command.(type) {
 	case chain.Persist:
 		shell.disk <- command
+	case index.Persist:
+		go shell.writeIndex(command)
 	case shard.ReadPlatform:
 		shell.read(func() { shell.readPlatform(command) }, shard.ListingRead{Mishap: "too many reads at once"})
 	case shard.ReadReport:
@@ -119,6 +126,15 @@
 	}
 }
 
+// writeIndex has a goroutine of its own, one at a time: a stalled disk leaves the index unsaved and nothing waits for it.
+func (shell *controlShell) writeIndex(work index.Persist) {
+	persisted := index.Persisted{}
+	if failure := image.SaveIndex(shell.files, work.Snapshot); failure != nil {
+		persisted.Mishap = failure.Error()
+	}
+	shell.Loop.Post(persisted)
+}
+
 func (shell *controlShell) read(work func(), full contract.Event) {
 	select {
 	case shell.readers <- struct{}{}:
