--- a/gateway/node.go
+++ b/gateway/node.go
@@ -8,6 +8,7 @@
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/env"
+	"github.com/cedarreel/cedarreel/index"
 	"github.com/cedarreel/cedarreel/machine"
 	"github.com/cedarreel/cedarreel/manifest"
 	"github.com/cedarreel/cedarreel/shard"
@@ -26,6 +27,12 @@
 // Addresses is the answer to a look-up: where nodes take calls, host and port.
 type Addresses struct{ Addresses []string }
 
+// AskPlace carries a question of the owner of the calls to the owner of the index; the answer has an index.Place as its body.
+type AskPlace struct {
+	Token int64
+	Ask   index.Ask
+}
+
 // Leave tells the others that this node stops.
 type Leave struct{}
 
@@ -43,9 +50,11 @@
 	*machine.Node
 	settings env.Env
 	known    Known
+	indexed  bool
 	lists    map[string]map[int]*list
 	servers  map[string]map[int][]contract.Candidate
 	nextAsk  time.Duration
+	nextTell time.Duration
 	names    []string
 	started  time.Duration
 	begun    bool
@@ -57,6 +66,8 @@
 	Calls(region string) map[string]int64
 	Stale(region string) map[string]int64
 	Tallies(now time.Duration, region string) map[string]contract.Tally
+	// Uses gives what was sent to places of the index since it was last asked for.
+	Uses() []index.Use
 }
 
 func NewNode(settings env.Env, boot string, known Known, random *rand.Rand) *Node {
@@ -85,10 +96,13 @@
 	case contract.Tick:
 		node.ask(now)
 		node.tellFleet(now)
+		node.tellIndex(now)
 	case contract.Letter:
 		node.letter(now, event)
 	case Lookup:
 		node.emit(contract.Answer{Token: event.Token, Status: 200, Body: node.lookup(now, event)})
+	case AskPlace:
+		node.askPlace(now, event)
 	case Leave:
 		node.emit(node.Neighbours.Farewell()...)
 	}
@@ -177,6 +191,11 @@
 		if json.Unmarshal(letter.Body, &licence) == nil {
 			node.take(now, licence)
 		}
+	case index.LetterMoved:
+		var moved index.Moved
+		if json.Unmarshal(letter.Body, &moved) == nil {
+			node.emit(Update{Relocated{Places: moved.Places}})
+		}
 	case shard.LetterNotOwner:
 		var hint contract.NotOwner
 		if json.Unmarshal(letter.Body, &hint) == nil {
--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/gateway"
+	"github.com/cedarreel/cedarreel/index"
 	"github.com/cedarreel/cedarreel/manifest"
 	"github.com/cedarreel/cedarreel/upstream"
 	"github.com/rotisserie/eris"
@@ -116,6 +117,13 @@
 	return shell.traffic.Tallies(now, region)
 }
 
+// Uses gives what was sent to places of the index since it was last asked for.
+func (shell *gatewayShell) Uses() []index.Use {
+	shell.lock.Lock()
+	defer shell.lock.Unlock()
+	return shell.traffic.Uses()
+}
+
 func (shell *gatewayShell) act(command contract.Command) bool {
 	switch command := command.(type) {
 	case gateway.Update:
@@ -242,6 +250,8 @@
 		switch next := command.(type) {
 		case gateway.Dispatch:
 			command = one.run(next)
+		case gateway.Place:
+			command = shell.place(request.Context(), next)
 		case gateway.Pass:
 			one.pass()
 			return
--- a/virtual/disk.go
+++ b/virtual/disk.go
@@ -95,6 +95,9 @@
 	}
 }
 
+// Waiting counts the saves that have not begun.
+func (disk *Disk) Waiting() int { return len(disk.waiting) }
+
 // Abandon forgets the saves that wait, as the end of their process does.
 func (disk *Disk) Abandon() { disk.waiting = nil }
 
