--- a/shard/shard.go
+++ b/shard/shard.go
@@ -253,10 +253,10 @@
 }
 
 func (owner *Owner) poll(now time.Duration) {
-	if len(owner.duties) == 0 || owner.polling && now < owner.nextPoll+owner.bounds.PlatformPoll() || now < owner.nextPoll && !owner.hurried(now) {
+	if len(owner.duties) == 0 || owner.polling && now < owner.nextPoll+owner.bounds.PlatformPoll() || now < owner.nextPoll {
 		return
 	}
-	owner.polling, owner.nextPoll = true, now+owner.pollEvery()
+	owner.polling, owner.nextPoll = true, now+owner.bounds.PlatformPoll()
 	owner.emit(ReadPlatform{Region: owner.self.Region})
 }
 
