The emulator's operator reads back when no change is under way any more

A storm alone, without any trouble, breaks the rule as well. Troubles and rules are unchanged.

Change: when reading begins no change begins any more, and nothing is read until the one under way has its clear answer. An operator who never gets one reads nothing, which is a breach ("could not be read back"), so the rule became stricter, not softer.

--- a/emulator/operator.go
+++ b/emulator/operator.go
@@ -20,6 +20,7 @@
 	random  *rand.Rand
 	current *stored
 	busy    bool
+	rests   bool
 	next    []func()
 	spare   int
 	sent    map[int64]*stored
@@ -249,7 +250,7 @@
 }
 
 func (operator *operator) advance() {
-	if operator.busy || len(operator.next) == 0 {
+	if operator.busy || operator.rests || len(operator.next) == 0 {
 		return
 	}
 	operator.busy = true
@@ -281,15 +282,21 @@
 
 const readPause = 500 * time.Millisecond
 
-// readBack asks for the configuration again and again until a moment.
+// readBack asks for the configuration again and again until a moment. No change begins any more, and the one that is under way is
+// waited for: what is acknowledged later than it is read says nothing about the reading.
 func (operator *operator) readBack(until time.Duration) {
 	world := operator.day.world
+	operator.rests = true
 	from := place{"operator", operator.day.site.Zones[0].Name, operator.day.site.Zones[0].Region, true}
 	var read func()
 	read = func() {
 		if world.Now >= until {
 			return
 		}
+		world.After(readPause, read)
+		if operator.busy {
+			return
+		}
 		nodes := operator.day.seen()
 		node := nodes[operator.random.IntN(len(nodes))]
 		world.post(from, node.place(), func() {
@@ -299,7 +306,6 @@
 				})
 			}
 		})
-		world.After(readPause, read)
 	}
 	read()
 }
