The fleet's disks lose what was not synced and save one after the other

Cause: the older simulation kept every write at once and let saves overlap, which no process does; a sync that is left out was not seen.

--- a/fleet/disk.go
+++ b/fleet/disk.go
@@ -6,7 +6,7 @@
 	"github.com/cedarreel/cedarreel/virtual"
 )
 
-// Disk is a core machine's folder, which may also turn slow. It keeps what was not synced, and saves overlap: docs/notes/emulator.md.
+// Disk is a core machine's folder, which may also turn slow: docs/notes/emulator.md.
 type Disk struct {
 	*virtual.Disk
 	Slow time.Duration
@@ -16,7 +16,7 @@
 
 func newDisk(world *World) *Disk {
 	made := &Disk{}
-	made.Disk = virtual.NewDisk(&world.Scheduler, virtual.DiskOptions{Latency: func() time.Duration {
+	made.Disk = virtual.NewDisk(&world.Scheduler, virtual.DiskOptions{LosesUnsynced: true, Serial: true, Retry: syncBase, Latency: func() time.Duration {
 		return syncBase + time.Duration(world.Random.Int64N(int64(syncBase))) + made.Slow
 	}})
 	return made
