A replica of the index in the own region is asked for a prompt's place before its far owner

All control nodes know the places already, only later (a beat of 3 s) and unasked.

Ruled out: a keeper per region that places by itself (each prompt is read once in each region); telling all data nodes (bytes grow with the nodes).

Change: - index.Ask.Known is answered from what is known, unless it is lost, and changes nothing but the order of use. An older control node passes over the field and, without candidates, places nothing either. - A node asks the first control node of its zone, else of its region, before an owner in another region: the key alone, for 1/64 of the contact time, once a call. A place that the node knows as lost goes to the owner at once. - Placed.Late tells who did not answer in time from who refused. Only the former is asked nothing for a quarter of the contact time, near replica and owner each for itself; a refusal (4xx) sends its call alone on by the rendezvous order, and that call asks no more. The bench of replication has its beat by the new name. - Counters places_asked_near and index_known_given.

Tests that stated the old fault (a refusal quiets all): in gateway/places_test.go two silent owners now say Late, and a refusing one has a story of its own; in serve/place_test.go the 404 has a story that is as strict (one question a call, the shared order, no call twice, no waiting), and a 503 and an answer without a server join those that are left alone for a while.

What that does to the aims at the grown site was not measured here.

--- a/control/control.go
+++ b/control/control.go
@@ -235,10 +235,17 @@
 		return []contract.Command{contract.Refuse(ask.Token, 400, "not a question for a place", 0)}
 	}
 	place, there := owner.index.Place(now, asked)
+	if !there && asked.Known {
+		return []contract.Command{contract.Refuse(ask.Token, 404, "this place is not known here", 0)}
+	}
 	if !there {
 		return []contract.Command{contract.Refuse(ask.Token, 404, "no candidate for this place", 0)}
 	}
-	return []contract.Command{contract.Answer{Token: ask.Token, Status: 200, Body: place}, contract.Gauge{Name: "index_places", Value: int64(owner.index.Len())}}
+	commands := []contract.Command{contract.Answer{Token: ask.Token, Status: 200, Body: place}, contract.Gauge{Name: "index_places", Value: int64(owner.index.Len())}}
+	if asked.Known {
+		commands = append(commands, contract.Count{Name: "index_known_given", By: 1})
+	}
+	return commands
 }
 
 // gone tells every live core machine what an operator knows: there may be no authority left to tell.
--- a/control/place_test.go
+++ b/control/place_test.go
@@ -41,6 +41,13 @@
 	return body
 }
 
+func placeKnown(anchor uint64) []byte {
+	GinkgoHelper()
+	body, failure := json.Marshal(index.Ask{Key: index.Key{Scope: "s", Anchor: anchor}, Known: true})
+	Expect(failure).NotTo(HaveOccurred())
+	return body
+}
+
 var _ = Describe("the place of a prompt", func() {
 	It("given any control node, also one that knows nobody, when it is asked, then it answers itself", func() {
 		world := newWorld(3)
@@ -67,6 +74,24 @@
 		}
 	})
 
+	It("given a question for what is known, when it comes to any control node, then a place is given soon after another placed it, and none is made", func() {
+		world := newWorld(3)
+		world.run(15 * time.Second)
+		for anchor := range uint64(3) {
+			known := placeKnown(anchor)
+			for _, name := range world.controls() {
+				Expect(world.asks(name, known).Status).To(Equal(404), name)
+			}
+			world.asks("west-m1-control", placeAsk(anchor, "a"))
+			world.run(time.Second)
+			for _, name := range world.controls() {
+				answer := world.asks(name, known)
+				Expect(answer.Status).To(Equal(200), name)
+				Expect(answer.Body).To(Equal(index.Place{Key: index.Key{Scope: "s", Anchor: anchor}, Server: "a"}))
+			}
+		}
+	})
+
 	It("given a node with a disk, when it has a place, then it hands a snapshot out, and one without a disk does not", func() {
 		world := newWorld(3)
 		world.run(time.Second)
--- a/emulator/data.go
+++ b/emulator/data.go
@@ -83,21 +83,21 @@
 // ask puts a question about a prompt's place and goes on after its patience; a late answer serves later calls.
 func (shell *dataShell) ask(asked gateway.Place, take func(gateway.Placed)) {
 	shell.token++
-	token, placed, over := shell.token, gateway.Placed{Token: asked.Token}, false
-	end := func() {
+	token, over := shell.token, false
+	end := func(placed gateway.Placed) {
 		if !over {
 			over = true
 			take(placed)
 		}
 	}
 	shell.answers[token] = func(answer contract.Answer) {
-		if place, fine := answer.Body.(index.Place); fine {
-			placed.Place = place
+		place, fine := answer.Body.(index.Place)
+		if fine {
 			shell.traffic.Handle(shell.now(), gateway.Relocated{Places: []index.Place{place}})
 		}
-		end()
+		end(gateway.Placed{Token: asked.Token, Place: place, Late: !fine && !gateway.Refuses(answer.Status)})
 	}
-	shell.after(asked.Patience, end)
+	shell.after(asked.Patience, func() { end(gateway.Placed{Token: asked.Token, Late: true}) })
 	shell.handle(gateway.AskPlace{Token: token, Ask: asked.Ask})
 }
 
--- a/emulator/index_test.go
+++ b/emulator/index_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cedarreel/cedarreel/gateway"
 	"github.com/cedarreel/cedarreel/image"
 	"github.com/cedarreel/cedarreel/index"
 	. "github.com/onsi/ginkgo/v2"
@@ -28,9 +29,9 @@
 }
 
 var _ = Describe("the index of prompts in a fleet", func() {
-	// dayWith has calls until the end of its run.
-	dayWith := func(lasts time.Duration) *Day {
-		site := given("brazos", 0.6, lasts)
+	// dayOf has calls until the end of its run.
+	dayOf := func(name string, lasts time.Duration) *Day {
+		site := given(name, 0.6, lasts)
 		day := New(site, 4)
 		for _, machine := range day.machines {
 			machine.start()
@@ -39,6 +40,7 @@
 		day.traffic(8*time.Second, 8*time.Second+lasts)
 		return day
 	}
+	dayWith := func(lasts time.Duration) *Day { return dayOf("brazos", lasts) }
 	count := func(disks map[string]map[index.Key]string) int {
 		most := 0
 		for _, places := range disks {
@@ -47,6 +49,46 @@
 		return most
 	}
 
+	It("given an owner in one region, when nodes of others meet a prompt that one of them has had, then a replica in their region gives its place", func() {
+		asked, answered := int64(0), int64(0)
+		for _, name := range []string{"brazos", "seri"} {
+			day := dayOf(name, 14*time.Second)
+			day.world.RunUntil(22 * time.Second)
+			asked += day.counts["data places_asked_near"]
+			answered += day.counts["control index_known_given"]
+			GinkgoWriter.Println(name, day.counts["data places_asked_near"], day.counts["control index_known_given"])
+		}
+		Expect(asked).To(BeNumerically(">", 20))
+		Expect(answered).To(BeNumerically(">", asked/4))
+	})
+
+	It("given control nodes that refuse a question and others that are cut off, when nodes ask, then only those are late that nobody answered", func() {
+		day, names := dayOf("brazos", 14*time.Second), []string{}
+		day.world.RunUntil(8 * time.Second)
+		ask := func(lasts time.Duration) (refused, late int) {
+			for _, machine := range day.machines {
+				machine.data.ask(gateway.Place{Ask: index.Ask{Key: index.Key{Scope: "nobody's"}}, Patience: lasts / 2}, func(placed gateway.Placed) {
+					Expect(placed.Place.Server).To(BeEmpty())
+					if placed.Late {
+						late++
+					} else {
+						refused++
+					}
+				})
+			}
+			day.world.RunUntil(day.world.Now + lasts)
+			return refused, late
+		}
+		for _, machine := range day.machines {
+			names = append(names, machine.name)
+		}
+		refused, late := ask(500 * time.Millisecond)
+		Expect([]int{refused, late}).To(Equal([]int{len(names), 0}))
+		day.world.cut(names, names)
+		refused, late = ask(500 * time.Millisecond)
+		Expect([]int{refused, late}).To(Equal([]int{1, len(names) - 1}), "the owner's own machine still hears it")
+	})
+
 	It("given places on every disk of the core, when all machines lose their power, then nearly no prompt has another place after it", func() {
 		day := dayWith(24 * time.Second)
 		day.world.RunUntil(22 * time.Second)
--- a/gateway/index.go
+++ b/gateway/index.go
@@ -2,24 +2,36 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/index"
 )
 
-// indexOwner gives the control node that keeps the index: the first live one in the agreed order.
-func (node *Node) indexOwner(now time.Duration) (contract.Member, bool) {
-	names := []string{}
+// keepers gives the control nodes that are asked for places. The owner of the index is the first live one in the agreed order. If it is
+// in another region, the near replica is the first of the own zone, or else of the own region. One without a name is not there.
+func (node *Node) keepers(now time.Duration) (owner, near contract.Member) {
+	controls, self := map[string]contract.Member{}, node.Self()
 	for _, member := range node.Neighbours.Members(now) {
 		if member.Kind == contract.KindControl {
-			names = append(names, member.Name)
+			controls[member.Name] = member
 		}
 	}
-	if len(names) == 0 {
-		return contract.Member{}, false
+	for place, name := range contract.Ordered("index", slices.Collect(maps.Keys(controls))) {
+		member := controls[name]
+		if place == 0 {
+			owner = member
+		}
+		if owner.Region == self.Region {
+			return owner, contract.Member{}
+		}
+		if member.Region == self.Region && (near.Name == "" || near.Hall != self.Hall && member.Hall == self.Hall) {
+			near = member
+		}
 	}
-	return node.Neighbours.Look(contract.Ordered("index", names)[0])
+	return owner, near
 }
 
 // tellIndex tells the owner of the calls whether there is somebody to ask, and the owner of the index what was sent where.
@@ -28,22 +40,29 @@
 		return
 	}
 	node.nextTell = now + node.askEvery()
-	owner, there := node.indexOwner(now)
-	if there != node.indexed {
-		node.indexed = there
-		node.emit(Update{Indexed{Known: there}})
+	owner, near := node.keepers(now)
+	if told := (Indexed{Known: owner.Name != "", Near: near.Name != ""}); told != node.indexed {
+		node.indexed = told
+		node.emit(Update{told})
 	}
-	if uses := node.known.Uses(); there && len(uses) > 0 {
+	if uses := node.known.Uses(); owner.Name != "" && len(uses) > 0 {
 		node.emit(contract.Send{To: owner.Address, Kind: index.LetterUsed, Body: index.Used{Address: node.Self().Address, Uses: uses}})
 	}
 }
 
 func (node *Node) askPlace(now time.Duration, ask AskPlace) {
-	owner, there := node.indexOwner(now)
+	keeper, near := node.keepers(now)
+	mishap := "no owner of the index is known"
+	if ask.Ask.Known {
+		keeper, mishap = near, "no replica of the index is near"
+	}
 	body, failure := json.Marshal(ask.Ask)
-	if !there || failure != nil {
-		node.emit(contract.Refuse(ask.Token, 503, "no owner of the index is known", 0))
+	if keeper.Name == "" || failure != nil {
+		node.emit(contract.Refuse(ask.Token, 503, mishap, 0))
 		return
 	}
-	node.emit(contract.Forward{Ask: contract.Ask{Token: ask.Token, Verb: contract.VerbPlace, Body: body}, Address: owner.Address})
+	if ask.Ask.Known {
+		node.emit(contract.Count{Name: "places_asked_near", By: 1})
+	}
+	node.emit(contract.Forward{Ask: contract.Ask{Token: ask.Token, Verb: contract.VerbPlace, Body: body}, Address: keeper.Address})
 }
--- a/gateway/index_test.go
+++ b/gateway/index_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/index"
+	"github.com/cedarreel/cedarreel/neighbour"
 	. "github.com/onsi/gomega"
 )
 
@@ -83,6 +87,77 @@
 		}
 	})
 
+	Describe("and the replica near it", func() {
+		at := func(name, hall, region string) contract.Member {
+			member := controlNode(name, name)
+			member.Hall, member.Region = hall, region
+			return member
+		}
+		// names are in the agreed order, that of the owner first.
+		names := func(count int) []string {
+			drawn := []string{}
+			for number := range count {
+				drawn = append(drawn, fmt.Sprintf("k%d-control", number))
+			}
+			ordered := contract.Ordered("index", drawn)
+			for place := range ordered {
+				ordered[place] = strings.TrimSuffix(ordered[place], "-control")
+			}
+			return ordered
+		}(5)
+		known := AskPlace{Token: 9, Ask: index.Ask{Key: index.Key{Scope: "s", Anchor: 7}, Known: true}}
+		addresses := func(commands []contract.Command) []string {
+			found := []string{}
+			for _, command := range commands {
+				if forward, fine := command.(contract.Forward); fine {
+					found = append(found, forward.Address)
+				}
+			}
+			return found
+		}
+
+		DescribeTable("given control nodes, when a question for what is known comes, then it goes to the first of the own zone, else region, and others go to the owner",
+			func(near string, members ...contract.Member) {
+				for range 2 {
+					node := following()
+					node.meets(members...)
+					Expect(events[Indexed](beat(node))).To(Equal([]Indexed{{Known: true, Near: true}}))
+					Expect(addresses(node.take(known))).To(Equal([]string{near + ":8166"}))
+					Expect(addresses(node.take(ask))).To(Equal([]string{names[0] + ":8166"}))
+					slices.Reverse(members)
+				}
+			},
+			Entry("zone before region", names[3], at(names[0], "west-a", "west"), at(names[1], "west-a", "west"), at(names[2], "east-b", "east"), at(names[3], "east-a", "east"), at(names[4], "east-a", "east")),
+			Entry("region", names[2], at(names[0], "west-a", "west"), at(names[1], "west-a", "west"), at(names[2], "east-b", "east"), at(names[3], "east-c", "east")),
+		)
+
+		DescribeTable("given none that is nearer than the owner, when a question for what is known comes, then it is refused",
+			func(members ...contract.Member) {
+				node := following()
+				node.meets(members...)
+				Expect(events[Indexed](beat(node))).To(Equal([]Indexed{{Known: true}}))
+				Expect(node.take(known)).To(ContainElement(contract.Refuse(9, 503, "no replica of the index is near", 0)))
+				Expect(addresses(node.take(ask))).To(Equal([]string{names[0] + ":8166"}))
+			},
+			Entry("owner in the region, another in the zone", at(names[0], "east-b", "east"), at(names[1], "east-a", "east")),
+			Entry("owner in the zone", at(names[0], "east-a", "east"), at(names[1], "east-a", "east")),
+			Entry("nobody in the region", at(names[0], "west-a", "west"), at(names[1], "west-a", "west")),
+		)
+
+		It("given an owner far away, when a replica comes near and leaves, then the calls are told each once", func() {
+			node := following()
+			node.meets(at(names[0], "west-a", "west"))
+			told := events[Indexed](beat(node))
+			node.meets(at(names[1], "east-b", "east"))
+			told = append(told, events[Indexed](beat(node))...)
+			node.take(letter(neighbour.LetterBye, names[1], neighbour.Bye{Name: names[1] + "-control", Boot: "boot", Heartbeat: node.beat}))
+			for range 2 {
+				told = append(told, events[Indexed](beat(node))...)
+			}
+			Expect(told).To(Equal([]Indexed{{Known: true}, {Known: true, Near: true}, {Known: true}}))
+		})
+	})
+
 	It("given the only control node that falls silent, when the beat comes, then the calls are told that nobody can be asked", func() {
 		node := following()
 		node.meets(controls[0])
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -27,7 +27,8 @@
 // Addresses is the answer to a look-up: where nodes take calls, host and port.
 type Addresses struct{ Addresses []string }
 
-// AskPlace carries a question of the owner of the calls to the owner of the index; the answer has an index.Place as its body.
+// AskPlace carries a question of the owner of the calls to the owner of the index, or with Ask.Known to the near replica; the answer
+// has an index.Place as its body.
 type AskPlace struct {
 	Token int64
 	Ask   index.Ask
@@ -50,7 +51,7 @@
 	*machine.Node
 	settings env.Env
 	known    Known
-	indexed  bool
+	indexed  Indexed
 	lists    map[string]map[int]*list
 	servers  map[string]map[int][]contract.Candidate
 	nextAsk  time.Duration
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -11,24 +11,28 @@
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
-// Place asks the owner of the index where the prompt of a call belongs; after Patience it goes on without.
+// Place asks the owner of the index, or with Ask.Known a near replica, where the prompt of a call belongs; after Patience it goes on without.
 type Place struct {
 	Token    int64
 	Ask      index.Ask
 	Patience time.Duration
 }
 
-// Placed answers; without a server nobody did in time.
+// Placed answers. Without a server it was refused, or, if Late, nobody answered in time.
 type Placed struct {
 	Token int64
 	Place index.Place
+	Late  bool
 }
 
 // Relocated brings places that are others than this node believed.
 type Relocated struct{ Places []index.Place }
 
-// Indexed tells whether there is an owner of the index to ask.
-type Indexed struct{ Known bool }
+// Indexed tells whether there is an owner of the index to ask, and whether a replica is so much nearer that it is asked first.
+type Indexed struct {
+	Known bool
+	Near  bool
+}
 
 const (
 	mostPlaces = 1 << 12
@@ -37,10 +41,12 @@
 
 // places is what this node knows of the shared index of prompts.
 type places struct {
-	known *lru.LRU[index.Key, string]
-	uses  []index.Use
-	owned bool
-	quiet time.Duration
+	known     *lru.LRU[index.Key, string]
+	uses      []index.Use
+	owned     bool
+	quiet     time.Duration
+	near      bool
+	nearQuiet time.Duration
 }
 
 func newPlaces() places {
@@ -68,13 +74,18 @@
 		work.holder = name
 		return Place{}, false
 	}
-	if work.asks >= mostAsks || !traffic.places.owned || now < traffic.places.quiet {
+	near := !there && !work.askedNear && traffic.places.near && now >= traffic.places.nearQuiet
+	if !near && (work.asks >= mostAsks || !traffic.places.owned || now < traffic.places.quiet) {
 		return Place{}, false
 	}
 	open := traffic.open(now, work, false)
 	if len(open) < 2 {
 		return Place{}, false
 	}
+	if near {
+		work.near, work.askedNear = true, true
+		return Place{Token: work.Token, Ask: index.Ask{Key: work.key, Known: true}, Patience: traffic.terms.Contact / 64}, true
+	}
 	work.asks++
 	ask := index.Ask{Key: work.key, Lost: name, Work: readTime(work.Prompt.Input).Milliseconds()}
 	for _, server := range traffic.candidates(now, open, work.Prompt) {
@@ -97,14 +108,31 @@
 	return ordered[:min(len(ordered), index.MostCandidates)]
 }
 
+// placed takes an answer. Who did not answer in time is asked nothing for a while; a refusal says something of its own call alone.
 func (traffic *Traffic) placed(now time.Duration, event Placed) {
-	if event.Place.Server == "" {
-		traffic.places.quiet = now + traffic.terms.Contact/4
+	if event.Place.Server != "" {
+		traffic.places.known.Add(event.Place.Key, event.Place.Server)
+	}
+	work, there := traffic.jobs[event.Token]
+	if !there {
 		return
 	}
-	traffic.places.known.Add(event.Place.Key, event.Place.Server)
+	near, quiet := work.near, now+traffic.terms.Contact/4
+	work.near = false
+	switch {
+	case event.Place.Server != "":
+	case near && event.Late:
+		traffic.places.nearQuiet = quiet
+	case event.Late:
+		traffic.places.quiet = quiet
+	case !near:
+		work.asks = mostAsks
+	}
 }
 
+// Refuses tells whether a control node that answers with a status has no place to give, rather than that nobody answered.
+func Refuses(status int) bool { return status/100 == 4 }
+
 func (traffic *Traffic) relocated(event Relocated) {
 	for _, place := range event.Places {
 		traffic.places.known.Add(place.Key, place.Server)
--- a/gateway/places_test.go
+++ b/gateway/places_test.go
@@ -90,13 +90,23 @@
 		bench := indexed(engines)
 		ask := askedFor(bench.long("one"))
 		bench.now += ask.Patience
-		Expect(dispatched(bench.one(Placed{Token: ask.Token})).Server.Name).To(Equal(ask.Ask.Candidates[0]))
+		Expect(dispatched(bench.one(Placed{Token: ask.Token, Late: true})).Server.Name).To(Equal(ask.Ask.Candidates[0]))
 		bench.now += bench.terms.Contact/4 - 1
 		dispatched(bench.long("two"))
 		bench.now++
 		askedFor(bench.long("three"))
 	})
 
+	It("given an owner that refuses, when calls come, then each goes by the shared order after one question, and others ask at once", func() {
+		bench := indexed(engines)
+		for _, own := range []string{"one", "two"} {
+			ask := askedFor(bench.long(own))
+			Expect(dispatched(bench.one(Placed{Token: ask.Token})).Server.Name).To(Equal(ask.Ask.Candidates[0]))
+		}
+		ask := askedFor(bench.long("three"))
+		Expect(dispatched(bench.answers(ask, last(ask))).Server.Name).To(Equal(last(ask)))
+	})
+
 	It("given an answer, when it comes, then this call and later ones go to the place, whatever the shared order likes, and nobody is asked", func() {
 		bench := indexed(engines)
 		ask := askedFor(bench.long("one"))
@@ -260,7 +270,7 @@
 			Expect(alone.promptly("/stream/x", prompt).Server.Name).To(Equal(want))
 			command := unanswered.asked("/stream/x", prompted(prompt))
 			if ask, asks := command.(Place); asks {
-				command = unanswered.one(Placed{Token: ask.Token})
+				command = unanswered.one(Placed{Token: ask.Token, Late: true})
 			}
 			Expect(dispatched(command).Server.Name).To(Equal(want))
 		}
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -32,23 +32,25 @@
 
 type job struct {
 	Arrive
-	route    manifest.GatewayRoute
-	service  string
-	ends     time.Duration
-	attempt  int
-	sent     int64
-	connects int
-	server   *server
-	unread   int64
-	held     int64
-	known    int64
-	alone    bool
-	at       time.Duration
-	begun    bool
-	avoid    map[string]bool
-	key      index.Key
-	holder   string
-	asks     int
+	route     manifest.GatewayRoute
+	service   string
+	ends      time.Duration
+	attempt   int
+	sent      int64
+	connects  int
+	server    *server
+	unread    int64
+	held      int64
+	known     int64
+	alone     bool
+	at        time.Duration
+	begun     bool
+	avoid     map[string]bool
+	key       index.Key
+	holder    string
+	asks      int
+	near      bool
+	askedNear bool
 }
 
 func NewTraffic(settings env.Env, random *rand.Rand) *Traffic {
@@ -102,7 +104,7 @@
 	case Relocated:
 		traffic.relocated(event)
 	case Indexed:
-		traffic.places.owned = event.Known
+		traffic.places.owned, traffic.places.near = event.Known, event.Near
 	case Configured:
 		traffic.configured(now, event)
 	case Listed:
--- a/index/cost_test.go
+++ b/index/cost_test.go
@@ -29,11 +29,15 @@
 
 // BenchmarkPlace is one question for a prompt's place, as it comes from a node.
 func BenchmarkPlace(b *testing.B) {
-	for name, offset := range map[string]int{"known": 0, "new": mostPlaces} {
+	for name, offset := range map[string]int{"known": 0, "new": mostPlaces, "replica": 0} {
 		b.Run(name, func(b *testing.B) {
 			owner, asks := filled(mostPlaces, 5000), make([][]byte, 4096)
 			for number := range asks {
-				asks[number], _ = json.Marshal(Ask{Key: key(uint64(offset + number)), Candidates: candidates(number, 5000), Work: 280})
+				ask := Ask{Key: key(uint64(offset + number)), Candidates: candidates(number, 5000), Work: 280}
+				if name == "replica" {
+					ask = Ask{Key: ask.Key, Known: true}
+				}
+				asks[number], _ = json.Marshal(ask)
 			}
 			b.SetBytes(int64(len(asks[0])))
 			b.ResetTimer()
--- a/index/index.go
+++ b/index/index.go
@@ -31,12 +31,13 @@
 }
 
 // Ask wants a prompt's place: one of the candidates, the preferred one first, if it has none yet, or if its place is Lost. Work is
-// the milliseconds that reading the prompt takes.
+// the milliseconds that reading the prompt takes. With Known it is answered only from what is known there and changes nothing.
 type Ask struct {
 	Key
-	Candidates []string `json:"candidates"`
+	Candidates []string `json:"candidates,omitempty"`
 	Lost       string   `json:"lost,omitempty"`
-	Work       int64    `json:"work"`
+	Work       int64    `json:"work,omitempty"`
+	Known      bool     `json:"known,omitempty"`
 }
 
 // Use is one call that went to a prompt's place and waited so many milliseconds for its first piece.
@@ -136,6 +137,9 @@
 
 // Place answers an ask: the known place, or a candidate that has little work. A place does not move twice within the rest.
 func (owner *Owner) Place(now time.Duration, ask Ask) (Place, bool) {
+	if ask.Known {
+		return owner.known(now, ask)
+	}
 	owner.lose(now, ask.Lost)
 	known, there := owner.places.Get(ask.Key)
 	if there && known.server != ask.Lost {
@@ -154,6 +158,16 @@
 	return Place{Key: ask.Key, Server: chosen}, true
 }
 
+// known answers an ask from what is known, for a node that has a replica nearer than the owner.
+func (owner *Owner) known(now time.Duration, ask Ask) (Place, bool) {
+	known, there := owner.places.Peek(ask.Key)
+	if !there || known.server == ask.Lost || owner.lost(now, known.server) {
+		return Place{}, false
+	}
+	owner.places.Get(ask.Key)
+	return Place{Key: ask.Key, Server: known.server}, true
+}
+
 // choose gives the first candidate, in their own order, that has not much more than its part of the work. Most prompts get their first
 // choice, so an index that is lost is mostly found again (Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded Loads").
 func (owner *Owner) choose(now time.Duration, candidates []string, work float64) string {
--- a/index/index_test.go
+++ b/index/index_test.go
@@ -155,6 +155,79 @@
 	})
 })
 
+var _ = Describe("an ask for what is known alone", func() {
+	known := func(bench *bench, anchor uint64, lost string) (Place, bool) {
+		return bench.Place(bench.now, Ask{Key: key(anchor), Candidates: []string{"c"}, Lost: lost, Work: 100, Known: true})
+	}
+
+	It("given no place, when it is asked, then there is none, and nothing is placed, weighed, told or saved", func() {
+		bench := started()
+		bench.Restore(Snapshot{})
+		_, there := known(bench, 1, "")
+		Expect(there).To(BeFalse())
+		Expect(bench.Len()).To(BeZero())
+		Expect(bench.loads.Len()).To(BeZero())
+		Expect(bench.Tick(bench.now, []contract.Member{peer("x", "1")})).To(BeEmpty())
+	})
+
+	It("given a place, also one that is hearsay, when it is asked, then it is given and weighs nothing", func() {
+		bench := started()
+		bench.placed(1, "", "a")
+		bench.hears(Told{Places: []Place{named(2, "b")}})
+		for anchor, server := range map[uint64]string{1: "a", 2: "b"} {
+			place, there := known(bench, anchor, "")
+			Expect(there).To(BeTrue())
+			Expect(place).To(Equal(named(anchor, server)))
+		}
+		Expect(bench.work(bench.now, "a")).To(BeNumerically("==", 100))
+		Expect(bench.work(bench.now, "b")).To(BeZero())
+	})
+
+	It("given a place that the asker lost, when it is asked, then there is none, and the server is not taken for lost here", func() {
+		bench := started()
+		bench.placed(1, "", "a")
+		bench.now += rest
+		_, there := known(bench, 1, "a")
+		Expect(there).To(BeFalse())
+		Expect(bench.lost(bench.now, "a")).To(BeFalse())
+		Expect(bench.placed(1, "", "b")).To(Equal(named(1, "a")))
+		place, there := known(bench, 1, "b")
+		Expect(there).To(BeTrue())
+		Expect(place.Server).To(Equal("a"), "another one that was lost is no matter")
+	})
+
+	It("given a place on a server that another node lost, when it is asked, then there is none until the rest is over", func() {
+		bench := started()
+		bench.placed(1, "", "a")
+		bench.placed(2, "", "a")
+		bench.now += rest
+		bench.placed(2, "a", "b")
+		_, there := known(bench, 1, "")
+		Expect(there).To(BeFalse())
+		bench.now += rest
+		_, there = known(bench, 1, "")
+		Expect(there).To(BeTrue())
+	})
+
+	It("given a place that was asked for, when others come, then it counts as used, and one that could not be given does not", func() {
+		bench := started()
+		for anchor := range uint64(MostSaved + 1) {
+			bench.placed(anchor, "", "a")
+		}
+		known(bench, 0, "")
+		known(bench, 1, "a")
+		places := bench.Snapshot().Places
+		Expect(places[MostSaved-1]).To(Equal(named(0, "a")))
+		Expect(places).NotTo(ContainElement(named(1, "a")))
+	})
+
+	It("given such an ask, when it travels, then it has neither candidates nor work", func() {
+		body, failure := json.Marshal(Ask{Key: key(1), Known: true})
+		Expect(failure).NotTo(HaveOccurred())
+		Expect(body).To(MatchJSON(`{"scope":"s","anchor":1,"known":true}`))
+	})
+})
+
 var _ = DescribeTable("given an ask that cannot be answered, when it comes, then there is no place and nothing is kept", func(candidates int) {
 	bench, names := started(), []string{}
 	for number := range candidates {
--- a/index/replication.go
+++ b/index/replication.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
@@ -13,8 +14,9 @@
 	MostSaved = 1 << 12
 	// mostTold bounds the places in a letter.
 	mostTold = 1 << 10
-	// beatsPerHalfLife is how often in a half-life changes are told and saved.
-	beatsPerHalfLife = 4
+	// savesPerHalfLife and tellsPerHalfLife are how often in a half-life changes are saved and told to replicas at most.
+	savesPerHalfLife = 4
+	tellsPerHalfLife = 64
 )
 
 // Snapshot is the places that were used last, the latest at the end.
@@ -36,12 +38,13 @@
 
 // replication is what keeps an index beyond its owner: on disk, and at the other control nodes.
 type replication struct {
-	changed *lru.LRU[Key, struct{}]
-	met     map[string]bool
-	beat    time.Duration
-	disk    bool
-	dirty   bool
-	saving  bool
+	changed  *lru.LRU[Key, struct{}]
+	met      map[string]bool
+	nextTell time.Duration
+	nextSave time.Duration
+	disk     bool
+	dirty    bool
+	saving   bool
 }
 
 // Restore takes up what the disk kept, if anything; from then on changes are handed out to be saved.
@@ -72,9 +75,13 @@
 	return places
 }
 
-// Tick tells the other control nodes what changed and has it saved, on a beat. A peer that was not there before is told by those with
-// a disk what they keep.
+// Tick tells the other control nodes what changed and has it saved, each on a beat of its own.
 func (owner *Owner) Tick(now time.Duration, peers []contract.Member) []contract.Command {
+	return slices.Concat(owner.greet(peers), owner.tell(now, peers), owner.save(now))
+}
+
+// greet tells a peer that was not there before what is kept here, if there is a disk.
+func (owner *Owner) greet(peers []contract.Member) []contract.Command {
 	commands, met, kept := []contract.Command{}, make(map[string]bool, len(peers)), []Place{}
 	for _, peer := range peers {
 		life := peer.Name + "#" + peer.Boot
@@ -87,27 +94,38 @@
 		}
 	}
 	owner.met = met
-	if now < owner.beat {
-		return commands
+	return commands
+}
+
+func (owner *Owner) tell(now time.Duration, peers []contract.Member) []contract.Command {
+	keys := owner.changed.Keys()
+	if now < owner.nextTell || len(keys) == 0 {
+		return nil
 	}
-	owner.beat = now + owner.halfLife/beatsPerHalfLife
-	if keys := owner.changed.Keys(); len(keys) > 0 {
-		keys = keys[:min(len(keys), mostTold)]
-		for _, key := range keys {
-			owner.changed.Remove(key)
-		}
-		told := Told{Places: owner.named(keys)}
-		for _, peer := range peers {
-			commands = append(commands, contract.Send{To: peer.Address, Kind: LetterTold, Body: told})
-		}
+	owner.nextTell = now + owner.halfLife/tellsPerHalfLife
+	keys = keys[:min(len(keys), mostTold)]
+	for _, key := range keys {
+		owner.changed.Remove(key)
 	}
-	if owner.disk && owner.dirty && !owner.saving {
-		owner.dirty, owner.saving = false, true
-		commands = append(commands, Persist{owner.Snapshot()})
+	told, commands := Told{Places: owner.named(keys)}, make([]contract.Command, 0, len(peers))
+	for _, peer := range peers {
+		commands = append(commands, contract.Send{To: peer.Address, Kind: LetterTold, Body: told})
 	}
 	return commands
 }
 
+func (owner *Owner) save(now time.Duration) []contract.Command {
+	if now < owner.nextSave {
+		return nil
+	}
+	owner.nextSave = now + owner.halfLife/savesPerHalfLife
+	if !owner.disk || !owner.dirty || owner.saving {
+		return nil
+	}
+	owner.dirty, owner.saving = false, true
+	return []contract.Command{Persist{owner.Snapshot()}}
+}
+
 func (owner *Owner) persisted(event Persisted) []contract.Command {
 	owner.saving = false
 	if event.Mishap == "" {
--- a/index/replication_test.go
+++ b/index/replication_test.go
@@ -8,7 +8,10 @@
 	. "github.com/onsi/gomega"
 )
 
-const beat = halfLife / beatsPerHalfLife
+const (
+	beat     = halfLife / savesPerHalfLife
+	tellBeat = halfLife / tellsPerHalfLife
+)
 
 func peer(name, boot string) contract.Member {
 	return contract.Member{Name: name, Boot: boot, Kind: contract.KindControl, Address: name + ":80"}
@@ -152,6 +155,38 @@
 		Expect(told).To(BeEmpty())
 	})
 
+	It("given a change just after another was told, when the beat of telling comes, long before that of saving, then it is told, and not before", func() {
+		Expect(tellBeat).To(BeNumerically("<", 200*time.Millisecond))
+		bench := started()
+		bench.Restore(Snapshot{})
+		bench.tick(peer("x", "1"))
+		for anchor := range uint64(2) {
+			bench.placed(anchor, "", "a")
+			told, _ := bench.tick(peer("x", "1"))
+			Expect(told["x:80"].Places).To(Equal([]Place{named(anchor, "a")}))
+			bench.now += tellBeat
+		}
+		bench.placed(2, "", "a")
+		bench.tick(peer("x", "1"))
+		bench.placed(3, "", "a")
+		bench.now += tellBeat - 1
+		Expect(bench.Tick(bench.now, []contract.Member{peer("x", "1")})).To(BeEmpty())
+		bench.now++
+		told, snapshots := bench.tick(peer("x", "1"))
+		Expect(told["x:80"].Places).To(Equal([]Place{named(3, "a")}))
+		Expect(snapshots).To(BeEmpty(), "saving has its own beat")
+	})
+
+	It("given nothing to tell for a while, when a place changes, then it is told with the next tick", func() {
+		bench := started()
+		bench.now += beat
+		bench.tick(peer("x", "1"))
+		bench.placed(1, "", "a")
+		bench.now++
+		told, _ := bench.tick(peer("x", "1"))
+		Expect(told).To(HaveKey("x:80"))
+	})
+
 	It("given what others told, when the beat comes, then it is saved here and not told further", func() {
 		bench := started()
 		bench.Restore(Snapshot{})
--- a/serve/place.go
+++ b/serve/place.go
@@ -13,16 +13,17 @@
 
 // place asks where a call's prompt belongs and goes on after its patience with or without an answer; a late one serves later calls.
 func (shell *gatewayShell) place(caller context.Context, asked gateway.Place) contract.Command {
-	placed, answers := gateway.Placed{Token: asked.Token}, make(chan index.Place, 1)
+	placed, answers := gateway.Placed{Token: asked.Token, Late: true}, make(chan gateway.Placed, 1)
 	token := shell.Loop.Token(func(answer contract.Answer) {
 		var place index.Place
-		if status, body := link.Given(answer); status == 200 && json.Unmarshal(body, &place) == nil {
+		status, body := link.Given(answer)
+		if status == 200 && json.Unmarshal(body, &place) == nil && place.Server != "" {
 			shell.handle(gateway.Relocated{Places: []index.Place{place}})
 			shell.Loop.Count("places_answered", 1)
-			answers <- place
+			answers <- gateway.Placed{Token: asked.Token, Place: place}
 			return
 		}
-		answers <- index.Place{}
+		answers <- gateway.Placed{Token: asked.Token, Late: !gateway.Refuses(status)}
 	})
 	if !shell.Loop.Try(gateway.AskPlace{Token: token, Ask: asked.Ask}) {
 		shell.Loop.Forget(token)
@@ -31,7 +32,7 @@
 	timer := time.NewTimer(asked.Patience)
 	defer timer.Stop()
 	select {
-	case placed.Place = <-answers:
+	case placed = <-answers:
 	case <-caller.Done():
 		return shell.decide(gateway.Ended{Token: asked.Token, Outcome: gateway.Left})
 	case <-timer.C:
--- a/serve/place_test.go
+++ b/serve/place_test.go
@@ -8,6 +8,8 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/gateway"
@@ -49,7 +51,12 @@
 // keeping is a stage of four model servers whose node asks a keeper.
 func keeping(answer func(http.ResponseWriter, index.Ask)) (*stage, *keeper) {
 	GinkgoHelper()
-	made, keeper, stop := staged(4, fine), &keeper{answer: answer}, make(chan struct{})
+	return keepingFor(4*time.Second, answer)
+}
+
+func keepingFor(contact time.Duration, answer func(http.ResponseWriter, index.Ask)) (*stage, *keeper) {
+	GinkgoHelper()
+	made, keeper, stop := stagedFor(contact, 4, fine), &keeper{answer: answer}, make(chan struct{})
 	control := httptest.NewServer(keeper)
 	DeferCleanup(func() {
 		close(stop)
@@ -64,6 +71,15 @@
 	return made, keeper
 }
 
+// kinds tells of each question whether it was for what is known alone.
+func kinds(asks []index.Ask) []bool {
+	known := []bool{}
+	for _, ask := range asks {
+		known = append(known, ask.Known)
+	}
+	return known
+}
+
 func gives(writer http.ResponseWriter, ask index.Ask, server string) {
 	_ = json.NewEncoder(writer).Encode(index.Place{Key: ask.Key, Server: server})
 }
@@ -95,8 +111,55 @@
 		Expect(keeper.asked()).To(HaveLen(2), "another prompt is asked for at once")
 	})
 
+	It("given a control node that refuses, when calls come, then each goes by the shared order after one question, and is not sent twice", func() {
+		stage, keeper := keeping(func(writer http.ResponseWriter, _ index.Ask) { writer.WriteHeader(404) })
+		for calls := range 3 {
+			Expect(stage.whole("/write/x")).To(Equal(keeper.asked()[0].Candidates[0]))
+			Expect(keeper.asked()).To(HaveLen(calls + 1))
+		}
+		Expect(stage.took()).To(HaveLen(3), "no call is sent twice for it")
+		Expect(stage.shell.Counts()).NotTo(HaveKey("places_unanswered"), "a refusal is not waited for")
+	})
+
+	It("given a near replica, when it does not know the prompt, then the owner is asked after it, and when it does, nobody else is", func() {
+		knows := atomic.Bool{}
+		stage, keeper := keepingFor(10*time.Minute, func(writer http.ResponseWriter, ask index.Ask) {
+			if ask.Known && !knows.Load() {
+				writer.WriteHeader(404)
+				return
+			}
+			gives(writer, ask, "server3")
+		})
+		stage.shell.Learn(gateway.Indexed{Known: true, Near: true})
+		Expect(stage.whole("/write/x")).To(Equal("server3"))
+		Expect(kinds(keeper.asked())).To(Equal([]bool{true, false}))
+		knows.Store(true)
+		_, _, failure := stage.ask("/write/x", "b", append(long[:4:4], "X-Prompt-Prefix", "other:13000,own:1000")...)
+		Expect(failure).NotTo(HaveOccurred())
+		Expect(kinds(keeper.asked())).To(Equal([]bool{true, false, true}))
+		Expect(stage.shell.Counts()).NotTo(HaveKey("places_unanswered"))
+	})
+
+	It("given a near replica that does not answer, when calls come, then the owner is asked after its patience, and at once by later ones", func() {
+		late := make(chan struct{})
+		stage, keeper := keeping(func(writer http.ResponseWriter, ask index.Ask) {
+			if ask.Known {
+				<-late
+				return
+			}
+			writer.WriteHeader(404)
+		})
+		defer close(late)
+		stage.shell.Learn(gateway.Indexed{Known: true, Near: true})
+		stage.whole("/write/x")
+		stage.whole("/write/x")
+		Expect(kinds(keeper.asked())).To(Equal([]bool{true, false, false}))
+		Expect(stage.shell.Counts()["places_unanswered"]).To(Equal(int64(1)))
+	})
+
 	for name, answer := range map[string]func(http.ResponseWriter, index.Ask){
-		"refuses":              func(writer http.ResponseWriter, _ index.Ask) { writer.WriteHeader(404) },
+		"fails":                func(writer http.ResponseWriter, _ index.Ask) { writer.WriteHeader(503) },
+		"names no server":      func(writer http.ResponseWriter, _ index.Ask) { _, _ = io.WriteString(writer, "{}") },
 		"says what is no JSON": func(writer http.ResponseWriter, _ index.Ask) { _, _ = io.WriteString(writer, "<html>") },
 		"breaks its answer": func(writer http.ResponseWriter, _ index.Ask) {
 			conn, _, failure := writer.(http.Hijacker).Hijack()
--- a/serve/standin_test.go
+++ b/serve/standin_test.go
@@ -108,9 +108,15 @@
 }
 
 func staged(servers int, script ...play) *stage {
+	GinkgoHelper()
+	return stagedFor(4*time.Second, servers, script...)
+}
+
+// stagedFor is a stage with a contact time of its own.
+func stagedFor(contact time.Duration, servers int, script ...play) *stage {
 	GinkgoHelper()
 	settings := env.New(env.WithName("node"), env.WithHall("north-1"), env.WithRegion("north"))
-	settings.Gateway = env.Gateway{RepeatRatio: 0.2, RepeatWindow: 10 * time.Second, RepeatAllowance: 100, Contact: 4 * time.Second}
+	settings.Gateway = env.Gateway{RepeatRatio: 0.2, RepeatWindow: 10 * time.Second, RepeatAllowance: 100, Contact: contact}
 	made := &stage{script: script, shell: serve.NewTestGateway(settings, platform.Face{})}
 	listed := gateway.Listed{Region: "north"}
 	for place := range servers {
