Long prompts are placed near who asks first, beside short ones where there is room

Change: candidates of the own region come first, a quarter of them from others while there are enough; where short prompts go, a third of the servers take long ones too while less than 0.4 of the region's slots are taken and three quarters of its servers are warm; two thirds, pressed or not, when less than a third of the usable servers stand in regions without short prompts.

--- /dev/null
+++ b/gateway/apart_test.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cedarreel/cedarreel/engine"
+	"github.com/cedarreel/cedarreel/index"
+	. "github.com/onsi/gomega"
+)
+
+// homely is a prompt without a shared part that is worth a place.
+func homely(own string) engine.Prompt {
+	return engine.Prompt{Model: "m", Input: 300, Output: 50, Parts: []engine.Part{{ID: "hello", Tokens: 90}, {ID: own, Tokens: 210}}}
+}
+
+// twoRegions is a node of the east with so many servers in the east and in the west; short prompts go to both, or to the east alone.
+func twoRegions(east, west int, shortWest bool) *bench {
+	GinkgoHelper()
+	eastern, western := Listed{Region: "east"}, Listed{Region: "west"}
+	for place := range east {
+		eastern.Servers = append(eastern.Servers, candidate(fmt.Sprintf("e%02d", place), "east-a"))
+	}
+	for place := range west {
+		western.Servers = append(western.Servers, candidate(fmt.Sprintf("w%02d", place), "west-a"))
+	}
+	bench := started(engines, eastern, western)
+	bench.Handle(bench.now, Indexed{Known: true})
+	bench.note(bench.now, "s", "east", false)
+	if shortWest {
+		bench.note(bench.now, "s", "west", false)
+	}
+	return bench
+}
+
+func offered(bench *bench) (own, others []string) {
+	GinkgoHelper()
+	ask := askedFor(bench.long("one"))
+	for _, name := range ask.Ask.Candidates {
+		if name[0] == 'e' {
+			Expect(others).To(BeEmpty(), "the own region comes first")
+			own = append(own, name)
+		} else {
+			others = append(others, name)
+		}
+	}
+	return own, others
+}
+
+var _ = Describe("where long prompts may be placed", func() {
+	told := func(bench *bench, running int64) {
+		for _, server := range bench.services["s"] {
+			server.told(&Load{Running: running, Slots: 16})
+		}
+	}
+
+	It("given a region that only long prompts go to, when a prompt is new in the other one, then some servers of its own region come before them", func() {
+		bench := twoRegions(12, 12, false)
+		told(bench, 6)
+		own, others := offered(bench)
+		Expect(own).To(HaveLen(4), "a third of the own region")
+		Expect(others).To(HaveLen(12))
+		for _, name := range own {
+			Expect(bench.servers[name].forLong(true)).To(BeTrue())
+		}
+	})
+
+	DescribeTable("given a region that only long prompts go to, when a prompt is new in the other one and that is pressed, then its servers are left to short ones", func(press func(*bench)) {
+		bench := twoRegions(12, 12, false)
+		told(bench, 6)
+		press(bench)
+		own, others := offered(bench)
+		Expect(own).To(BeEmpty())
+		Expect(others).To(HaveLen(12))
+	},
+		Entry("many calls", func(bench *bench) { told(bench, 7) }),
+		Entry("loads not known", func(bench *bench) {
+			for _, server := range bench.services["s"] {
+				server.load = Load{}
+			}
+		}),
+		Entry("cold servers", func(bench *bench) {
+			for place := range 4 {
+				bench.servers[fmt.Sprintf("e%02d", place)].ramp.until = bench.now + time.Second
+			}
+		}),
+		Entry("a drained zone", func(bench *bench) {
+			hall := bench.read.Halls["east-b"]
+			hall.Drained = true
+			bench.read.Halls["east-b"] = hall
+			for place := range 4 {
+				bench.servers[fmt.Sprintf("e%02d", place)].Hall = "east-b"
+			}
+		}),
+	)
+
+	It("given a region that only long prompts go to, when it has too few servers, then two thirds of the others take long ones too, pressed or not", func() {
+		bench := twoRegions(12, 3, false)
+		told(bench, 16)
+		own, others := offered(bench)
+		Expect(own).To(HaveLen(8))
+		Expect(others).To(HaveLen(3))
+	})
+
+	DescribeTable("given servers in two regions, when a prompt is new, then the own ones come first and some of the others follow", func(east, west, own, others int) {
+		got, away := offered(twoRegions(east, west, true))
+		Expect(got).To(HaveLen(own))
+		Expect(away).To(HaveLen(others))
+		Expect(len(got) + len(away)).To(BeNumerically("<=", index.MostCandidates))
+	},
+		Entry("many in both", 36, 36, 12, 4),
+		Entry("few here", 6, 36, 4, 12),
+		Entry("few there", 36, 6, 12, 4),
+		Entry("hardly any there", 36, 2, 16, 0),
+		Entry("none here", 0, 36, 0, 16),
+		Entry("few in both", 6, 6, 4, 4),
+	)
+
+	It("given no server that is meant for long prompts, when a prompt is new, then all are offered", func() {
+		own, others := offered(twoRegions(2, 2, true))
+		Expect(own).To(HaveLen(2))
+		Expect(others).To(HaveLen(2))
+	})
+
+	It("given two nodes of a region, when they ask for the same prompt, then they offer the same in the same order", func() {
+		first, second := askedFor(twoRegions(36, 36, true).long("one")), askedFor(twoRegions(36, 36, true).long("two"))
+		Expect(first.Ask.Candidates).To(Equal(second.Ask.Candidates))
+	})
+
+	It("given nobody who answers, when calls come, then long ones go to servers that are meant for them, and short ones stay in their region", func() {
+		bench := twoRegions(12, 12, true)
+		bench.Handle(bench.now, Indexed{})
+		Expect(bench.servers[bench.promptly("/stream/x", contractText("one")).Server.Name].forLong(false)).To(BeTrue())
+		for place := range 64 {
+			Expect(bench.promptly("/stream/x", homely(fmt.Sprint(place))).Server.Name).To(HavePrefix("e"))
+		}
+	})
+})
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -21,8 +21,6 @@
 	regionPer10K = 10 * time.Millisecond
 	// rereadTimes is how much more than its time the reading again of shared parts costs.
 	rereadTimes = 2
-	// leastApart is the part of all servers, one in so many, that must stand in regions without short prompts to take all long ones.
-	leastApart = 4
 )
 
 func newMemory(service manifest.Service) *engine.Memory {
@@ -63,6 +61,7 @@
 	}
 	service, holder := traffic.read.Gateway.Services[work.service], ""
 	long := work.Prompt.Shared() >= anchorTokens
+	relieved := !long && traffic.relieved(now, work.service)
 	if service.Engine != nil && work.Prompt.Shared() > 0 {
 		holder = traffic.holder(now, open, work, long)
 	}
@@ -78,7 +77,7 @@
 				again = 0
 			}
 			cost += readTime(unread+(rereadTimes-1)*again) + time.Duration(server.running())*perRunning
-			if !long && traffic.mixed(now, work.service, server.region) && server.long {
+			if !long && traffic.mixed(now, work.service, server.region) && server.forLong(relieved) {
 				cost += besideLong
 			}
 		}
@@ -101,7 +100,7 @@
 		if slices.ContainsFunc(open, func(server *server) bool { return server.Name == work.holder }) {
 			return work.holder
 		}
-		all = traffic.apart(now, open)
+		all = traffic.apart(now, open, work.service)
 	}
 	anchor, best, chosen := work.Prompt.Anchor(), uint64(0), ""
 	for _, server := range all {
@@ -112,25 +111,30 @@
 	return chosen
 }
 
-// apart gives the servers that are meant for long prompts: those of regions that no short ones go to, or else a part of the servers of
-// each, so that short ones need not wait behind them.
-func (traffic *Traffic) apart(now time.Duration, open []*server) []*server {
-	apart, parts := []*server{}, []*server{}
+// apart gives the servers that are meant for long prompts: those of regions that no short ones go to, and a part of the servers of the
+// others, so that short ones need not wait behind them. Where short ones go, that part is left to them while their region is pressed,
+// unless there are too few others.
+func (traffic *Traffic) apart(now time.Duration, open []*server, service string) []*server {
+	apart, relieved, spare := []*server{}, traffic.relieved(now, service), map[string]bool{}
 	for _, server := range open {
-		switch {
-		case !traffic.mixed(now, server.Pool, server.region):
+		if !traffic.mixed(now, service, server.region) {
+			apart = append(apart, server)
+			continue
+		}
+		if !server.forLong(relieved) {
+			continue
+		}
+		if _, there := spare[server.region]; !there {
+			spare[server.region] = !relieved || traffic.spare(now, service, server.region)
+		}
+		if spare[server.region] {
 			apart = append(apart, server)
-		case server.long:
-			parts = append(parts, server)
 		}
 	}
-	switch {
-	case len(apart)*leastApart >= len(open):
-		return apart
-	case len(parts) > 0:
-		return append(parts, apart...)
+	if len(apart) == 0 {
+		return open
 	}
-	return open
+	return apart
 }
 
 func mix(value uint64) uint64 {
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/cedarreel/cedarreel/engine"
 	"github.com/cedarreel/cedarreel/index"
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 )
@@ -88,7 +87,7 @@
 	}
 	work.asks++
 	ask := index.Ask{Key: work.key, Lost: name, Work: readTime(work.Prompt.Input).Milliseconds()}
-	for _, server := range traffic.candidates(now, open, work.Prompt) {
+	for _, server := range traffic.candidates(now, open, work) {
 		ask.Candidates = append(ask.Candidates, server.Name)
 	}
 	return Place{Token: work.Token, Ask: ask, Patience: traffic.terms.Contact / 16}, true
@@ -100,12 +99,23 @@
 	return !there || !server.listed || server.moved || traffic.read.Drained(server.Hall) || now < server.until && server.failures > 1
 }
 
-// candidates gives the servers that may be a prompt's place, in an order that is the same at all nodes.
-func (traffic *Traffic) candidates(now time.Duration, open []*server, prompt engine.Prompt) []*server {
-	anchor := prompt.Anchor()
-	ordered := slices.Clone(traffic.apart(now, open))
+// candidates gives the servers that may be a prompt's place, those of the own region first: whoever reads a prompt first waits the longest
+// anyway and is spared the way. Some of other regions follow, for an owner that knows the own ones to be busier. Within a region the order
+// is the same at all nodes.
+func (traffic *Traffic) candidates(now time.Duration, open []*server, work *job) []*server {
+	anchor := work.Prompt.Anchor()
+	ordered := slices.Clone(traffic.apart(now, open, work.service))
 	slices.SortFunc(ordered, func(left, right *server) int { return cmp.Compare(mix(right.hash^anchor), mix(left.hash^anchor)) })
-	return ordered[:min(len(ordered), index.MostCandidates)]
+	own, others := []*server{}, []*server{}
+	for _, server := range ordered {
+		if server.region == traffic.settings.Region {
+			own = append(own, server)
+		} else {
+			others = append(others, server)
+		}
+	}
+	away := min(len(others), max(index.MostCandidates/4, index.MostCandidates-len(own)))
+	return slices.Concat(own[:min(len(own), index.MostCandidates-away)], others[:away])
 }
 
 // placed takes an answer. Who did not answer in time is asked nothing for a while; a refusal says something of its own call alone.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -29,10 +29,11 @@
 	nextTrial time.Duration
 	tallies   tallies
 	ramp      ramp
-	long      bool
-	division  int
-	cache     cacheState
-	hash      uint64
+	// place is the server's rank among those of its service in its region, which are so many.
+	place, among int
+	division     int
+	cache        cacheState
+	hash         uint64
 }
 
 const (
--- a/gateway/sizes.go
+++ b/gateway/sizes.go
@@ -9,8 +9,15 @@
 const (
 	// besideLong is what a short call expects to lose at a server that reads long prompts.
 	besideLong = 40 * time.Millisecond
+	// leastApart is the part of all servers, one in so many, that must stand in regions without short prompts to take most long ones.
+	leastApart = 3
 	// fewestSplit is the least number of servers of a region that are split by the length of prompts.
 	fewestSplit = 4
+	// A region is pressed once more than spareSlots of its slots are taken, or less than spareWarm of its servers are warm; it is judged
+	// when at least leastTold of them have told their load.
+	spareSlots = 0.4
+	spareWarm  = 0.75
+	leastTold  = 0.25
 )
 
 // seen is when calls with long and with short prompts last went to a service in a region from here.
@@ -33,23 +40,72 @@
 	return there && last.short > 0 && now-last.short < traffic.terms.RepeatWindow
 }
 
-// split marks the servers for long prompts: a part of each region's, in an order that all nodes share.
+// spare tells whether a region has room for long prompts beside short ones, by what its servers told this node.
+func (traffic *Traffic) spare(now time.Duration, service, region string) bool {
+	terms, listed, told, warm, running, slots := traffic.read.Gateway.Services[service], 0.0, 0.0, 0.0, 0.0, 0.0
+	for _, server := range traffic.services[service] {
+		if server.region != region {
+			continue
+		}
+		listed++
+		if !traffic.usable(now, server) {
+			continue
+		}
+		warm++
+		if server.load.Slots > 0 {
+			told++
+			running += float64(server.running())
+			slots += float64(server.slots(terms))
+		}
+	}
+	return told >= leastTold*listed && warm >= spareWarm*listed && running <= spareSlots*slots
+}
+
+// split orders the servers of each region, the same way at all nodes: the first ones are meant for long prompts.
 func (traffic *Traffic) split() {
 	for _, servers := range traffic.services {
 		regions := map[string][]string{}
 		for _, server := range servers {
 			regions[server.region] = append(regions[server.region], server.Name)
 		}
-		chosen := map[string]bool{}
+		places := map[string]int{}
 		for _, names := range regions {
-			if len(names) >= fewestSplit {
-				for _, name := range contract.Ordered("long", names)[:(2*len(names)+1)/3] {
-					chosen[name] = true
-				}
+			for place, name := range contract.Ordered("long", names) {
+				places[name] = place
 			}
 		}
 		for _, server := range servers {
-			server.long = chosen[server.Name]
+			server.place, server.among = places[server.Name], len(regions[server.region])
+		}
+	}
+}
+
+// forLong tells whether a server is meant for long prompts where short ones go too: two thirds of a region's servers, or one third while
+// other regions that short ones don't go to take most.
+func (server *server) forLong(relieved bool) bool {
+	parts := 2
+	if relieved {
+		parts = 1
+	}
+	return server.among >= fewestSplit && server.place < (parts*server.among+2)/3
+}
+
+// relieved tells whether regions without short prompts have enough usable servers to take most of the long ones.
+func (traffic *Traffic) relieved(now time.Duration, service string) bool {
+	free, usable := 0, 0
+	for _, server := range traffic.services[service] {
+		if !traffic.usable(now, server) {
+			continue
+		}
+		usable++
+		if !traffic.mixed(now, service, server.region) {
+			free++
 		}
 	}
+	return free > 0 && free*leastApart >= usable
+}
+
+// usable tells whether calls go to a server freely.
+func (traffic *Traffic) usable(now time.Duration, server *server) bool {
+	return !server.moved && !server.ramp.cold(now) && now >= server.until && !traffic.read.Drained(server.Hall)
 }
