One package compresses: feed and link had gzip written twice

Cause: feed/pack.go and link/pack.go each wrote and bounded gzip, one with pooled writers and readers, one without; and it was open whether a version that its keeper compressed should be compressed again on its way, as base64 in a letter.

Change: package compression with Compress and a bounded Decompress. link/compress.go keeps what is HTTP's (from which size, the header), feed/compress.go what a version is. Words follow the field: compress in place of pack in what was touched; the letter's fields packed and packedOf are read by older versions and stay.

Tests: the bound, broken content and use again have stories in compression; a compressed version compressed again has one in link. Two mutations (no bound; no second compression) were found; these stories were written beside the code or for what it did already, and not seen failing before it. Link's stories stand as they were, under the new words.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -111,7 +111,7 @@
 		var change Change
 		if json.Unmarshal(letter.Body, &change) == nil {
 			if len(change.Packed) > 0 && change.PackedOf.Revision > owner.version.Place.Revision {
-				if version, failure := unpack(change.Packed); failure == nil {
+				if version, failure := decompress(change.Packed); failure == nil {
 					change.Versions = append(change.Versions, version)
 				}
 			}
@@ -227,9 +227,9 @@
 	if len(change.Versions) == 0 && change.View == nil {
 		return nil
 	}
-	if len(change.Versions) == 1 && change.Versions[0].Place == owner.version.Place && len(owner.version.Manifest) >= packFrom {
+	if len(change.Versions) == 1 && change.Versions[0].Place == owner.version.Place && len(owner.version.Manifest) >= compressFrom {
 		if owner.packedOf != owner.version.Place {
-			owner.packed, owner.packedOf = pack(owner.version), owner.version.Place
+			owner.packed, owner.packedOf = compress(owner.version), owner.version.Place
 		}
 		if news.Brief {
 			return []contract.Command{contract.Send{To: news.From, Kind: LetterNews, Body: owner.news()}}
--- a/link/pack_test.go
+++ b/link/compress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -9,6 +10,7 @@
 	"strings"
 	"testing"
 
+	"github.com/cedarreel/cedarreel/compression"
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 )
@@ -22,7 +24,7 @@
 	read := func(content []byte, encoding string) (string, error) {
 		request := httptest.NewRequest("POST", Path, bytes.NewReader(content))
 		request.Header.Set("Content-Encoding", encoding)
-		reader, failure := unpack(request)
+		reader, failure := decompress(request)
 		if failure != nil {
 			return "", failure
 		}
@@ -31,55 +33,67 @@
 		return string(text), failure
 	}
 
-	ginkgo.It("given a small body, when it is packed, then it travels as it is", func() {
-		body, encoding := pack([]byte("beat"))
+	ginkgo.It("given a small body, when it is compressed, then it travels as it is", func() {
+		body, encoding := compress([]byte("beat"))
 		gomega.Expect(encoding).To(gomega.BeEmpty())
 		gomega.Expect(read(body, encoding)).To(gomega.Equal("beat"))
 	})
 
-	ginkgo.It("given a node's question for its list, when it is packed, then it comes out unchanged and travels as less than four fifths, the header with it", func() {
+	ginkgo.It("given a node's question for its list, when it is compressed, then it comes out unchanged and travels as less than four fifths, the header with it", func() {
 		question := `{"letters":[{"kind":"licence-ask","from":"machine-of-zone-1-17-data","boot":"5f0c83d1a4","body":{"node":"machine-of-zone-1-17-data",` +
 			`"address":"10.1.2.3:7500","region":"east","asked":25200000000000,"highest":{"number":4,"node":"machine-of-zone-1-02-control","life":"9b1e7c20dd"},` +
 			`"number":17,"shards":1,"brief":true}}]}`
-		body, encoding := pack([]byte(question))
+		body, encoding := compress([]byte(question))
 		gomega.Expect((len(body) + len("Content-Encoding: gzip\r\n")) * 5).To(gomega.BeNumerically("<", len(question)*4))
 		gomega.Expect(read(body, encoding)).To(gomega.Equal(question))
 	})
 
-	ginkgo.It("given a body that packing makes no smaller, when it is packed, then it travels as it is", func() {
-		random, noise := rand.New(rand.NewPCG(1, 2)), make([]byte, 4*packFrom)
+	ginkgo.It("given a body that compressing makes no smaller, when it is compressed, then it travels as it is", func() {
+		random, noise := rand.New(rand.NewPCG(1, 2)), make([]byte, 4*compressFrom)
 		for place := range noise {
 			noise[place] = byte(random.Uint32())
 		}
-		body, encoding := pack(noise)
+		body, encoding := compress(noise)
 		gomega.Expect(encoding).To(gomega.BeEmpty())
 		gomega.Expect(body).To(gomega.Equal(noise))
 	})
 
-	ginkgo.It("given a configuration, when it is packed, then it comes out unchanged and travels as less than a fifth", func() {
+	ginkgo.It("given a configuration, when it is compressed, then it comes out unchanged and travels as less than a fifth", func() {
 		whole := strings.Repeat(`{"host":"a.example","prefix":"/one/","timeoutMs":8000},`, 4000)
-		body, encoding := pack([]byte(whole))
+		body, encoding := compress([]byte(whole))
 		gomega.Expect(len(body) * 5).To(gomega.BeNumerically("<", len(whole)))
 		gomega.Expect(read(body, encoding)).To(gomega.Equal(whole))
 	})
 
-	ginkgo.It("given the beats of a large fleet, when they are packed, then they come out unchanged and travel as less than half, one after the other", func() {
+	ginkgo.It("given a version that its keeper compressed, when its change is compressed again, then it comes out unchanged and travels as less than four fifths", func() {
+		random, routes := rand.New(rand.NewPCG(1, 2)), ""
+		for route := range 400 {
+			routes += fmt.Sprintf(`{"host":"%x.example","prefix":"/%d/","timeoutMs":%d},`, random.Uint32(), route, 1000+random.IntN(9000))
+		}
+		change, failure := json.Marshal(map[string][]byte{"packed": compression.Compress([]byte(routes))})
+		gomega.Expect(failure).NotTo(gomega.HaveOccurred())
+		body, encoding := compress(change)
+		gomega.Expect(len(body) * 5).To(gomega.BeNumerically("<", len(change)*4))
+		gomega.Expect(read(body, encoding)).To(gomega.Equal(string(change)))
+	})
+
+	ginkgo.It("given the beats of a large fleet, when they are compressed, then they come out unchanged and travel as less than half, one after the other", func() {
 		for round := range 3 {
 			beats := ""
 			for member := range 48 {
 				beats += fmt.Sprintf("machine-of-zone-%d-%d-data %d %d;", member%3, member*7%93, 1+member%2, 1000+member*37+round)
 			}
-			body, encoding := pack([]byte(beats))
+			body, encoding := compress([]byte(beats))
 			gomega.Expect(len(body) * 2).To(gomega.BeNumerically("<", len(beats)))
 			gomega.Expect(read(body, encoding)).To(gomega.Equal(beats))
 		}
 	})
 
-	ginkgo.It("given a packed body that is cut short or broken, when it is read, then it is refused", func() {
-		body, encoding := pack([]byte(strings.Repeat("configuration ", 4000)))
+	ginkgo.It("given a compressed body that is cut short or broken, when it is read, then it is refused", func() {
+		body, encoding := compress([]byte(strings.Repeat("configuration ", 4000)))
 		_, failure := read(body[:len(body)/2], encoding)
 		gomega.Expect(failure).To(gomega.HaveOccurred())
-		_, failure = read([]byte("not packed at all"), encoding)
+		_, failure = read([]byte("not compressed at all"), encoding)
 		gomega.Expect(failure).To(gomega.HaveOccurred())
 	})
 })
--- a/link/cost_test.go
+++ b/link/cost_test.go
@@ -89,7 +89,7 @@
 }
 
 var _ = Describe("letters on the wire", func() {
-	It("given a kept connection, when a node asks for its list, then HTTP and the packed bundle, both ways, take less than 9/8 of the plain bundle", func() {
+	It("given a kept connection, when a node asks for its list, then HTTP and the compressed bundle, both ways, take less than 9/8 of the plain bundle", func() {
 		stop := make(chan struct{})
 		defer close(stop)
 		receiver := receive(stop)
--- a/link/sender.go
+++ b/link/sender.go
@@ -100,7 +100,7 @@
 		if mishap != nil {
 			return nil, mishap
 		}
-		body, encoding := pack(content)
+		body, encoding := compress(content)
 		posted, failure := http.NewRequest(http.MethodPost, "http://"+address+Path, io.NopCloser(bytes.NewReader(body)))
 		if failure != nil {
 			return nil, failure
@@ -126,7 +126,7 @@
 func Receive(loop *Loop) http.Handler {
 	decode := func(_ context.Context, request *http.Request) (any, error) {
 		var bundle Bundle
-		body, failure := unpack(request)
+		body, failure := decompress(request)
 		if failure != nil {
 			return bundle, failure
 		}
