A control node without a shard reads the priced list a third as often

Change: only owners that go on by their last list (those of the platform's face) read less often while idle; at once when a shard is about to be theirs and the list is old; a refused reading is repeated as soon as an owner's; they are blind two readings later.

--- a/shard/shard.go
+++ b/shard/shard.go
@@ -253,10 +253,10 @@
 }
 
 func (owner *Owner) poll(now time.Duration) {
-	if len(owner.duties) == 0 || owner.polling && now < owner.nextPoll+owner.bounds.PlatformPoll() || now < owner.nextPoll {
+	if len(owner.duties) == 0 || owner.polling && now < owner.nextPoll+owner.bounds.PlatformPoll() || now < owner.nextPoll && !owner.hurried(now) {
 		return
 	}
-	owner.polling, owner.nextPoll = true, now+owner.bounds.PlatformPoll()
+	owner.polling, owner.nextPoll = true, now+owner.pollEvery()
 	owner.emit(ReadPlatform{Region: owner.self.Region})
 }
 
@@ -266,6 +266,7 @@
 	}
 	owner.polling = false
 	if event.Mishap != "" {
+		owner.nextPoll = min(owner.nextPoll, now+owner.bounds.PlatformPoll())
 		owner.emit(contract.Count{Name: "listings_broken", By: 1})
 		return
 	}
--- a/shard/sight.go
+++ b/shard/sight.go
@@ -45,12 +45,34 @@
 	return contract.Ordered("stand-in/"+region, regions)[0]
 }
 
+// idleTimes is how much more seldom than an owner of shards a prompt node without any reads the platform: each reading has its price, and
+// a take-over needs one that is younger than the grace.
+const idleTimes = 3
+
+func (owner *Owner) pollEvery() time.Duration {
+	if !owner.prompt {
+		return owner.bounds.PlatformPoll()
+	}
+	for index, held := range owner.duties {
+		if held.owning || owner.first(index) == owner.self.Name {
+			return owner.bounds.PlatformPoll()
+		}
+	}
+	return idleTimes * owner.bounds.PlatformPoll()
+}
+
+// hurried tells whether a shard is about to be taken over with a listing that an idle node read too long ago.
+func (owner *Owner) hurried(now time.Duration) bool {
+	return owner.pollEvery() == owner.bounds.PlatformPoll() && (!owner.listed || now-owner.listedAt > 2*owner.bounds.PlatformPoll()) &&
+		owner.nextPoll-now > owner.bounds.PlatformPoll()
+}
+
 // watchSight makes a node blind after a licence's time without a good listing, and lets it see again only after a longer time
 // with them, so that duties do not flap.
 func (owner *Owner) watchSight(now time.Duration) {
 	late := now - max(owner.listedAt, owner.started)
 	switch {
-	case !owner.blind && late > owner.bounds.Licence():
+	case !owner.blind && late > owner.bounds.Licence()+owner.pollEvery()-owner.bounds.PlatformPoll():
 		owner.blind, owner.sighted = true, now
 		owner.emit(contract.Count{Name: "blind", By: 1}, contract.Say{What: "the platform cannot be read here"})
 	case owner.blind && owner.fresh(now) && now-owner.sighted > owner.bounds.Refound():
