A node without a list gets one from any control node until the owner's comes

Calls that come meanwhile are refused, and a caller's second refusal is its last. Ruled out: the configuration (there by then), the platform's list (the first control node has read it 0.2 s after its start), the nodes' processor time. Change: a control node that is not the owner but has a fresh listing gives a node without any list what it would list itself, without an epoch; any owner's list replaces it. Tests seen red with the two effects taken out.

--- a/contract/epoch.go
+++ b/contract/epoch.go
@@ -93,6 +93,8 @@
 	Brief bool `json:"brief,omitempty"`
 	// Tallies tells of servers where calls failed lately, and of those that the list calls suspected.
 	Tallies map[string]Tally `json:"tallies,omitempty"`
+	// Interim asks a control node that is not the owner for a list of what it sees itself, until the owner's comes.
+	Interim bool `json:"interim,omitempty"`
 }
 
 type Licence struct {
@@ -109,6 +111,8 @@
 	Same     bool          `json:"same,omitempty"`
 	Shards   int           `json:"shards"`
 	Back     string        `json:"back,omitempty"`
+	// Interim marks a list without an epoch, of a node that is not the owner: for who has none.
+	Interim bool `json:"interim,omitempty"`
 }
 
 type NotOwner struct {
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -44,6 +44,8 @@
 	asked   time.Duration
 	hint    string
 	held    bool
+	// interim is when the list was asked for that stands in until an owner's comes, 0 without one.
+	interim time.Duration
 }
 
 // Node follows the feed and the lists of servers that the shards' owners give.
@@ -160,7 +162,8 @@
 	held, self := node.lists[region][index], node.Self()
 	ask := contract.LicenceAsk{Node: self.Name, Address: self.Address, Region: region, Shard: index, Asked: now,
 		Highest: held.highest, Number: held.number, Calls: node.known.Calls(region), Stale: node.known.Stale(region),
-		Tallies: node.known.Tallies(now, region), Shards: shards, Brief: held.held}
+		Tallies: node.known.Tallies(now, region), Shards: shards, Brief: held.held,
+		Interim: !held.held && (held.interim == 0 || now-held.interim >= node.askEvery())}
 	targets := []string{shard.First(members, region, index)}
 	if held.hint != "" && !slices.Contains(targets, held.hint) {
 		targets = append(targets, held.hint)
@@ -170,19 +173,26 @@
 			node.emit(contract.Send{To: member.Address, Kind: shard.LetterAsk, Body: ask})
 		}
 	}
-	if now-held.asked <= 3*node.askEvery() {
+	if !ask.Interim && now-held.asked <= 3*node.askEvery() {
 		return
 	}
-	others := []contract.Member{}
+	others := []string{}
 	for _, member := range members {
 		if member.Kind == contract.KindControl && !slices.Contains(targets, member.Name) {
-			others = append(others, member)
+			others = append(others, member.Address)
 		}
 	}
-	if len(others) > 0 {
-		node.emit(contract.Count{Name: "lists_asked_around", By: 1},
-			contract.Send{To: others[node.Random.IntN(len(others))].Address, Kind: shard.LetterAround, Body: ask})
+	if ask.Interim && len(others) == 0 {
+		others = node.Neighbours.Seeds()
 	}
+	if len(others) == 0 {
+		return
+	}
+	kind := shard.LetterAround
+	if ask.Interim {
+		kind = shard.LetterAsk
+	}
+	node.emit(contract.Count{Name: "lists_asked_around", By: 1}, contract.Send{To: others[node.Random.IntN(len(others))], Kind: kind, Body: ask})
 }
 
 func (node *Node) letter(now time.Duration, letter contract.Letter) {
@@ -210,6 +220,10 @@
 // take accepts a list unless a higher epoch was seen; an older list of the same epoch changes nothing.
 func (node *Node) take(now time.Duration, licence contract.Licence) {
 	held := node.lists[licence.Region][licence.Shard]
+	if licence.Interim {
+		node.takeInterim(held, licence)
+		return
+	}
 	if held == nil || licence.Epoch.Before(held.highest) || licence.Asked > now {
 		node.emit(contract.Count{Name: "lists_refused", By: 1})
 		return
@@ -225,6 +239,19 @@
 		return
 	}
 	held.held = true
+	node.list(licence)
+}
+
+// takeInterim accepts what stands in for an owner's list, as long as this node has heard of no owner.
+func (node *Node) takeInterim(held *list, licence contract.Licence) {
+	if held == nil || held.held || held.highest != (contract.Epoch{}) || licence.Asked <= held.interim {
+		return
+	}
+	held.interim = licence.Asked
+	node.list(licence)
+}
+
+func (node *Node) list(licence contract.Licence) {
 	node.servers[licence.Region][licence.Shard] = licence.Servers
 	all := []contract.Candidate{}
 	for index := 0; index < len(node.lists[licence.Region]); index++ {
--- a/gateway/node_test.go
+++ b/gateway/node_test.go
@@ -32,12 +32,16 @@
 
 func following() *follower {
 	made := &follower{Node: NewNode(settingsFor("node000"), "boot", NewTraffic(settingsFor("node000"), seeded(3)), seeded(3)), now: time.Second}
-	version := contract.Version{Place: contract.Place{View: 1, Revision: 1}, Manifest: json.RawMessage(regions), Digest: contract.Digest([]byte(regions))}
-	made.take(letter(feed.LetterChange, "", feed.Change{Versions: []contract.Version{version}}))
+	made.take(configured())
 	made.take(contract.Tick{})
 	return made
 }
 
+func configured() contract.Letter {
+	version := contract.Version{Place: contract.Place{View: 1, Revision: 1}, Manifest: json.RawMessage(regions), Digest: contract.Digest([]byte(regions))}
+	return letter(feed.LetterChange, "", feed.Change{Versions: []contract.Version{version}})
+}
+
 func (node *follower) take(event contract.Event) []contract.Command {
 	commands := node.Node.Handle(node.now, event)
 	node.told = append(node.told, commands...)
--- /dev/null
+++ b/shard/interim_test.go
@@ -0,0 +1,67 @@
+package shard
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/env"
+	"github.com/cedarreel/cedarreel/manifest"
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = ginkgo.Describe("a question for a list at a control node that is not the owner", func() {
+	now := 5 * time.Second
+	seen := Seen{Manifest: manifest.Manifest{Regions: map[string]manifest.Region{"east": {Shards: 1}}, Halls: map[string]manifest.Hall{"closed": {Region: "east", Drained: true}},
+		Gateway: manifest.Gateway{Services: map[string]manifest.Service{"service": {}}}}}
+	row := func(name, hall string) contract.ServerRow {
+		return contract.ServerRow{Name: name, Address: name + ":80", Hall: hall, Region: "east", Pool: "service", Incarnation: name, Unmeasured: true}
+	}
+	node := func(prompt bool) *reader {
+		made := reading(prompt)
+		seen.Members = made.members
+		made.Handle(now, seen)
+		leaving, other := row("leaving", "zone"), row("other", "zone")
+		leaving.Leaving, other.Pool = true, "nobody"
+		cold := row("cold", "zone")
+		cold.WarmMs = 2000
+		made.Handle(now, ListingRead{Began: now, Listing: contract.Listing{Servers: []contract.ServerRow{row("good", "zone"), cold, leaving, row("drained", "closed"), other}}})
+		return made
+	}
+	asks := func(node *reader, at time.Duration, interim bool) []contract.Send {
+		body, failure := json.Marshal(contract.LicenceAsk{Node: "data", Address: "data:1", Region: "east", Shards: 1, Asked: 7, Interim: interim})
+		Expect(failure).NotTo(HaveOccurred())
+		sent := []contract.Send{}
+		for _, command := range node.Handle(at, contract.Letter{Kind: LetterAsk, From: "data", Body: body}) {
+			if send, fine := command.(contract.Send); fine {
+				sent = append(sent, send)
+			}
+		}
+		return sent
+	}
+
+	ginkgo.It("given who has no list, when it asks, then it is told the owner, and what may take work as seen here, without an epoch", func() {
+		told := asks(node(true), now, true)
+		Expect(told).To(HaveLen(2))
+		Expect(told[0].Kind).To(Equal(LetterNotOwner))
+		licence := told[1].Body.(contract.Licence)
+		Expect(licence.Interim).To(BeTrue())
+		Expect(licence.Epoch).To(Equal(contract.Epoch{}))
+		Expect(licence.Asked).To(Equal(time.Duration(7)))
+		names := map[string]int64{}
+		for _, server := range licence.Servers {
+			names[server.Name] = server.WarmMs
+		}
+		Expect(names).To(Equal(map[string]int64{"good": 0, "cold": 2000}))
+	})
+
+	ginkgo.It("given who has a list, or an owner whose licences bind, when it asks, then it is told the owner alone", func() {
+		Expect(asks(node(true), now, false)).To(HaveLen(1))
+		Expect(asks(node(false), now, true)).To(HaveLen(1))
+	})
+
+	ginkgo.It("given a listing that was read too long ago, when who has no list asks, then none is given", func() {
+		Expect(asks(node(true), now+env.DefaultBounds().PlatformGrace(), true)).To(HaveLen(1))
+	})
+})
--- a/shard/list.go
+++ b/shard/list.go
@@ -89,6 +89,7 @@
 	if !held.owning || !owner.fresh(now) || owner.first(held.index) != owner.self.Name {
 		owner.emit(contract.Send{To: ask.Address, Kind: LetterNotOwner,
 			Body: contract.NotOwner{Region: ask.Region, Shard: ask.Shard, Owner: owner.first(held.index), Back: ask.Back}})
+		owner.interim(now, held, ask)
 		return
 	}
 	owner.throwIndex(now, ask.Stale)
@@ -108,12 +109,7 @@
 		if licence.Same {
 			break
 		}
-		known := owner.servers[row.Name]
-		watched, suspected, ill := held.conditionOf(now, row.Name)
-		licence.Servers = append(licence.Servers, contract.Candidate{Name: row.Name, Address: row.Address, Hall: row.Hall, Pool: row.Pool,
-			Incarnation: row.Incarnation, Slots: owner.seen.Manifest.Pools[row.Pool].Slots, Share: owner.share(now, held, row, ask.Node),
-			Running: known.report.Running, Waiting: known.report.Waiting, Report: known.report.Number, Prefixes: known.report.Prefixes,
-			Cache: known.cache, Watched: watched, Suspected: suspected, Ill: ill, WarmMs: max(0, (known.warmUntil - now).Milliseconds())})
+		licence.Servers = append(licence.Servers, owner.candidate(now, held, row, owner.share(now, held, row, ask.Node)))
 	}
 	for _, name := range manifest.SortedKeys(held.retirements) {
 		licence.Withdraw = append(licence.Withdraw, name)
@@ -124,6 +120,28 @@
 	owner.emit(contract.Send{To: ask.Address, Kind: LetterLicence, Body: licence})
 }
 
+func (owner *Owner) candidate(now time.Duration, held *duty, row contract.ServerRow, share int64) contract.Candidate {
+	known := owner.servers[row.Name]
+	watched, suspected, ill := held.conditionOf(now, row.Name)
+	return contract.Candidate{Name: row.Name, Address: row.Address, Hall: row.Hall, Pool: row.Pool,
+		Incarnation: row.Incarnation, Slots: owner.seen.Manifest.Pools[row.Pool].Slots, Share: share,
+		Running: known.report.Running, Waiting: known.report.Waiting, Report: known.report.Number, Prefixes: known.report.Prefixes,
+		Cache: known.cache, Watched: watched, Suspected: suspected, Ill: ill, WarmMs: max(0, (known.warmUntil - now).Milliseconds())}
+}
+
+// interim gives a node that has no list yet what the platform lists here, while the owner is not found: without an epoch, so that any
+// owner's list replaces it. Only for nodes that go on by their last list whether a licence stands or not.
+func (owner *Owner) interim(now time.Duration, held *duty, ask contract.LicenceAsk) {
+	if !owner.prompt || !ask.Interim || !owner.fresh(now) {
+		return
+	}
+	licence := contract.Licence{Region: ask.Region, Shard: ask.Shard, Asked: ask.Asked, Shards: owner.shards, Back: ask.Back, Interim: true}
+	for _, row := range owner.eligible(now, held) {
+		licence.Servers = append(licence.Servers, owner.candidate(now, held, row, -1))
+	}
+	owner.emit(contract.Count{Name: "lists_interim", By: 1}, contract.Send{To: ask.Address, Kind: LetterLicence, Body: licence})
+}
+
 // share is this node's part of a cold server's ramp. What others were given and still hold, or still run, is taken off first,
 // so the parts never add up to more than the ramp. Below zero means no bound. Right after a take-over nothing is given: licences
 // of the former owner may still stand.
