Prompts that short calls can't bear being read stay away from them while others take them

Cause: where a third of a chat region's servers take long prompts too, a prompt was let in whatever its length. Traced in both red stories, the late short calls lay on one or two servers each (brazos 29 of 39 on one, seri 45 of 50 on one) at which prompts of 16,000 to 45,000 tokens were read for the first time, up to three of them within 0.8 s: 4,096 tokens a step leave a stream a piece each 410 to 550 ms (its gap is 400 ms on seri) and a new call no piece before all is read. Change: a node remembers the least pause that short calls bear in a region, the lesser of token gap and aim of their route. A prompt whose reading takes more than half of it is given no place beside them while regions without short ones take most long prompts and one of their servers is open to the call. Else nothing changes.

--- a/emulator/cache_test.go
+++ b/emulator/cache_test.go
@@ -38,11 +38,11 @@
 
 	It("given several on brazos, when live traffic goes on, then no call after it is doubled, lost or failed and short ones keep their aim", func() { plays("brazos", "several") })
 
-	PIt("given again on brazos, when live traffic goes on, then no call after it is doubled, lost or failed and short ones keep their aim", func() { plays("brazos", "again") })
+	It("given again on brazos, when live traffic goes on, then no call after it is doubled, lost or failed and short ones keep their aim", func() { plays("brazos", "again") })
 
 	It("given small on brazos, when live traffic goes on, then no call after it is doubled, lost or failed and short ones keep their aim", func() { plays("brazos", "small") })
 
-	PIt("given several on seri, when live traffic goes on, then no call after it is doubled, lost or failed and short ones keep their aim", func() { plays("seri", "several") })
+	It("given several on seri, when live traffic goes on, then no call after it is doubled, lost or failed and short ones keep their aim", func() { plays("seri", "several") })
 
 	It("given again on seri, when live traffic goes on, then no call after it is doubled, lost or failed and short ones keep their aim", func() { plays("seri", "again") })
 
--- a/gateway/apart_test.go
+++ b/gateway/apart_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/cedarreel/cedarreel/engine"
 	"github.com/cedarreel/cedarreel/index"
+	"github.com/cedarreel/cedarreel/manifest"
 	. "github.com/onsi/gomega"
 )
 
@@ -26,9 +27,9 @@
 	}
 	bench := started(engines, eastern, western)
 	bench.Handle(bench.now, Indexed{Known: true})
-	bench.note(bench.now, "s", "east", false)
+	bench.note(bench.now, &job{service: "s"}, "east", false)
 	if shortWest {
-		bench.note(bench.now, "s", "west", false)
+		bench.note(bench.now, &job{service: "s"}, "west", false)
 	}
 	return bench
 }
@@ -94,6 +95,63 @@
 		}),
 	)
 
+	// bearing has short calls of the east bear no longer pause than a gap.
+	bearing := func(bench *bench, gap time.Duration) {
+		bench.note(bench.now, &job{service: "s", route: manifest.GatewayRoute{Aim: 800 * time.Millisecond, Gap: gap}}, "east", false)
+	}
+
+	DescribeTable("given short calls that bear a pause, when a prompt that takes 280 ms to read is new beside them, then it goes to the region without short ones unless they bear it", func(gap time.Duration, own int) {
+		bench := twoRegions(12, 12, false)
+		told(bench, 6)
+		bearing(bench, gap)
+		got, others := offered(bench)
+		Expect(got).To(HaveLen(own))
+		Expect(others).To(HaveLen(12))
+	},
+		Entry("a gap of 400 ms", 400*time.Millisecond, 0),
+		Entry("a gap of 600 ms", 600*time.Millisecond, 4),
+		Entry("no gap, an aim of 800 ms", time.Duration(0), 4),
+	)
+
+	It("given short calls with different gaps, when a long prompt is new beside them, then the least that any bears decides, until none of those came for a while", func() {
+		bench := twoRegions(12, 12, false)
+		told(bench, 6)
+		bearing(bench, 400*time.Millisecond)
+		bearing(bench, 600*time.Millisecond)
+		own, _ := offered(bench)
+		Expect(own).To(BeEmpty())
+		bench.now += bench.terms.RepeatWindow - time.Millisecond
+		bearing(bench, 600*time.Millisecond)
+		own, _ = offered(bench)
+		Expect(own).To(BeEmpty())
+		bench.now += time.Millisecond
+		bearing(bench, 600*time.Millisecond)
+		own, _ = offered(bench)
+		Expect(own).To(HaveLen(4))
+	})
+
+	It("given short calls that bear a short pause, when the region without short ones has too few servers, then long prompts are read beside them all the same", func() {
+		bench := twoRegions(12, 3, false)
+		told(bench, 6)
+		bearing(bench, 400*time.Millisecond)
+		own, others := offered(bench)
+		Expect(own).To(HaveLen(8))
+		Expect(others).To(HaveLen(3))
+	})
+
+	It("given short calls that bear a short pause, when a long prompt may not leave their region, then it goes to the servers that are meant for long ones", func() {
+		bench := twoRegions(12, 12, false)
+		told(bench, 6)
+		bearing(bench, 400*time.Millisecond)
+		bench.Handle(bench.now, config(func(read *manifest.Manifest) {
+			engines(read)
+			changeRoute("stream", func(route *manifest.GatewayRoute) { route.Regions = []string{"east"} })(read)
+		}))
+		own, others := offered(bench)
+		Expect(own).To(HaveLen(4))
+		Expect(others).To(BeEmpty())
+	})
+
 	It("given a region that only long prompts go to, when it has too few servers, then two thirds of the others take long ones too, pressed or not", func() {
 		bench := twoRegions(12, 3, false)
 		told(bench, 16)
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -87,7 +87,7 @@
 	}
 	if service.Engine != nil && chosen != nil {
 		work.held = traffic.presumed(now, chosen, work.Prompt, holder)
-		traffic.note(now, work.service, chosen.region, long)
+		traffic.note(now, work, chosen.region, long)
 	}
 	return chosen, wait
 }
@@ -100,7 +100,7 @@
 		if slices.ContainsFunc(open, func(server *server) bool { return server.Name == work.holder }) {
 			return work.holder
 		}
-		all = traffic.apart(now, open, work.service)
+		all = traffic.apart(now, open, work)
 	}
 	anchor, best, chosen := work.Prompt.Anchor(), uint64(0), ""
 	for _, server := range all {
@@ -111,30 +111,33 @@
 	return chosen
 }
 
-// apart gives the servers that are meant for long prompts: those of regions that no short ones go to, and a part of the servers of the
-// others, so that short ones need not wait behind them. Where short ones go, that part is left to them while their region is pressed,
-// unless there are too few others.
-func (traffic *Traffic) apart(now time.Duration, open []*server, service string) []*server {
-	apart, relieved, spare := []*server{}, traffic.relieved(now, service), map[string]bool{}
+// apart gives the servers that are meant for a long prompt: those of regions that no short ones go to, and a part of the servers of the
+// others, so that short ones need not wait behind it. Where short ones go, that part is left to them while their region is pressed, and
+// by prompts whose reading they would not bear, unless there are too few others.
+func (traffic *Traffic) apart(now time.Duration, open []*server, work *job) []*server {
+	free, beside, relieved, spare := []*server{}, []*server{}, traffic.relieved(now, work.service), map[string]bool{}
 	for _, server := range open {
-		if !traffic.mixed(now, service, server.region) {
-			apart = append(apart, server)
+		if !traffic.mixed(now, work.service, server.region) {
+			free = append(free, server)
 			continue
 		}
 		if !server.forLong(relieved) {
 			continue
 		}
 		if _, there := spare[server.region]; !there {
-			spare[server.region] = !relieved || traffic.spare(now, service, server.region)
+			spare[server.region] = !relieved || traffic.spare(now, work.service, server.region)
 		}
 		if spare[server.region] {
-			apart = append(apart, server)
+			beside = append(beside, server)
 		}
 	}
-	if len(apart) == 0 {
+	if relieved && len(free) > 0 {
+		beside = slices.DeleteFunc(beside, func(server *server) bool { return traffic.disturbs(work, server.region) })
+	}
+	if len(free)+len(beside) == 0 {
 		return open
 	}
-	return apart
+	return slices.Concat(free, beside)
 }
 
 func mix(value uint64) uint64 {
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -104,7 +104,7 @@
 // is the same at all nodes.
 func (traffic *Traffic) candidates(now time.Duration, open []*server, work *job) []*server {
 	anchor := work.Prompt.Anchor()
-	ordered := slices.Clone(traffic.apart(now, open, work.service))
+	ordered := slices.Clone(traffic.apart(now, open, work))
 	slices.SortFunc(ordered, func(left, right *server) int { return cmp.Compare(mix(right.hash^anchor), mix(left.hash^anchor)) })
 	own, others := []*server{}, []*server{}
 	for _, server := range ordered {
--- a/gateway/sizes.go
+++ b/gateway/sizes.go
@@ -18,22 +18,42 @@
 	spareSlots = 0.4
 	spareWarm  = 0.75
 	leastTold  = 0.25
+	// pausePart is the part of the pause that short calls bear which the reading of one prompt beside them may take.
+	pausePart = 0.5
 )
 
-// seen is when calls with long and with short prompts last went to a service in a region from here.
-type seen struct{ long, short time.Duration }
+// seen is when calls with long and with short prompts last went to a service in a region from here, the least pause that the short ones
+// bear, 0 if that is not known, and when one that bears no more last went.
+type seen struct{ long, short, pause, strict time.Duration }
 
-func (traffic *Traffic) note(now time.Duration, service, region string, long bool) {
-	key := service + "\x00" + region
+func (traffic *Traffic) note(now time.Duration, work *job, region string, long bool) {
+	key := work.service + "\x00" + region
 	last := traffic.sizes[key]
 	if long {
 		last.long = now
 	} else {
+		if pause := bears(work); pause > 0 && (last.pause == 0 || pause <= last.pause || now-last.strict >= traffic.terms.RepeatWindow) {
+			last.pause, last.strict = pause, now
+		}
 		last.short = now
 	}
 	traffic.sizes[key] = last
 }
 
+// bears gives the longest time without a piece that a call bears: its first one has an aim, the later ones a gap.
+func bears(work *job) time.Duration {
+	if work.route.Gap > 0 && (work.route.Aim == 0 || work.route.Gap < work.route.Aim) {
+		return work.route.Gap
+	}
+	return work.route.Aim
+}
+
+// disturbs tells whether reading a prompt takes more of a region's servers than the short calls that go there bear.
+func (traffic *Traffic) disturbs(work *job, region string) bool {
+	pause := traffic.sizes[work.service+"\x00"+region].pause
+	return pause > 0 && readTime(work.Prompt.Input) > time.Duration(pausePart*float64(pause))
+}
+
 // mixed tells whether short prompts go to a region's servers beside long ones.
 func (traffic *Traffic) mixed(now time.Duration, service, region string) bool {
 	last, there := traffic.sizes[service+"\x00"+region]
