Benchmarks of a call run again, and one has short and long calls in two regions

Cause: BenchmarkRequest asked at the moment of the node's start, with one list of several, and panicked: such a call is refused since a node that has not all lists waits for them a while. It had no short prompts with shared parts and one region, so that nothing of the split was measured. Change: calls come ten seconds after the start; BenchmarkMixed is nine short calls and a long one in two regions.

--- a/gateway/cost_test.go
+++ b/gateway/cost_test.go
@@ -42,6 +42,22 @@
 	return traffic
 }
 
+// asked is a prompt of so many parts that others share, the last one aside.
+func asked(parts, index int, tokens int64) engine.Prompt {
+	prompt := engine.Prompt{Model: "model-0", Input: 4 * tokens, Output: 300}
+	for part := range parts {
+		prompt.Parts = append(prompt.Parts, engine.Part{ID: fmt.Sprintf("part-%d-%d", part, index%(64<<part)), Tokens: tokens})
+	}
+	return prompt
+}
+
+// ended is one call from its arrival to its end.
+func ended(traffic *gateway.Traffic, index int, prompt engine.Prompt) {
+	token, now := int64(index)+1, 10*time.Second+time.Duration(index)*time.Millisecond
+	sent := traffic.Handle(now, gateway.Arrive{Token: token, Host: "tenant-00032.example.com", Path: "/v1/chat", Prompt: prompt, Size: prompt.Input})[0].(gateway.Dispatch)
+	traffic.Handle(now, gateway.Ended{Token: token, Attempt: sent.Attempt, Outcome: gateway.Whole})
+}
+
 // BenchmarkRequest is one call from its arrival to its end, with so many servers of its model.
 func BenchmarkRequest(b *testing.B) {
 	for _, parts := range []int{1, 4} {
@@ -50,19 +66,31 @@
 				traffic := traffic(b, servers, 1, false)
 				b.ResetTimer()
 				for index := range b.N {
-					prompt := engine.Prompt{Model: "model-0", Input: 4000, Output: 300}
-					for part := range parts {
-						prompt.Parts = append(prompt.Parts, engine.Part{ID: fmt.Sprintf("part-%d-%d", part, index%(64<<part)), Tokens: 1000})
-					}
-					token, now := int64(index)+1, time.Duration(index)*time.Millisecond
-					sent := traffic.Handle(now, gateway.Arrive{Token: token, Host: "tenant-00032.example.com", Path: "/v1/chat", Prompt: prompt, Size: 4000})[0].(gateway.Dispatch)
-					traffic.Handle(now, gateway.Ended{Token: token, Attempt: sent.Attempt, Outcome: gateway.Whole})
+					ended(traffic, index, asked(parts, index, 1000))
 				}
 			})
 		}
 	}
 }
 
+// BenchmarkMixed is nine calls with short prompts and one with a long one, with so many servers of their model in two regions.
+func BenchmarkMixed(b *testing.B) {
+	for _, servers := range []int{16, 64, 256, 1250} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			traffic, all := traffic(b, servers/2, 1, false), rows(servers, 1)
+			traffic.Handle(0, gateway.Listed{Region: "region-01", Servers: all[servers/2:]})
+			b.ResetTimer()
+			for index := range b.N {
+				tokens := int64(80)
+				if index%10 == 0 {
+					tokens = 4000
+				}
+				ended(traffic, index, asked(3, index, tokens))
+			}
+		})
+	}
+}
+
 func BenchmarkFind(b *testing.B) {
 	for _, routes := range []int{16, 1000, hollow.PlannedTenants} {
 		b.Run(fmt.Sprintf("routes=%d", routes), func(b *testing.B) {
