Shuffles tell of control nodes first; whole lists came of owners taken for dead

In fleets larger than a shuffle (48 rows) a beat of a live member comes too seldom for the suspicion, so some nodes take a live owner of shards for dead. Another control node takes the shard over, learns of a higher epoch, takes it over again after a round, and so on (shard.takeOver, shard.ask): each new epoch begins a new number, and every node gets the list whole instead of Same.

Change. neighbour.sample keeps up to half of a shuffle that does not hold everybody for control nodes, drawn anew each time; the whole rows stay of any member, and a fleet that a shuffle holds is told as before. Nothing of shard/ changed: epochs, numbers and withdrawal are as they were.

--- a/hollow/process.go
+++ b/hollow/process.go
@@ -23,6 +23,7 @@
 	controlPort = 7400
 	dataPort    = 7500
 	sampled     = 16
+	wholeLists  = "whole_lists"
 	syncTime    = 2 * time.Millisecond
 )
 
@@ -75,6 +76,7 @@
 	answers map[int64]contract.Answer
 	reads   int64
 	updates int64
+	counts  map[string]int64
 }
 
 func addressOf(index, port int) string {
@@ -93,7 +95,7 @@
 	settings.Gateway = env.Gateway{Traffic: "10.0.0.1:80", RepeatRatio: 0.2, RepeatWindow: 10 * time.Second, Contact: 4 * time.Second, LookupLife: time.Second}
 	process := &Process{world: world, role: role, name: name + "-" + kind, zone: plan.zone(index), region: plan.region(index), address: address,
 		random: rand.New(rand.NewPCG(plan.Seed, uint64(index)+1)), up: true, tick: settings.Bounds.Tick(), uses: map[string]*Use{}, listed: map[string]int{},
-		heard: map[string]time.Duration{}, answers: map[int64]contract.Answer{}}
+		heard: map[string]time.Duration{}, answers: map[int64]contract.Answer{}, counts: map[string]int64{}}
 	random := func() *rand.Rand { return rand.New(rand.NewPCG(plan.Seed, process.random.Uint64())) }
 	if role == RoleData {
 		settings.Data = address
@@ -181,6 +183,8 @@
 			bundles[command.To] = append(bundles[command.To], command)
 		case gateway.Update:
 			process.update(now, command)
+		case contract.Count:
+			process.counts[command.Name] += command.By
 		case contract.Answer:
 			process.answers[command.Token] = command
 		case contract.Forward:
@@ -268,6 +272,9 @@
 		item := &delivery{at: now + travel(process, target, process.random.Float64()), from: process, target: target, event: letter, kind: letter.Kind, size: size, decode: decode}
 		if licence, fine := sends[index].Body.(contract.Licence); fine {
 			item.region = licence.Region
+			if !licence.Same && licence.Back == "" {
+				process.counts[wholeLists]++
+			}
 		}
 		decode = 0
 		process.outbox = append(process.outbox, item)
--- a/hollow/result.go
+++ b/hollow/result.go
@@ -46,6 +46,8 @@
 	Refused    int             `json:"changesRefused"`
 	Gap        float64         `json:"longestWithoutListSeconds"`
 	Network    float64         `json:"networkBytesPerSecond"`
+	TakeOvers  float64         `json:"shardsTakenPerSecond"`
+	Whole      float64         `json:"wholeListsPerSecond"`
 	Event      *Event          `json:"event,omitempty"`
 	Wall       float64         `json:"wallSeconds"`
 	HeapPeak   uint64          `json:"processHeapPeakBytes"`
--- a/hollow/run.go
+++ b/hollow/run.go
@@ -272,7 +272,7 @@
 
 func (run *run) measure() {
 	for _, process := range run.world.processes {
-		process.uses, process.gap, process.reads, process.heard = map[string]*Use{}, 0, 0, map[string]time.Duration{}
+		process.uses, process.gap, process.reads, process.heard, process.counts = map[string]*Use{}, 0, 0, map[string]time.Duration{}, map[string]int64{}
 	}
 	began, next := run.world.Now, run.world.Now+time.Second
 	sum, samples, least := 0.0, 0, 1.0
@@ -292,6 +292,8 @@
 	run.result.KnownMean, run.result.KnownLeast = sum/float64(max(1, samples)), least
 	for _, process := range run.world.processes {
 		run.result.Gap = max(run.result.Gap, process.gap.Seconds())
+		run.result.TakeOvers += float64(process.counts["take_overs"]) / span.Seconds()
+		run.result.Whole += float64(process.counts[wholeLists]) / span.Seconds()
 	}
 	if len(run.changes) > 0 {
 		run.until(run.world.Now, func() bool {
--- a/hollow/sweep.go
+++ b/hollow/sweep.go
@@ -77,7 +77,7 @@
 // Figures gives every figure of a run by name.
 func (result Result) Figures() map[string]float64 {
 	figures := map[string]float64{"configuration.bytes": float64(result.Document), "fleet.network": result.Network, "fleet.longestWithoutList": result.Gap,
-		"fleet.membersKnown": result.KnownMean}
+		"fleet.membersKnown": result.KnownMean, "fleet.shardsTaken": result.TakeOvers, "fleet.wholeLists": result.Whole}
 	put := func(name string, rate Rate) {
 		figures[name+".bytesOut"], figures[name+".bytesIn"] = rate.BytesOut, rate.BytesIn
 		figures[name+".lettersOut"], figures[name+".lettersIn"] = rate.LettersOut, rate.LettersIn
@@ -172,9 +172,9 @@
 
 // Text tells one run in a line.
 func (result Result) Text() string {
-	text := fmt.Sprintf("nodes %d controls %d regions %d servers %d routes %d seed %d: known after %.1f s (then mean %.3f least %.3f), lists whole after %.1f s, in force %.2f s lacking %v, without a list %.2f s, %.0f s of wall time, heap %d MB %s",
+	text := fmt.Sprintf("nodes %d controls %d regions %d servers %d routes %d seed %d: known after %.1f s (then mean %.3f least %.3f), lists whole after %.1f s, in force %.2f s lacking %v, without a list %.2f s, shards taken %.1f and whole lists %.0f a second, %.0f s of wall time, heap %d MB %s",
 		result.Plan.Nodes, result.Plan.Controls, result.Plan.Regions, result.Plan.Servers, result.Plan.Routes, result.Plan.Seed, result.Converged, result.KnownMean, result.KnownLeast,
-		result.Listed, result.Force, result.Lacking, result.Gap, result.Wall, result.HeapPeak>>20, result.Stopped)
+		result.Listed, result.Force, result.Lacking, result.Gap, result.TakeOvers, result.Whole, result.Wall, result.HeapPeak>>20, result.Stopped)
 	for _, name := range []string{RoleData, RoleControl, RoleCore} {
 		if role, there := result.Roles[name]; there {
 			text += fmt.Sprintf("\n  %-8s out %.0f letters %.1f KB/s (to other zones %.1f, to other regions %.1f), in %.0f letters %.1f KB/s, owner %.2f%%, link %.2f%% of a core, heap %.2f MB", name, role.Mean.LettersOut, role.Mean.BytesOut/1e3, role.Mean.Zone/1e3, role.Mean.Region/1e3,
--- a/neighbour/near.go
+++ b/neighbour/near.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
 )
 
 // The active view has this many neighbours of the own zone and of other zones of the region; the others are any members. Letters stay
@@ -66,3 +68,17 @@
 func (owner *Owner) healOdds() int { return max(leastOdds, len(owner.table)/perOdds) }
 
 const perOdds = 4
+
+// controlsFirst moves control nodes ahead of others, up to half of a shuffle, behind those that it tells whole: lists have the owners
+// that each node takes for alive, and one that is taken for dead by some has its duty taken over again and again.
+func (owner *Owner) controlsFirst(names []string) []string {
+	ahead, behind := slices.Clone(names[:wholeRows]), []string{}
+	for _, name := range names[wholeRows:] {
+		if len(ahead) < wholeRows+shuffleSize/2 && owner.table[name].member.Kind == contract.KindControl {
+			ahead = append(ahead, name)
+		} else {
+			behind = append(behind, name)
+		}
+	}
+	return append(ahead, behind...)
+}
--- a/neighbour/neighbour.go
+++ b/neighbour/neighbour.go
@@ -217,7 +217,7 @@
 	}
 	owner.random.Shuffle(len(names), func(left, right int) { names[left], names[right] = names[right], names[left] })
 	if len(names) > shuffleSize {
-		names = names[:shuffleSize]
+		names = owner.controlsFirst(names)[:shuffleSize]
 	}
 	for place, name := range names {
 		known := owner.table[name]
