Every call at a known place checks its server's cache; a view for operators

Cause: a node judged only prompts that it had sent to a server itself, with an allowance above most readings, and needed two misses in a row by itself; calls behind another node's reading looked the same.

Change: each use of a place tells the owner of the index in two letters whether the prompt was kept, missed or neither, and when the first piece came. The owner knows who read the prompt before and whose reading explains a wait; what is left is a mismatch, counted and said. A sequential test over different prompts finds the loss of a whole cache. New prompts go less to servers that miss much. cedarctl cache shows it, asked of any node. Letters without the new field are read as ever.

The test throws nothing away and stands beside the older rule, since it is not quite free of alarms.

--- a/cmd/cedarctl/main.go
+++ b/cmd/cedarctl/main.go
@@ -112,6 +112,7 @@
 		"members":     {nil, "the live nodes and the silent ones", plainly((*client.Client).Members)},
 		"shards":      {nil, "owners, epochs and pick lists", plainly((*client.Client).Shards)},
 		"retirements": {nil, "servers that retire or did", plainly((*client.Client).Retirements)},
+		"cache":       {nil, "what calls showed of the servers' caches", plainly((*client.Client).Cache)},
 		"chain":       {nil, "the core's view and chain", plainly((*client.Client).Chain)},
 		"why":         {[]string{"CALL"}, "why a call went where it went", about((*client.Client).Why)},
 		"call":        {[]string{"CALLER", "KEY"}, "what became of a call; the node must be a cedardp", callOf},
@@ -122,7 +123,7 @@
 
 func listing() string {
 	lines := []string{"Commands:"}
-	for _, name := range []string{"get", "revision", "history", "put", "patch", "drain", "undrain", "scale", "operation", "members", "shards", "retirements", "chain", "why", "call", "gone", "metrics"} {
+	for _, name := range []string{"get", "revision", "history", "put", "patch", "drain", "undrain", "scale", "operation", "members", "shards", "retirements", "cache", "chain", "why", "call", "gone", "metrics"} {
 		command := verbs()[name]
 		lines = append(lines, fmt.Sprintf("  %-24s %s", strings.Join(append([]string{name}, command.arguments...), " "), command.about))
 	}
--- a/contract/ask.go
+++ b/contract/ask.go
@@ -35,6 +35,7 @@
 	VerbReplace     = "replace"
 	VerbUpdate      = "update"
 	VerbPlace       = "place"
+	VerbCache       = "cache"
 )
 
 // Forward passes an ask to the authority, once.
--- a/control/control.go
+++ b/control/control.go
@@ -32,6 +32,7 @@
 	Token   int64  `json:"token"`
 	Address string `json:"address"`
 	Call    string `json:"call,omitempty"`
+	Cache   bool   `json:"cache,omitempty"`
 }
 
 type Status struct {
@@ -209,6 +210,8 @@
 			"view": owner.chain.View(), "committed": owner.chain.Committed(), "sealed": owner.chain.Sealed(), "open": owner.chain.Open()}}}
 	case contract.VerbShards, contract.VerbRetirements:
 		return owner.shards(now, ask)
+	case contract.VerbCache:
+		return owner.cache(now, ask)
 	case contract.VerbOperation:
 		return owner.operation(ask)
 	}
--- a/control/gather.go
+++ b/control/gather.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/index"
 	"github.com/cedarreel/cedarreel/shard"
 	mapset "github.com/deckarep/golang-set/v2"
 )
@@ -39,7 +40,11 @@
 		if json.Unmarshal(letter.Body, &ask) != nil {
 			return nil
 		}
-		body, _ := json.Marshal(owner.status(now))
+		var told any = owner.status(now)
+		if ask.Cache {
+			told = owner.index.View(now)
+		}
+		body, _ := json.Marshal(told)
 		return []contract.Command{contract.Send{To: ask.Address, Kind: LetterStatus, Body: Status{Token: ask.Token, Node: owner.Self().Name, Body: body}}}
 	}
 	if letter.Kind != LetterStatus && letter.Kind != LetterWhy && letter.Kind != shard.LetterWithdrawn {
@@ -104,6 +109,22 @@
 	})
 }
 
+// cache sums what the control nodes were told of the servers' caches; older ones answer with something else, which is left out.
+func (owner *Owner) cache(now time.Duration, ask contract.Ask) []contract.Command {
+	all := []index.Cached{}
+	fits := func(member contract.Member) bool { return member.Kind == contract.KindControl }
+	letter := func(token int64) any { return StatusAsk{Token: token, Address: owner.Self().Address, Cache: true} }
+	return owner.gather(now, fits, LetterStatusAsk, letter, func(body json.RawMessage) bool {
+		var views []index.Cached
+		if json.Unmarshal(body, &views) == nil {
+			all = append(all, views...)
+		}
+		return false
+	}, func(time.Duration) []contract.Command {
+		return []contract.Command{contract.Answer{Token: ask.Token, Status: 200, Body: map[string]any{"servers": index.Merge(all)}}}
+	})
+}
+
 func (owner *Owner) why(now time.Duration, ask contract.Ask) []contract.Command {
 	tales := []json.RawMessage{}
 	fits := func(member contract.Member) bool { return member.Kind == contract.KindData }
--- a/emulator/cache.go
+++ b/emulator/cache.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/emulator/rules"
 	"github.com/cedarreel/cedarreel/gateway"
 	"github.com/cedarreel/cedarreel/manifest"
@@ -18,6 +19,8 @@
 	// noticed is when the first node had the index of the server thrown away; everywhere is when all nodes had.
 	noticed, everywhere time.Duration
 	told                map[string]bool
+	// suspected tells that the owner of the index found the whole cache lost.
+	suspected bool
 }
 
 // mismatch is a call that was sent to a server in the belief that it kept more of the shared prompt than it did.
@@ -27,6 +30,11 @@
 	tokens int64
 	aim    time.Duration
 	try    *rules.Try
+	anchor uint64
+	// long tells that the prompt has a place in the index.
+	long bool
+	// noticed tells that the owner of the index found it.
+	noticed bool
 }
 
 // caches is what the stand-ins know of lost caches.
@@ -39,6 +47,8 @@
 	told   map[string]int64
 	alarms int
 	thrown int
+	// found and falsely count what the owner of the index took for mismatches, suspected and wrongly what it took for losses of a server's cache.
+	found, falsely, suspected, wrongly int
 }
 
 // cacheTroubles are no part of any site's file, so that drawn days stay what they were.
@@ -180,7 +190,41 @@
 	}
 	if missing := min(job.presumed, before) - held; missing > 0 {
 		day := batch.server.day
-		day.caches.mismatches = append(day.caches.mismatches, mismatch{batch.server.name, day.world.Now, missing, seconds(job.request.class.AimMs / 1000), job.request.try})
+		day.caches.mismatches = append(day.caches.mismatches, mismatch{batch.server.name, day.world.Now, missing, seconds(job.request.class.AimMs / 1000), job.request.try, prompt.Anchor(), prompt.Shared() >= leastShared, false})
+	}
+}
+
+const (
+	// mostWait is the longest that a mismatch may have been before it was found.
+	mostWait = 10 * time.Second
+	// leastShared is the least shared part of a prompt that has a place.
+	leastShared = 1000
+)
+
+// noticed compares what the owner of the index finds with what the servers truly held.
+func (day *Day) noticed(said contract.Say) {
+	switch said.What {
+	case "cache mismatch":
+		day.caches.found++
+		for place := range day.caches.mismatches {
+			one := &day.caches.mismatches[place]
+			if !one.noticed && one.server == said.Detail[1] && one.anchor == said.Detail[5] && day.world.Now-one.at < mostWait {
+				one.noticed = true
+				return
+			}
+		}
+		day.caches.falsely++
+	case "cache loss noticed":
+		for place := len(day.caches.losses) - 1; place >= 0; place-- {
+			if loss := day.caches.losses[place]; loss.server == said.Detail[1] {
+				if !loss.suspected {
+					loss.suspected = true
+					day.caches.suspected++
+				}
+				return
+			}
+		}
+		day.caches.wrongly++
 	}
 }
 
@@ -233,10 +277,17 @@
 	Notice, Everywhere, Settled time.Duration
 	Mismatched, Late            map[string]int
 	Tokens                      int64
+	// Missed are the mismatches of prompts with a place by the servers' truth, Found what the owner of the index took for such, Falsely those of them that were none.
+	// Suspected are losses that its test found, Wrongly findings at servers that had lost nothing.
+	Missed, Found, Falsely, Suspected, Wrongly int
+	// Checked are the calls that showed whether their prompt was kept.
+	Checked int64
 }
 
 func (day *Day) cacheFigures() CacheFigures {
 	sum := CacheFigures{Losses: len(day.caches.losses), Thrown: day.caches.thrown, Alarms: day.caches.alarms, Mismatched: map[string]int{}, Late: map[string]int{}}
+	sum.Missed, sum.Found, sum.Falsely, sum.Suspected, sum.Wrongly = 0, day.caches.found, day.caches.falsely, day.caches.suspected, day.caches.wrongly
+	sum.Checked = day.counts["control index_checked"]
 	noticed, everywhere, settled := []time.Duration{}, []time.Duration{}, []time.Duration{}
 	for index, loss := range day.caches.losses {
 		next := slices.IndexFunc(day.caches.losses[index+1:], func(other *cacheLoss) bool { return other.server == loss.server })
@@ -257,6 +308,9 @@
 	}
 	for _, one := range day.caches.mismatches {
 		sum.Mismatched[one.try.Class]++
+		if one.long {
+			sum.Missed++
+		}
 		sum.Tokens += one.tokens
 		if one.late() {
 			sum.Late[one.try.Class]++
@@ -281,7 +335,10 @@
 // values gives every figure by name, times in milliseconds.
 func (figures CacheFigures) values() map[string]float64 {
 	values := map[string]float64{"cache losses": float64(figures.Losses), "cache losses noticed": float64(figures.Noticed), "cache indexes thrown": float64(figures.Thrown),
-		"cache false alarms": float64(figures.Alarms), "cache tokens missed": float64(figures.Tokens)}
+		"cache false alarms": float64(figures.Alarms), "cache tokens missed": float64(figures.Tokens),
+		"cache mismatches": float64(figures.Missed), "cache mismatches found": float64(figures.Found), "cache mismatches found falsely": float64(figures.Falsely),
+		"cache losses tested": float64(figures.Suspected), "cache losses tested falsely": float64(figures.Wrongly),
+		"cache checks": float64(figures.Checked)}
 	for class, count := range figures.Mismatched {
 		values[class+" sent on a mismatch"] = float64(count)
 	}
@@ -298,7 +355,8 @@
 }
 
 func (figures CacheFigures) text() string {
-	return fmt.Sprintf("caches lost %d, noticed %d after %v, known by all after %v, last late mismatch after %v, indexes thrown %d, falsely %d, sent on a mismatch %v, late on it %v, tokens missed %d\n",
-		figures.Losses, figures.Noticed, figures.Notice.Round(time.Millisecond), figures.Everywhere.Round(time.Millisecond), figures.Settled.Round(time.Millisecond),
-		figures.Thrown, figures.Alarms, figures.Mismatched, figures.Late, figures.Tokens)
+	return fmt.Sprintf("mismatches %d, found %d, falsely %d, losses by the test %d, falsely %d\n", figures.Missed, figures.Found, figures.Falsely, figures.Suspected, figures.Wrongly) +
+		fmt.Sprintf("caches lost %d, noticed %d after %v, known by all after %v, last late mismatch after %v, indexes thrown %d, falsely %d, sent on a mismatch %v, late on it %v, tokens missed %d\n",
+			figures.Losses, figures.Noticed, figures.Notice.Round(time.Millisecond), figures.Everywhere.Round(time.Millisecond), figures.Settled.Round(time.Millisecond),
+			figures.Thrown, figures.Alarms, figures.Mismatched, figures.Late, figures.Tokens)
 }
--- /dev/null
+++ b/emulator/checks_test.go
@@ -0,0 +1,97 @@
+package emulator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/index"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// checked sums days of a trouble of caches, each with the site's own length.
+func checked(name, how string, seeds ...uint64) CacheFigures {
+	GinkgoHelper()
+	site, sum := given(name, 1, 34*time.Second), CacheFigures{}
+	for _, seed := range seeds {
+		plan := Plan{}
+		if how != "" {
+			plan.Troubles = site.Named("cache_lost/" + how)
+		}
+		played := Play(site, seed, plan)
+		Expect(played.Breaches).To(BeEmpty(), "no call is doubled or lost")
+		for class, figures := range played.Figures.Classes {
+			if site.class(class).Service != "model" {
+				Expect(figures.Aim+figures.Late).To(Equal(figures.Asked), class+" is answered at last, also after refusals")
+			}
+		}
+		one := played.Figures.Caches
+		sum.Losses += one.Losses
+		sum.Missed, sum.Found, sum.Falsely = sum.Missed+one.Missed, sum.Found+one.Found, sum.Falsely+one.Falsely
+		sum.Suspected, sum.Wrongly = sum.Suspected+one.Suspected, sum.Wrongly+one.Wrongly
+		sum.Checked += one.Checked
+	}
+	GinkgoWriter.Printf("%s %s: %+v\n", name, how, sum)
+	return sum
+}
+
+var _ = Describe("the checks of the servers' caches", func() {
+	for _, name := range sites {
+		It("given calm days on "+name+", when calls are checked, then few are taken for mismatches and no loss is found", func() {
+			sum := checked(name, "", 1, 2)
+			Expect(sum.Checked).To(BeNumerically(">", 100))
+			Expect(float64(sum.Falsely)).To(BeNumerically("<=", 0.05*float64(sum.Checked)))
+			Expect(sum.Suspected + sum.Wrongly).To(BeZero())
+		})
+
+		for _, how := range []string{"several", "again", "small"} {
+			It("given "+how+" on "+name+", when what was noticed is held against what the servers kept, then much is found, most of it truly", func() {
+				sum := checked(name, how, 1, 2, 3)
+				Expect(sum.Missed).To(BeNumerically(">", 0))
+				Expect(float64(sum.Found-sum.Falsely)).To(BeNumerically(">=", 0.35*float64(sum.Missed)), "recall")
+				Expect(float64(sum.Found-sum.Falsely)).To(BeNumerically(">=", 0.6*float64(sum.Found)), "precision")
+				Expect(sum.Suspected).To(BeNumerically(">", 0))
+				Expect(sum.Wrongly).To(BeNumerically("<=", 1))
+			})
+		}
+	}
+
+	It("given a day with lost caches, when any node is asked, then it shows the same of every server", func() {
+		site := given("brazos", 1, 16*time.Second)
+		day := New(site, 1)
+		for _, machine := range day.machines {
+			machine.start()
+		}
+		day.operator.begin()
+		day.traffic(10*time.Second, 26*time.Second)
+		day.world.RunUntil(20 * time.Second)
+		for _, server := range day.order {
+			if server.batch != nil && slices.Index(day.order, server)%3 == 0 {
+				day.empty(server)
+			}
+		}
+		day.world.RunUntil(30 * time.Second)
+		answers := []any{}
+		for _, number := range []int{0, 5, len(day.machines) - 1} {
+			day.machines[number].control.ask(contract.Ask{Verb: contract.VerbCache}, func(answer contract.Answer) {
+				Expect(answer.Status).To(Equal(200))
+				answers = append(answers, answer.Body)
+			})
+		}
+		day.world.RunUntil(34 * time.Second)
+		Expect(answers).To(HaveLen(3))
+		servers := answers[0].(map[string]any)["servers"].([]index.Cached)
+		Expect(len(servers)).To(BeNumerically(">", 5))
+		checked, missed := int64(0), int64(0)
+		for place, server := range servers {
+			checked, missed = checked+server.Checked, missed+server.Missed
+			for _, answer := range answers[1:] {
+				other := answer.(map[string]any)["servers"].([]index.Cached)[place]
+				Expect([]int64{other.Checked, other.Missed}).To(Equal([]int64{server.Checked, server.Missed}), server.Server)
+			}
+		}
+		Expect(checked).To(BeNumerically(">", missed))
+		Expect(missed).To(BeNumerically(">", 0))
+	})
+})
--- a/emulator/machine.go
+++ b/emulator/machine.go
@@ -133,6 +133,7 @@
 			process.day.counts[process.kind+" "+command.Name] += command.By
 		case contract.Gauge, contract.Took:
 		case contract.Say:
+			process.day.noticed(command)
 			process.day.say(process.machine.name+"-"+process.kind, command.What, command.Detail...)
 		default:
 			if !process.perform(command) {
--- a/gateway/cache.go
+++ b/gateway/cache.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cedarreel/cedarreel/engine"
+	"github.com/cedarreel/cedarreel/index"
 )
 
 const (
@@ -11,6 +12,12 @@
 	missesToDoubt = 2
 	// missPart is the part of the time for reading what the index calls held that a first piece must be late by to be a miss.
 	missPart = 0.7
+	// surelyKept is how many times faster than presumed an engine may read a prompt, so that what came sooner was surely kept.
+	surelyKept = 1.5
+	// latePart is missPart for what the owner of the index is told, who also knows the calls of others, and ownTimes how many times slower
+	// than presumed a call's own part may be read.
+	latePart = 0.6
+	ownTimes = 1.2
 )
 
 // cacheState is what this node knows of how far the shared index of kept prompts holds at one server. Generation counts how often
@@ -56,6 +63,35 @@
 	}
 }
 
+// shown tells what a call's first piece shows of its prompt's place, whoever sent the prompt there before: the owner of the index knows
+// whether it was read there, and whether it waited behind the reading of other nodes.
+func (traffic *Traffic) shown(now time.Duration, work *job) index.Shown {
+	server, took, shared := work.server, now-work.at, work.Prompt.Shared()
+	own := readTime(work.Prompt.Input - shared)
+	if took < time.Duration(float64(readTime(work.Prompt.Input))/surelyKept) {
+		traffic.usual(server, took-own)
+		return index.Kept
+	}
+	usual, there := traffic.places.usual[server.region]
+	if !there {
+		usual = traffic.reach(server)
+	}
+	expected := time.Duration(float64(own)*ownTimes) + usual + max(traffic.terms.Contact/50, time.Duration(float64(readTime(shared))*latePart))
+	if !work.alone || server.load.Waiting > 1 || took <= expected {
+		return index.Unclear
+	}
+	return index.Missed(took, took-expected+usual/2)
+}
+
+// usual learns what calls to a region take beside reading, from those that surely found their prompt kept.
+func (traffic *Traffic) usual(server *server, beside time.Duration) {
+	usual, there := traffic.places.usual[server.region]
+	if !there {
+		usual = max(0, beside)
+	}
+	traffic.places.usual[server.region] = usual + (max(0, beside)-usual)/paceWeight
+}
+
 // reach is the most that a call and its answer are under way, with a step of a busy server.
 func (traffic *Traffic) reach(server *server) time.Duration {
 	if server.region != traffic.settings.Region {
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -42,6 +42,7 @@
 type places struct {
 	known     *lru.LRU[index.Key, string]
 	uses      []index.Use
+	usual     map[string]time.Duration
 	owned     bool
 	quiet     time.Duration
 	near      bool
@@ -53,7 +54,7 @@
 	if failure != nil {
 		panic(failure)
 	}
-	return places{known: known}
+	return places{known: known, usual: map[string]time.Duration{}}
 }
 
 func keyOf(work *job) index.Key {
@@ -152,7 +153,8 @@
 // use notes what the owner of the index is told.
 func (traffic *Traffic) use(now time.Duration, work *job) {
 	if work.holder != "" && work.server.Name == work.holder && len(traffic.places.uses) < index.MostUses {
-		traffic.places.uses = append(traffic.places.uses, index.Use{Key: work.key, Server: work.holder, Took: (now - work.at).Milliseconds()})
+		traffic.places.uses = append(traffic.places.uses, index.Use{Key: work.key, Server: work.holder, Took: (now - work.at).Milliseconds(),
+			Shown: traffic.shown(now, work), At: now})
 	}
 }
 
--- a/gateway/places_test.go
+++ b/gateway/places_test.go
@@ -206,7 +206,7 @@
 		Expect(bench.Uses()).To(BeEmpty())
 		key := bench.learned("b")
 		bench.firstAfter(bench.promptly("/stream/x", shortText("one")), 20*time.Millisecond)
-		Expect(bench.Uses()).To(Equal([]index.Use{{Key: key, Server: "b", Took: 600}}))
+		Expect(bench.Uses()).To(Equal([]index.Use{{Key: key, Server: "b", Took: 600, Shown: index.Missed(600*time.Millisecond, 317*time.Millisecond), At: 1600 * time.Millisecond}}))
 		Expect(bench.Uses()).To(BeEmpty())
 	})
 
--- a/index/index.go
+++ b/index/index.go
@@ -40,17 +40,21 @@
 	Known      bool     `json:"known,omitempty"`
 }
 
-// Use is one call that went to a prompt's place and waited so many milliseconds for its first piece.
+// Use is one call that went to a prompt's place and waited so many milliseconds for its first piece. What that showed, and when it came,
+// is told in Used.Results.
 type Use struct {
 	Key
-	Server string `json:"server"`
-	Took   int64  `json:"took"`
+	Server string        `json:"server"`
+	Took   int64         `json:"took"`
+	Shown  Shown         `json:"-"`
+	At     time.Duration `json:"-"`
 }
 
-// Used is what a node at Address sent since it last told.
+// Used is what a node at Address sent since it last told. Results has two letters for each use; older nodes don't tell them.
 type Used struct {
 	Address string `json:"address"`
 	Uses    []Use  `json:"uses"`
+	Results string `json:"results,omitempty"`
 }
 
 // Moved are places that are others than their asker believes.
@@ -75,14 +79,18 @@
 	rest     time.Duration
 	places   *lru.LRU[Key, entry]
 	loads    *lru.LRU[string, load]
+	checks   *lru.LRU[string, *checks]
+	pending  []pending
 	replication
 }
 
-// entry is a place; a confirmed one was given out by this owner or used by a node, others are hearsay that the first use decides.
+// entry is a place; a confirmed one was given out by this owner or used by a node, others are hearsay that the first use decides. Read is
+// when the first call that was told had read the prompt there, used when the last did.
 type entry struct {
-	server    string
-	moved     time.Duration
-	confirmed bool
+	server     string
+	moved      time.Duration
+	confirmed  bool
+	read, used time.Duration
 }
 
 // load is the work given to a server, forgotten by half in a half-life.
@@ -96,6 +104,7 @@
 // believed lost for as long.
 func New(halfLife, rest time.Duration) *Owner {
 	return &Owner{halfLife: halfLife, rest: rest, places: bounded[Key, entry](mostPlaces), loads: bounded[string, load](mostServers),
+		checks:      bounded[string, *checks](mostServers),
 		replication: replication{changed: bounded[Key, struct{}](MostSaved)}}
 }
 
@@ -153,7 +162,7 @@
 		return Place{}, false
 	}
 	chosen := owner.choose(now, candidates, float64(max(0, ask.Work)))
-	owner.put(ask.Key, entry{chosen, now, true})
+	owner.put(ask.Key, entry{server: chosen, moved: now, confirmed: true})
 	owner.add(now, chosen, max(0, ask.Work))
 	return Place{Key: ask.Key, Server: chosen}, true
 }
@@ -168,18 +177,19 @@
 	return Place{Key: ask.Key, Server: known.server}, true
 }
 
-// choose gives the first candidate, in their own order, that has not much more than its part of the work. Most prompts get their first
-// choice, so an index that is lost is mostly found again (Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded Loads").
+// choose gives the first candidate, in their own order, that has not much more than its part of the work; a server that misses what it
+// should keep has a smaller part. Most prompts get their first choice, so an index that is lost is mostly found again (Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded Loads").
 func (owner *Owner) choose(now time.Duration, candidates []string, work float64) string {
-	sum, least := work, candidates[0]
+	sum, parts, least, lowest := work, 0.0, candidates[0], math.Inf(1)
 	for _, name := range candidates {
 		sum += owner.work(now, name)
-		if owner.work(now, name) < owner.work(now, least) {
-			least = name
+		parts += owner.part(name)
+		if full := (owner.work(now, name) + work) / owner.part(name); full < lowest {
+			least, lowest = name, full
 		}
 	}
 	for _, name := range candidates {
-		if owner.work(now, name)+work <= capacityFactor*sum/float64(len(candidates)) {
+		if owner.work(now, name)+work <= capacityFactor*sum*owner.part(name)/parts {
 			return name
 		}
 	}
@@ -217,25 +227,34 @@
 	if json.Unmarshal(letter.Body, &used) != nil {
 		return broken
 	}
-	moved := Moved{}
-	for _, use := range used.Uses[:min(len(used.Uses), MostUses)] {
+	moved, kept := Moved{}, int64(0)
+	for number, use := range used.Uses[:min(len(used.Uses), MostUses)] {
 		if use.Server == "" {
 			continue
 		}
+		use.Shown, use.At = used.result(now, owner.rest, number)
 		owner.add(now, use.Server, max(0, use.Took))
 		known, there := owner.places.Get(use.Key)
 		switch {
 		case !there || !known.confirmed && known.server != use.Server:
-			owner.put(use.Key, entry{use.Server, now, true})
+			owner.put(use.Key, owner.noted(now, entry{server: use.Server, moved: now, confirmed: true}, use))
 		case known.server == use.Server:
 			known.confirmed = true
-			owner.places.Add(use.Key, known)
-		default:
+			owner.places.Add(use.Key, owner.noted(now, known, use))
+		}
+		if there && known.server != use.Server && known.confirmed {
 			moved.Places = append(moved.Places, Place{Key: use.Key, Server: known.server})
 		}
+		if use.Shown == Kept {
+			kept++
+		}
+	}
+	commands := []contract.Command{}
+	if kept > 0 {
+		commands = append(commands, contract.Count{Name: "index_checked", By: kept})
 	}
-	if len(moved.Places) == 0 {
-		return nil
+	if len(moved.Places) > 0 {
+		commands = append(commands, contract.Send{To: used.Address, Kind: LetterMoved, Body: moved})
 	}
-	return []contract.Command{contract.Send{To: used.Address, Kind: LetterMoved, Body: moved}}
+	return commands
 }
--- a/index/replication.go
+++ b/index/replication.go
@@ -75,9 +75,9 @@
 	return places
 }
 
-// Tick tells the other control nodes what changed and has it saved, each on a beat of its own.
+// Tick judges misses, tells the other control nodes what changed and has it saved, each on a beat of its own.
 func (owner *Owner) Tick(now time.Duration, peers []contract.Member) []contract.Command {
-	return slices.Concat(owner.greet(peers), owner.tell(now, peers), owner.save(now))
+	return slices.Concat(owner.settle(now), owner.greet(peers), owner.tell(now, peers), owner.save(now))
 }
 
 // greet tells a peer that was not there before what is kept here, if there is a disk.
--- a/link/metrics.go
+++ b/link/metrics.go
@@ -58,6 +58,9 @@
 	"letters_dropped":       "letters dropped because a ring was full",
 	"letters_lost":          "letters that did not arrive",
 	"letters_cut":           "letters held back by the test rig",
+	"index_checked":         "calls that showed whether their prompt's place kept it",
+	"index_mismatches":      "calls that read a prompt anew at its place",
+	"index_losses_noticed":  "servers that were found to have lost all that they kept",
 	"ring_full":             "events refused because the ring was full",
 }
 
--- a/link/operators.go
+++ b/link/operators.go
@@ -53,7 +53,7 @@
 		"GET /v1/manifest/history": contract.VerbHistory, "GET /v1/operations/{subject}": contract.VerbOperation,
 		"POST /v1/halls/{subject}/drain": contract.VerbDrain, "POST /v1/halls/{subject}/undrain": contract.VerbUndrain,
 		"POST /v1/pools/{subject}/scale": contract.VerbScale, "GET /v1/members": contract.VerbMembers, "GET /v1/shards": contract.VerbShards,
-		"GET /v1/retirements": contract.VerbRetirements, "GET /v1/chain": contract.VerbChain, "GET /v1/why/{subject}": contract.VerbWhy,
+		"GET /v1/retirements": contract.VerbRetirements, "GET /v1/cache": contract.VerbCache, "GET /v1/chain": contract.VerbChain, "GET /v1/why/{subject}": contract.VerbWhy,
 		"POST /v1/machines/{subject}/gone": contract.VerbGone,
 	}
 	options := []kithttp.ServerOption{kithttp.ServerErrorEncoder(encodeMishap)}
