The keys of a prompt's parts are hashed once a call

Cause: engine.Memory hashed all parts of a prompt anew for every server that a pick looked at, and once more for its anchor and its taking. Change: a call's prompt is hashed when it arrives (engine.Prompt.Hashed) and carries its keys.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -19,6 +19,16 @@
 	Input  int64
 	Output int64
 	Parts  []Part
+	// hashes are the keys of the parts, if they are known already.
+	hashes []uint64
+}
+
+// Hashed gives the prompt with the keys of its parts, so that they are not worked out at every look.
+func (prompt Prompt) Hashed() Prompt {
+	if len(prompt.Parts) > 0 {
+		prompt.hashes = prompt.keys()
+	}
+	return prompt
 }
 
 // Shared gives the tokens of all parts but the last.
@@ -43,6 +53,9 @@
 
 // keys gives one key a part, each of them standing for all parts up to it.
 func (prompt Prompt) keys() []uint64 {
+	if prompt.hashes != nil {
+		return prompt.hashes
+	}
 	keys, digest := make([]uint64, 0, len(prompt.Parts)), xxhash.New()
 	_, _ = digest.WriteString(prompt.Model)
 	for _, part := range prompt.Parts {
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -43,6 +43,16 @@
 		Expect(memory.Held(prompt("n", "a", "b"))).To(BeZero())
 	})
 
+	It("given a prompt whose keys are worked out beforehand, when it is taken and asked for, then it is the same as without", func() {
+		memory, plain := NewMemory(1000), prompt("m", "a", "b", "c")
+		Expect(plain.Hashed().Anchor()).To(Equal(plain.Anchor()))
+		memory.Take(plain.Hashed())
+		Expect(memory.Held(plain)).To(Equal(int64(300)))
+		Expect(memory.Held(plain.Hashed())).To(Equal(int64(300)))
+		Expect(memory.Held(prompt("m", "a", "b", "d").Hashed())).To(Equal(int64(200)))
+		Expect(Prompt{Model: "m"}.Hashed()).To(Equal(Prompt{Model: "m"}))
+	})
+
 	It("given two parts, when their names are cut elsewhere, then they are other parts", func() {
 		memory := NewMemory(1000)
 		memory.Take(prompt("m", "ab", "c"))
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -22,6 +22,7 @@
 		left = route.Timeout
 	}
 	work := &job{Arrive: event, route: route, ends: now + left, service: traffic.draw(route), avoid: map[string]bool{}}
+	work.Prompt = event.Prompt.Hashed()
 	traffic.jobs[event.Token] = work
 	traffic.budget(work.service).called(now)
 	return traffic.admit(now, work)
