A change of the configuration makes no member's row whole in shuffles

The first mechanism to break the bound of 7 KB/s a node: each change in force changes every member's place, and a changed row travels whole for half a suspicion, so with 0.22 changes a second a shuffle of 1.4 KB had 6 KB on average (neighbour.sample). A node whose place moved also counted as a newcomer and got all rows whole.

Slower gossip and fewer rows: suspicion fails sooner then. A place in each beat's text: older readers would refuse the beat. Beats that leave the place out: an operator's wait for "in force" would see only one other row a letter.

Beats whose members are at the sender's own place are marked by bits (here); the reader takes the sender's place for them, forward only and within a life. Rows ahead of the sender still go whole, so a storm of changes is told as before. Older readers pass the mark over. An older row never sets a place back within a life any more.

--- a/neighbour/neighbour.go
+++ b/neighbour/neighbour.go
@@ -28,6 +28,7 @@
 	member   contract.Member
 	advanced time.Duration
 	changed  time.Duration
+	moved    time.Duration
 	heard    time.Duration
 	told     int64
 	joined   time.Duration
@@ -49,10 +50,12 @@
 	left     bool
 }
 
-// Shuffle carries whole rows of members that are new or changed lately and a few others, and beats of the rest.
+// Shuffle carries whole rows of members that are new or changed lately and a few others, and beats of the rest. Here has the bits of
+// the beats whose members are at the sender's own place.
 type Shuffle struct {
 	Members []contract.Member `json:"members"`
 	Beats   string            `json:"beats,omitempty"`
+	Here    uint64            `json:"here,omitempty"`
 	Answer  bool              `json:"answer,omitempty"`
 }
 
@@ -221,10 +224,14 @@
 	}
 	for place, name := range names {
 		known := owner.table[name]
-		if newcomer || place < wholeRows || now-known.changed < owner.bounds.Suspicion()/2 {
+		here, lately := known.member.Place == owner.self.Place, owner.bounds.Suspicion()/2
+		if newcomer || place < wholeRows || now-known.changed < lately || now-known.moved < lately && !here {
 			shuffle.Members = append(shuffle.Members, known.member)
 			continue
 		}
+		if here {
+			shuffle.Here |= 1 << len(beats)
+		}
 		beats = append(beats, name+" "+strconv.FormatInt(known.member.Incarnation, 10)+" "+strconv.FormatInt(known.member.Heartbeat, 10))
 	}
 	shuffle.Beats = strings.Join(beats, ";")
@@ -232,7 +239,7 @@
 }
 
 func (owner *Owner) shuffled(now time.Duration, from string, shuffle Shuffle) []contract.Command {
-	address, boot, newcomer := "", "", true
+	address, boot, newcomer, told := "", "", true, contract.Place{}
 	if known, there := owner.table[from]; there {
 		newcomer = now-known.changed < owner.bounds.Suspicion()
 	}
@@ -241,7 +248,7 @@
 			break
 		}
 		if member.Name == from {
-			address, boot = member.Address, member.Boot
+			address, boot, told = member.Address, member.Boot, member.Place
 		}
 		owner.merge(now, member)
 	}
@@ -255,7 +262,11 @@
 		if index > shuffleSize {
 			break
 		}
-		owner.beat(now, beat)
+		place := contract.Place{}
+		if shuffle.Here>>index&1 == 1 {
+			place = told
+		}
+		owner.beat(now, beat, place)
 	}
 	if shuffle.Answer || address == "" || owner.left {
 		return nil
@@ -268,14 +279,21 @@
 	return []contract.Command{contract.Send{To: address, Kind: LetterShuffle, Body: answer}}
 }
 
-// beat moves a known member's heartbeat; whoever is not known by this incarnation waits for its whole row.
-func (owner *Owner) beat(now time.Duration, text string) {
+// beat moves a known member's heartbeat, and its place, which only goes forward within a life; whoever is not known by this incarnation
+// waits for its whole row.
+func (owner *Owner) beat(now time.Duration, text string, place contract.Place) {
 	name, counts, _ := strings.Cut(text, " ")
 	first, second, _ := strings.Cut(counts, " ")
 	incarnation, mishap := strconv.ParseInt(first, 10, 64)
 	heartbeat, other := strconv.ParseInt(second, 10, 64)
 	known, there := owner.table[name]
-	if mishap != nil || other != nil || !there || known.member.Incarnation != incarnation || heartbeat <= known.member.Heartbeat {
+	if mishap != nil || other != nil || !there || known.member.Incarnation != incarnation {
+		return
+	}
+	if known.member.Place.Revision < place.Revision {
+		known.member.Place, known.moved, owner.cached = place, now, nil
+	}
+	if heartbeat <= known.member.Heartbeat {
 		return
 	}
 	known.member.Heartbeat, known.advanced, known.gone = heartbeat, now, false
@@ -308,7 +326,13 @@
 		member.Heartbeat = known.member.Heartbeat
 	}
 	former := known.member
-	former.Heartbeat = member.Heartbeat
+	if same && member.Boot == former.Boot && member.Place.Revision < former.Place.Revision {
+		member.Place = former.Place
+	}
+	if former.Place != member.Place {
+		known.moved = now
+	}
+	former.Heartbeat, former.Place = member.Heartbeat, member.Place
 	if former != member {
 		known.changed = now
 	}
