A table full of members has room for control nodes

The table of members ends at 1,024 rows (neighbour.merge). At the size planned for, 1,450 members, whoever comes later is never known: also control nodes, which own lists.

A larger table for all: a node's tick and memory grow with it, and rows of more data nodes are not kept alive by shuffles of 48 anyway.

Control nodes may fill an eighth more (neighbour.room); the plan has 50.

Measured by the test alone, 1,400 data and then 200 control nodes: control nodes known 0 before and 128 after. No hollow fleet of more than 1,024 members was played; smaller ones are as before. All tests pass.

--- a/neighbour/near.go
+++ b/neighbour/near.go
@@ -82,3 +82,11 @@
 	}
 	return append(ahead, behind...)
 }
+
+// room is how many rows there may be where one of a member is added: a table full of data nodes has an eighth more for control nodes.
+func (owner *Owner) room(member contract.Member) int {
+	if member.Kind == contract.KindControl {
+		return tableSize + tableSize/8
+	}
+	return tableSize
+}
--- a/neighbour/neighbour.go
+++ b/neighbour/neighbour.go
@@ -309,7 +309,7 @@
 	}
 	known, there := owner.table[member.Name]
 	if !there {
-		if len(owner.table) < tableSize && member.Name != "" && member.Address != "" {
+		if len(owner.table) < owner.room(member) && member.Name != "" && member.Address != "" {
 			owner.table[member.Name] = &row{member: member, advanced: now, changed: now, told: member.Heartbeat}
 			owner.cached, owner.ordered = nil, nil
 		}
--- a/neighbour/sample_test.go
+++ b/neighbour/sample_test.go
@@ -91,3 +91,17 @@
 		Expect([]int{len(data), len(controls)}).To(Equal([]int{24, 24}))
 	})
 })
+
+var _ = Describe("the table of members", func() {
+	It("given as many data nodes as it holds, when control nodes come, then there is room for them, up to an eighth more", func() {
+		owner, _ := fleet(1400, 200)
+		controls := 0
+		for _, known := range owner.table {
+			if known.member.Kind == contract.KindControl {
+				controls++
+			}
+		}
+		Expect(controls).To(Equal(tableSize / 8))
+		Expect(owner.table).To(HaveLen(tableSize + tableSize/8))
+	})
+})
