--- a/hollow/hollow_test.go
+++ b/hollow/hollow_test.go
@@ -44,6 +44,20 @@
 		Expect(first.Force).To(Equal(second.Force))
 	})
 
+	It("given servers and owners that stay, when changes come, then no shard is taken over and no list goes whole", func() {
+		result := Play(small())
+		Expect([]float64{result.TakeOvers, result.Whole}).To(Equal([]float64{0, 0}))
+	})
+
+	It("counts shards that are taken over and lists that go whole", func() {
+		run := newRun(small())
+		defer run.world.Close()
+		run.build()
+		run.boot()
+		Expect(run.perSecond("take_overs", time.Second)).To(BeNumerically(">=", run.plan.Regions))
+		Expect(run.perSecond(wholeLists, time.Second)).To(BeNumerically(">=", run.plan.Nodes*run.plan.Regions))
+	})
+
 	It("takes the loss of a zone with a core machine", func() {
 		plan := small()
 		plan.Scene = Zone
--- a/hollow/run.go
+++ b/hollow/run.go
@@ -39,10 +39,14 @@
 	changes  []made
 }
 
+func newRun(plan Plan) *run {
+	return &run{plan: plan, world: newWorld(max(1, plan.Workers)), began: time.Now(),
+		result: Result{Plan: plan, Document: len(plan.Configuration()), Converged: -1, Configured: -1, Listed: -1}}
+}
+
 // Play runs one plan and gives what it showed.
 func Play(plan Plan) Result {
-	run := &run{plan: plan, world: newWorld(max(1, plan.Workers)), began: time.Now(),
-		result: Result{Plan: plan, Document: len(plan.Configuration()), Converged: -1, Configured: -1, Listed: -1}}
+	run := newRun(plan)
 	defer run.world.Close()
 	run.build()
 	run.boot()
@@ -292,9 +296,8 @@
 	run.result.KnownMean, run.result.KnownLeast = sum/float64(max(1, samples)), least
 	for _, process := range run.world.processes {
 		run.result.Gap = max(run.result.Gap, process.gap.Seconds())
-		run.result.TakeOvers += float64(process.counts["take_overs"]) / span.Seconds()
-		run.result.Whole += float64(process.counts[wholeLists]) / span.Seconds()
 	}
+	run.result.TakeOvers, run.result.Whole = run.perSecond("take_overs", span), run.perSecond(wholeLists, span)
 	if len(run.changes) > 0 {
 		run.until(run.world.Now, func() bool {
 			change := run.changes[len(run.changes)-1]
@@ -308,6 +311,15 @@
 	run.changes = nil
 }
 
+// perSecond gives how often all nodes counted something, a second.
+func (run *run) perSecond(name string, span time.Duration) float64 {
+	sum := int64(0)
+	for _, process := range run.world.processes {
+		sum += process.counts[name]
+	}
+	return float64(sum) / span.Seconds()
+}
+
 func (run *run) tell(change made) {
 	revision := run.numbered(change)
 	if revision == 0 {
