Whether other regions take most long prompts is worked out once in a moment

Cause: every pick of a short call looked at all servers of its service for it, a tenth of the call's time with 256 and 1250 servers (profile). Ruled out: reading the drained halls from the servers themselves, which is what most of it is, since picks see a drain at once today. Change: it is remembered for 1/64 of the contact time, and until the next list or configuration. The stories of the emulator pass.

--- a/gateway/apart_test.go
+++ b/gateway/apart_test.go
@@ -160,6 +160,20 @@
 		Expect(others).To(HaveLen(3))
 	})
 
+	It("given a region that takes most long prompts, when its servers fall away, then that is seen after a moment, and at once when a list tells it", func() {
+		bench := twoRegions(12, 12, false)
+		Expect(bench.relieved(bench.now, "s")).To(BeTrue())
+		for place := range 10 {
+			bench.servers[fmt.Sprintf("w%02d", place)].moved = true
+		}
+		bench.now += bench.terms.Contact/reliefPart - 1
+		Expect(bench.relieved(bench.now, "s")).To(BeTrue())
+		bench.now++
+		Expect(bench.relieved(bench.now, "s")).To(BeFalse())
+		bench.Handle(bench.now, listOf("east", candidate("e00", "east-a")))
+		Expect(bench.relieved(bench.now, "s")).To(BeTrue())
+	})
+
 	DescribeTable("given servers in two regions, when a prompt is new, then the own ones come first and some of the others follow", func(east, west, own, others int) {
 		got, away := offered(twoRegions(east, west, true))
 		Expect(got).To(HaveLen(own))
--- a/gateway/sizes.go
+++ b/gateway/sizes.go
@@ -20,6 +20,8 @@
 	leastTold  = 0.25
 	// pausePart is the part of the pause that short calls bear which the reading of one prompt beside them may take.
 	pausePart = 0.5
+	// reliefPart is the part of the contact time, one in so many, for which it is remembered whether other regions take most long prompts.
+	reliefPart = 64
 )
 
 // seen is when calls with long and with short prompts last went to a service in a region from here, the least pause that the short ones
@@ -94,6 +96,7 @@
 // split orders the servers of each region, the same way at all nodes: the first ones are meant for long prompts; and ties them to what goes
 // to their region.
 func (traffic *Traffic) split() {
+	traffic.reliefs = map[string]relief{}
 	for service, servers := range traffic.services {
 		regions := map[string][]string{}
 		for _, server := range servers {
@@ -122,8 +125,24 @@
 	return server.among >= fewestSplit && server.place < (parts*server.among+2)/3
 }
 
-// relieved tells whether regions without short prompts have enough usable servers to take most of the long ones.
+// relief is whether the long prompts of a service are relieved, and until when that is taken for granted.
+type relief struct {
+	relieved bool
+	until    time.Duration
+}
+
+// relieved tells whether regions without short prompts have enough usable servers to take most of the long ones. That holds for a moment,
+// since every short call wants to know it.
 func (traffic *Traffic) relieved(now time.Duration, service string) bool {
+	held, there := traffic.reliefs[service]
+	if !there || now >= held.until {
+		held = relief{relieved: traffic.relieves(now, service), until: now + traffic.terms.Contact/reliefPart}
+		traffic.reliefs[service] = held
+	}
+	return held.relieved
+}
+
+func (traffic *Traffic) relieves(now time.Duration, service string) bool {
 	free, usable := 0, 0
 	for _, server := range traffic.services[service] {
 		if !traffic.usable(now, server) {
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -24,6 +24,7 @@
 	budgets  map[string]*budget
 	fleet    Fleet
 	sizes    map[scope]*seen
+	reliefs  map[string]relief
 	division int
 	began    time.Duration
 	begun    bool
@@ -55,7 +56,7 @@
 
 func NewTraffic(settings env.Env, random *rand.Rand) *Traffic {
 	return &Traffic{settings: settings, terms: settings.Gateway, random: random, servers: map[string]*server{}, services: map[string][]*server{},
-		lists: map[string]bool{}, jobs: map[int64]*job{}, budgets: map[string]*budget{}, sizes: map[scope]*seen{}, division: 1, places: newPlaces()}
+		lists: map[string]bool{}, jobs: map[int64]*job{}, budgets: map[string]*budget{}, sizes: map[scope]*seen{}, reliefs: map[string]relief{}, division: 1, places: newPlaces()}
 }
 
 // Ready tells whether this node can serve: it has a configuration and the lists of all regions, or some of them for a while.
