A write reads the newest manifest once

Cause: control.overtaken and control.compose each parsed and checked the newest document for one change of the gateway's configuration. Change: readNewest reads it for both, and keeps apart what is no tree and what is no manifest, as they were told apart before.

--- a/control/gateway.go
+++ b/control/gateway.go
@@ -7,20 +7,35 @@
 	"github.com/cedarreel/cedarreel/manifest"
 )
 
+// newest is the newest version as it is read once for a write.
+type newest struct {
+	there bool
+	tree  map[string]any
+	read  manifest.Manifest
+	// malformed tells why it is no tree at all, invalid why its tree is no manifest.
+	malformed, invalid error
+}
+
+func readNewest(latest contract.Version) newest {
+	if latest.Place.Revision <= 0 {
+		return newest{}
+	}
+	read := newest{there: true}
+	if read.tree, read.malformed = manifest.Tree(latest.Manifest); read.malformed == nil {
+		read.read, read.invalid = manifest.FromTree(read.tree)
+	}
+	return read
+}
+
 // overtaken tells why a change of the gateway's configuration no longer stands on the newest one.
-func (owner *Owner) overtaken(ask contract.Ask, latest contract.Version) string {
+func overtaken(ask contract.Ask, latest newest) string {
 	if ask.Verb != contract.VerbReplace && ask.Verb != contract.VerbUpdate {
 		return ""
 	}
-	current := int64(0)
-	if latest.Place.Revision > 0 {
-		read, failure := manifest.Read(latest.Manifest)
-		if failure != nil {
-			return "the newest manifest cannot be read"
-		}
-		current = read.Gateway.Revision
+	if latest.malformed != nil || latest.invalid != nil {
+		return "the newest manifest cannot be read"
 	}
-	if ask.Base != current {
+	if current := latest.read.Gateway.Revision; ask.Base != current {
 		return fmt.Sprintf("the gateway's configuration moved: base %d, now %d", ask.Base, current)
 	}
 	return ""
--- a/control/gateway_test.go
+++ b/control/gateway_test.go
@@ -18,7 +18,7 @@
 
 var _ = Describe("a change of the gateway's configuration", func() {
 	latest := func() contract.Version {
-		content, _, failure := compose(contract.Ask{Verb: contract.VerbReplace, Body: section(5, oneRoute)}, contract.Version{})
+		content, _, failure := compose(contract.Ask{Verb: contract.VerbReplace, Body: section(5, oneRoute)}, readNewest(contract.Version{}))
 		Expect(failure).NotTo(HaveOccurred())
 		return contract.Version{Place: contract.Place{View: 1, Revision: 1}, Manifest: content}
 	}
@@ -29,7 +29,7 @@
 			if verb == contract.VerbUpdate {
 				body = []byte(fmt.Sprintf(`{"gateway":{"revision":%d,"upsert":{},"remove":{}}}`, revision))
 			}
-			_, _, failure := compose(contract.Ask{Verb: verb, Body: body}, latest())
+			_, _, failure := compose(contract.Ask{Verb: verb, Body: body}, readNewest(latest()))
 			if taken {
 				Expect(failure).NotTo(HaveOccurred())
 				return
@@ -39,20 +39,19 @@
 	}
 
 	It("given a change on another base than the current one, when it is looked at, then it is overtaken", func() {
-		owner := &Owner{}
-		for base, overtaken := range map[int64]bool{0: true, 4: true, 5: false, 6: true} {
-			Expect(owner.overtaken(contract.Ask{Verb: contract.VerbReplace, Base: base}, latest()) != "").To(Equal(overtaken), "base %d", base)
+		for base, late := range map[int64]bool{0: true, 4: true, 5: false, 6: true} {
+			Expect(overtaken(contract.Ask{Verb: contract.VerbReplace, Base: base}, readNewest(latest())) != "").To(Equal(late), "base %d", base)
 		}
-		Expect(owner.overtaken(contract.Ask{Verb: contract.VerbReplace, Base: 0}, contract.Version{})).To(BeEmpty())
-		Expect(owner.overtaken(contract.Ask{Verb: contract.VerbDrain, Base: 0}, latest())).To(BeEmpty())
+		Expect(overtaken(contract.Ask{Verb: contract.VerbReplace, Base: 0}, readNewest(contract.Version{}))).To(BeEmpty())
+		Expect(overtaken(contract.Ask{Verb: contract.VerbDrain, Base: 0}, readNewest(latest()))).To(BeEmpty())
 	})
 
 	It("given a drained hall, when a whole configuration comes, then the hall stays drained and is not withdrawn again", func() {
 		version := latest()
-		drained, drains, failure := compose(contract.Ask{Verb: contract.VerbDrain, Subject: "east-a"}, version)
+		drained, drains, failure := compose(contract.Ask{Verb: contract.VerbDrain, Subject: "east-a"}, readNewest(version))
 		Expect(failure).NotTo(HaveOccurred())
 		Expect(drains).To(HaveKey("east-a"))
-		next, drains, failure := compose(contract.Ask{Verb: contract.VerbReplace, Body: section(6, "")}, contract.Version{Place: contract.Place{View: 1, Revision: 2}, Manifest: json.RawMessage(drained)})
+		next, drains, failure := compose(contract.Ask{Verb: contract.VerbReplace, Body: section(6, "")}, readNewest(contract.Version{Place: contract.Place{View: 1, Revision: 2}, Manifest: json.RawMessage(drained)}))
 		Expect(failure).NotTo(HaveOccurred())
 		Expect(drains).To(BeEmpty())
 		read, failure := manifest.Read(next)
@@ -63,7 +62,7 @@
 
 	It("given a change that names an unknown service, when it is composed, then nothing of it is taken", func() {
 		body := []byte(`{"gateway":{"revision":6,"upsert":{"routes":{"q":{"host":"h","prefix":"/q/","timeoutMs":1,"service":"none"}}}}}`)
-		content, _, failure := compose(contract.Ask{Verb: contract.VerbUpdate, Body: body}, latest())
+		content, _, failure := compose(contract.Ask{Verb: contract.VerbUpdate, Body: body}, readNewest(latest()))
 		Expect(failure).To(MatchError(ContainSubstring("gateway.routes.q.service")))
 		Expect(content).To(BeNil())
 	})
--- a/control/write.go
+++ b/control/write.go
@@ -73,10 +73,11 @@
 	if (ask.Verb == contract.VerbPut || gateway) && !ask.HasBase {
 		return owner.refuse(ask, 400, "a whole manifest needs its base revision")
 	}
-	if failure := owner.overtaken(ask, latest); failure != "" {
+	read := readNewest(latest)
+	if failure := overtaken(ask, read); failure != "" {
 		return owner.refuse(ask, 409, failure)
 	}
-	content, drains, mishap := compose(ask, latest)
+	content, drains, mishap := compose(ask, read)
 	if mishap != nil {
 		return owner.refuse(ask, 400, mishap.Error())
 	}
@@ -91,23 +92,21 @@
 }
 
 // compose gives the next manifest and the halls it drains newly, with their regions and shards.
-func compose(ask contract.Ask, latest contract.Version) ([]byte, map[string]hallReach, error) {
+func compose(ask contract.Ask, latest newest) ([]byte, map[string]hallReach, error) {
 	patch, mishap := patchOf(ask)
 	if mishap != nil {
 		return nil, nil, mishap
 	}
-	tree, former, items := patch, manifest.Manifest{}, ask.Verb == contract.VerbReplace || ask.Verb == contract.VerbUpdate
-	if latest.Place.Revision > 0 {
-		old, mishap := manifest.Tree(latest.Manifest)
-		if mishap != nil {
-			return nil, nil, mishap
+	tree, former, items := patch, latest.read, ask.Verb == contract.VerbReplace || ask.Verb == contract.VerbUpdate
+	if latest.there {
+		if latest.malformed != nil {
+			return nil, nil, latest.malformed
 		}
-		former, _ = manifest.FromTree(old)
 		switch {
 		case items:
-			tree = manifest.WithGateway(old, patch, ask.Verb == contract.VerbReplace)
+			tree = manifest.WithGateway(latest.tree, patch, ask.Verb == contract.VerbReplace)
 		case ask.Verb != contract.VerbPut:
-			tree = manifest.Merge(old, patch)
+			tree = manifest.Merge(latest.tree, patch)
 		}
 	} else if items {
 		tree = manifest.WithGateway(patch, patch, ask.Verb == contract.VerbReplace)
@@ -124,7 +123,7 @@
 		if old, there := former.Halls[name]; there && old.Region != hall.Region {
 			return nil, nil, eris.Errorf("halls.%s.region: a hall does not move from %s to %s; name another", name, old.Region, hall.Region)
 		}
-		if hall.Drained && !former.Halls[name].Drained && latest.Place.Revision > 0 {
+		if hall.Drained && !former.Halls[name].Drained && latest.there {
 			drains[name] = hallReach{region: hall.Region, shards: former.Regions[hall.Region].Shards}
 		}
 	}
