One order of servers for a prompt

Cause: gateway.holder and gateway.candidates each wrote down the rendezvous order by which a prompt's keeper is found. Change: rendezvous compares two servers for both; the holder is the least by it, which with equal weights is the first, as before.

--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -102,13 +103,12 @@
 		}
 		all = traffic.apart(now, open, work)
 	}
-	anchor, best, chosen := work.Prompt.Anchor(), uint64(0), ""
-	for _, server := range all {
-		if weight := mix(server.hash ^ anchor); chosen == "" || weight > best {
-			best, chosen = weight, server.Name
-		}
-	}
-	return chosen
+	return slices.MinFunc(all, rendezvous(work.Prompt.Anchor())).Name
+}
+
+// rendezvous compares two servers by how early they come as the keeper of a prompt, the same way at all nodes.
+func rendezvous(anchor uint64) func(left, right *server) int {
+	return func(left, right *server) int { return cmp.Compare(mix(right.hash^anchor), mix(left.hash^anchor)) }
 }
 
 // apart gives the servers that are meant for a long prompt: those of regions that no short ones go to, and a part of the servers of the
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -103,9 +102,8 @@
 // anyway and is spared the way. Some of other regions follow, for an owner that knows the own ones to be busier. Within a region the order
 // is the same at all nodes.
 func (traffic *Traffic) candidates(now time.Duration, open []*server, work *job) []*server {
-	anchor := work.Prompt.Anchor()
 	ordered := slices.Clone(traffic.apart(now, open, work))
-	slices.SortFunc(ordered, func(left, right *server) int { return cmp.Compare(mix(right.hash^anchor), mix(left.hash^anchor)) })
+	slices.SortFunc(ordered, rendezvous(work.Prompt.Anchor()))
 	own, others := []*server{}, []*server{}
 	for _, server := range ordered {
 		if server.region == traffic.settings.Region {
