A prompt that its server misses again and again is placed elsewhere

Cause: a server that keeps less than presumed, or loses its cache again and again, reads its prompts anew at each call, since each has one place and nothing moved it.

Change: a prompt missed twice within two half-lives on a server whose part is cut leaves it. Nodes and replicas are told a place without a server; the next call asks the owner, who takes another candidate, or stays if there is none.

--- a/emulator/cache.go
+++ b/emulator/cache.go
@@ -280,14 +280,14 @@
 	// Missed are the mismatches of prompts with a place by the servers' truth, Found what the owner of the index took for such, Falsely those of them that were none.
 	// Suspected are losses that its test found, Wrongly findings at servers that had lost nothing.
 	Missed, Found, Falsely, Suspected, Wrongly int
-	// Checked are the calls that showed whether their prompt was kept.
-	Checked int64
+	// Checked are the calls that showed whether their prompt was kept, Left the places that left a server which missed theirs again.
+	Checked, Left int64
 }
 
 func (day *Day) cacheFigures() CacheFigures {
 	sum := CacheFigures{Losses: len(day.caches.losses), Thrown: day.caches.thrown, Alarms: day.caches.alarms, Mismatched: map[string]int{}, Late: map[string]int{}}
 	sum.Missed, sum.Found, sum.Falsely, sum.Suspected, sum.Wrongly = 0, day.caches.found, day.caches.falsely, day.caches.suspected, day.caches.wrongly
-	sum.Checked = day.counts["control index_checked"]
+	sum.Checked, sum.Left = day.counts["control index_checked"], day.counts["control index_places_left"]
 	noticed, everywhere, settled := []time.Duration{}, []time.Duration{}, []time.Duration{}
 	for index, loss := range day.caches.losses {
 		next := slices.IndexFunc(day.caches.losses[index+1:], func(other *cacheLoss) bool { return other.server == loss.server })
@@ -338,7 +338,7 @@
 		"cache false alarms": float64(figures.Alarms), "cache tokens missed": float64(figures.Tokens),
 		"cache mismatches": float64(figures.Missed), "cache mismatches found": float64(figures.Found), "cache mismatches found falsely": float64(figures.Falsely),
 		"cache losses tested": float64(figures.Suspected), "cache losses tested falsely": float64(figures.Wrongly),
-		"cache checks": float64(figures.Checked)}
+		"cache checks": float64(figures.Checked), "cache places left": float64(figures.Left)}
 	for class, count := range figures.Mismatched {
 		values[class+" sent on a mismatch"] = float64(count)
 	}
--- a/emulator/checks_test.go
+++ b/emulator/checks_test.go
@@ -30,7 +30,7 @@
 		sum.Losses += one.Losses
 		sum.Missed, sum.Found, sum.Falsely = sum.Missed+one.Missed, sum.Found+one.Found, sum.Falsely+one.Falsely
 		sum.Suspected, sum.Wrongly = sum.Suspected+one.Suspected, sum.Wrongly+one.Wrongly
-		sum.Checked += one.Checked
+		sum.Checked, sum.Left = sum.Checked+one.Checked, sum.Left+one.Left
 	}
 	GinkgoWriter.Printf("%s %s: %+v\n", name, how, sum)
 	return sum
@@ -38,11 +38,12 @@
 
 var _ = Describe("the checks of the servers' caches", func() {
 	for _, name := range sites {
-		It("given calm days on "+name+", when calls are checked, then few are taken for mismatches and no loss is found", func() {
+		It("given calm days on "+name+", when calls are checked, then few are taken for mismatches, no loss is found and no place is left", func() {
 			sum := checked(name, "", 1, 2)
 			Expect(sum.Checked).To(BeNumerically(">", 100))
 			Expect(float64(sum.Falsely)).To(BeNumerically("<=", 0.05*float64(sum.Checked)))
 			Expect(sum.Suspected + sum.Wrongly).To(BeZero())
+			Expect(sum.Left).To(BeZero())
 		})
 
 		for _, how := range []string{"several", "again", "small"} {
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -101,6 +101,14 @@
 	}
 }
 
+// Lose drops the part with a key, as Prompt.Anchor gives it, so that it and what follows it are not held.
+func (memory *Memory) Lose(key uint64) {
+	if element, there := memory.parts[key]; there {
+		memory.used -= memory.order.Remove(element).(kept).tokens
+		delete(memory.parts, key)
+	}
+}
+
 // Forget drops everything: the server began anew.
 func (memory *Memory) Forget() {
 	memory.parts, memory.order, memory.used = map[uint64]*list.Element{}, list.New(), 0
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -78,6 +78,20 @@
 		}
 	})
 
+	It("given a part that is lost, when it is dropped, then it and what follows are not held, other prompts are, and its room is free", func() {
+		memory := NewMemory(600)
+		memory.Take(prompt("m", "a", "b", "c"))
+		memory.Take(prompt("m", "d"))
+		anchor := prompt("m", "a", "b", "other").Anchor()
+		memory.Lose(anchor)
+		memory.Lose(anchor)
+		Expect(memory.Held(prompt("m", "a", "b", "c"))).To(BeZero())
+		Expect(memory.Held(prompt("m", "d"))).To(Equal(int64(100)))
+		Expect(memory.used).To(Equal(int64(300)))
+		memory.Take(prompt("m", "a", "b", "c"))
+		Expect(memory.Held(prompt("m", "a", "b", "c"))).To(Equal(int64(300)))
+	})
+
 	It("given a server that began anew, when it is forgotten, then nothing is held and the room is free", func() {
 		memory := NewMemory(300)
 		memory.Take(prompt("m", "a", "b", "c"))
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -144,9 +144,19 @@
 // Refuses tells whether a control node that answers with a status has no place to give, rather than that nobody answered.
 func Refuses(status int) bool { return status/100 == 4 }
 
+// relocated takes places up. One without a server is to be asked for anew, since the cache of its server does not match.
 func (traffic *Traffic) relocated(event Relocated) {
 	for _, place := range event.Places {
-		traffic.places.known.Add(place.Key, place.Server)
+		if place.Server != "" {
+			traffic.places.known.Add(place.Key, place.Server)
+			continue
+		}
+		if former, there := traffic.places.known.Get(place.Key); there {
+			traffic.places.known.Remove(place.Key)
+			if server := traffic.servers[former]; server != nil && server.memory != nil {
+				server.memory.Lose(place.Anchor)
+			}
+		}
 	}
 }
 
--- a/gateway/shown_test.go
+++ b/gateway/shown_test.go
@@ -79,3 +79,23 @@
 		Expect(bench.Stale("east")).To(HaveLen(1), "the older rule goes on by itself")
 	})
 })
+
+var _ = Describe("a place that left its server", func() {
+	It("given the owner's word, when the next call comes, then it asks anew once, loses nobody, and goes where it is told", func() {
+		bench := indexed(engines)
+		key := bench.learned("b")
+		Expect(bench.servers["b"].memory.Held(contractText("x"))).To(Equal(int64(13000)))
+		bench.Handle(bench.now, Relocated{Places: []index.Place{{Key: key}}})
+		ask := askedFor(bench.long("two"))
+		Expect(ask.Ask.Lost).To(BeEmpty())
+		Expect(bench.servers["b"].memory.Held(contractText("x"))).To(BeZero(), "its cache does not match")
+		Expect(dispatched(bench.answers(ask, "e")).Server.Name).To(Equal("e"))
+		Expect(dispatched(bench.long("three")).Server.Name).To(Equal("e"))
+	})
+
+	It("given a place that is not known here, when its leaving is told, then nothing changes", func() {
+		bench := indexed(engines)
+		bench.Handle(bench.now, Relocated{Places: []index.Place{{Key: index.Key{Scope: "s", Anchor: 9}}}})
+		Expect(bench.places.known.Len()).To(BeZero())
+	})
+})
--- a/index/checks.go
+++ b/index/checks.go
@@ -49,8 +49,8 @@
 	// misses, forgotten by half in a half-life, cuts at all.
 	steps        = 4
 	fewestMissed = 1.5
-	// usedHalfLives is how long a server counts as used after its last call.
-	usedHalfLives = 2
+	// againHalfLives is how soon a prompt is missed a second time where misses come again and again.
+	againHalfLives = 2
 	// mostCalls bounds the calls that are kept of one server to explain misses with, and callsPerHalfLife for how long they are.
 	mostCalls        = 32
 	callsPerHalfLife = 2
@@ -189,7 +189,7 @@
 func (owner *Owner) mayCut(now time.Duration, service string) bool {
 	cut, used := 1, 0
 	for _, known := range owner.checks.Values() {
-		if known.service != service || now-known.used > owner.halfLife*usedHalfLives {
+		if known.service != service || now-known.used > owner.halfLife*againHalfLives {
 			continue
 		}
 		used++
@@ -240,7 +240,8 @@
 	return false
 }
 
-// mismatch notes that a server did not hold a prompt. As it has just read it, the place is right again.
+// mismatch notes that a server did not hold a prompt. As it has just read it, the place is right again, unless the server misses the
+// prompt again and again: then the next call of it is placed elsewhere.
 func (owner *Owner) mismatch(now time.Duration, server string, known *checks, one call) []contract.Command {
 	owner.judged(now, known, false)
 	commands := []contract.Command{contract.Count{Name: "index_checked", By: 1}, contract.Count{Name: "index_mismatches", By: 1},
@@ -250,6 +251,19 @@
 		known.suspect = suspicion{}
 		commands = append(commands, contract.Count{Name: "index_losses_noticed", By: 1}, contract.Say{What: "cache loss noticed", Detail: []any{"server", server}})
 	}
+	place, there := owner.places.Peek(one.key)
+	if !there || place.server != server {
+		return commands
+	}
+	again := place.missed > 0 && one.ended-place.missed < owner.halfLife*againHalfLives
+	place.missed = one.ended
+	if again && known.cut > 0 && !place.leaving && now >= place.moved+owner.rest {
+		place.leaving = true
+		owner.changed.Add(one.key, struct{}{})
+		owner.dirty = true
+		commands = append(commands, contract.Count{Name: "index_places_left", By: 1})
+	}
+	owner.places.Add(one.key, place)
 	return commands
 }
 
--- a/index/checks_test.go
+++ b/index/checks_test.go
@@ -212,6 +212,58 @@
 		watch.passes(settled)
 	}
 
+	It("given one loss, when each prompt is missed once, then no place leaves", func() {
+		watch := spread("a", "b", "c")
+		misses(watch, "a", 1, 2)
+		Expect(watch.counts["index_mismatches"]).To(Equal(int64(2)))
+		Expect(watch.counts["index_places_left"]).To(BeZero())
+		Expect(watch.placed(1, "", "b", "c").Server).To(Equal("a"))
+	})
+
+	It("given prompts that are missed again, when they are, then its part is cut by steps and a place that leaves is given to another once", func() {
+		watch := spread("a", "b", "c")
+		misses(watch, "a", 1, 2)
+		Expect(watch.View(watch.now)[0].Part).To(Equal(0.75))
+		misses(watch, "a", 1)
+		Expect(watch.View(watch.now)[0].Part).To(Equal(0.5))
+		Expect(watch.counts["index_places_left"]).To(Equal(int64(1)))
+		watch.call("a", 1, quick, Kept)
+		Expect(watch.moved).To(Equal([]Place{{Key: key(1)}}), "the node is to ask anew")
+		Expect(watch.placed(1, "", "a", "b", "c").Server).To(Equal("b"))
+		Expect(watch.placed(1, "", "a", "c").Server).To(Equal("b"))
+		watch.call("a", 1, quick, Kept)
+		Expect(watch.moved[1:]).To(Equal([]Place{{Key: key(1), Server: "b"}}), "who still goes there is put right")
+	})
+
+	It("given a place that leaves, when nobody offers another server, then it stays, and no question is refused", func() {
+		watch := spread("a", "b", "c")
+		misses(watch, "a", 1, 2)
+		misses(watch, "a", 1)
+		Expect(watch.placed(1, "", "a").Server).To(Equal("a"))
+		Expect(watch.placed(1, "").Server).To(Equal("a"))
+	})
+
+	It("given a place that leaves, when replicas are told, then they know it no more, and a use of an old one does not bring it back", func() {
+		watch := spread("a", "b", "c")
+		misses(watch, "a", 1, 2)
+		watch.call("a", 1, slow, late)
+		watch.now += settled
+		replica, told := started(), []contract.Command{}
+		replica.Restore(Snapshot{[]Place{{Key: key(1), Server: "a"}, {Key: key(2), Server: "a"}}})
+		for _, command := range watch.Tick(watch.now, []contract.Member{{Name: "other", Address: "other"}}) {
+			if send, fine := command.(contract.Send); fine && send.Kind == LetterTold {
+				told = append(told, replica.Handle(replica.now, letter(LetterTold, send.Body))...)
+			}
+		}
+		Expect(told).To(BeEmpty())
+		_, there := replica.Place(replica.now, Ask{Key: key(1), Known: true})
+		Expect(there).To(BeFalse())
+		_, there = replica.Place(replica.now, Ask{Key: key(2), Known: true})
+		Expect(there).To(BeTrue())
+		_, there = watch.Place(watch.now, Ask{Key: key(1), Known: true})
+		Expect(there).To(BeFalse())
+	})
+
 	It("given a cut server, when its prompts are kept again, then its part grows back by steps", func() {
 		watch := spread("a", "b", "c")
 		misses(watch, "a", 1, 2)
@@ -248,6 +300,7 @@
 			misses(single, "a", 1, 2)
 		}
 		Expect(single.View(single.now)[0].Part).To(Equal(1.0))
+		Expect(single.counts["index_places_left"]).To(BeZero())
 	})
 
 	It("given a cut server, when new prompts are placed, then it gets fewer than the others, and not none", func() {
--- a/index/index.go
+++ b/index/index.go
@@ -57,7 +57,7 @@
 	Results string `json:"results,omitempty"`
 }
 
-// Moved are places that are others than their asker believes.
+// Moved are places that are others than their asker believes; one without a server is to be asked for anew.
 type Moved struct {
 	Places []Place `json:"places"`
 }
@@ -85,12 +85,21 @@
 }
 
 // entry is a place; a confirmed one was given out by this owner or used by a node, others are hearsay that the first use decides. Read is
-// when the first call that was told had read the prompt there, used when the last did.
+// when the first call that was told had read the prompt there, used the last, missed when it was last found not to be kept. A leaving
+// one stands until it is asked for with other candidates.
 type entry struct {
-	server     string
-	moved      time.Duration
-	confirmed  bool
-	read, used time.Duration
+	server             string
+	moved              time.Duration
+	confirmed, leaving bool
+	read, used, missed time.Duration
+}
+
+// told is the server that others are told: none for a leaving place.
+func (place entry) told() string {
+	if place.leaving {
+		return ""
+	}
+	return place.server
 }
 
 // load is the work given to a server, forgotten by half in a half-life.
@@ -151,15 +160,17 @@
 	}
 	owner.lose(now, ask.Lost)
 	known, there := owner.places.Get(ask.Key)
-	if there && known.server != ask.Lost {
+	if there && known.server != ask.Lost && !known.leaving {
 		return Place{Key: ask.Key, Server: known.server}, true
 	}
 	if there && now < known.moved+owner.rest || len(ask.Candidates) > MostCandidates {
 		return Place{}, false
 	}
-	candidates := slices.DeleteFunc(slices.Clone(ask.Candidates), func(name string) bool { return owner.lost(now, name) })
+	candidates := slices.DeleteFunc(slices.Clone(ask.Candidates), func(name string) bool {
+		return owner.lost(now, name) || known.leaving && name == known.server
+	})
 	if len(candidates) == 0 {
-		return Place{}, false
+		return Place{Key: ask.Key, Server: known.server}, known.leaving && known.server != ask.Lost
 	}
 	chosen := owner.choose(now, candidates, float64(max(0, ask.Work)))
 	owner.put(ask.Key, entry{server: chosen, moved: now, confirmed: true})
@@ -170,7 +181,7 @@
 // known answers an ask from what is known, for a node that has a replica nearer than the owner.
 func (owner *Owner) known(now time.Duration, ask Ask) (Place, bool) {
 	known, there := owner.places.Peek(ask.Key)
-	if !there || known.server == ask.Lost || owner.lost(now, known.server) {
+	if !there || known.leaving || known.server == ask.Lost || owner.lost(now, known.server) {
 		return Place{}, false
 	}
 	owner.places.Get(ask.Key)
@@ -242,8 +253,8 @@
 			known.confirmed = true
 			owner.places.Add(use.Key, owner.noted(now, known, use))
 		}
-		if there && known.server != use.Server && known.confirmed {
-			moved.Places = append(moved.Places, Place{Key: use.Key, Server: known.server})
+		if there && known.told() != use.Server && known.confirmed {
+			moved.Places = append(moved.Places, Place{Key: use.Key, Server: known.told()})
 		}
 		if use.Shown == Kept {
 			kept++
--- a/index/replication.go
+++ b/index/replication.go
@@ -30,7 +30,7 @@
 // Persisted ends a Persist; a Mishap has it tried again.
 type Persisted struct{ Mishap string }
 
-// Told are places that changed, or with Kept those that the receiver may have missed: these only fill gaps.
+// Told are places that changed, or with Kept those that the receiver may have missed: these only fill gaps. One without a server is gone.
 type Told struct {
 	Places []Place `json:"places"`
 	Kept   bool    `json:"kept,omitempty"`
@@ -69,7 +69,7 @@
 	places := make([]Place, 0, len(keys))
 	for _, key := range keys {
 		if known, there := owner.places.Peek(key); there {
-			places = append(places, Place{Key: key, Server: known.server})
+			places = append(places, Place{Key: key, Server: known.told()})
 		}
 	}
 	return places
@@ -147,6 +147,9 @@
 	}
 	for _, place := range told.Places[:min(len(told.Places), mostTold)] {
 		known, there := owner.places.Peek(place.Key)
+		if place.Server == "" && !told.Kept {
+			owner.places.Remove(place.Key)
+		}
 		if place.Server == "" || there && (told.Kept || known.server == place.Server) {
 			continue
 		}
--- a/link/metrics.go
+++ b/link/metrics.go
@@ -60,6 +60,7 @@
 	"letters_cut":           "letters held back by the test rig",
 	"index_checked":         "calls that showed whether their prompt's place kept it",
 	"index_mismatches":      "calls that read a prompt anew at its place",
+	"index_places_left":     "places that left a server which missed their prompt again",
 	"index_losses_noticed":  "servers that were found to have lost all that they kept",
 	"ring_full":             "events refused because the ring was full",
 }
