A leaving place that nobody can take stays, and nodes are not sent to ask for each call

Cause: a place that leaves its server, where the asker has no other candidate (a prompt bound to a region with one server), was given again but stayed leaving: each use was answered with a place without a server, so that the node asked the owner before each call, up to 1/16 of the contact time. Ruled out: refusing the question (the call would go by the hash, and be read elsewhere). Change: such a place begins anew at its server. Test: index/checks_test.go, the story of a place that nobody offers another server for, red before.

--- a/index/checks_test.go
+++ b/index/checks_test.go
@@ -240,6 +240,8 @@
 		misses(watch, "a", 1, 2)
 		misses(watch, "a", 1)
 		Expect(watch.placed(1, "", "a").Server).To(Equal("a"))
+		watch.call("a", 1, quick, Kept)
+		Expect(watch.moved).To(BeEmpty(), "the node is not sent to ask for each call")
 		Expect(watch.placed(1, "").Server).To(Equal("a"))
 	})
 
--- a/index/index.go
+++ b/index/index.go
@@ -170,7 +170,12 @@
 		return owner.lost(now, name) || known.leaving && name == known.server
 	})
 	if len(candidates) == 0 {
-		return Place{Key: ask.Key, Server: known.server}, known.leaving && known.server != ask.Lost
+		if !known.leaving || known.server == ask.Lost {
+			return Place{}, false
+		}
+		known.leaving, known.missed, known.moved = false, 0, now
+		owner.put(ask.Key, known)
+		return Place{Key: ask.Key, Server: known.server}, true
 	}
 	chosen := owner.choose(now, candidates, float64(max(0, ask.Work)))
 	owner.put(ask.Key, entry{server: chosen, moved: now, confirmed: true})
