--- a/chain/agree.go
+++ b/chain/agree.go
@@ -7,17 +7,19 @@
 	"github.com/cedarreel/cedarreel/contract"
 )
 
+// Ballot is one try to decide the view of a number. Proposer names the member and its start, so that a member which restarts never uses
+// a ballot again: what it proposed before may still be under way.
 type Ballot struct {
 	Number   int64  `json:"number"`
 	Round    int64  `json:"round"`
-	Identity string `json:"identity"`
+	Proposer string `json:"proposer"`
 }
 
 func (ballot Ballot) Before(other Ballot) bool {
 	if ballot.Round != other.Round {
 		return ballot.Round < other.Round
 	}
-	return ballot.Identity < other.Identity
+	return ballot.Proposer < other.Proposer
 }
 
 type Proposal struct {
@@ -51,6 +53,12 @@
 	Base     contract.View     `json:"base"`
 }
 
+// Accepted tells that a member has synced its vote for a proposal.
+type Accepted struct {
+	Ballot Ballot            `json:"ballot"`
+	Node   contract.CoreNode `json:"node"`
+}
+
 type campaign struct {
 	ballot   Ballot
 	started  time.Duration
@@ -92,7 +100,7 @@
 		return true
 	}
 	for _, member := range owner.seen.Members {
-		if member.Name == node.Name && member.Boot == node.Boot {
+		if member.CoreNode().Identity() == node.Identity() {
 			return true
 		}
 	}
@@ -104,7 +112,7 @@
 		return owner.fit
 	}
 	for _, member := range owner.seen.Members {
-		if member.Name == node.Name && member.Boot == node.Boot {
+		if member.CoreNode().Identity() == node.Identity() {
 			return member.Core
 		}
 	}
@@ -115,7 +123,7 @@
 func (owner *Owner) strangers() []contract.CoreNode {
 	strangers := []contract.CoreNode{}
 	for _, member := range owner.seen.Members {
-		node := contract.CoreNode{Name: member.Name, Boot: member.Boot, Address: member.Address}
+		node := member.CoreNode()
 		if _, there := owner.view.Node(node.Identity()); member.Core && !there {
 			strangers = append(strangers, node)
 		}
@@ -166,9 +174,11 @@
 	owner.stuck = -1
 }
 
+func (owner *Owner) proposer() string { return owner.self.Identity() + "/" + owner.start }
+
 func (owner *Owner) startCampaign(now time.Duration) {
 	round := owner.promised.Round + 1
-	ballot := Ballot{Number: owner.view.Number + 1, Round: round, Identity: owner.self.Identity()}
+	ballot := Ballot{Number: owner.view.Number + 1, Round: round, Proposer: owner.proposer()}
 	owner.campaign = &campaign{ballot: ballot, started: now, promises: map[string]Promise{}, votes: map[string]bool{}}
 	suffix := []contract.Version{}
 	for revision := max(1, owner.top-suffixSize+1); revision <= owner.top; revision++ {
@@ -201,26 +211,39 @@
 		}
 		owner.promised, owner.sealed, answer.Accepted = prepare.Ballot, true, owner.accepted
 	}
-	tell := func(time.Duration) {
+	number, suffix := owner.view.Number, owner.joinLog(prepare)
+	owner.persist(now, job{record: vote, versions: suffix, after: func(now time.Duration) {
+		owner.takeJoinLog(now, number, suffix, prepare.Known)
 		answer.Top, answer.Fit = owner.top, owner.fit
 		answer.Digest = owner.versions[owner.top].Digest
 		answer.Lacks, _ = owner.lacks()
 		owner.send(prepare.Node, LetterPromise, answer)
+	}})
+}
+
+// joinLog gives the end of the proposer's log that a member outside of the chain takes up, so that it may join at the tail. Within one
+// view the logs of its chain never disagree, so nothing has to give way.
+func (owner *Owner) joinLog(prepare Prepare) []contract.Version {
+	if owner.holder() || len(prepare.Suffix) == 0 || prepare.Suffix[0].Place.Revision > owner.top+1 {
+		return nil
 	}
-	if owner.rank() >= 0 || len(prepare.Suffix) == 0 || prepare.Suffix[0].Place.Revision > owner.top+1 {
-		tell(now)
+	return prepare.Suffix
+}
+
+func (owner *Owner) takeJoinLog(now time.Duration, number int64, suffix []contract.Version, known int64) {
+	if owner.view.Number != number || owner.holder() {
+		owner.discard(now, suffix)
 		return
 	}
-	owner.persist(now, job{versions: prepare.Suffix, after: func(now time.Duration) {
-		for _, version := range prepare.Suffix {
-			owner.install(version)
-		}
-		owner.settle(min(prepare.Known, owner.top))
-		tell(now)
-	}})
+	for _, version := range suffix {
+		owner.install(version)
+	}
+	if len(suffix) > 0 {
+		owner.settle(min(known, owner.top))
+	}
 }
 
-func (owner *Owner) promise(now time.Duration, from string, promise Promise) {
+func (owner *Owner) promise(now time.Duration, promise Promise) {
 	campaign := owner.campaign
 	if campaign == nil || promise.Ballot != campaign.ballot || campaign.proposal != nil {
 		return
@@ -230,7 +253,7 @@
 		owner.endCampaign(now)
 		return
 	}
-	campaign.promises[from] = promise
+	campaign.promises[promise.Node.Identity()] = promise
 	if len(campaign.promises) == campaign.asked {
 		owner.propose(now)
 	}
@@ -348,15 +371,20 @@
 	}
 	proposal := accept.Proposal
 	owner.promised, owner.sealed, owner.accepted = proposal.Ballot, true, &proposal
-	owner.send(accept.Node, LetterAccepted, proposal.Ballot)
+	owner.persist(now, job{record: true, after: func(time.Duration) {
+		owner.send(accept.Node, LetterAccepted, Accepted{Ballot: proposal.Ballot, Node: owner.self})
+	}})
 }
 
-func (owner *Owner) acceptedBy(now time.Duration, from string, ballot Ballot) {
+func (owner *Owner) acceptedBy(now time.Duration, accepted Accepted) {
 	campaign := owner.campaign
-	if campaign == nil || campaign.proposal == nil || campaign.ballot != ballot {
+	if campaign == nil || campaign.proposal == nil || campaign.ballot != accepted.Ballot {
+		return
+	}
+	if _, counts := owner.view.Node(accepted.Node.Identity()); !counts {
 		return
 	}
-	campaign.votes[from] = true
+	campaign.votes[accepted.Node.Identity()] = true
 	if len(campaign.votes) < owner.view.Majority() {
 		return
 	}
@@ -370,7 +398,8 @@
 	}
 }
 
-// adopt takes a committed view; numbers only rise, and the old view's promises end with it.
+// adopt takes a committed view; numbers only rise, and the old view's promises end with it. The record of the view is queued ahead of
+// anything that is done in it, and what leaves the log is removed from the folder before that record is written.
 func (owner *Owner) adopt(now time.Duration, view contract.View) {
 	if view.Number <= owner.view.Number {
 		return
@@ -383,9 +412,8 @@
 	owner.promised, owner.accepted, owner.sealed, owner.campaign = Ballot{}, nil, false, nil
 	owner.needed, owner.stuck, owner.resend = -1, -1, now-owner.bounds.Round()
 	owner.forsake()
-	owner.assigned, owner.settled = owner.top, len(view.Chain) == 1 && owner.committed >= owner.top
-	held := view
-	owner.persist(now, job{view: &held})
+	owner.assigned, owner.verified, owner.settled = owner.top, 0, len(view.Chain) == 1 && owner.committed >= owner.top
+	owner.persist(now, job{record: true})
 	owner.emit(Viewed{View: view}, contract.Say{What: "view", Detail: []any{"number", view.Number, "chain", len(view.Chain)}})
 }
 
--- /dev/null
+++ b/chain/catchup.go
@@ -0,0 +1,140 @@
+package chain
+
+import (
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+)
+
+// Resume is sent by a tail that doesn't know whether it has all of its head's log, as after a restart: the head passes its state again.
+type Resume struct {
+	View int64 `json:"view"`
+}
+
+func (owner *Owner) askResume(now time.Duration) {
+	if !owner.IsTail() || owner.IsHead() || owner.settled || owner.sealed || now-owner.resumed < owner.bounds.Round()/2 {
+		return
+	}
+	owner.resumed = now
+	if head, there := owner.view.Head(); there {
+		owner.send(head, LetterResume, Resume{View: owner.view.Number})
+	}
+}
+
+func (owner *Owner) resume(resume Resume) {
+	if resume.View == owner.view.Number && owner.IsHead() {
+		owner.settled = false
+	}
+}
+
+type Fetch struct {
+	Node contract.CoreNode `json:"node"`
+	From int64             `json:"from"`
+}
+
+type History struct {
+	Versions  []contract.Version `json:"versions"`
+	Committed int64              `json:"committed"`
+}
+
+func (owner *Owner) lacks() (int64, int64) {
+	count, first := int64(0), int64(0)
+	known := max(owner.committed, owner.seen.Held.Place.Revision)
+	for revision := max(1, known-owner.bounds.History+1); revision <= known; revision++ {
+		if _, there := owner.versions[revision]; !there || revision > owner.committed {
+			count++
+			if first == 0 && revision > owner.cursor {
+				first = revision
+			}
+		}
+	}
+	return count, first
+}
+
+// scrubHistory asks another core machine for the committed versions that are missing here.
+func (owner *Owner) scrubHistory(now time.Duration) {
+	if now < owner.scrub {
+		return
+	}
+	owner.scrub = now + owner.bounds.Round()/2
+	count, first := owner.lacks()
+	if first == 0 {
+		owner.cursor = 0
+	}
+	if count == 0 || first == 0 || len(owner.view.Chain) == 0 {
+		return
+	}
+	target, there := owner.view.Node(owner.view.Chain[owner.random.IntN(len(owner.view.Chain))])
+	if there && target.Identity() != owner.self.Identity() {
+		owner.send(target, LetterFetch, Fetch{Node: owner.self, From: first})
+	}
+}
+
+func (owner *Owner) fetch(fetch Fetch) {
+	history := History{Committed: owner.committed}
+	for revision := fetch.From; revision <= owner.committed && len(history.Versions) < batchSize; revision++ {
+		if version, there := owner.versions[revision]; there {
+			history.Versions = append(history.Versions, version)
+		}
+	}
+	history.Versions = contract.Fit(history.Versions, false)
+	owner.send(fetch.Node, LetterHistory, history)
+}
+
+func (owner *Owner) history(now time.Duration, history History) {
+	fresh := []contract.Version{}
+	for _, version := range history.Versions {
+		held, there := owner.versions[version.Place.Revision]
+		contradicts := there && (held.Place == version.Place || version.Place.Revision <= owner.committed)
+		if contract.Digest(version.Manifest) == version.Digest && !contradicts {
+			fresh = append(fresh, version)
+		}
+		owner.cursor = version.Place.Revision
+	}
+	if len(history.Versions) == 0 {
+		owner.cursor = 0
+	}
+	arrived := func(now time.Duration) {
+		for _, version := range fresh {
+			if _, there := owner.versions[version.Place.Revision]; !there || version.Place.Revision > owner.committed {
+				owner.install(version)
+			}
+			owner.committed = max(owner.committed, version.Place.Revision)
+		}
+		if count, _ := owner.lacks(); count > 0 && len(fresh) > 0 {
+			owner.scrub = now
+		}
+	}
+	if len(fresh) > 0 {
+		owner.persist(now, job{versions: fresh, drop: owner.conflicts(fresh), after: arrived})
+	}
+}
+
+// Lacking gives the first committed revision that is missing here, or nothing.
+func (owner *Owner) Lacking() int64 {
+	cursor := owner.cursor
+	owner.cursor = 0
+	count, first := owner.lacks()
+	if count > 0 {
+		for skip := owner.random.Int64N(count); skip > 0 && first > 0; skip-- {
+			owner.cursor = first
+			_, first = owner.lacks()
+		}
+	}
+	owner.cursor = cursor
+	if !owner.Member() {
+		return 0
+	}
+	return first
+}
+
+// Refill takes committed versions that other nodes kept.
+func (owner *Owner) Refill(now time.Duration, versions []contract.Version) []contract.Command {
+	owner.out = nil
+	cursor := owner.cursor
+	owner.history(now, History{Versions: versions})
+	owner.cursor = cursor
+	out := owner.out
+	owner.out = nil
+	return out
+}
--- a/chain/chain.go
+++ b/chain/chain.go
@@ -27,36 +27,44 @@
 	LetterFoundAccept = "found-accept"
 	LetterFounded     = "found-accepted"
 	LetterFoundBegin  = "found-begin"
+	LetterResume      = "chain-resume"
+	LetterFoundedAsk  = "founded-ask"
+	LetterFoundedHeld = "founded-held"
 	batchSize         = 32
 )
 
+// Persist asks for a write to the data folder. Its parts are synced in this order: dropped versions are removed, then versions, the
+// member record and the commit mark are written. Persisted answers it once everything is synced.
 type Persist struct {
 	Token    int64
 	Versions []contract.Version
-	View     *contract.View
+	Member   *MemberRecord
 	Drop     []contract.Place
-	// Committed marks the newest version that is known to be acknowledged; it is a hint for a start, never a vote.
+	// Committed is the newest version that is known to be committed.
 	Committed *contract.Place
 }
 
+// Persisted ends a Persist; Failure tells why nothing of it may be relied on.
 type Persisted struct {
-	Token  int64
-	Mishap string
+	Token   int64
+	Failure string
 }
 
-// Shelf is what a core machine found in its folder when it started; it is a hint, never a vote.
-type Shelf struct {
+// Recovered is what a core member found in its data folder when it started.
+type Recovered struct {
 	Versions []contract.Version
-	View     contract.View
-	Mishaps  []string
-	// Committed is the mark of the newest version that this folder knows to be acknowledged.
+	// Member is the member's durable state; it has no ID when the folder is empty or its record was damaged.
+	Member MemberRecord
+	// Damaged names the files that were put aside, each with the reason.
+	Damaged []string
+	// Committed is the newest version that this folder knows to be committed.
 	Committed contract.Place
 }
 
-// Newest gives the marked version, if the folder still has it.
-func (shelf Shelf) Newest() (contract.Version, bool) {
-	for _, version := range shelf.Versions {
-		if version.Place == shelf.Committed && version.Place.Revision > 0 {
+// Newest gives the newest version known to be committed, if the folder still has it.
+func (recovered Recovered) Newest() (contract.Version, bool) {
+	for _, version := range recovered.Versions {
+		if version.Place == recovered.Committed && version.Place.Revision > 0 {
 			return version, true
 		}
 	}
@@ -73,25 +81,20 @@
 	View    contract.View
 }
 
-type job struct {
-	versions []contract.Version
-	view     *contract.View
-	drop     []contract.Place
-	mark     *contract.Place
-	after    func(now time.Duration)
-}
-
 type Owner struct {
 	bounds    env.Bounds
 	coreSize  int
 	self      contract.CoreNode
+	start     string
 	random    *rand.Rand
 	view      contract.View
 	versions  map[int64]contract.Version
 	top       int64
 	committed int64
 	assigned  int64
-	shelf     map[int64]contract.Version
+	// verified is how far this log is known to be that of the head of this view.
+	verified int64
+	salvaged map[int64]contract.Version
 
 	promised Ballot
 	accepted *Proposal
@@ -101,8 +104,12 @@
 
 	foundPromised Ballot
 	foundAccepted *Foundation
-	founding      *founding
-	unfoundable   time.Duration
+	// foundSynced is the ballot of the first view that this member's folder agrees to; foundHeld are those that said the same since foundAsked.
+	foundSynced Ballot
+	foundHeld   map[string]bool
+	foundAsked  time.Duration
+	founding    *founding
+	unfoundable time.Duration
 
 	fit          bool
 	jobs         []job
@@ -110,36 +117,35 @@
 	writingSince time.Duration
 	token        int64
 
-	needed   time.Duration
-	retry    time.Duration
-	resend   time.Duration
-	scrub    time.Duration
-	cursor   int64
-	doubts   map[string]time.Duration
-	declared map[string]bool
-	stuck    time.Duration
-	checks   map[int64]*check
-	seen     Seen
-	started  time.Duration
-	begun    bool
-	told     bool
-	out      []contract.Command
-	loop     []contract.Letter
-	joins    bool
-	founders []string
-	marked   contract.Place
+	needed    time.Duration
+	retry     time.Duration
+	resend    time.Duration
+	resumed   time.Duration
+	scrub     time.Duration
+	cursor    int64
+	doubts    map[string]time.Duration
+	declared  map[string]bool
+	stuck     time.Duration
+	checks    map[int64]*check
+	seen      Seen
+	started   time.Duration
+	begun     bool
+	record    MemberRecord
+	presented bool
+	out       []contract.Command
+	loop      []contract.Letter
+	bootstrap bool
+	founders  []string
+	marked    contract.Place
 }
 
-func New(self contract.CoreNode, coreSize int, bounds env.Bounds, shelf Shelf, random *rand.Rand) *Owner {
-	owner := &Owner{bounds: bounds, coreSize: coreSize, self: self, random: random, fit: true, view: shelf.View,
-		versions: map[int64]contract.Version{}, shelf: map[int64]contract.Version{}, doubts: map[string]time.Duration{}, declared: map[string]bool{},
-		checks: map[int64]*check{}, needed: -1, unfoundable: -1, stuck: -1}
-	for _, version := range shelf.Versions {
-		former, there := owner.shelf[version.Place.Revision]
-		if !there || former.Place.Before(version.Place) {
-			owner.shelf[version.Place.Revision] = version
-		}
-	}
+// New makes the owner of a member. Its identity is that of its data folder, or self's where the folder has none. start names this start
+// of the process and differs from that of any other start.
+func New(self contract.CoreNode, start string, coreSize int, bounds env.Bounds, recovered Recovered, random *rand.Rand) *Owner {
+	owner := &Owner{bounds: bounds, coreSize: coreSize, self: self, start: start, random: random, fit: true, bootstrap: true,
+		versions: map[int64]contract.Version{}, salvaged: map[int64]contract.Version{}, doubts: map[string]time.Duration{},
+		declared: map[string]bool{}, checks: map[int64]*check{}, foundHeld: map[string]bool{}, needed: -1, unfoundable: -1, stuck: -1}
+	owner.recover(recovered)
 	return owner
 }
 
@@ -147,8 +153,14 @@
 // has the size that was asked for.
 func (owner *Owner) Founders(addresses []string) { owner.founders = addresses }
 
-// Founds tells whether this core machine may found a blank fleet; one that replaces another, or has lost its disk, only joins.
-func (owner *Owner) Founds(may bool) { owner.joins = !may }
+// Bootstraps tells whether this start may bootstrap a blank fleet. A member that was allowed to at its first start stays allowed until
+// it has a view; one that replaces another, or has lost its disk, only joins.
+func (owner *Owner) Bootstraps(may bool) {
+	owner.bootstrap = owner.bootstrap && may || owner.record.Bootstrap
+}
+
+// Self gives this member with the identity of its data folder.
+func (owner *Owner) Self() contract.CoreNode { return owner.self }
 
 func (owner *Owner) View() contract.View { return owner.view }
 func (owner *Owner) Fit() bool           { return owner.fit }
@@ -175,9 +187,8 @@
 	owner.out = nil
 	switch event := event.(type) {
 	case Seen:
-		if !owner.told && owner.view.Number > 0 {
-			owner.told = true
-			owner.emit(Viewed{View: owner.view})
+		if !owner.presented {
+			owner.present(now)
 		}
 		owner.tick(now, event)
 	case Persisted:
@@ -202,18 +213,17 @@
 		owner.emit(contract.Send{To: node.Address, Kind: kind, Body: body})
 		return
 	}
-	content, mishap := json.Marshal(body)
-	if mishap != nil {
-		panic(mishap)
+	content, failure := json.Marshal(body)
+	if failure != nil {
+		panic(failure)
 	}
-	owner.loop = append(owner.loop, contract.Letter{Kind: kind, From: owner.self.Name, Boot: owner.self.Boot, Body: content})
+	owner.loop = append(owner.loop, contract.Letter{Kind: kind, From: owner.self.Name, Body: content})
 }
 
 func (owner *Owner) letter(now time.Duration, letter contract.Letter) {
-	from := letter.From + "#" + letter.Boot
 	switch letter.Kind {
 	case LetterPass:
-		read(owner, letter, func(pass Pass) { owner.pass(now, from, pass) })
+		read(owner, letter, func(pass Pass) { owner.pass(now, pass) })
 	case LetterDone:
 		read(owner, letter, func(done Done) { owner.done(now, done) })
 	case LetterFetch:
@@ -225,25 +235,31 @@
 	case LetterPrepare:
 		read(owner, letter, func(prepare Prepare) { owner.prepare(now, prepare) })
 	case LetterPromise:
-		read(owner, letter, func(promise Promise) { owner.promise(now, from, promise) })
+		read(owner, letter, func(promise Promise) { owner.promise(now, promise) })
 	case LetterAccept:
 		read(owner, letter, func(accept Accept) { owner.accept(now, accept) })
 	case LetterAccepted:
-		read(owner, letter, func(ballot Ballot) { owner.acceptedBy(now, from, ballot) })
+		read(owner, letter, func(accepted Accepted) { owner.acceptedBy(now, accepted) })
 	case LetterCheck:
 		read(owner, letter, func(ask Check) { owner.check(ask) })
 	case LetterChecked:
-		read(owner, letter, func(answer Check) { owner.checked(from, answer) })
+		read(owner, letter, func(answer Check) { owner.checked(answer) })
 	case LetterFoundAsk:
 		read(owner, letter, func(ask FoundAsk) { owner.foundAsk(ask) })
 	case LetterFoundTell:
-		read(owner, letter, func(tell FoundTell) { owner.foundTell(now, from, tell) })
+		read(owner, letter, func(tell FoundTell) { owner.foundTell(now, tell) })
 	case LetterFoundAccept:
 		read(owner, letter, func(foundation Foundation) { owner.foundAccept(now, foundation) })
 	case LetterFoundBegin:
 		read(owner, letter, func(foundation Foundation) { owner.begin(now, foundation) })
 	case LetterFounded:
-		read(owner, letter, func(ballot Ballot) { owner.founded(now, from, ballot) })
+		read(owner, letter, func(accepted Accepted) { owner.founded(now, accepted) })
+	case LetterFoundedAsk:
+		read(owner, letter, func(ask FoundedAsk) { owner.foundedAsk(ask) })
+	case LetterFoundedHeld:
+		read(owner, letter, func(held FoundedHeld) { owner.foundedHeld(now, held) })
+	case LetterResume:
+		read(owner, letter, func(resume Resume) { owner.resume(resume) })
 	}
 }
 
@@ -269,6 +285,7 @@
 		}
 	}
 	owner.retransmit(now)
+	owner.askResume(now)
 	owner.scrubHistory(now)
 	owner.expireChecks(now)
 	if owner.lostCore() {
@@ -278,73 +295,3 @@
 	owner.unfoundable, owner.founding = -1, nil
 	owner.tickAgree(now)
 }
-
-func (owner *Owner) persist(now time.Duration, work job) {
-	owner.jobs = append(owner.jobs, work)
-	owner.startWrite(now)
-}
-
-// startWrite puts every waiting job into one write, so a storm costs one sync a batch.
-func (owner *Owner) startWrite(now time.Duration) {
-	if owner.writing != nil || len(owner.jobs) == 0 {
-		return
-	}
-	batch := owner.jobs
-	owner.jobs = nil
-	merged := job{after: func(now time.Duration) {
-		for _, work := range batch {
-			if work.after != nil {
-				work.after(now)
-			}
-		}
-	}}
-	for _, work := range batch {
-		merged.versions = append(merged.versions, work.versions...)
-		merged.drop = append(merged.drop, work.drop...)
-		if work.view != nil {
-			merged.view = work.view
-		}
-		if work.mark != nil {
-			merged.mark = work.mark
-		}
-	}
-	owner.token++
-	owner.writing, owner.writingSince = &merged, now
-	owner.emit(Persist{Token: owner.token, Versions: merged.versions, View: merged.view, Drop: merged.drop, Committed: merged.mark})
-}
-
-func (owner *Owner) persisted(now time.Duration, event Persisted) {
-	if owner.writing == nil || event.Token != owner.token {
-		return
-	}
-	work := owner.writing
-	owner.writing = nil
-	if event.Mishap != "" {
-		owner.setFit(false, event.Mishap)
-		owner.jobs = append([]job{*work}, owner.jobs...)
-		owner.emit(contract.Count{Name: "disk_mishaps", By: 1})
-		return
-	}
-	owner.setFit(true, "")
-	work.after(now)
-	owner.startWrite(now)
-}
-
-func (owner *Owner) watchDisk(now time.Duration) {
-	if owner.writing != nil && now-owner.writingSince > owner.bounds.Commit()/2 {
-		owner.setFit(false, "write stalled")
-	}
-	if !owner.fit && owner.writing == nil && now-owner.writingSince > owner.bounds.Round() {
-		if len(owner.jobs) == 0 {
-			owner.jobs = append(owner.jobs, job{view: &owner.view})
-		}
-		owner.startWrite(now)
-	}
-}
-
-func (owner *Owner) setFit(fit bool, why string) {
-	if owner.fit != fit {
-		owner.fit = fit
-		owner.emit(contract.Say{What: "disk", Detail: []any{"fit", fit, "why", why}})
-	}
-}
--- a/chain/check.go
+++ b/chain/check.go
@@ -9,10 +9,14 @@
 
 // Check asks the core whether a view still is the newest, so that a woken old tail cannot answer.
 type Check struct {
-	Nonce int64             `json:"nonce"`
+	Nonce int64 `json:"nonce"`
+	// Start is the asker's start, so that an answer to its former start is not taken for one to this.
+	Start string            `json:"start"`
 	View  int64             `json:"view"`
 	Node  contract.CoreNode `json:"node"`
 	Holds bool              `json:"holds"`
+	// By answers.
+	By contract.CoreNode `json:"by"`
 }
 
 type check struct {
@@ -29,13 +33,13 @@
 
 func (owner *Owner) Vouch(now time.Duration, token int64) []contract.Command {
 	owner.out = nil
-	if !owner.IsTail() || owner.sealed || !owner.settled {
+	if !owner.IsTail() || owner.sealed || !owner.settled || owner.outrun(owner.committed) {
 		return []contract.Command{Vouched{Token: token}}
 	}
 	owner.checks[token] = &check{view: owner.view.Number, until: now + owner.bounds.Round(), votes: map[string]bool{owner.self.Identity(): true}}
 	for _, node := range owner.view.Core {
 		if node.Identity() != owner.self.Identity() {
-			owner.send(node, LetterCheck, Check{Nonce: token, View: owner.view.Number, Node: owner.self})
+			owner.send(node, LetterCheck, Check{Nonce: token, Start: owner.start, View: owner.view.Number, Node: owner.self})
 		}
 	}
 	out := owner.out
@@ -45,15 +49,15 @@
 
 func (owner *Owner) check(ask Check) {
 	holds := owner.Member() && !owner.sealed && owner.view.Number == ask.View
-	owner.send(ask.Node, LetterChecked, Check{Nonce: ask.Nonce, View: ask.View, Holds: holds})
+	owner.send(ask.Node, LetterChecked, Check{Nonce: ask.Nonce, Start: ask.Start, View: ask.View, Holds: holds, By: owner.self})
 }
 
-func (owner *Owner) checked(from string, answer Check) {
+func (owner *Owner) checked(answer Check) {
 	pending, there := owner.checks[answer.Nonce]
-	if !there || !answer.Holds || pending.view != answer.View {
+	if !there || !answer.Holds || pending.view != answer.View || answer.Start != owner.start {
 		return
 	}
-	pending.votes[from] = true
+	pending.votes[answer.By.Identity()] = true
 	if len(pending.votes) >= owner.view.Majority() {
 		delete(owner.checks, answer.Nonce)
 		owner.emit(Vouched{Token: answer.Nonce, Fine: pending.view == owner.view.Number && !owner.sealed && owner.IsTail()})
--- a/chain/forsaken_test.go
+++ b/chain/forsaken_test.go
@@ -14,7 +14,7 @@
 	nodes := []contract.CoreNode{}
 	names := []string{}
 	for _, name := range []string{"head", "middle", "tail"} {
-		nodes = append(nodes, contract.CoreNode{Name: name, Boot: "boot", Address: name})
+		nodes = append(nodes, contract.CoreNode{Name: name, ID: "boot", Address: name})
 		names = append(names, nodes[len(nodes)-1].Identity())
 	}
 	view := func(number int64) contract.View {
@@ -26,7 +26,7 @@
 		return contract.Letter{Kind: kind, From: "middle", Boot: "boot", Body: text}
 	}
 	head := func() *Owner {
-		owner := New(nodes[0], 3, env.DefaultBounds(), Shelf{}, rand.New(rand.NewPCG(1, 1)))
+		owner := New(nodes[0], "start", 3, env.DefaultBounds(), Recovered{}, rand.New(rand.NewPCG(1, 1)))
 		owner.Handle(0, letter(LetterNews, view(1)))
 		owner.Handle(time.Millisecond, Persisted{Token: owner.token})
 		return owner
--- a/chain/found.go
+++ b/chain/found.go
@@ -45,30 +45,36 @@
 	nodes := []contract.CoreNode{}
 	for _, member := range owner.seen.Members {
 		if member.Core {
-			nodes = append(nodes, contract.CoreNode{Name: member.Name, Boot: member.Boot, Address: member.Address})
+			nodes = append(nodes, member.CoreNode())
 		}
 	}
 	return nodes
 }
 
-// lostCore holds when the view's core can never again reach its majority: before any view, when that many of its boots
-// are replaced, or when it is orphaned.
+// lostCore holds when there is no core whose majority could decide: before the first view, or when so many members can never return
+// that those left are no majority. A member never returns once an operator has declared it gone, or its own machine came back with
+// another disk. That a member is merely silent proves nothing.
 func (owner *Owner) lostCore() bool {
-	return owner.view.Number == 0 || owner.replaced() || owner.orphaned()
-}
-
-func (owner *Owner) gone() int {
+	if owner.view.Number == 0 {
+		return true
+	}
 	gone := 0
 	for _, node := range owner.view.Core {
-		replaced := owner.declared[node.Identity()]
-		for _, other := range owner.coreSeen() {
-			replaced = replaced || other.Name == node.Name && other.Boot != node.Boot
-		}
-		if replaced && !owner.aliveCore(node) {
+		if _, replaced := owner.successor(node); !owner.aliveCore(node) && (replaced || owner.declared[node.Identity()]) {
 			gone++
 		}
 	}
-	return gone
+	return len(owner.view.Core)-gone < owner.view.Majority()
+}
+
+// successor gives the member that a machine is now, where it came back with another disk.
+func (owner *Owner) successor(node contract.CoreNode) (contract.CoreNode, bool) {
+	for _, other := range owner.coreSeen() {
+		if other.Name == node.Name && other.ID != node.ID {
+			return other, true
+		}
+	}
+	return contract.CoreNode{}, false
 }
 
 // Declare takes an operator's word that a machine's former boot never returns; a live one is not believed dead.
@@ -82,55 +88,49 @@
 	return false
 }
 
-func (owner *Owner) replaced() bool {
-	return len(owner.view.Core)-owner.gone() < owner.view.Majority()
-}
-
-// orphaned holds when what is left of a core cannot change its view, a full set of other core machines stands by, and
-// sealing those that are left also stops the old chain for good.
-func (owner *Owner) orphaned() bool {
-	gone := owner.gone()
-	nodes, survivors, chained := owner.coreSeen(), 0, gone > 0
-	for _, node := range nodes {
-		if _, there := owner.view.Node(node.Identity()); there {
-			survivors++
-			chained = chained || owner.view.Rank(node.Identity()) >= 0
+// foundFellows are those who all have to agree to a first view, or to one after the core was lost: then every machine of the old core
+// must be there, as the member that it was or as its successor, or be declared gone. Others take the places of those.
+func (owner *Owner) foundFellows() []contract.CoreNode {
+	if owner.view.Number == 0 {
+		return owner.founderNodes()
+	}
+	fellows := []contract.CoreNode{}
+	for _, node := range owner.view.Core {
+		successor, replaced := owner.successor(node)
+		switch {
+		case owner.aliveCore(node):
+			fellows = append(fellows, node)
+		case replaced:
+			fellows = append(fellows, successor)
+		case !owner.declared[node.Identity()]:
+			return nil
 		}
 	}
-	left := len(owner.view.Core) - gone - survivors
-	return len(nodes) >= owner.coreSize && survivors < owner.view.Majority() && left < owner.view.Majority() && chained
+	for _, node := range owner.strangers() {
+		if len(owner.declared) > 0 && len(fellows) < owner.coreSize && !slices.Contains(fellows, node) {
+			fellows = append(fellows, node)
+		}
+	}
+	sortByName(fellows)
+	return fellows
 }
 
-// foundFellows are those who found: whoever is left of the old view, then its machines' new boots, then others.
-func (owner *Owner) foundFellows() []contract.CoreNode {
+// founderNodes are the members that bootstrap a blank fleet: those at the addresses that were told, or all that are seen.
+func (owner *Owner) founderNodes() []contract.CoreNode {
 	nodes := owner.coreSeen()
-	rank := func(node contract.CoreNode) int {
-		if _, there := owner.view.Node(node.Identity()); there {
-			return 0
-		}
-		for _, old := range owner.view.Core {
-			if old.Name == node.Name {
-				return 1
-			}
-		}
-		return 2
-	}
-	slices.SortStableFunc(nodes, func(left, right contract.CoreNode) int { return rank(left) - rank(right) })
-	if owner.view.Number == 0 && len(owner.founders) > 0 {
+	if len(owner.founders) > 0 {
 		nodes = slices.DeleteFunc(nodes, func(node contract.CoreNode) bool { return !slices.Contains(owner.founders, node.Address) })
 	}
-	if owner.view.Number > 0 {
-		nodes = slices.DeleteFunc(nodes, func(node contract.CoreNode) bool {
-			return rank(node) == 2 && !owner.orphaned() && len(owner.declared) == 0
-		})
-		nodes = nodes[:min(len(nodes), owner.coreSize)]
-	}
-	slices.SortFunc(nodes, func(left, right contract.CoreNode) int { return strings.Compare(left.Name, right.Name) })
+	sortByName(nodes)
 	return nodes
 }
 
+func sortByName(nodes []contract.CoreNode) {
+	slices.SortFunc(nodes, func(left, right contract.CoreNode) int { return strings.Compare(left.Name, right.Name) })
+}
+
 func (owner *Owner) blankFleet() bool {
-	if owner.joins || owner.view.Number > 0 || owner.seen.Held.Place.Revision > 0 || len(owner.shelf) > 0 {
+	if !owner.bootstrap || owner.view.Number > 0 || owner.seen.Held.Place.Revision > 0 || len(owner.salvaged) > 0 {
 		return false
 	}
 	for _, member := range owner.seen.Members {
@@ -141,12 +141,9 @@
 	return true
 }
 
-// wholeCore is how many core machines are all that there should be now.
-func (owner *Owner) wholeCore() int {
-	switch {
-	case owner.view.Number > 0:
-		return min(len(owner.view.Core), owner.coreSize)
-	case len(owner.founders) > 0:
+// founderCount is how many members bootstrap a blank fleet.
+func (owner *Owner) founderCount() int {
+	if len(owner.founders) > 0 {
 		return len(owner.founders)
 	}
 	return owner.coreSize
@@ -163,21 +160,17 @@
 		}
 		return
 	}
+	owner.askFounded(now)
 	fellows := owner.foundFellows()
-	waited, alone := now-owner.unfoundable, len(fellows) < 2
-	complete := len(fellows) == owner.wholeCore()
-	patience := owner.bounds.Round()
-	if !complete || owner.view.Number > 0 && !owner.replaced() {
-		patience = owner.bounds.Refound()
-	}
-	if owner.view.Number == 0 && (!complete || !owner.blankFleet()) {
+	if owner.view.Number == 0 && (len(fellows) != owner.founderCount() || !owner.blankFleet()) {
 		return
 	}
-	if alone || waited < patience || now-owner.started < owner.bounds.Licence() || now < owner.retry || fellows[0].Identity() != owner.self.Identity() {
+	waited := now - owner.unfoundable
+	if len(fellows) < 2 || waited < owner.bounds.Round() || now-owner.started < owner.bounds.Licence() || now < owner.retry || fellows[0].Identity() != owner.self.Identity() {
 		return
 	}
 	owner.foundPromised.Round++
-	ballot := Ballot{Number: owner.view.Number + 1, Round: owner.foundPromised.Round, Identity: owner.self.Identity()}
+	ballot := Ballot{Number: owner.view.Number + 1, Round: owner.foundPromised.Round, Proposer: owner.proposer()}
 	owner.founding = &founding{ballot: ballot, started: now, fellows: fellows, tells: map[string]FoundTell{}, votes: map[string]bool{}}
 	for _, node := range fellows {
 		owner.send(node, LetterFoundAsk, FoundAsk{Ballot: ballot, Node: owner.self})
@@ -193,7 +186,7 @@
 		}
 	}
 	take(owner.seen.Held)
-	for _, version := range owner.shelf {
+	for _, version := range owner.salvaged {
 		take(version)
 	}
 	for _, version := range owner.versions {
@@ -212,7 +205,7 @@
 	owner.send(ask.Node, LetterFoundTell, tell)
 }
 
-func (owner *Owner) foundTell(now time.Duration, from string, tell FoundTell) {
+func (owner *Owner) foundTell(now time.Duration, tell FoundTell) {
 	founding := owner.founding
 	if founding == nil || founding.ballot != tell.Ballot || founding.foundation != nil {
 		return
@@ -221,11 +214,17 @@
 		owner.foundPromised.Round = max(owner.foundPromised.Round, tell.Refused.Round)
 		return
 	}
-	founding.tells[from] = tell
+	if !slices.Contains(founding.fellows, tell.Node) {
+		return
+	}
+	founding.tells[tell.Node.Identity()] = tell
 	if len(founding.tells) < len(founding.fellows) {
 		return
 	}
 	foundation := Foundation{Ballot: founding.ballot, Node: owner.self, View: contract.View{Number: founding.ballot.Number}}
+	if owner.view.Number > 0 {
+		foundation.View.Number += foundingGap
+	}
 	for _, node := range founding.fellows {
 		other := founding.tells[node.Identity()]
 		if owner.view.Number == 0 && !other.Blank {
@@ -259,6 +258,9 @@
 	}
 }
 
+// foundingGap keeps the numbers of a core that was founded anew apart from views that the lost core may still have decided.
+const foundingGap = 1 << 10
+
 func sameCore(left, right contract.View) bool {
 	if len(left.Core) != len(right.Core) {
 		return false
@@ -276,20 +278,23 @@
 		return
 	}
 	owner.foundPromised, owner.foundAccepted = foundation.Ballot, &foundation
-	work := job{}
+	work := job{record: true}
 	if foundation.Image != nil {
 		work.versions = []contract.Version{*foundation.Image}
 	}
-	work.after = func(now time.Duration) { owner.send(foundation.Node, LetterFounded, foundation.Ballot) }
+	work.after = func(now time.Duration) {
+		owner.foundSynced = foundation.Ballot
+		owner.send(foundation.Node, LetterFounded, Accepted{Ballot: foundation.Ballot, Node: owner.self})
+	}
 	owner.persist(now, work)
 }
 
-func (owner *Owner) founded(now time.Duration, from string, ballot Ballot) {
+func (owner *Owner) founded(now time.Duration, accepted Accepted) {
 	founding := owner.founding
-	if founding == nil || founding.foundation == nil || founding.ballot != ballot {
+	if founding == nil || founding.foundation == nil || founding.ballot != accepted.Ballot {
 		return
 	}
-	founding.votes[from] = true
+	founding.votes[accepted.Node.Identity()] = true
 	if len(founding.votes) < len(founding.fellows) {
 		return
 	}
@@ -310,9 +315,10 @@
 	}
 	image := foundation.Image
 	former := owner.versions
+	defer func() { owner.salvaged = map[int64]contract.Version{} }()
 	owner.versions, owner.top, owner.committed = map[int64]contract.Version{}, 0, 0
 	if image != nil {
-		for _, source := range []map[int64]contract.Version{owner.shelf, former} {
+		for _, source := range []map[int64]contract.Version{owner.salvaged, former} {
 			for revision, version := range source {
 				if revision < image.Place.Revision && revision > image.Place.Revision-owner.bounds.History && !image.Place.Before(version.Place) {
 					owner.versions[revision] = version
@@ -325,6 +331,15 @@
 		owner.settle(owner.committed)
 	}
 	owner.foundAccepted = nil
+	drop := []contract.Place{}
+	for _, source := range []map[int64]contract.Version{owner.salvaged, former} {
+		for revision, version := range source {
+			if kept, there := owner.versions[revision]; !there || kept.Place != version.Place {
+				drop = append(drop, version.Place)
+			}
+		}
+	}
+	owner.jobs = append(owner.jobs, job{drop: drop})
 	owner.adopt(now, foundation.View)
 	owner.emit(contract.Count{Name: "foundings", By: 1})
 }
--- a/chain/found_test.go
+++ b/chain/found_test.go
@@ -25,14 +25,14 @@
 }
 
 // core runs three core machines that see each other, for a while, and gives them and what was counted.
-func core(founds []bool, shelves []Shelf, span time.Duration) ([]*Owner, map[string]int64) {
+func core(founds []bool, shelves []Recovered, span time.Duration) ([]*Owner, map[string]int64) {
 	bounds, owners, members, counts := env.DefaultBounds(), []*Owner{}, []contract.Member{}, map[string]int64{}
 	for place := range founds {
-		self := contract.CoreNode{Name: fmt.Sprintf("m%d-control", place), Boot: "boot", Address: fmt.Sprint("address", place)}
-		owner := New(self, len(founds), bounds, shelves[place], rand.New(rand.NewPCG(uint64(place), 1)))
-		owner.Founds(founds[place])
+		self := contract.CoreNode{Name: fmt.Sprintf("m%d-control", place), ID: "boot", Address: fmt.Sprint("address", place)}
+		owner := New(self, "start", len(founds), bounds, shelves[place], rand.New(rand.NewPCG(uint64(place), 1)))
+		owner.Bootstraps(founds[place])
 		owners = append(owners, owner)
-		members = append(members, contract.Member{Name: self.Name, Boot: self.Boot, Kind: contract.KindControl, Core: true, Address: self.Address})
+		members = append(members, contract.Member{Name: self.Name, Boot: self.ID, CoreID: self.ID, Kind: contract.KindControl, Core: true, Address: self.Address})
 	}
 	waiting := make([][]contract.Event, len(owners))
 	for now := time.Duration(0); now < span; now += bounds.Tick() {
@@ -47,7 +47,7 @@
 						Expect(failure).NotTo(HaveOccurred())
 						for other := range owners {
 							if owners[other].self.Address == command.To {
-								waiting[other] = append(waiting[other], contract.Letter{Kind: command.Kind, From: owner.self.Name, Boot: owner.self.Boot, Body: content})
+								waiting[other] = append(waiting[other], contract.Letter{Kind: command.Kind, From: owner.self.Name, Boot: owner.self.ID, Body: content})
 							}
 						}
 					case Persist:
@@ -64,7 +64,7 @@
 }
 
 var _ = Describe("a blank core", func() {
-	blank := make([]Shelf, 3)
+	blank := make([]Recovered, 3)
 
 	It("given three machines of a first start, when they see each other, then they found one view", func() {
 		owners, counts := core([]bool{true, true, true}, blank, 30*time.Second)
@@ -97,8 +97,8 @@
 	}
 
 	It("given a machine whose folder holds a version, when it may found but has no view, then it never founds a blank fleet", func() {
-		held := Shelf{Versions: []contract.Version{{Place: contract.Place{View: 1, Revision: 4}}}}
-		owners, counts := core([]bool{true, true, true}, []Shelf{held, {}, {}}, 5*time.Minute)
+		held := Recovered{Versions: []contract.Version{{Place: contract.Place{View: 1, Revision: 4}}}}
+		owners, counts := core([]bool{true, true, true}, []Recovered{held, {}, {}}, 5*time.Minute)
 		for _, owner := range owners {
 			Expect(owner.View().Number).To(BeZero())
 		}
--- a/chain/vouch_test.go
+++ b/chain/vouch_test.go
@@ -12,7 +12,7 @@
 
 var _ = Describe("a chain that shrank to one member", func() {
 	node := func(name string) contract.CoreNode {
-		return contract.CoreNode{Name: name, Boot: "boot", Address: name}
+		return contract.CoreNode{Name: name, ID: "boot", Address: name}
 	}
 	letter := func(kind, from string, body any) contract.Letter {
 		content, failure := json.Marshal(body)
@@ -24,11 +24,11 @@
 
 	// member is the middle of a chain that has taken a version and not yet heard whether its tail has it.
 	member := func() *Owner {
-		owner := New(nodes[1], 3, env.DefaultBounds(), Shelf{}, rand.New(rand.NewPCG(1, 1)))
+		owner := New(nodes[1], "start", 3, env.DefaultBounds(), Recovered{}, rand.New(rand.NewPCG(1, 1)))
 		owner.Handle(0, letter(LetterNews, "head", contract.View{Number: 1, Core: nodes, Chain: names, Holders: names}))
 		content := []byte(`{}`)
 		version := contract.Version{Place: contract.Place{View: 1, Revision: 1}, Operation: "first", Digest: contract.Digest(content), Manifest: content}
-		owner.Handle(0, letter(LetterPass, "head", Pass{View: 1, Versions: []contract.Version{version}, Top: 1}))
+		owner.Handle(0, letter(LetterPass, "head", Pass{From: nodes[0], View: 1, Versions: []contract.Version{version}, Top: 1}))
 		for token := int64(1); token <= 4; token++ {
 			owner.Handle(time.Millisecond, Persisted{Token: token})
 		}
--- a/chain/write.go
+++ b/chain/write.go
@@ -7,25 +7,32 @@
 	"github.com/cedarreel/cedarreel/contract"
 )
 
+// Pass brings a head's versions down the chain, and tells how far the head is.
 type Pass struct {
-	View      int64              `json:"view"`
-	Versions  []contract.Version `json:"versions"`
-	Previous  int64              `json:"previous"`
-	Committed int64              `json:"committed"`
-	Top       int64              `json:"top"`
+	From     contract.CoreNode  `json:"from"`
+	View     int64              `json:"view"`
+	Versions []contract.Version `json:"versions"`
+	// Previous is the place before the first version, or the newest one where there is none: the receiver's log must have it.
+	Previous  contract.Place `json:"previous"`
+	Committed int64          `json:"committed"`
+	Top       int64          `json:"top"`
 }
 
+// Done is the tail's word that the whole chain has synced all versions up to a place.
 type Done struct {
-	View     int64  `json:"view"`
-	Revision int64  `json:"revision"`
-	Digest   string `json:"digest"`
+	View  int64          `json:"view"`
+	Place contract.Place `json:"place"`
 	// Settled tells that the tail has all that its head had when the view began.
 	Settled bool `json:"settled"`
 }
 
+// outrun tells whether another node holds a committed version that is newer than a revision, as after a disk lost what it had synced:
+// then this member neither numbers versions nor answers reads until it has that version again.
+func (owner *Owner) outrun(revision int64) bool { return owner.seen.Held.Place.Revision > revision }
+
 // Open tells whether this node may number a write now.
 func (owner *Owner) Open() bool {
-	if !owner.IsHead() || owner.sealed || !owner.fit || len(owner.view.Chain) < 2 || len(owner.jobs) >= 4*batchSize {
+	if !owner.IsHead() || owner.sealed || !owner.fit || len(owner.view.Chain) < 2 || len(owner.jobs) >= 4*batchSize || owner.outrun(owner.assigned) {
 		return false
 	}
 	for _, identity := range owner.view.Chain {
@@ -76,10 +83,12 @@
 
 // sheet is what the head passes down: versions, and how far it is itself.
 func (owner *Owner) sheet(versions []contract.Version) Pass {
-	pass := Pass{View: owner.view.Number, Versions: versions, Previous: owner.top, Committed: owner.committed, Top: owner.top}
+	pass := Pass{View: owner.view.Number, Versions: versions, Committed: owner.committed, Top: owner.top}
+	last := owner.top
 	if len(versions) > 0 {
-		pass.Previous = owner.before(versions[0].Place.Revision)
+		last = owner.before(versions[0].Place.Revision)
 	}
+	pass.Previous = owner.versions[last].Place
 	return pass
 }
 
@@ -89,6 +98,7 @@
 		return
 	}
 	if next, there := owner.view.Node(owner.view.Chain[rank+1]); there {
+		pass.From = owner.self
 		owner.send(next, LetterPass, pass)
 	}
 }
@@ -102,95 +112,162 @@
 	return 0
 }
 
-func (owner *Owner) pass(now time.Duration, from string, pass Pass) {
+func (owner *Owner) pass(now time.Duration, pass Pass) {
 	rank := owner.rank()
-	if pass.View != owner.view.Number || owner.sealed || rank < 1 || owner.view.Chain[rank-1] != from {
+	if pass.View != owner.view.Number || owner.sealed || rank < 1 || owner.view.Chain[rank-1] != pass.From.Identity() {
 		owner.emit(contract.Count{Name: "passes_refused", By: 1})
 		return
 	}
-	if _, there := owner.versions[pass.Previous]; pass.Previous > 0 && (!there || pass.Previous > owner.top) {
+	if !owner.follows(pass.Previous) {
 		owner.emit(contract.Count{Name: "passes_early", By: 1})
 		return
 	}
+	fresh, fine := owner.fresh(pass.Versions)
+	if !fine {
+		return
+	}
+	number := owner.view.Number
+	arrived := func(now time.Duration) {
+		if owner.view.Number != number {
+			owner.discard(now, fresh)
+			return
+		}
+		owner.passed(pass, fresh)
+	}
+	if len(fresh) == 0 && owner.writing == nil {
+		arrived(now)
+		return
+	}
+	owner.persist(now, job{versions: fresh, drop: owner.conflicts(fresh), after: arrived})
+}
+
+// follows tells whether the log has the version before those that are passed.
+func (owner *Owner) follows(previous contract.Place) bool {
+	held, there := owner.versions[previous.Revision]
+	return previous.Revision == 0 || there && held.Place == previous && previous.Revision <= owner.top
+}
+
+// fresh gives the passed versions that the log lacks; one that contradicts a committed version spoils them all.
+func (owner *Owner) fresh(versions []contract.Version) ([]contract.Version, bool) {
 	fresh := []contract.Version{}
-	for _, version := range pass.Versions {
+	for _, version := range versions {
 		held, there := owner.versions[version.Place.Revision]
-		if there && held.Digest == version.Digest && held.Place == version.Place && version.Place.Revision <= owner.top {
+		if there && held.Place == version.Place && version.Place.Revision <= owner.top {
 			continue
 		}
-		if there && held.Digest != version.Digest && version.Place.Revision <= owner.committed {
+		if there && version.Place.Revision <= owner.committed {
 			owner.emit(contract.Count{Name: "committed_conflicts", By: 1}, contract.Say{What: "pass against a committed version", Detail: []any{"revision", version.Place.Revision}})
-			return
+			return nil, false
 		}
 		fresh = append(fresh, version)
 	}
-	number := owner.view.Number
-	arrived := func(now time.Duration) {
-		if owner.view.Number != number || owner.sealed {
-			return
-		}
-		for _, version := range fresh {
-			owner.install(version)
+	return fresh, true
+}
+
+// conflicts gives what must leave the folder before versions are written: others under their revisions and all that was built on those.
+func (owner *Owner) conflicts(fresh []contract.Version) []contract.Place {
+	first := int64(0)
+	for _, version := range fresh {
+		held, there := owner.versions[version.Place.Revision]
+		if there && held.Place != version.Place && (first == 0 || version.Place.Revision < first) {
+			first = version.Place.Revision
 		}
-		owner.settle(min(pass.Committed, owner.top))
-		if !owner.IsTail() {
-			owner.passOn(pass)
-			return
+	}
+	drop := []contract.Place{}
+	for revision, version := range owner.versions {
+		if first > 0 && revision >= first && revision > owner.committed {
+			drop = append(drop, version.Place)
 		}
-		owner.settle(owner.top)
-		owner.settled = owner.settled || owner.top >= pass.Top
-		owner.announce()
 	}
-	if len(fresh) == 0 && owner.writing == nil {
-		arrived(now)
+	return drop
+}
+
+// passed takes up what was synced. A sealed member keeps it, since it may be the only one that has it, but tells nobody.
+func (owner *Owner) passed(pass Pass, fresh []contract.Version) {
+	for _, version := range fresh {
+		owner.install(version)
+	}
+	if owner.sealed {
+		return
+	}
+	owner.verified = max(owner.verified, pass.Previous.Revision)
+	if count := len(pass.Versions); count > 0 {
+		owner.verified = max(owner.verified, pass.Versions[count-1].Place.Revision)
+	}
+	owner.settle(min(pass.Committed, owner.verified))
+	if !owner.IsTail() {
+		owner.passOn(pass)
 		return
 	}
-	owner.persist(now, job{versions: fresh, after: arrived})
+	owner.settle(owner.verified)
+	owner.settled = owner.settled || owner.verified >= pass.Top
+	owner.announce()
+}
+
+// discard removes versions from the folder that were written for a view which ended meanwhile.
+func (owner *Owner) discard(now time.Duration, versions []contract.Version) {
+	drop := []contract.Place{}
+	for _, version := range versions {
+		if held, there := owner.versions[version.Place.Revision]; !there || held.Place != version.Place {
+			drop = append(drop, version.Place)
+		}
+	}
+	if len(drop) > 0 {
+		owner.persist(now, job{drop: drop})
+	}
 }
 
 func (owner *Owner) install(version contract.Version) {
 	revision := version.Place.Revision
-	if held, there := owner.versions[revision]; there && held.Digest != version.Digest {
-		for other := range owner.versions {
-			if other > revision && other > owner.committed {
-				delete(owner.versions, other)
-			}
-		}
-		owner.top = revision
+	if held, there := owner.versions[revision]; there && held.Place != version.Place {
+		owner.truncate(max(revision-1, owner.committed))
 	}
 	owner.versions[revision] = version
 	owner.top = max(owner.top, revision)
 	owner.assigned = max(owner.assigned, owner.top)
 }
 
-// forsake drops what was numbered here in a former view and passed on to nobody: it can never be committed any more, and whoever asks
-// for it by its key must not wait for it.
-func (owner *Owner) forsake() {
+// truncate takes all versions after a revision out of the log and gives their places.
+func (owner *Owner) truncate(last int64) []contract.Place {
 	drop := []contract.Place{}
 	for revision, version := range owner.versions {
-		if revision > max(owner.top, owner.committed) {
+		if revision > last {
 			drop = append(drop, version.Place)
 			delete(owner.versions, revision)
 		}
 	}
-	if len(drop) > 0 {
+	if owner.top > last {
+		owner.top = owner.before(last + 1)
+	}
+	return drop
+}
+
+// forsake drops what a new view leaves behind. A head drops what it numbered and passed on to nobody: it can never be committed any more,
+// and whoever asks for it by its key must not wait for it. A member that is in no chain drops all that was not committed.
+func (owner *Owner) forsake() {
+	last := max(owner.top, owner.committed)
+	if !owner.holder() {
+		last = owner.committed
+	}
+	if drop := owner.truncate(last); len(drop) > 0 {
 		owner.jobs = append(owner.jobs, job{drop: drop})
 	}
 }
 
 func (owner *Owner) announce() {
+	done := Done{View: owner.view.Number, Place: owner.versions[owner.committed].Place, Settled: owner.settled}
 	for _, node := range owner.view.Core {
 		if node.Identity() != owner.self.Identity() {
-			owner.send(node, LetterDone, Done{View: owner.view.Number, Revision: owner.committed, Digest: owner.versions[owner.committed].Digest, Settled: owner.settled})
+			owner.send(node, LetterDone, done)
 		}
 	}
 }
 
 func (owner *Owner) done(now time.Duration, done Done) {
-	version, there := owner.versions[done.Revision]
-	if done.View == owner.view.Number && (there && version.Digest == done.Digest || done.Revision == 0) {
+	version, there := owner.versions[done.Place.Revision]
+	if done.View == owner.view.Number && (there && version.Place == done.Place || done.Place.Revision == 0) {
 		owner.settled = owner.settled || done.Settled
-		owner.settle(done.Revision)
+		owner.settle(done.Place.Revision)
 		return
 	}
 	owner.scrub = now
@@ -245,117 +322,6 @@
 	owner.passOn(owner.sheet(contract.Fit(suffix, false)))
 }
 
-type Fetch struct {
-	Node contract.CoreNode `json:"node"`
-	From int64             `json:"from"`
-}
-
-type History struct {
-	Versions  []contract.Version `json:"versions"`
-	Committed int64              `json:"committed"`
-}
-
-func (owner *Owner) lacks() (int64, int64) {
-	count, first := int64(0), int64(0)
-	known := max(owner.committed, owner.seen.Held.Place.Revision)
-	for revision := max(1, known-owner.bounds.History+1); revision <= known; revision++ {
-		if _, there := owner.versions[revision]; !there || revision > owner.committed {
-			count++
-			if first == 0 && revision > owner.cursor {
-				first = revision
-			}
-		}
-	}
-	return count, first
-}
-
-// scrubHistory asks another core machine for the committed versions that are missing here.
-func (owner *Owner) scrubHistory(now time.Duration) {
-	if now < owner.scrub {
-		return
-	}
-	owner.scrub = now + owner.bounds.Round()/2
-	count, first := owner.lacks()
-	if first == 0 {
-		owner.cursor = 0
-	}
-	if count == 0 || first == 0 || len(owner.view.Chain) == 0 {
-		return
-	}
-	target, there := owner.view.Node(owner.view.Chain[owner.random.IntN(len(owner.view.Chain))])
-	if there && target.Identity() != owner.self.Identity() {
-		owner.send(target, LetterFetch, Fetch{Node: owner.self, From: first})
-	}
-}
-
-func (owner *Owner) fetch(fetch Fetch) {
-	history := History{Committed: owner.committed}
-	for revision := fetch.From; revision <= owner.committed && len(history.Versions) < batchSize; revision++ {
-		if version, there := owner.versions[revision]; there {
-			history.Versions = append(history.Versions, version)
-		}
-	}
-	history.Versions = contract.Fit(history.Versions, false)
-	owner.send(fetch.Node, LetterHistory, history)
-}
-
-func (owner *Owner) history(now time.Duration, history History) {
-	fresh := []contract.Version{}
-	for _, version := range history.Versions {
-		held, there := owner.versions[version.Place.Revision]
-		if contract.Digest(version.Manifest) == version.Digest && (!there || held.Digest != version.Digest) {
-			fresh = append(fresh, version)
-		}
-		owner.cursor = version.Place.Revision
-	}
-	if len(history.Versions) == 0 {
-		owner.cursor = 0
-	}
-	arrived := func(now time.Duration) {
-		for _, version := range fresh {
-			if _, there := owner.versions[version.Place.Revision]; !there || version.Place.Revision > owner.committed {
-				owner.install(version)
-			}
-			owner.committed = max(owner.committed, version.Place.Revision)
-		}
-		if count, _ := owner.lacks(); count > 0 && len(fresh) > 0 {
-			owner.scrub = now
-		}
-	}
-	if len(fresh) > 0 {
-		owner.persist(now, job{versions: fresh, after: arrived})
-	}
-}
-
-// Lacking gives the first committed revision that is missing here, or nothing.
-func (owner *Owner) Lacking() int64 {
-	cursor := owner.cursor
-	owner.cursor = 0
-	count, first := owner.lacks()
-	if count > 0 {
-		for skip := owner.random.Int64N(count); skip > 0 && first > 0; skip-- {
-			owner.cursor = first
-			_, first = owner.lacks()
-		}
-	}
-	owner.cursor = cursor
-	if !owner.Member() {
-		return 0
-	}
-	return first
-}
-
-// Refill takes committed versions that other nodes kept.
-func (owner *Owner) Refill(now time.Duration, versions []contract.Version) []contract.Command {
-	owner.out = nil
-	cursor := owner.cursor
-	owner.history(now, History{Versions: versions})
-	owner.cursor = cursor
-	out := owner.out
-	owner.out = nil
-	return out
-}
-
 // Row is one kept revision as the history tells it.
 type Row struct {
 	Place     contract.Place `json:"place"`
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -33,6 +33,13 @@
 	Heartbeat   int64  `json:"heartbeat"`
 	Place       Place  `json:"place"`
 	View        int64  `json:"view"`
+	// CoreID is the identity of a core member's data folder; it is empty on nodes without one.
+	CoreID string `json:"coreId,omitempty"`
+}
+
+// CoreNode gives the core member that a node with a data folder is.
+func (member Member) CoreNode() CoreNode {
+	return CoreNode{Name: member.Name, ID: member.CoreID, Address: member.Address}
 }
 
 // MachineOf gives the machine that a member of this name runs on.
--- a/contract/view.go
+++ b/contract/view.go
@@ -5,14 +5,15 @@
 	"encoding/hex"
 )
 
-// CoreNode is one boot of a core machine: a restart makes another of it, so a forgotten promise binds nobody.
+// CoreNode is a member of the core. ID belongs to the member's disk: a member that restarts with its data folder is the same member,
+// and one that comes back with an empty or damaged folder is another.
 type CoreNode struct {
 	Name    string `json:"name"`
-	Boot    string `json:"boot"`
+	ID      string `json:"id"`
 	Address string `json:"address"`
 }
 
-func (node CoreNode) Identity() string { return node.Name + "#" + node.Boot }
+func (node CoreNode) Identity() string { return node.Name + "#" + node.ID }
 
 // View is one agreed state of the core. Holders have every acknowledged write: the chain itself, or the last chain of two
 // or more when this one has a single member and so acknowledges nothing.
--- a/control/control.go
+++ b/control/control.go
@@ -57,18 +57,19 @@
 	refills time.Duration
 }
 
-// New makes the owner; shelf is nil on a machine without a data folder.
-func New(settings env.Env, boot string, shelf *chain.Shelf, random *rand.Rand) *Owner {
+// New makes the owner; recovered is nil on a machine without a data folder.
+func New(settings env.Env, boot string, recovered *chain.Recovered, random *rand.Rand) *Owner {
 	node := machine.New(settings, contract.KindControl, boot, random)
 	owner := &Owner{Node: node, shard: shard.New(node.Self(), settings.Bounds), index: index.New(settings.Bounds.Return(), settings.Bounds.Withdraw()/2),
 		others: map[string]*shard.Owner{}, wide: settings.Wide, listed: -settings.Bounds.PlatformPoll(),
 		writes: map[int64]*write{}, gathers: map[int64]*gather{}, reads: map[int64]contract.Ask{}}
-	if shelf != nil {
-		self := contract.CoreNode{Name: node.Self().Name, Boot: boot, Address: node.Self().Address}
-		owner.chain = chain.New(self, int(settings.CoreSize), settings.Bounds, *shelf, random)
-		owner.chain.Founds(!settings.Joins)
+	if recovered != nil {
+		self := contract.CoreNode{Name: node.Self().Name, ID: boot, Address: node.Self().Address}
+		owner.chain = chain.New(self, boot, int(settings.CoreSize), settings.Bounds, *recovered, random)
+		owner.chain.Bootstraps(!settings.Joins)
+		node.Neighbours.Identify(owner.chain.Self().ID)
 		owner.chain.Founders(settings.Founders)
-		if newest, there := shelf.Newest(); there && settings.Wide {
+		if newest, there := recovered.Newest(); there && settings.Wide {
 			owner.Feed.Take(feed.Change{Versions: []contract.Version{newest}}, nil)
 		}
 	}
@@ -173,10 +174,17 @@
 	return out
 }
 
+// Identity is that of this core member, or nothing on a node without a data folder.
+func (owner *Owner) Identity() string {
+	if owner.chain == nil {
+		return ""
+	}
+	return owner.chain.Self().Identity()
+}
+
 func (owner *Owner) authority(ask contract.Ask) bool {
 	node, there := ask.Authority(owner.Feed.View())
-	self := owner.Self()
-	return there && node.Name == self.Name && node.Boot == self.Boot
+	return there && node.Identity() == owner.Identity()
 }
 
 func (owner *Owner) ask(now time.Duration, ask contract.Ask) []contract.Command {
--- a/emulator/control.go
+++ b/emulator/control.go
@@ -23,16 +23,16 @@
 }
 
 func newControlShell(machine *machine, settings env.Env) *controlShell {
-	var shelf *chain.Shelf
+	var recovered *chain.Recovered
 	if machine.disk != nil {
 		loaded, failure := image.Load(machine.disk)
 		if failure != nil {
 			panic(failure)
 		}
-		shelf = &loaded
+		recovered = &loaded
 	}
 	shell := &controlShell{settings: settings, asks: map[int64]func(contract.Answer){}}
-	owner := control.New(settings, machine.boot(), shelf, machine.random())
+	owner := control.New(settings, machine.boot(), recovered, machine.random())
 	if machine.disk != nil {
 		snapshot, damaged := image.LoadIndex(machine.disk)
 		machine.day.counts["control index_snapshots_damaged"] += int64(damaged)
@@ -50,7 +50,7 @@
 		shell.machine.disk.Save(func() {
 			persisted := chain.Persisted{Token: command.Token}
 			if failure := image.Save(shell.machine.disk, command); failure != nil {
-				persisted.Mishap = failure.Error()
+				persisted.Failure = failure.Error()
 			}
 			shell.event(persisted)
 		})
@@ -206,7 +206,7 @@
 // leads tells whether this process numbers writes now.
 func (shell *controlShell) leads() bool {
 	member, there := shell.owner.(*control.Owner).Feed.View().Head()
-	return there && member.Name == shell.machine.name+"-"+contract.KindControl && member.Boot == shell.boot
+	return there && member.Identity() == shell.owner.(*control.Owner).Identity()
 }
 
 // leave tells the others, and ends after the time that this takes.
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -56,15 +56,15 @@
 	machine.Data = machine.process(contract.KindData)
 	fleet := machine.fleet
 	seed := func() *rand.Rand { return rand.New(rand.NewPCG(fleet.World.Random.Uint64(), 5)) }
-	var shelf *chain.Shelf
+	var recovered *chain.Recovered
 	if machine.Core {
 		loaded, mishap := image.Load(machine.Disk)
 		if mishap != nil {
 			panic(mishap)
 		}
-		shelf = &loaded
+		recovered = &loaded
 	}
-	machine.Control.owner = control.New(machine.env, machine.Control.boot, shelf, seed())
+	machine.Control.owner = control.New(machine.env, machine.Control.boot, recovered, seed())
 	machine.Data.owner = data.New(machine.env, machine.Data.boot, seed())
 	for _, process := range []*Process{machine.Control, machine.Data} {
 		fleet.processes[process.address()] = process
@@ -212,7 +212,7 @@
 		}
 		persisted := chain.Persisted{Token: work.Token}
 		if mishap := image.Save(disk, work); mishap != nil {
-			persisted.Mishap = mishap.Error()
+			persisted.Failure = mishap.Error()
 		}
 		disk.Acknowledged()
 		process.Event(persisted)
--- a/hollow/process.go
+++ b/hollow/process.go
@@ -105,11 +105,11 @@
 		return process
 	}
 	settings.Control = address
-	var shelf *chain.Shelf
+	var recovered *chain.Recovered
 	if role == RoleCore {
-		shelf = &chain.Shelf{}
+		recovered = &chain.Recovered{}
 	}
-	owner := control.New(settings, "b1", shelf, random())
+	owner := control.New(settings, "b1", recovered, random())
 	process.owner, process.node = owner, owner.Node
 	return process
 }
--- a/image/image.go
+++ b/image/image.go
@@ -26,11 +26,11 @@
 }
 
 const (
-	prefix   = "manifest-"
-	viewName = "view.json"
-	markName = "committed.json"
-	aside    = ".aside"
-	damaged  = ".damaged"
+	prefix     = "manifest-"
+	memberName = "member.json"
+	markName   = "committed.json"
+	aside      = ".aside"
+	damaged    = ".damaged"
 )
 
 type sealed struct {
@@ -43,17 +43,17 @@
 }
 
 func wrap(value any) ([]byte, error) {
-	body, mishap := json.Marshal(value)
-	if mishap != nil {
-		return nil, eris.Wrap(mishap, "image cannot be written as JSON")
+	body, failure := json.Marshal(value)
+	if failure != nil {
+		return nil, eris.Wrap(failure, "image cannot be written as JSON")
 	}
 	return json.Marshal(sealed{Digest: contract.Digest(body), Body: body})
 }
 
 func unwrap(content []byte, value any) error {
 	var wrapped sealed
-	if mishap := json.Unmarshal(content, &wrapped); mishap != nil {
-		return eris.Wrap(mishap, "image is not JSON")
+	if failure := json.Unmarshal(content, &wrapped); failure != nil {
+		return eris.Wrap(failure, "image is not JSON")
 	}
 	if contract.Digest(wrapped.Body) != wrapped.Digest {
 		return eris.New("image does not match its digest")
@@ -61,52 +61,65 @@
 	return json.Unmarshal(wrapped.Body, value)
 }
 
+// Save carries a change out. What is dropped is gone for good before anything else is written: a version that was left behind must never
+// be found beside the record of a newer view.
 func Save(files Files, work chain.Persist) error {
+	if failure := drop(files, work.Drop); failure != nil {
+		return failure
+	}
 	names := []string{}
 	write := func(name string, value any) error {
-		content, mishap := wrap(value)
-		if mishap == nil {
-			mishap = files.WriteAside(name+aside, content)
+		content, failure := wrap(value)
+		if failure == nil {
+			failure = files.WriteAside(name+aside, content)
 		}
 		names = append(names, name)
-		return mishap
+		return failure
 	}
 	for _, version := range work.Versions {
-		if mishap := write(nameOf(version.Place), version); mishap != nil {
-			return eris.Wrap(mishap, "version not written")
+		if failure := write(nameOf(version.Place), version); failure != nil {
+			return eris.Wrap(failure, "version not written")
 		}
 	}
 	slices.Sort(names)
 	names = slices.Compact(names)
-	if work.View != nil {
-		if mishap := write(viewName, *work.View); mishap != nil {
-			return eris.Wrap(mishap, "view not written")
+	if work.Member != nil {
+		if failure := write(memberName, *work.Member); failure != nil {
+			return eris.Wrap(failure, "member record not written")
 		}
 	}
 	if work.Committed != nil {
-		if mishap := write(markName, *work.Committed); mishap != nil {
-			return eris.Wrap(mishap, "mark not written")
+		if failure := write(markName, *work.Committed); failure != nil {
+			return eris.Wrap(failure, "commit mark not written")
 		}
 	}
 	for _, name := range names {
-		if mishap := files.Settle(name+aside, name); mishap != nil {
-			return eris.Wrap(mishap, "image not renamed")
+		if failure := files.Settle(name+aside, name); failure != nil {
+			return eris.Wrap(failure, "file not renamed")
 		}
 	}
-	for _, place := range work.Drop {
-		if mishap := files.Remove(nameOf(place)); mishap != nil && !os.IsNotExist(mishap) {
-			return eris.Wrap(mishap, "old version not removed")
+	return eris.Wrap(files.SyncFolder(), "folder not synced")
+}
+
+func drop(files Files, places []contract.Place) error {
+	if len(places) == 0 {
+		return nil
+	}
+	for _, place := range places {
+		if failure := files.Remove(nameOf(place)); failure != nil && !os.IsNotExist(failure) {
+			return eris.Wrap(failure, "old version not removed")
 		}
 	}
 	return eris.Wrap(files.SyncFolder(), "folder not synced")
 }
 
-// Load reads what a folder holds; what does not match its digest is put aside and told.
-func Load(files Files) (chain.Shelf, error) {
-	shelf := chain.Shelf{}
-	names, mishap := files.List()
-	if mishap != nil {
-		return shelf, eris.Wrap(mishap, "folder not read")
+// Load reads what a folder holds. A file that doesn't match its digest or its name is put aside and named with the reason. The folder is
+// synced before anything in it is relied on: a process that was killed may have renamed files without syncing that.
+func Load(files Files) (chain.Recovered, error) {
+	recovered := chain.Recovered{}
+	names, failure := files.List()
+	if failure != nil {
+		return recovered, eris.Wrap(failure, "folder not read")
 	}
 	sort.Strings(names)
 	for _, name := range names {
@@ -114,32 +127,45 @@
 			_ = files.Remove(name)
 			continue
 		}
-		version := contract.Version{}
-		isVersion := strings.HasPrefix(name, prefix) && strings.HasSuffix(name, ".json")
-		if !isVersion && name != viewName && name != markName {
-			continue
-		}
-		content, mishap := files.Read(name)
-		if mishap == nil && isVersion {
-			mishap = unwrap(content, &version)
-		} else if mishap == nil && name == markName {
-			mishap = unwrap(content, &shelf.Committed)
-		} else if mishap == nil {
-			mishap = unwrap(content, &shelf.View)
-		}
-		if mishap == nil && isVersion && (contract.Digest(version.Manifest) != version.Digest || nameOf(version.Place) != name) {
-			mishap = eris.New("version does not match its name or digest")
-		}
-		if mishap != nil {
-			shelf.Mishaps = append(shelf.Mishaps, name+": "+mishap.Error())
+		if failure := loadFile(files, name, &recovered); failure != nil {
+			recovered.Damaged = append(recovered.Damaged, name+": "+failure.Error())
 			_ = files.Settle(name, name+damaged)
-			continue
 		}
-		if isVersion {
-			shelf.Versions = append(shelf.Versions, version)
+	}
+	if failure := files.SyncFolder(); failure != nil {
+		recovered.Damaged = append(recovered.Damaged, "folder not synced at the start: "+failure.Error())
+	}
+	return recovered, nil
+}
+
+func loadFile(files Files, name string, recovered *chain.Recovered) error {
+	isVersion := strings.HasPrefix(name, prefix) && strings.HasSuffix(name, ".json")
+	if !isVersion && name != memberName && name != markName {
+		return nil
+	}
+	content, failure := files.Read(name)
+	if failure != nil {
+		return failure
+	}
+	switch name {
+	case memberName:
+		record := chain.MemberRecord{}
+		if failure = unwrap(content, &record); failure == nil {
+			recovered.Member = record
 		}
+		return failure
+	case markName:
+		return unwrap(content, &recovered.Committed)
+	}
+	version := contract.Version{}
+	if failure = unwrap(content, &version); failure != nil {
+		return failure
+	}
+	if contract.Digest(version.Manifest) != version.Digest || nameOf(version.Place) != name {
+		return eris.New("version does not match its name or digest")
 	}
-	return shelf, nil
+	recovered.Versions = append(recovered.Versions, version)
+	return nil
 }
 
 // Folder is a real folder on a disk.
@@ -150,18 +176,18 @@
 }
 
 func (folder Folder) WriteAside(name string, content []byte) error {
-	file, mishap := os.OpenFile(filepath.Join(folder.Path, name), os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
-	if mishap != nil {
-		return mishap
+	file, failure := os.OpenFile(filepath.Join(folder.Path, name), os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if failure != nil {
+		return failure
 	}
-	_, mishap = file.Write(content)
-	if synced := file.Sync(); mishap == nil {
-		mishap = synced
+	_, failure = file.Write(content)
+	if synced := file.Sync(); failure == nil {
+		failure = synced
 	}
-	if closed := file.Close(); mishap == nil {
-		mishap = closed
+	if closed := file.Close(); failure == nil {
+		failure = closed
 	}
-	return mishap
+	return failure
 }
 
 func (folder Folder) Settle(from, name string) error {
@@ -169,15 +195,15 @@
 }
 
 func (folder Folder) SyncFolder() error {
-	file, mishap := os.Open(folder.Path)
-	if mishap != nil {
-		return mishap
+	file, failure := os.Open(folder.Path)
+	if failure != nil {
+		return failure
 	}
-	mishap = file.Sync()
-	if closed := file.Close(); mishap == nil {
-		mishap = closed
+	failure = file.Sync()
+	if closed := file.Close(); failure == nil {
+		failure = closed
 	}
-	return mishap
+	return failure
 }
 
 func (folder Folder) Read(name string) ([]byte, error) {
@@ -187,10 +213,10 @@
 func (folder Folder) Remove(name string) error { return os.Remove(filepath.Join(folder.Path, name)) }
 
 func (folder Folder) List() ([]string, error) {
-	entries, mishap := os.ReadDir(folder.Path)
+	entries, failure := os.ReadDir(folder.Path)
 	names := []string{}
 	for _, entry := range entries {
 		names = append(names, entry.Name())
 	}
-	return names, mishap
+	return names, failure
 }
--- a/image/image_test.go
+++ b/image/image_test.go
@@ -25,34 +25,34 @@
 	var folder Folder
 
 	BeforeEach(func() {
-		opened, mishap := Open(filepath.Join(GinkgoT().TempDir(), "data"))
-		Expect(mishap).NotTo(HaveOccurred())
+		opened, failure := Open(filepath.Join(GinkgoT().TempDir(), "data"))
+		Expect(failure).NotTo(HaveOccurred())
 		folder = opened
 		view := contract.View{Number: 4, Chain: []string{"a#1"}}
-		Expect(Save(folder, chain.Persist{Versions: []contract.Version{version(1, `{"a":1}`), version(2, `{"a":2}`)}, View: &view})).To(Succeed())
+		Expect(Save(folder, chain.Persist{Versions: []contract.Version{version(1, `{"a":1}`), version(2, `{"a":2}`)}, Member: &chain.MemberRecord{ID: "d1", View: view}})).To(Succeed())
 	})
 
 	It("gives back what was saved, one file a version", func() {
-		shelf, mishap := Load(folder)
-		Expect(mishap).NotTo(HaveOccurred())
-		Expect(shelf.Versions).To(Equal([]contract.Version{version(1, `{"a":1}`), version(2, `{"a":2}`)}))
-		Expect(shelf.View.Number).To(Equal(int64(4)))
+		recovered, failure := Load(folder)
+		Expect(failure).NotTo(HaveOccurred())
+		Expect(recovered.Versions).To(Equal([]contract.Version{version(1, `{"a":1}`), version(2, `{"a":2}`)}))
+		Expect(recovered.Member.View.Number).To(Equal(int64(4)))
 		names, _ := folder.List()
 		Expect(names).To(HaveLen(3))
 	})
 
 	DescribeTable("puts a damaged file aside and never uses half of it", func(damage func([]byte) []byte) {
 		path := filepath.Join(folder.Path, nameOf(contract.Place{View: 1, Revision: 2}))
-		content, mishap := os.ReadFile(path)
-		Expect(mishap).NotTo(HaveOccurred())
+		content, failure := os.ReadFile(path)
+		Expect(failure).NotTo(HaveOccurred())
 		Expect(os.WriteFile(path, damage(content), 0o600)).To(Succeed())
-		shelf, mishap := Load(folder)
-		Expect(mishap).NotTo(HaveOccurred())
-		Expect(shelf.Versions).To(HaveLen(1))
-		Expect(shelf.Mishaps).To(HaveLen(1))
+		recovered, failure := Load(folder)
+		Expect(failure).NotTo(HaveOccurred())
+		Expect(recovered.Versions).To(HaveLen(1))
+		Expect(recovered.Damaged).To(HaveLen(1))
 		Expect(path + damaged).To(BeAnExistingFile())
 		again, _ := Load(folder)
-		Expect(again.Mishaps).To(BeEmpty())
+		Expect(again.Damaged).To(BeEmpty())
 	},
 		Entry("torn", func(content []byte) []byte { return content[:len(content)/2] }),
 		Entry("one byte changed", func(content []byte) []byte { return bytes.Replace(content, []byte(`"a":2`), []byte(`"a":3`), 1) }),
@@ -61,17 +61,17 @@
 
 	It("saves what stands twice in one batch, as after a write that the disk refused", func() {
 		view := contract.View{Number: 5, Chain: []string{"a#1"}}
-		Expect(Save(folder, chain.Persist{Versions: []contract.Version{version(3, `{"a":3}`), version(3, `{"a":3}`)}, View: &view})).To(Succeed())
-		shelf, _ := Load(folder)
-		Expect(shelf.Versions).To(HaveLen(3))
-		Expect(shelf.View.Number).To(Equal(int64(5)))
+		Expect(Save(folder, chain.Persist{Versions: []contract.Version{version(3, `{"a":3}`), version(3, `{"a":3}`)}, Member: &chain.MemberRecord{ID: "d1", View: view}})).To(Succeed())
+		recovered, _ := Load(folder)
+		Expect(recovered.Versions).To(HaveLen(3))
+		Expect(recovered.Member.View.Number).To(Equal(int64(5)))
 	})
 
 	It("drops old versions and what was written aside but never renamed", func() {
 		Expect(folder.WriteAside(nameOf(contract.Place{View: 1, Revision: 3})+aside, []byte("half"))).To(Succeed())
 		Expect(Save(folder, chain.Persist{Drop: []contract.Place{{View: 1, Revision: 1}, {View: 9, Revision: 9}}})).To(Succeed())
-		shelf, _ := Load(folder)
-		Expect(shelf.Versions).To(Equal([]contract.Version{version(2, `{"a":2}`)}))
+		recovered, _ := Load(folder)
+		Expect(recovered.Versions).To(Equal([]contract.Version{version(2, `{"a":2}`)}))
 		names, _ := folder.List()
 		Expect(names).To(HaveLen(2))
 	})
--- a/image/index_test.go
+++ b/image/index_test.go
@@ -128,13 +128,13 @@
 	}
 
 	It("given versions of the manifest in the same folder, when either is saved or loaded, then the other is untouched", func() {
-		Expect(Save(folder, chain.Persist{View: &contract.View{Number: 3}})).To(Succeed())
+		Expect(Save(folder, chain.Persist{Member: &chain.MemberRecord{View: contract.View{Number: 3}}})).To(Succeed())
 		Expect(SaveIndex(folder, snapshot("a"))).To(Succeed())
 		Expect(Save(folder, chain.Persist{})).To(Succeed())
-		shelf, failure := Load(folder)
+		recovered, failure := Load(folder)
 		Expect(failure).NotTo(HaveOccurred())
-		Expect(shelf.Mishaps).To(BeEmpty())
-		Expect(shelf.View.Number).To(Equal(int64(3)))
+		Expect(recovered.Damaged).To(BeEmpty())
+		Expect(recovered.Member.View.Number).To(Equal(int64(3)))
 		loaded, damaged := load()
 		Expect(loaded).To(Equal(snapshot("a")))
 		Expect(damaged).To(BeZero())
--- a/neighbour/neighbour.go
+++ b/neighbour/neighbour.go
@@ -83,6 +83,11 @@
 	owner.cached = nil
 }
 
+// Identify sets the identity of this node's data folder, which the others are told.
+func (owner *Owner) Identify(coreID string) {
+	owner.self.CoreID, owner.cached = coreID, nil
+}
+
 // Seeds are other addresses to start from than those that this node was started with.
 type Seeds struct{ Addresses []string }
 
--- a/serve/control.go
+++ b/serve/control.go
@@ -51,7 +51,7 @@
 
 func runControl(settings env.Env, faultsPath string, face Face) error {
 	name := boot()
-	var shelf *chain.Shelf
+	var recovered *chain.Recovered
 	shell := &controlShell{face: face, disk: make(chan chain.Persist, diskRing), readers: make(chan struct{}, readersAtOnce)}
 	if settings.Folder != "" {
 		folder, mishap := image.Open(settings.Folder)
@@ -62,17 +62,17 @@
 		if mishap != nil {
 			return mishap
 		}
-		shelf, shell.files = &loaded, folder
+		recovered, shell.files = &loaded, folder
 	}
-	owner := control.New(settings, name, shelf, source())
+	owner := control.New(settings, name, recovered, source())
 	shell.Process = newProcess(settings, owner.Self(), owner, faultsPath)
-	if shelf != nil {
+	if recovered != nil {
 		snapshot, damaged := image.LoadIndex(shell.files)
 		owner.Restore(snapshot)
 		shell.Loop.Count("index_snapshots_damaged", int64(damaged))
 		shell.Loop.Count("index_places_restored", int64(len(snapshot.Places)))
 		shell.files = link.FaultyDisk(shell.files, shell.Faults)
-		for _, mishap := range shelf.Mishaps {
+		for _, mishap := range recovered.Damaged {
 			_ = shell.Logger.Log("what", "image put aside", "mishap", mishap)
 		}
 	}
@@ -119,7 +119,7 @@
 		case work := <-shell.disk:
 			persisted := chain.Persisted{Token: work.Token}
 			if mishap := image.Save(shell.files, work); mishap != nil {
-				persisted.Mishap = mishap.Error()
+				persisted.Failure = mishap.Error()
 			}
 			shell.Loop.Post(persisted)
 		}
