Orders are refused, and standing drains confirmed, only with a majority's word

Cause: a head that was left behind (cut off or woken a moment ago, its fellows still taken for alive) answered from its old state: 409 to an order on top of a version that it had missed, 400 to one whose revision or names it did not know, 200 to a drain or undrain that stood only there, 404 for an operation.

Change: such an answer waits until a majority confirms the head's view (one round between members) and until what it rests on is committed; otherwise it is 503 with when to come back. An order whose base is older than all kept versions is unclear (504), not refused.

One table of operations, kept with the versions, finds an order sent again in constant time; a tick looks at waiting writes only, not at all tokens since the start; trimming costs what is trimmed.

--- a/chain/chain.go
+++ b/chain/chain.go
@@ -95,6 +95,9 @@
 	// verified is how far this log is known to be that of the head of this view.
 	verified int64
 	salvaged map[int64]contract.Version
+	// oldest is a revision below which nothing is kept.
+	oldest     int64
+	operations operations
 
 	promised Ballot
 	accepted *Proposal
@@ -143,7 +146,7 @@
 // of the process and differs from that of any other start.
 func New(self contract.CoreNode, start string, coreSize int, bounds env.Bounds, recovered Recovered, random *rand.Rand) *Owner {
 	owner := &Owner{bounds: bounds, coreSize: coreSize, self: self, start: start, random: random, fit: true, bootstrap: true,
-		versions: map[int64]contract.Version{}, salvaged: map[int64]contract.Version{}, doubts: map[string]time.Duration{},
+		versions: map[int64]contract.Version{}, operations: operations{}, salvaged: map[int64]contract.Version{}, doubts: map[string]time.Duration{},
 		declared: map[string]bool{}, checks: map[int64]*check{}, foundHeld: map[string]bool{}, needed: -1, unfoundable: -1, stuck: -1}
 	owner.recover(recovered)
 	return owner
--- a/chain/check.go
+++ b/chain/check.go
@@ -20,7 +20,9 @@
 }
 
 type check struct {
-	view  int64
+	view int64
+	// fits tells whether this member still has the place in the chain that asked.
+	fits  func() bool
 	until time.Duration
 	votes map[string]bool
 }
@@ -31,12 +33,28 @@
 	Fine  bool
 }
 
+// Vouch asks the core whether the tail's answer to a read may be given.
 func (owner *Owner) Vouch(now time.Duration, token int64) []contract.Command {
-	owner.out = nil
-	if !owner.IsTail() || owner.sealed || !owner.settled || owner.outrun(owner.committed) {
+	if !owner.settled || owner.outrun(owner.committed) {
+		return []contract.Command{Vouched{Token: token}}
+	}
+	return owner.confirm(now, token, owner.IsTail)
+}
+
+// VouchHead asks the core whether what the head says of its state may be given, as when it refuses an order.
+func (owner *Owner) VouchHead(now time.Duration, token int64) []contract.Command {
+	if owner.outrun(owner.assigned) {
 		return []contract.Command{Vouched{Token: token}}
 	}
-	owner.checks[token] = &check{view: owner.view.Number, until: now + owner.bounds.Round(), votes: map[string]bool{owner.self.Identity(): true}}
+	return owner.confirm(now, token, owner.IsHead)
+}
+
+func (owner *Owner) confirm(now time.Duration, token int64, fits func() bool) []contract.Command {
+	if !fits() || owner.sealed {
+		return []contract.Command{Vouched{Token: token}}
+	}
+	owner.out = nil
+	owner.checks[token] = &check{view: owner.view.Number, fits: fits, until: now + owner.bounds.Round(), votes: map[string]bool{owner.self.Identity(): true}}
 	for _, node := range owner.view.Core {
 		if node.Identity() != owner.self.Identity() {
 			owner.send(node, LetterCheck, Check{Nonce: token, Start: owner.start, View: owner.view.Number, Node: owner.self})
@@ -60,7 +78,7 @@
 	pending.votes[answer.By.Identity()] = true
 	if len(pending.votes) >= owner.view.Majority() {
 		delete(owner.checks, answer.Nonce)
-		owner.emit(Vouched{Token: answer.Nonce, Fine: pending.view == owner.view.Number && !owner.sealed && owner.IsTail()})
+		owner.emit(Vouched{Token: answer.Nonce, Fine: pending.view == owner.view.Number && !owner.sealed && pending.fits()})
 	}
 }
 
--- a/chain/found.go
+++ b/chain/found.go
@@ -316,16 +316,16 @@
 	image := foundation.Image
 	former := owner.versions
 	defer func() { owner.salvaged = map[int64]contract.Version{} }()
-	owner.versions, owner.top, owner.committed = map[int64]contract.Version{}, 0, 0
+	owner.versions, owner.operations, owner.oldest, owner.top, owner.committed = map[int64]contract.Version{}, operations{}, 0, 0, 0
 	if image != nil {
 		for _, source := range []map[int64]contract.Version{owner.salvaged, former} {
 			for revision, version := range source {
 				if revision < image.Place.Revision && revision > image.Place.Revision-owner.bounds.History && !image.Place.Before(version.Place) {
-					owner.versions[revision] = version
+					owner.keep(version)
 				}
 			}
 		}
-		owner.versions[image.Place.Revision] = *image
+		owner.keep(*image)
 		owner.top, owner.committed = image.Place.Revision, image.Place.Revision
 		owner.emit(Committed{Version: *image})
 		owner.settle(owner.committed)
--- a/chain/persist.go
+++ b/chain/persist.go
@@ -65,7 +65,7 @@
 			drop = append(drop, version.Place)
 			continue
 		}
-		owner.versions[revision] = version
+		owner.keep(version)
 		owner.top = max(owner.top, revision)
 	}
 	owner.assigned = owner.top
--- a/chain/write.go
+++ b/chain/write.go
@@ -68,7 +68,7 @@
 	version := contract.Version{Place: contract.Place{View: owner.view.Number, Revision: highest + 1}, Operation: operation,
 		Digest: contract.Digest(content), Manifest: content}
 	owner.assigned = version.Place.Revision
-	owner.versions[owner.assigned] = version
+	owner.keep(version)
 	number := owner.view.Number
 	owner.persist(now, job{versions: []contract.Version{version}, after: func(now time.Duration) {
 		if owner.view.Number == number && !owner.sealed {
@@ -222,7 +222,7 @@
 	if held, there := owner.versions[revision]; there && held.Place != version.Place {
 		owner.truncate(max(revision-1, owner.committed))
 	}
-	owner.versions[revision] = version
+	owner.keep(version)
 	owner.top = max(owner.top, revision)
 	owner.assigned = max(owner.assigned, owner.top)
 }
@@ -233,7 +233,7 @@
 	for revision, version := range owner.versions {
 		if revision > last {
 			drop = append(drop, version.Place)
-			delete(owner.versions, revision)
+			owner.forget(version)
 		}
 	}
 	if owner.top > last {
@@ -288,13 +288,7 @@
 		owner.marked = version.Place
 		owner.jobs = append(owner.jobs, job{mark: &version.Place})
 	}
-	drop := []contract.Place{}
-	for old, version := range owner.versions {
-		if old <= owner.committed-owner.bounds.History {
-			drop = append(drop, version.Place)
-			delete(owner.versions, old)
-		}
-	}
+	drop := owner.trim()
 	if len(drop) > 0 {
 		owner.jobs = append(owner.jobs, job{drop: drop})
 	}
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -69,6 +69,17 @@
 	Manifest  json.RawMessage `json:"manifest"`
 }
 
+// OperationOf names an operation in a version: the key that its sender chose, and the fingerprint of what was ordered under it.
+func OperationOf(key, fingerprint string) string { return key + "/" + fingerprint }
+
+// OperationKey gives the key that an operation was sent under.
+func OperationKey(operation string) string {
+	if place := strings.LastIndex(operation, "/"); place >= 0 {
+		return operation[:place]
+	}
+	return operation
+}
+
 type Tick struct{}
 
 type Letter struct {
--- a/control/control.go
+++ b/control/control.go
@@ -53,8 +53,10 @@
 	writes  map[int64]*write
 	gathers map[int64]*gather
 	reads   map[int64]contract.Ask
-	token   int64
-	refills time.Duration
+	// refusals wait for a majority's word, by token.
+	refusals map[int64]*refusal
+	token    int64
+	refills  time.Duration
 }
 
 // New makes the owner; recovered is nil on a machine without a data folder.
@@ -62,7 +64,7 @@
 	node := machine.New(settings, contract.KindControl, boot, random)
 	owner := &Owner{Node: node, shard: shard.New(node.Self(), settings.Bounds), index: index.New(settings.Bounds.Return(), settings.Bounds.Withdraw()/2),
 		others: map[string]*shard.Owner{}, wide: settings.Wide, listed: -settings.Bounds.PlatformPoll(),
-		writes: map[int64]*write{}, gathers: map[int64]*gather{}, reads: map[int64]contract.Ask{}}
+		writes: map[int64]*write{}, gathers: map[int64]*gather{}, reads: map[int64]contract.Ask{}, refusals: map[int64]*refusal{}}
 	if recovered != nil {
 		self := contract.CoreNode{Name: node.Self().Name, ID: boot, Address: node.Self().Address}
 		owner.chain = chain.New(self, boot, int(settings.CoreSize), settings.Bounds, *recovered, random)
@@ -221,7 +223,7 @@
 	case contract.VerbCache:
 		return owner.cache(now, ask)
 	case contract.VerbOperation:
-		return owner.operation(ask)
+		return owner.operation(now, ask)
 	}
 	return owner.write(now, ask, nil)
 }
@@ -282,6 +284,12 @@
 }
 
 func (owner *Owner) vouched(now time.Duration, vouched chain.Vouched) []contract.Command {
+	if _, there := owner.refusals[vouched.Token]; there {
+		return owner.refusalVouched(vouched.Token, vouched.Fine)
+	}
+	if pending, there := owner.writes[vouched.Token]; there {
+		return owner.writeVouched(vouched.Token, pending, vouched.Fine)
+	}
 	ask, there := owner.reads[vouched.Token]
 	if !there {
 		return nil
--- a/control/gateway.go
+++ b/control/gateway.go
@@ -41,6 +41,20 @@
 	return ""
 }
 
+// forgotten tells whether an order builds on a configuration that is older than all kept versions: then the order may have been taken
+// and its version been dropped since.
+func (owner *Owner) forgotten(ask contract.Ask) bool {
+	if ask.Verb != contract.VerbReplace && ask.Verb != contract.VerbUpdate {
+		return false
+	}
+	oldest, there := owner.chain.OldestKept()
+	if !there || owner.chain.Committed()-oldest.Place.Revision < owner.Bounds.History-1 {
+		return false
+	}
+	read := readNewest(oldest)
+	return read.malformed == nil && read.invalid == nil && ask.Base < read.read.Gateway.Revision
+}
+
 // standing gives the newest version when a drain or an undrain asks for what already is so, and wants no version of its own.
 func (owner *Owner) standing(ask contract.Ask) (contract.Version, bool) {
 	if !ask.Prompt || ask.Verb != contract.VerbDrain && ask.Verb != contract.VerbUndrain {
--- a/control/gather.go
+++ b/control/gather.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
@@ -72,8 +74,8 @@
 
 func (owner *Owner) tickGathers(now time.Duration) []contract.Command {
 	commands := []contract.Command{}
-	for token := int64(1); token <= owner.token && len(owner.gathers) > 0; token++ {
-		if pending, there := owner.gathers[token]; there && now > pending.until {
+	for _, token := range slices.Sorted(maps.Keys(owner.gathers)) {
+		if pending := owner.gathers[token]; now > pending.until {
 			delete(owner.gathers, token)
 			commands = append(commands, pending.then(now)...)
 		}
--- /dev/null
+++ b/control/stale_test.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cedarreel/cedarreel/chain"
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/env"
+	"github.com/cedarreel/cedarreel/neighbour"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// coreNodes are three members of the core with their disks' identities.
+func coreNodes() []contract.CoreNode {
+	nodes := []contract.CoreNode{}
+	for _, name := range []string{"m1", "m2", "m3"} {
+		nodes = append(nodes, contract.CoreNode{Name: name + "-control", ID: "disk-" + name, Address: name})
+	}
+	return nodes
+}
+
+// staleHead is the head of view 1, which holds a configuration of revision 5, hears its fellows and does not know what they decided since.
+func staleHead() *Owner {
+	GinkgoHelper()
+	nodes := coreNodes()
+	view := contract.View{Number: 1, Core: nodes}
+	for _, node := range nodes {
+		view.Chain = append(view.Chain, node.Identity())
+	}
+	view.Holders = view.Chain
+	content, _, failure := compose(contract.Ask{Verb: contract.VerbReplace, Body: section(5, oneRoute)}, readNewest(contract.Version{}))
+	Expect(failure).NotTo(HaveOccurred())
+	place := contract.Place{View: 1, Revision: 1}
+	kept := contract.Version{Place: place, Operation: contract.OperationOf("first", "f"), Digest: contract.Digest(content), Manifest: content}
+	settings := env.New(env.WithName("m1"), env.WithHall("east-a"), env.WithRegion("east"), env.WithControl("m1"))
+	settings.Wide = true
+	recovered := chain.Recovered{Member: chain.MemberRecord{ID: nodes[0].ID, View: view}, Versions: []contract.Version{kept}, Committed: place}
+	owner := New(settings, "start", &recovered, rand.New(rand.NewPCG(1, 1)))
+	hear(owner, 0)
+	owner.Handle(0, contract.Tick{})
+	owner.Handle(time.Millisecond, contract.Tick{})
+	Expect(owner.chain.Open()).To(BeTrue(), "it would take writes")
+	return owner
+}
+
+// hear lets a node hear of the other two members.
+func hear(owner *Owner, now time.Duration) {
+	for _, node := range coreNodes()[1:] {
+		body, _ := json.Marshal(neighbour.Shuffle{Members: []contract.Member{{Name: node.Name, Boot: "b", CoreID: node.ID, Kind: contract.KindControl, Core: true,
+			Hall: "east-b", Region: "east", Address: node.Address, Incarnation: 1, Heartbeat: int64(now) + 1}}, Answer: true})
+		owner.Handle(now, contract.Letter{Kind: neighbour.LetterShuffle, From: node.Name, Boot: "b", Body: body})
+	}
+}
+
+// answers lets time pass and gives what was answered.
+func answers(owner *Owner, commands []contract.Command, span time.Duration) []contract.Answer {
+	given := []contract.Answer{}
+	take := func(commands []contract.Command) {
+		for _, command := range commands {
+			if answer, fine := command.(contract.Answer); fine {
+				given = append(given, answer)
+			}
+		}
+	}
+	take(commands)
+	for now := 10 * time.Millisecond; now < span; now += owner.Bounds.Tick() {
+		take(owner.Handle(now, contract.Tick{}))
+	}
+	return given
+}
+
+var _ = Describe("a head that was left behind", func() {
+	order := func(verb string, base, revision int64) contract.Ask {
+		return contract.Ask{Token: 1, Verb: verb, Base: base, HasBase: true, Body: section(revision, oneRoute), Operation: "order", Prompt: true}
+	}
+
+	DescribeTable("neither refuses nor confirms from its old state", func(ask contract.Ask) {
+		owner := staleHead()
+		given := answers(owner, owner.Handle(2*time.Millisecond, ask), time.Second)
+		Expect(given).To(HaveLen(1))
+		Expect(given[0].Status).To(Equal(503), "%+v", given[0].Body)
+		Expect(given[0].After).To(BeNumerically(">", 0), "and says when to come back")
+	},
+		Entry("an order on top of a version that it has missed", order(contract.VerbReplace, 9, 12)),
+		Entry("an order whose revision its own passes", order(contract.VerbReplace, 5, 3)),
+		Entry("a change by name that its own state does not allow", contract.Ask{Token: 1, Verb: contract.VerbUpdate, Base: 5, HasBase: true, Operation: "order", Prompt: true,
+			Body: []byte(`{"gateway":{"revision":6,"upsert":{"routes":{"q":{"host":"h","prefix":"/q/","timeoutMs":1,"service":"none"}}}}}`)}),
+		Entry("an undrain of a zone that it does not know to be drained", contract.Ask{Token: 1, Verb: contract.VerbUndrain, Subject: "east-a", Operation: "order", Prompt: true}),
+		Entry("a question for an operation that it does not know", contract.Ask{Token: 1, Verb: contract.VerbOperation, Subject: "order"}),
+	)
+
+	It("refuses once a majority confirms its view", func() {
+		owner := staleHead()
+		commands := owner.Handle(2*time.Millisecond, order(contract.VerbReplace, 9, 12))
+		var asked chain.Check
+		for _, command := range commands {
+			if send, fine := command.(contract.Send); fine && send.Kind == chain.LetterCheck {
+				asked = send.Body.(chain.Check)
+			}
+		}
+		asked.Holds, asked.By = true, coreNodes()[1]
+		body, _ := json.Marshal(asked)
+		given := answers(owner, owner.Handle(3*time.Millisecond, contract.Letter{Kind: chain.LetterChecked, From: asked.By.Name, Body: body}), time.Second)
+		Expect(given).To(HaveLen(1))
+		Expect(given[0].Status).To(Equal(409))
+	})
+})
--- a/control/write.go
+++ b/control/write.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,6 +20,8 @@
 	operation string
 	began     time.Duration
 	committed bool
+	// unsure holds until a majority has confirmed the view from which the answer is taken.
+	unsure bool
 }
 
 func fingerprint(ask contract.Ask) string {
@@ -47,18 +51,18 @@
 	if ask.Operation == "" {
 		return owner.refuse(ask, 400, "an operation key is missing")
 	}
-	operation := ask.Operation + "/" + fingerprint(ask)
-	if former, there := owner.standing(ask); there {
-		owner.await(now, ask, former, operation)
-		return nil
-	}
-	if former, there := owner.known(ask.Operation); there {
+	operation := contract.OperationOf(ask.Operation, fingerprint(ask))
+	if former, there := owner.chain.Operation(ask.Operation); there {
 		if former.Operation != operation {
 			return owner.refuse(ask, 422, "this operation key was used for another write")
 		}
 		owner.await(now, ask, former, operation)
 		return nil
 	}
+	if former, there := owner.standing(ask); there {
+		owner.await(now, ask, former, former.Operation).unsure = true
+		return owner.chain.VouchHead(now, owner.token)
+	}
 	if !owner.chain.Open() {
 		return owner.refuse(ask, 503, "the chain cannot take writes now; nothing was committed")
 	}
@@ -68,18 +72,21 @@
 	}
 	gateway := ask.Verb == contract.VerbReplace || ask.Verb == contract.VerbUpdate
 	if !gateway && ask.HasBase && ask.Base != latest.Place.Revision {
-		return owner.refuse(ask, 409, fmt.Sprintf("the manifest moved: base %d, now %d", ask.Base, latest.Place.Revision))
+		return owner.refuseSurely(now, ask, latest, 409, fmt.Sprintf("the manifest moved: base %d, now %d", ask.Base, latest.Place.Revision))
 	}
 	if (ask.Verb == contract.VerbPut || gateway) && !ask.HasBase {
 		return owner.refuse(ask, 400, "a whole manifest needs its base revision")
 	}
 	read := readNewest(latest)
 	if failure := overtaken(ask, read); failure != "" {
-		return owner.refuse(ask, 409, failure)
+		if owner.forgotten(ask) {
+			return owner.refuse(ask, 504, "this order builds on a version that is no longer kept: whether it was taken is not known")
+		}
+		return owner.refuseSurely(now, ask, latest, 409, failure)
 	}
 	content, drains, mishap := compose(ask, read)
 	if mishap != nil {
-		return owner.refuse(ask, 400, mishap.Error())
+		return owner.refuseSurely(now, ask, latest, 400, mishap.Error())
 	}
 	for _, hall := range manifest.SortedKeys(drains) {
 		if !withdrawn[hall] {
@@ -167,19 +174,12 @@
 	})
 }
 
-func (owner *Owner) known(operation string) (contract.Version, bool) {
-	for _, version := range owner.chain.Versions() {
-		if strings.HasPrefix(version.Operation, operation+"/") && strings.LastIndex(version.Operation, "/") == len(operation) {
-			return version, true
-		}
-	}
-	return contract.Version{}, false
-}
-
-func (owner *Owner) await(now time.Duration, ask contract.Ask, version contract.Version, operation string) {
+func (owner *Owner) await(now time.Duration, ask contract.Ask, version contract.Version, operation string) *write {
 	owner.token++
-	owner.writes[owner.token] = &write{ask: ask, revision: version.Place.Revision, operation: operation, began: now,
+	pending := &write{ask: ask, revision: version.Place.Revision, operation: operation, began: now,
 		committed: version.Place.Revision <= owner.chain.Committed()}
+	owner.writes[owner.token] = pending
+	return pending
 }
 
 func (owner *Owner) committed(now time.Duration, version contract.Version) {
@@ -190,36 +190,45 @@
 	}
 }
 
+// tickWrites answers the writes whose end is known or that waited too long; it costs no more after many writes than after few.
 func (owner *Owner) tickWrites(now time.Duration) []contract.Command {
 	commands := []contract.Command{}
-	for token := int64(1); token <= owner.token && len(owner.writes) > 0; token++ {
-		pending, there := owner.writes[token]
-		if !there {
+	for _, token := range slices.Sorted(maps.Keys(owner.writes)) {
+		pending := owner.writes[token]
+		status, accepted := owner.outcome(now, pending)
+		if status == 0 {
 			continue
 		}
-		accepted := contract.Accepted{Revision: pending.revision, Operation: pending.ask.Operation, View: owner.Feed.View().Number}
-		status := 0
-		if !pending.committed && now-pending.began > owner.Bounds.Commit() {
-			status, accepted.Outcome, accepted.Mishap = 504, "unknown", "not yet acknowledged by the whole chain; ask by the operation key"
-		}
-		if pending.committed {
-			accepted.Lacking = owner.lacking(now, pending.revision)
-			if len(accepted.Lacking) == 0 || pending.ask.Prompt {
-				status, accepted.Outcome = 200, "in force"
-				if pending.ask.Prompt {
-					accepted.Outcome = "committed"
-				}
-			} else if now-pending.began > owner.Bounds.Deliver()*5/6 {
-				status, accepted.Outcome = 202, "committed"
-			}
-		}
-		if status > 0 {
-			delete(owner.writes, token)
-			commands = append(commands, contract.Count{Name: fmt.Sprintf("writes_answered_%d", status), By: 1},
-				contract.Answer{Token: pending.ask.Token, Status: status, Body: accepted})
+		delete(owner.writes, token)
+		commands = append(commands, contract.Count{Name: fmt.Sprintf("writes_answered_%d", status), By: 1},
+			contract.Answer{Token: pending.ask.Token, Status: status, Body: accepted})
+	}
+	return append(commands, owner.tickRefusals(now)...)
+}
+
+// outcome gives the status of a write, or 0 while it is not known.
+func (owner *Owner) outcome(now time.Duration, pending *write) (int, contract.Accepted) {
+	accepted := contract.Accepted{Revision: pending.revision, Operation: pending.ask.Operation, View: owner.Feed.View().Number}
+	if !pending.committed || pending.unsure {
+		if now-pending.began <= owner.Bounds.Commit() {
+			return 0, accepted
 		}
+		accepted.Outcome, accepted.Mishap = "unknown", "not yet acknowledged by the whole chain; ask by the operation key"
+		return 504, accepted
 	}
-	return commands
+	if pending.ask.Prompt {
+		accepted.Outcome = "committed"
+		return 200, accepted
+	}
+	if accepted.Lacking = owner.lacking(now, pending.revision); len(accepted.Lacking) == 0 {
+		accepted.Outcome = "in force"
+		return 200, accepted
+	}
+	if now-pending.began > owner.Bounds.Deliver()*5/6 {
+		accepted.Outcome = "committed"
+		return 202, accepted
+	}
+	return 0, accepted
 }
 
 func (owner *Owner) lacking(now time.Duration, revision int64) []string {
@@ -232,10 +241,10 @@
 	return lacking
 }
 
-func (owner *Owner) operation(ask contract.Ask) []contract.Command {
-	version, there := owner.known(ask.Subject)
+func (owner *Owner) operation(now time.Duration, ask contract.Ask) []contract.Command {
+	version, there := owner.chain.Operation(ask.Subject)
 	if !there {
-		return []contract.Command{contract.Refuse(ask.Token, 404, "no kept version has this operation key", 0)}
+		return owner.refuseSurely(now, ask, contract.Version{}, 404, "no kept version has this operation key")
 	}
 	accepted := contract.Accepted{Outcome: "committed", Revision: version.Place.Revision, View: version.Place.View, Operation: ask.Subject}
 	if version.Place.Revision > owner.chain.Committed() {
