--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -229,7 +229,7 @@
 	server.told(event.Load)
 	traffic.release(work)
 	work.begun = work.begun || event.Begun
-	again, none := true, false
+	again, none := event.Outcome.mayRepeat(work.route.Repeatable()), false
 	switch event.Outcome {
 	case Whole:
 		traffic.returned(now, server)
@@ -241,7 +241,7 @@
 		if work.route.Kind != manifest.KindStreaming {
 			server.paced(now - work.at)
 		}
-		if event.Failed && work.route.Repeatable() {
+		if event.Failed && event.Outcome.mayRepeat(work.route.Repeatable()) {
 			if sent, _ := traffic.elsewhere(now, work, server, false); sent != nil {
 				return sent
 			}
@@ -259,7 +259,7 @@
 		traffic.tally(now, server).Lost++
 		work.sent--
 		work.connects++
-		again = work.connects < mostConnects
+		again = again && work.connects < mostConnects
 	case Moved:
 		server.moved = true
 	case NotRun:
@@ -269,7 +269,7 @@
 	case Broken:
 		traffic.fault(now, server)
 		traffic.tally(now, server).Failed++
-		again = work.route.Repeatable() && now < work.ends
+		again = again && now < work.ends
 	}
 	if again {
 		var sent []contract.Command
--- a/serve/standin_test.go
+++ b/serve/standin_test.go
@@ -115,14 +115,21 @@
 // stagedFor is a stage with a contact time of its own.
 func stagedFor(contact time.Duration, servers int, script ...play) *stage {
 	GinkgoHelper()
+	return newStage(contact, servers, func(end func()) { DeferCleanup(end) }, script...)
+}
+
+// newStage is a stage that cleanup ends; it needs no suite around it.
+func newStage(contact time.Duration, servers int, cleanup func(func()), script ...play) *stage {
 	settings := env.New(env.WithName("node"), env.WithHall("north-1"), env.WithRegion("north"))
 	settings.Gateway = env.Gateway{RepeatRatio: 0.2, RepeatWindow: 10 * time.Second, RepeatAllowance: 100, Contact: contact}
 	made := &stage{script: script, shell: serve.NewTestGateway(settings, platform.Face{})}
 	listed := gateway.Listed{Region: "north"}
 	for place := range servers {
 		listener, failure := net.Listen("tcp", "127.0.0.1:0")
-		Expect(failure).NotTo(HaveOccurred())
-		DeferCleanup(listener.Close)
+		if failure != nil {
+			panic(failure)
+		}
+		cleanup(func() { _ = listener.Close() })
 		name := fmt.Sprint("server", place)
 		listed.Servers = append(listed.Servers, contract.Candidate{Name: name, Address: listener.Addr().String(), Hall: "north-1", Pool: "s", Slots: 8})
 		go func() {
@@ -138,11 +145,11 @@
 			}
 		}()
 	}
-	DeferCleanup(made.end)
+	cleanup(made.end)
 	made.shell.Learn(routes(3))
 	made.shell.Learn(listed)
 	made.front = httptest.NewServer(made.shell.Handler())
-	DeferCleanup(made.front.Close)
+	cleanup(made.front.Close)
 	return made
 }
 
