--- a/link/metrics.go
+++ b/link/metrics.go
@@ -52,7 +52,7 @@
 	"members":               "live members known here",
 	"view_campaigns":        "tries to agree on a new view",
 	"foundings_tried":       "tries to found the core",
-	"disk_mishaps":          "writes that the disk refused",
+	"disk_failures":         "writes that the disk refused",
 	"feed_refused":          "changes refused because they were damaged",
 	"letters_broken":        "letters that could not be read",
 	"letters_dropped":       "letters dropped because a ring was full",
