--- a/chain/agree.go
+++ b/chain/agree.go
@@ -190,7 +190,7 @@
 	targets := append(append([]contract.CoreNode{}, owner.view.Core...), owner.strangers()...)
 	owner.campaign.asked = len(targets)
 	for _, node := range targets {
-		owner.send(node, LetterPrepare, prepare)
+		owner.send(node, MessagePrepare, prepare)
 	}
 	owner.emit(contract.Count{Name: "view_campaigns", By: 1})
 }
@@ -198,7 +198,7 @@
 func (owner *Owner) prepare(now time.Duration, prepare Prepare) {
 	owner.adopt(now, prepare.Base)
 	if prepare.Base.Number < owner.view.Number {
-		owner.send(prepare.Node, LetterNews, owner.view)
+		owner.send(prepare.Node, MessageNews, owner.view)
 		return
 	}
 	_, vote := owner.view.Node(owner.self.Identity())
@@ -206,7 +206,7 @@
 	if vote {
 		if prepare.Ballot.Before(owner.promised) {
 			answer.Vote, answer.Refused = false, owner.promised
-			owner.send(prepare.Node, LetterPromise, answer)
+			owner.send(prepare.Node, MessagePromise, answer)
 			return
 		}
 		owner.promised, owner.sealed, answer.Accepted = prepare.Ballot, true, owner.accepted
@@ -217,7 +217,7 @@
 		answer.Top, answer.Fit = owner.top, owner.fit
 		answer.Digest = owner.versions[owner.top].Digest
 		answer.Lacks, _ = owner.lacks()
-		owner.send(prepare.Node, LetterPromise, answer)
+		owner.send(prepare.Node, MessagePromise, answer)
 	}})
 }
 
@@ -300,7 +300,7 @@
 	}
 	campaign.proposal = &Proposal{Ballot: campaign.ballot, View: view}
 	for _, node := range owner.view.Core {
-		owner.send(node, LetterAccept, Accept{Proposal: *campaign.proposal, Node: owner.self, Base: owner.view})
+		owner.send(node, MessageAccept, Accept{Proposal: *campaign.proposal, Node: owner.self, Base: owner.view})
 	}
 }
 
@@ -372,7 +372,7 @@
 	proposal := accept.Proposal
 	owner.promised, owner.sealed, owner.accepted = proposal.Ballot, true, &proposal
 	owner.persist(now, job{record: true, after: func(time.Duration) {
-		owner.send(accept.Node, LetterAccepted, Accepted{Ballot: proposal.Ballot, Node: owner.self})
+		owner.send(accept.Node, MessageAccepted, Accepted{Ballot: proposal.Ballot, Node: owner.self})
 	}})
 }
 
@@ -393,7 +393,7 @@
 	owner.adopt(now, view)
 	for _, node := range append(append([]contract.CoreNode{}, old.Core...), view.Core...) {
 		if node.Identity() != owner.self.Identity() {
-			owner.send(node, LetterNews, view)
+			owner.send(node, MessageNews, view)
 		}
 	}
 }
--- a/chain/catchup.go
+++ b/chain/catchup.go
@@ -17,7 +17,7 @@
 	}
 	owner.resumed = now
 	if head, there := owner.view.Head(); there {
-		owner.send(head, LetterResume, Resume{View: owner.view.Number})
+		owner.send(head, MessageResume, Resume{View: owner.view.Number})
 	}
 }
 
@@ -66,7 +66,7 @@
 	}
 	target, there := owner.view.Node(owner.view.Chain[owner.random.IntN(len(owner.view.Chain))])
 	if there && target.Identity() != owner.self.Identity() {
-		owner.send(target, LetterFetch, Fetch{Node: owner.self, From: first})
+		owner.send(target, MessageFetch, Fetch{Node: owner.self, From: first})
 	}
 }
 
@@ -78,7 +78,7 @@
 		}
 	}
 	history.Versions = contract.Fit(history.Versions, false)
-	owner.send(fetch.Node, LetterHistory, history)
+	owner.send(fetch.Node, MessageHistory, history)
 }
 
 func (owner *Owner) history(now time.Duration, history History) {
--- a/chain/chain.go
+++ b/chain/chain.go
@@ -11,26 +11,26 @@
 )
 
 const (
-	LetterPass        = "chain-pass"
-	LetterDone        = "chain-done"
-	LetterFetch       = "chain-fetch"
-	LetterHistory     = "chain-history"
-	LetterNews        = "view-news"
-	LetterPrepare     = "view-prepare"
-	LetterPromise     = "view-promise"
-	LetterAccept      = "view-accept"
-	LetterAccepted    = "view-accepted"
-	LetterCheck       = "view-check"
-	LetterChecked     = "view-checked"
-	LetterFoundAsk    = "found-ask"
-	LetterFoundTell   = "found-tell"
-	LetterFoundAccept = "found-accept"
-	LetterFounded     = "found-accepted"
-	LetterFoundBegin  = "found-begin"
-	LetterResume      = "chain-resume"
-	LetterFoundedAsk  = "founded-ask"
-	LetterFoundedHeld = "founded-held"
-	batchSize         = 32
+	MessagePass        = "chain-pass"
+	MessageDone        = "chain-done"
+	MessageFetch       = "chain-fetch"
+	MessageHistory     = "chain-history"
+	MessageNews        = "view-news"
+	MessagePrepare     = "view-prepare"
+	MessagePromise     = "view-promise"
+	MessageAccept      = "view-accept"
+	MessageAccepted    = "view-accepted"
+	MessageCheck       = "view-check"
+	MessageChecked     = "view-checked"
+	MessageFoundAsk    = "found-ask"
+	MessageFoundTell   = "found-tell"
+	MessageFoundAccept = "found-accept"
+	MessageFounded     = "found-accepted"
+	MessageFoundBegin  = "found-begin"
+	MessageResume      = "chain-resume"
+	MessageFoundedAsk  = "founded-ask"
+	MessageFoundedHeld = "founded-held"
+	batchSize          = 32
 )
 
 // Persist asks for a write to the data folder. Its parts are synced in this order: dropped versions are removed, then versions, the
@@ -136,7 +136,7 @@
 	record    MemberRecord
 	presented bool
 	out       []contract.Command
-	loop      []contract.Letter
+	loop      []contract.Message
 	bootstrap bool
 	founders  []string
 	marked    contract.Place
@@ -196,13 +196,13 @@
 		owner.tick(now, event)
 	case Persisted:
 		owner.persisted(now, event)
-	case contract.Letter:
-		owner.letter(now, event)
+	case contract.Message:
+		owner.message(now, event)
 	}
 	for len(owner.loop) > 0 {
-		letter := owner.loop[0]
+		message := owner.loop[0]
 		owner.loop = owner.loop[1:]
-		owner.letter(now, letter)
+		owner.message(now, message)
 	}
 	out := owner.out
 	owner.out = nil
@@ -220,56 +220,56 @@
 	if failure != nil {
 		panic(failure)
 	}
-	owner.loop = append(owner.loop, contract.Letter{Kind: kind, From: owner.self.Name, Body: content})
+	owner.loop = append(owner.loop, contract.Message{Kind: kind, From: owner.self.Name, Body: content})
 }
 
-func (owner *Owner) letter(now time.Duration, letter contract.Letter) {
-	switch letter.Kind {
-	case LetterPass:
-		read(owner, letter, func(pass Pass) { owner.pass(now, pass) })
-	case LetterDone:
-		read(owner, letter, func(done Done) { owner.done(now, done) })
-	case LetterFetch:
-		read(owner, letter, func(fetch Fetch) { owner.fetch(fetch) })
-	case LetterHistory:
-		read(owner, letter, func(history History) { owner.history(now, history) })
-	case LetterNews:
-		read(owner, letter, func(view contract.View) { owner.adopt(now, view) })
-	case LetterPrepare:
-		read(owner, letter, func(prepare Prepare) { owner.prepare(now, prepare) })
-	case LetterPromise:
-		read(owner, letter, func(promise Promise) { owner.promise(now, promise) })
-	case LetterAccept:
-		read(owner, letter, func(accept Accept) { owner.accept(now, accept) })
-	case LetterAccepted:
-		read(owner, letter, func(accepted Accepted) { owner.acceptedBy(now, accepted) })
-	case LetterCheck:
-		read(owner, letter, func(ask Check) { owner.check(ask) })
-	case LetterChecked:
-		read(owner, letter, func(answer Check) { owner.checked(answer) })
-	case LetterFoundAsk:
-		read(owner, letter, func(ask FoundAsk) { owner.foundAsk(ask) })
-	case LetterFoundTell:
-		read(owner, letter, func(tell FoundTell) { owner.foundTell(now, tell) })
-	case LetterFoundAccept:
-		read(owner, letter, func(foundation Foundation) { owner.foundAccept(now, foundation) })
-	case LetterFoundBegin:
-		read(owner, letter, func(foundation Foundation) { owner.begin(now, foundation) })
-	case LetterFounded:
-		read(owner, letter, func(accepted Accepted) { owner.founded(now, accepted) })
-	case LetterFoundedAsk:
-		read(owner, letter, func(ask FoundedAsk) { owner.foundedAsk(ask) })
-	case LetterFoundedHeld:
-		read(owner, letter, func(held FoundedHeld) { owner.foundedHeld(now, held) })
-	case LetterResume:
-		read(owner, letter, func(resume Resume) { owner.resume(resume) })
+func (owner *Owner) message(now time.Duration, message contract.Message) {
+	switch message.Kind {
+	case MessagePass:
+		read(owner, message, func(pass Pass) { owner.pass(now, pass) })
+	case MessageDone:
+		read(owner, message, func(done Done) { owner.done(now, done) })
+	case MessageFetch:
+		read(owner, message, func(fetch Fetch) { owner.fetch(fetch) })
+	case MessageHistory:
+		read(owner, message, func(history History) { owner.history(now, history) })
+	case MessageNews:
+		read(owner, message, func(view contract.View) { owner.adopt(now, view) })
+	case MessagePrepare:
+		read(owner, message, func(prepare Prepare) { owner.prepare(now, prepare) })
+	case MessagePromise:
+		read(owner, message, func(promise Promise) { owner.promise(now, promise) })
+	case MessageAccept:
+		read(owner, message, func(accept Accept) { owner.accept(now, accept) })
+	case MessageAccepted:
+		read(owner, message, func(accepted Accepted) { owner.acceptedBy(now, accepted) })
+	case MessageCheck:
+		read(owner, message, func(ask Check) { owner.check(ask) })
+	case MessageChecked:
+		read(owner, message, func(answer Check) { owner.checked(answer) })
+	case MessageFoundAsk:
+		read(owner, message, func(ask FoundAsk) { owner.foundAsk(ask) })
+	case MessageFoundTell:
+		read(owner, message, func(tell FoundTell) { owner.foundTell(now, tell) })
+	case MessageFoundAccept:
+		read(owner, message, func(foundation Foundation) { owner.foundAccept(now, foundation) })
+	case MessageFoundBegin:
+		read(owner, message, func(foundation Foundation) { owner.begin(now, foundation) })
+	case MessageFounded:
+		read(owner, message, func(accepted Accepted) { owner.founded(now, accepted) })
+	case MessageFoundedAsk:
+		read(owner, message, func(ask FoundedAsk) { owner.foundedAsk(ask) })
+	case MessageFoundedHeld:
+		read(owner, message, func(held FoundedHeld) { owner.foundedHeld(now, held) })
+	case MessageResume:
+		read(owner, message, func(resume Resume) { owner.resume(resume) })
 	}
 }
 
-func read[Body any](owner *Owner, letter contract.Letter, then func(Body)) {
+func read[Body any](owner *Owner, message contract.Message, then func(Body)) {
 	var body Body
-	if json.Unmarshal(letter.Body, &body) != nil {
-		owner.emit(contract.Count{Name: "letters_broken", By: 1})
+	if json.Unmarshal(message.Body, &body) != nil {
+		owner.emit(contract.Count{Name: "messages_broken", By: 1})
 		return
 	}
 	then(body)
--- a/chain/check.go
+++ b/chain/check.go
@@ -57,7 +57,7 @@
 	owner.checks[token] = &check{view: owner.view.Number, fits: fits, until: now + owner.bounds.Round(), votes: map[string]bool{owner.self.Identity(): true}}
 	for _, node := range owner.view.Core {
 		if node.Identity() != owner.self.Identity() {
-			owner.send(node, LetterCheck, Check{Nonce: token, Start: owner.start, View: owner.view.Number, Node: owner.self})
+			owner.send(node, MessageCheck, Check{Nonce: token, Start: owner.start, View: owner.view.Number, Node: owner.self})
 		}
 	}
 	out := owner.out
@@ -67,7 +67,7 @@
 
 func (owner *Owner) check(ask Check) {
 	holds := owner.Member() && !owner.sealed && owner.view.Number == ask.View
-	owner.send(ask.Node, LetterChecked, Check{Nonce: ask.Nonce, Start: ask.Start, View: ask.View, Holds: holds, By: owner.self})
+	owner.send(ask.Node, MessageChecked, Check{Nonce: ask.Nonce, Start: ask.Start, View: ask.View, Holds: holds, By: owner.self})
 }
 
 func (owner *Owner) checked(answer Check) {
--- a/chain/forsaken_test.go
+++ b/chain/forsaken_test.go
@@ -20,19 +20,19 @@
 	view := func(number int64) contract.View {
 		return contract.View{Number: number, Core: nodes, Chain: names, Holders: names}
 	}
-	letter := func(kind string, body any) contract.Letter {
+	message := func(kind string, body any) contract.Message {
 		text, failure := json.Marshal(body)
 		Expect(failure).NotTo(HaveOccurred())
-		return contract.Letter{Kind: kind, From: "middle", Boot: "boot", Body: text}
+		return contract.Message{Kind: kind, From: "middle", Boot: "boot", Body: text}
 	}
 	head := func() *Owner {
 		owner := New(nodes[0], "start", 3, env.DefaultBounds(), Recovered{}, rand.New(rand.NewPCG(1, 1)))
-		owner.Handle(0, letter(LetterNews, view(1)))
+		owner.Handle(0, message(MessageNews, view(1)))
 		owner.Handle(time.Millisecond, Persisted{Token: owner.token})
 		return owner
 	}
 	next := func(owner *Owner, former contract.Version) {
-		owner.Handle(5*time.Millisecond, letter(LetterNews, view(2)))
+		owner.Handle(5*time.Millisecond, message(MessageNews, view(2)))
 		for range 2 {
 			owner.Handle(6*time.Millisecond, Persisted{Token: owner.token})
 		}
@@ -51,7 +51,7 @@
 	It("given that its head is sealed when it is synced, then it is forgotten, and taken when it is asked for again", func() {
 		owner := head()
 		version, _ := owner.Submit(2*time.Millisecond, "lost", []byte(`{}`))
-		owner.Handle(3*time.Millisecond, letter(LetterPrepare, Prepare{Ballot: Ballot{Number: 2, Round: 1}, Node: nodes[1], Base: view(1)}))
+		owner.Handle(3*time.Millisecond, message(MessagePrepare, Prepare{Ballot: Ballot{Number: 2, Round: 1}, Node: nodes[1], Base: view(1)}))
 		owner.Handle(4*time.Millisecond, Persisted{Token: owner.token})
 		next(owner, version)
 	})
@@ -60,7 +60,7 @@
 		owner := head()
 		version, _ := owner.Submit(2*time.Millisecond, "kept", []byte(`{}`))
 		owner.Handle(3*time.Millisecond, Persisted{Token: owner.token})
-		owner.Handle(5*time.Millisecond, letter(LetterNews, view(2)))
+		owner.Handle(5*time.Millisecond, message(MessageNews, view(2)))
 		Expect(owner.Versions()).To(ContainElement(version))
 		later, _ := owner.Submit(7*time.Millisecond, "later", []byte(`{}`))
 		Expect(later.Place.Revision).To(Equal(version.Place.Revision + 1))
--- a/chain/found.go
+++ b/chain/found.go
@@ -166,14 +166,14 @@
 		return
 	}
 	waited := now - owner.unfoundable
-	if len(fellows) < 2 || waited < owner.bounds.Round() || now-owner.started < owner.bounds.Licence() || now < owner.retry || fellows[0].Identity() != owner.self.Identity() {
+	if len(fellows) < 2 || waited < owner.bounds.Round() || now-owner.started < owner.bounds.Lease() || now < owner.retry || fellows[0].Identity() != owner.self.Identity() {
 		return
 	}
 	owner.foundPromised.Round++
 	ballot := Ballot{Number: owner.view.Number + 1, Round: owner.foundPromised.Round, Proposer: owner.proposer()}
 	owner.founding = &founding{ballot: ballot, started: now, fellows: fellows, tells: map[string]FoundTell{}, votes: map[string]bool{}}
 	for _, node := range fellows {
-		owner.send(node, LetterFoundAsk, FoundAsk{Ballot: ballot, Node: owner.self})
+		owner.send(node, MessageFoundAsk, FoundAsk{Ballot: ballot, Node: owner.self})
 	}
 	owner.emit(contract.Count{Name: "foundings_tried", By: 1})
 }
@@ -202,7 +202,7 @@
 	} else {
 		owner.foundPromised, owner.sealed, tell.Fine = ask.Ballot, owner.view.Number > 0, owner.fit
 	}
-	owner.send(ask.Node, LetterFoundTell, tell)
+	owner.send(ask.Node, MessageFoundTell, tell)
 }
 
 func (owner *Owner) foundTell(now time.Duration, tell FoundTell) {
@@ -254,7 +254,7 @@
 	}
 	founding.foundation = &foundation
 	for _, node := range founding.fellows {
-		owner.send(node, LetterFoundAccept, foundation)
+		owner.send(node, MessageFoundAccept, foundation)
 	}
 }
 
@@ -284,7 +284,7 @@
 	}
 	work.after = func(now time.Duration) {
 		owner.foundSynced = foundation.Ballot
-		owner.send(foundation.Node, LetterFounded, Accepted{Ballot: foundation.Ballot, Node: owner.self})
+		owner.send(foundation.Node, MessageFounded, Accepted{Ballot: foundation.Ballot, Node: owner.self})
 	}
 	owner.persist(now, work)
 }
@@ -303,7 +303,7 @@
 	owner.begin(now, foundation)
 	for _, node := range fellows {
 		if node.Identity() != owner.self.Identity() {
-			owner.send(node, LetterFoundBegin, foundation)
+			owner.send(node, MessageFoundBegin, foundation)
 		}
 	}
 }
--- a/chain/found_test.go
+++ b/chain/found_test.go
@@ -47,7 +47,7 @@
 						Expect(failure).NotTo(HaveOccurred())
 						for other := range owners {
 							if owners[other].self.Address == command.To {
-								waiting[other] = append(waiting[other], contract.Letter{Kind: command.Kind, From: owner.self.Name, Boot: owner.self.ID, Body: content})
+								waiting[other] = append(waiting[other], contract.Message{Kind: command.Kind, From: owner.self.Name, Boot: owner.self.ID, Body: content})
 							}
 						}
 					case Persist:
--- a/chain/founded.go
+++ b/chain/founded.go
@@ -21,24 +21,24 @@
 
 func (owner *Owner) askFounded(now time.Duration) {
 	accepted := owner.foundAccepted
-	if accepted == nil || owner.foundSynced != accepted.Ballot || now-owner.foundAsked < owner.bounds.Round() || now-owner.started < owner.bounds.Licence() {
+	if accepted == nil || owner.foundSynced != accepted.Ballot || now-owner.foundAsked < owner.bounds.Round() || now-owner.started < owner.bounds.Lease() {
 		return
 	}
 	owner.foundAsked, owner.foundHeld = now, map[string]bool{owner.self.Identity(): true}
 	for _, node := range accepted.View.Core {
 		if node.Identity() != owner.self.Identity() {
-			owner.send(node, LetterFoundedAsk, FoundedAsk{Node: owner.self})
+			owner.send(node, MessageFoundedAsk, FoundedAsk{Node: owner.self})
 		}
 	}
 }
 
 func (owner *Owner) foundedAsk(ask FoundedAsk) {
 	if owner.view.Number > 0 {
-		owner.send(ask.Node, LetterNews, owner.view)
+		owner.send(ask.Node, MessageNews, owner.view)
 		return
 	}
 	if accepted := owner.foundAccepted; accepted != nil && owner.foundSynced == accepted.Ballot {
-		owner.send(ask.Node, LetterFoundedHeld, FoundedHeld{Node: owner.self, View: accepted.View})
+		owner.send(ask.Node, MessageFoundedHeld, FoundedHeld{Node: owner.self, View: accepted.View})
 	}
 }
 
--- a/chain/vouch_test.go
+++ b/chain/vouch_test.go
@@ -14,10 +14,10 @@
 	node := func(name string) contract.CoreNode {
 		return contract.CoreNode{Name: name, ID: "boot", Address: name}
 	}
-	letter := func(kind, from string, body any) contract.Letter {
+	message := func(kind, from string, body any) contract.Message {
 		content, failure := json.Marshal(body)
 		Expect(failure).NotTo(HaveOccurred())
-		return contract.Letter{Kind: kind, From: from, Boot: "boot", Body: content}
+		return contract.Message{Kind: kind, From: from, Boot: "boot", Body: content}
 	}
 	nodes := []contract.CoreNode{node("head"), node("middle"), node("tail")}
 	names := []string{nodes[0].Identity(), nodes[1].Identity(), nodes[2].Identity()}
@@ -25,10 +25,10 @@
 	// member is the middle of a chain that has taken a version and not yet heard whether its tail has it.
 	member := func() *Owner {
 		owner := New(nodes[1], "start", 3, env.DefaultBounds(), Recovered{}, rand.New(rand.NewPCG(1, 1)))
-		owner.Handle(0, letter(LetterNews, "head", contract.View{Number: 1, Core: nodes, Chain: names, Holders: names}))
+		owner.Handle(0, message(MessageNews, "head", contract.View{Number: 1, Core: nodes, Chain: names, Holders: names}))
 		content := []byte(`{}`)
 		version := contract.Version{Place: contract.Place{View: 1, Revision: 1}, Operation: "first", Digest: contract.Digest(content), Manifest: content}
-		owner.Handle(0, letter(LetterPass, "head", Pass{From: nodes[0], View: 1, Versions: []contract.Version{version}, Top: 1}))
+		owner.Handle(0, message(MessagePass, "head", Pass{From: nodes[0], View: 1, Versions: []contract.Version{version}, Top: 1}))
 		for token := int64(1); token <= 4; token++ {
 			owner.Handle(time.Millisecond, Persisted{Token: token})
 		}
@@ -39,7 +39,7 @@
 
 	It("given a version that the former tail may have acknowledged, when it alone is asked, then it does not answer with an older one", func() {
 		owner := member()
-		owner.Handle(2*time.Millisecond, letter(LetterNews, "tail", contract.View{Number: 2, Core: nodes, Chain: names[1:2], Holders: names}))
+		owner.Handle(2*time.Millisecond, message(MessageNews, "tail", contract.View{Number: 2, Core: nodes, Chain: names[1:2], Holders: names}))
 		Expect(owner.IsTail()).To(BeTrue())
 		Expect(owner.Vouch(3*time.Millisecond, 7)).To(ConsistOf(Vouched{Token: 7}))
 	})
--- a/chain/write.go
+++ b/chain/write.go
@@ -99,7 +99,7 @@
 	}
 	if next, there := owner.view.Node(owner.view.Chain[rank+1]); there {
 		pass.From = owner.self
-		owner.send(next, LetterPass, pass)
+		owner.send(next, MessagePass, pass)
 	}
 }
 
@@ -258,7 +258,7 @@
 	done := Done{View: owner.view.Number, Place: owner.versions[owner.committed].Place, Settled: owner.settled}
 	for _, node := range owner.view.Core {
 		if node.Identity() != owner.self.Identity() {
-			owner.send(node, LetterDone, done)
+			owner.send(node, MessageDone, done)
 		}
 	}
 }
--- a/client/client.go
+++ b/client/client.go
@@ -63,9 +63,9 @@
 	if len(query) > 0 {
 		path += "?" + query.Encode()
 	}
-	request, mishap := http.NewRequestWithContext(ctx, question.method, "http://"+node+path, io.NopCloser(bytes.NewReader(question.body)))
-	if mishap != nil {
-		return nil, mishap
+	request, err := http.NewRequestWithContext(ctx, question.method, "http://"+node+path, io.NopCloser(bytes.NewReader(question.body)))
+	if err != nil {
+		return nil, err
 	}
 	if request.ContentLength = int64(len(question.body)); question.body == nil {
 		request.Body = http.NoBody
@@ -86,22 +86,22 @@
 func (client *Client) ask(ctx context.Context, question question) (Given, error) {
 	last := error(eris.New("no node to ask"))
 	for _, node := range client.nodes {
-		request, mishap := question.request(ctx, node)
-		if mishap != nil {
-			return Given{}, eris.Wrap(mishap, "question")
+		request, err := question.request(ctx, node)
+		if err != nil {
+			return Given{}, eris.Wrap(err, "question")
 		}
-		response, mishap := client.web.Do(request)
-		if mishap != nil {
-			last = fmt.Errorf("%s: %w", node, mishap)
+		response, err := client.web.Do(request)
+		if err != nil {
+			last = fmt.Errorf("%s: %w", node, err)
 			var dialed *net.OpError
-			if question.runs() && !(errors.As(mishap, &dialed) && dialed.Op == "dial") {
+			if question.runs() && !(errors.As(err, &dialed) && dialed.Op == "dial") {
 				return Given{}, last
 			}
 			continue
 		}
 		defer response.Body.Close()
-		body, mishap := io.ReadAll(response.Body)
-		return Given{Status: response.StatusCode, Header: response.Header, Body: body}, eris.Wrap(mishap, "the answer broke off")
+		body, err := io.ReadAll(response.Body)
+		return Given{Status: response.StatusCode, Header: response.Header, Body: body}, eris.Wrap(err, "the answer broke off")
 	}
 	return Given{}, last
 }
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -36,19 +36,19 @@
 	It("asks the next node when one breaks, under the same operation key, and gives any answer as it is", func() {
 		var broken, fine atomic.Int64
 		client := New([]string{node(true, &broken), node(false, &fine)})
-		given, mishap := client.Drain(context.Background(), "hall a", "key")
-		Expect(mishap).NotTo(HaveOccurred())
+		given, err := client.Drain(context.Background(), "zone a", "key")
+		Expect(err).NotTo(HaveOccurred())
 		Expect(given.Status).To(Equal(503))
 		Expect(given.Header.Get("Retry-After")).To(Equal("1"))
-		Expect(string(given.Body)).To(Equal("POST /v1/halls/hall%20a/drain key"))
+		Expect(string(given.Body)).To(Equal("POST /v1/zones/zone%20a/drain key"))
 		Expect(broken.Load()).To(Equal(int64(1)))
 	})
 
 	It("never sends a call of a model to a second node after a link was made", func() {
 		var broken, fine atomic.Int64
 		client := New([]string{"127.0.0.1:1", node(true, &broken), node(false, &fine)})
-		_, mishap := client.Complete(context.Background(), "desk", "chats", "k", "", "", "", "", "", []byte("{}"))
-		Expect(mishap).To(HaveOccurred())
+		_, err := client.Complete(context.Background(), "desk", "chats", "k", "", "", "", "", "", []byte("{}"))
+		Expect(err).To(HaveOccurred())
 		Expect(broken.Load()).To(Equal(int64(1)), "a node that cannot be reached is passed over")
 		Expect(fine.Load()).To(BeZero())
 	})
--- a/cmd/cedarctl/main.go
+++ b/cmd/cedarctl/main.go
@@ -45,14 +45,14 @@
 	parser := flags.NewParser(&given, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = "cedarctl"
 	parser.Usage = "[OPTIONS] COMMAND [WORDS]\n\n" + listing()
-	words, mishap := parser.Parse()
+	words, err := parser.Parse()
 	var asked *flags.Error
-	if errors.As(mishap, &asked) && asked.Type == flags.ErrHelp {
+	if errors.As(err, &asked) && asked.Type == flags.ErrHelp {
 		fmt.Println(asked.Message)
 		return
 	}
-	if mishap != nil {
-		fail(exitUsage, mishap)
+	if err != nil {
+		fail(exitUsage, err)
 	}
 	if given.Version {
 		fmt.Println("cedarctl", serve.Version)
@@ -65,15 +65,15 @@
 	if !there || len(words)-1 != len(command.arguments) {
 		fail(exitUsage, fmt.Errorf("no such command with %d words: %s\n%s", len(words)-1, words[0], listing()))
 	}
-	code, mishap := command.run(&asker{common: given, client: client.New(given.Nodes, client.WithWeb(&http.Client{Timeout: given.Patience}))}, words[1:])
-	if mishap != nil {
-		fail(code, mishap)
+	code, err := command.run(&asker{common: given, client: client.New(given.Nodes, client.WithWeb(&http.Client{Timeout: given.Patience}))}, words[1:])
+	if err != nil {
+		fail(code, err)
 	}
 	os.Exit(code)
 }
 
-func fail(code int, mishap error) {
-	fmt.Fprintln(os.Stderr, "cedarctl:", mishap)
+func fail(code int, err error) {
+	fmt.Fprintln(os.Stderr, "cedarctl:", err)
 	os.Exit(code)
 }
 
@@ -105,8 +105,8 @@
 		"history":     {nil, "the kept revisions", plainly((*client.Client).History)},
 		"put":         {[]string{"FILE", "BASE"}, "replace the whole manifest that has this base revision", putFile},
 		"patch":       {[]string{"FILE"}, "merge a partial manifest", patchFile},
-		"drain":       {[]string{"HALL"}, "take a hall out of service", order((*client.Client).Drain)},
-		"undrain":     {[]string{"HALL"}, "take a hall back into service", order((*client.Client).Undrain)},
+		"drain":       {[]string{"HALL"}, "take a zone out of service", order((*client.Client).Drain)},
+		"undrain":     {[]string{"HALL"}, "take a zone back into service", order((*client.Client).Undrain)},
 		"scale":       {[]string{"POOL", "N"}, "set how many servers a pool has", scale},
 		"operation":   {[]string{"KEY"}, "what became of a write", about((*client.Client).Operation)},
 		"members":     {nil, "the live nodes and the silent ones", plainly((*client.Client).Members)},
@@ -135,17 +135,17 @@
 }
 
 func putFile(asker *asker, words []string) (int, error) {
-	content, mishap := os.ReadFile(words[0])
-	if mishap != nil {
-		return exitUsage, mishap
+	content, err := os.ReadFile(words[0])
+	if err != nil {
+		return exitUsage, err
 	}
 	return asker.tell(asker.client.Replace(context.Background(), words[1], asker.operation(), content))
 }
 
 func patchFile(asker *asker, words []string) (int, error) {
-	content, mishap := os.ReadFile(words[0])
-	if mishap != nil {
-		return exitUsage, mishap
+	content, err := os.ReadFile(words[0])
+	if err != nil {
+		return exitUsage, err
 	}
 	return asker.tell(asker.client.Merge(context.Background(), asker.operation(), content))
 }
@@ -167,20 +167,20 @@
 func (asker *asker) operation() string {
 	if asker.Operation == "" {
 		random := make([]byte, 8)
-		if _, mishap := rand.Read(random); mishap != nil {
-			panic(mishap)
+		if _, err := rand.Read(random); err != nil {
+			panic(err)
 		}
 		asker.Operation = hex.EncodeToString(random)
 	}
 	return asker.Operation
 }
 
-func (asker *asker) tell(given client.Given, mishap error) (int, error) {
-	if mishap != nil && asker.Operation != "" {
-		return exitFailed, fmt.Errorf("%w (operation key %s)", mishap, asker.Operation)
+func (asker *asker) tell(given client.Given, err error) (int, error) {
+	if err != nil && asker.Operation != "" {
+		return exitFailed, fmt.Errorf("%w (operation key %s)", err, asker.Operation)
 	}
-	if mishap != nil {
-		return exitFailed, mishap
+	if err != nil {
+		return exitFailed, err
 	}
 	asker.print(given.Body)
 	return code(given.Status), nil
--- a/cmd/cedarrig/load.go
+++ b/cmd/cedarrig/load.go
@@ -12,9 +12,9 @@
 // loads plays every scene of load with several seeds and prints what each class saw.
 func loads(given arguments) (bool, error) {
 	debug.SetGCPercent(sweepGarbage)
-	described, mishap := site.Load(given.Site)
-	if mishap != nil {
-		return false, mishap
+	described, err := site.Load(given.Site)
+	if err != nil {
+		return false, err
 	}
 	clean := true
 	for _, name := range fleet.SceneNames() {
--- a/cmd/cedarrig/main.go
+++ b/cmd/cedarrig/main.go
@@ -47,13 +47,13 @@
 func main() {
 	var given arguments
 	parser := flags.NewParser(&given, flags.HelpFlag|flags.PassDoubleDash)
-	if _, mishap := parser.Parse(); mishap != nil {
+	if _, err := parser.Parse(); err != nil {
 		var asked *flags.Error
-		if errors.As(mishap, &asked) && asked.Type == flags.ErrHelp {
+		if errors.As(err, &asked) && asked.Type == flags.ErrHelp {
 			fmt.Println(asked.Message)
 			return
 		}
-		fmt.Fprintln(os.Stderr, "cedarrig:", mishap)
+		fmt.Fprintln(os.Stderr, "cedarrig:", err)
 		os.Exit(2)
 	}
 	if given.Version {
@@ -88,9 +88,9 @@
 	if given.Explore > 0 || given.Plant != "" {
 		run = explore
 	}
-	clean, mishap := run(given)
-	if mishap != nil {
-		fmt.Fprintln(os.Stderr, "cedarrig:", mishap)
+	clean, err := run(given)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "cedarrig:", err)
 		os.Exit(1)
 	}
 	if !clean {
@@ -99,20 +99,20 @@
 }
 
 func play(given arguments) (bool, error) {
-	described, mishap := site.Load(given.Site)
-	if mishap != nil {
-		return false, mishap
+	described, err := site.Load(given.Site)
+	if err != nil {
+		return false, err
 	}
 	if given.Bin == "" {
-		own, mishap := os.Executable()
-		if mishap != nil {
-			return false, mishap
+		own, err := os.Executable()
+		if err != nil {
+			return false, err
 		}
 		given.Bin = filepath.Dir(own)
 	}
 	if given.Folder == "" {
-		if given.Folder, mishap = os.MkdirTemp("", "cedarrig-"); mishap != nil {
-			return false, mishap
+		if given.Folder, err = os.MkdirTemp("", "cedarrig-"); err != nil {
+			return false, err
 		}
 	}
 	return rig.Play(rig.Plan{Site: described, Bin: given.Bin, Folder: given.Folder, Span: time.Duration(given.Seconds) * time.Second,
--- a/cmd/cedarrig/retire.go
+++ b/cmd/cedarrig/retire.go
@@ -14,9 +14,9 @@
 // retirements measures each cause over many seeds, with the exceptions of reclaim and drain and without them.
 func retirements(given arguments) (bool, error) {
 	debug.SetGCPercent(sweepGarbage)
-	described, mishap := site.Load(given.Site)
-	if mishap != nil {
-		return false, mishap
+	described, err := site.Load(given.Site)
+	if err != nil {
+		return false, err
 	}
 	clean := true
 	for _, cause := range fleet.Causes {
--- a/cmd/cedarrig/sweep.go
+++ b/cmd/cedarrig/sweep.go
@@ -49,15 +49,15 @@
 // sweep plays many seeded days in memory, side by side, and prints every seed that was not clean with its replay line.
 func sweep(given arguments) (bool, error) {
 	debug.SetGCPercent(sweepGarbage)
-	described, mishap := site.Load(given.Site)
-	if mishap != nil {
-		return false, mishap
+	described, err := site.Load(given.Site)
+	if err != nil {
+		return false, err
 	}
 	rows, known := []row{}, map[uint64]bool{}
 	var record *os.File
 	if given.Record != "" {
-		if rows, record, mishap = recorded(given.Record); mishap != nil {
-			return false, mishap
+		if rows, record, err = recorded(given.Record); err != nil {
+			return false, err
 		}
 		defer record.Close()
 	}
@@ -93,8 +93,8 @@
 		kept := rowOf(round)
 		kept.tell(given)
 		if rows = append(rows, kept); record != nil {
-			if mishap = json.NewEncoder(record).Encode(kept); mishap != nil {
-				return false, mishap
+			if err = json.NewEncoder(record).Encode(kept); err != nil {
+				return false, err
 			}
 		}
 	}
@@ -102,9 +102,9 @@
 }
 
 func recorded(path string) ([]row, *os.File, error) {
-	file, mishap := os.OpenFile(path, os.O_CREATE|os.O_RDWR|os.O_APPEND, 0o600)
-	if mishap != nil {
-		return nil, nil, mishap
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, nil, err
 	}
 	rows, lines := []row{}, bufio.NewScanner(file)
 	lines.Buffer(nil, 1<<24)
--- a/contract/ask.go
+++ b/contract/ask.go
@@ -67,17 +67,17 @@
 	View      int64    `json:"view,omitempty"`
 	Operation string   `json:"operation,omitempty"`
 	Lacking   []string `json:"lacking,omitempty"`
-	Mishap    string   `json:"mishap,omitempty"`
+	Error     string   `json:"error,omitempty"`
 }
 
 type Trouble struct {
 	Outcome      string   `json:"outcome,omitempty"`
-	Mishap       string   `json:"mishap"`
+	Error        string   `json:"error"`
 	RetryAfterMs int64    `json:"retryAfterMs,omitempty"`
 	Home         string   `json:"home,omitempty"`
 	Nodes        []string `json:"nodes,omitempty"`
 }
 
-func Refuse(token int64, status int, mishap string, after time.Duration) Answer {
-	return Answer{Token: token, Status: status, Body: Trouble{Mishap: mishap, RetryAfterMs: after.Milliseconds()}, After: after}
+func Refuse(token int64, status int, err string, after time.Duration) Answer {
+	return Answer{Token: token, Status: status, Body: Trouble{Error: err, RetryAfterMs: after.Milliseconds()}, After: after}
 }
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -26,7 +26,7 @@
 	Kind        string `json:"kind"`
 	Core        bool   `json:"core,omitempty"`
 	Blind       bool   `json:"blind,omitempty"`
-	Hall        string `json:"hall"`
+	Zone        string `json:"zone"`
 	Region      string `json:"region"`
 	Address     string `json:"address"`
 	Incarnation int64  `json:"incarnation"`
@@ -82,7 +82,7 @@
 
 type Tick struct{}
 
-type Letter struct {
+type Message struct {
 	Kind string          `json:"kind"`
 	From string          `json:"from"`
 	Boot string          `json:"boot"`
@@ -125,5 +125,5 @@
 	Detail []any
 }
 
-// Place of a manifest changed on this node.
+// Adopted tells that another version is in force on this node.
 type Adopted struct{ Version Version }
--- a/contract/epoch.go
+++ b/contract/epoch.go
@@ -20,7 +20,7 @@
 	Name        string `json:"name"`
 	Address     string `json:"address"`
 	Region      string `json:"region"`
-	Hall        string `json:"hall"`
+	Zone        string `json:"zone"`
 	Pool        string `json:"pool"`
 	Incarnation string `json:"incarnation"`
 	Leaving     bool   `json:"leaving"`
@@ -52,7 +52,7 @@
 type Candidate struct {
 	Name        string   `json:"name"`
 	Address     string   `json:"address"`
-	Hall        string   `json:"hall"`
+	Zone        string   `json:"zone"`
 	Pool        string   `json:"pool"`
 	Incarnation string   `json:"incarnation"`
 	Slots       int64    `json:"slots"`
@@ -71,10 +71,10 @@
 	Ill       int64 `json:"ill,omitempty"`
 }
 
-// LicenceAsk is sent by a data node; Asked is its own monotonic time and comes back unchanged. Shards is the division that it
+// LeaseRequest is sent by a data node; Asked is its own monotonic time and comes back unchanged. Shards is the division that it
 // knows: owner and node must know the same one. Back is where an answer goes that comes by way of another node. In questions
 // and answers a field that is zero isn't written.
-type LicenceAsk struct {
+type LeaseRequest struct {
 	Node    string           `json:"node"`
 	Address string           `json:"address"`
 	Region  string           `json:"region"`
@@ -97,7 +97,7 @@
 	Interim bool `json:"interim,omitempty"`
 }
 
-type Licence struct {
+type Lease struct {
 	Region   string        `json:"region"`
 	Shard    int           `json:"shard,omitempty"`
 	Asked    time.Duration `json:"asked"`
--- a/contract/view.go
+++ b/contract/view.go
@@ -69,9 +69,9 @@
 
 func (view View) Majority() int { return len(view.Core)/2 + 1 }
 
-const lettersMost = 4 << 20
+const messagesMost = 4 << 20
 
-// Fit cuts a list of versions to what one letter may carry, but never to nothing: the first ones, or the newest.
+// Fit cuts a list of versions to what one message may carry, but never to nothing: the first ones, or the newest.
 func Fit(versions []Version, newest bool) []Version {
 	size := 0
 	for count := range versions {
@@ -79,7 +79,7 @@
 		if newest {
 			place = len(versions) - 1 - count
 		}
-		if size += len(versions[place].Manifest); size > lettersMost && count > 0 {
+		if size += len(versions[place].Manifest); size > messagesMost && count > 0 {
 			if newest {
 				return versions[place+1:]
 			}
--- a/control/control.go
+++ b/control/control.go
@@ -16,11 +16,11 @@
 )
 
 const (
-	LetterStatusAsk = "status-ask"
-	LetterStatus    = "status"
-	LetterWhyAsk    = "why-ask"
-	LetterWhy       = "why"
-	LetterGone      = "core-gone"
+	MessageStatusAsk = "status-ask"
+	MessageStatus    = "status"
+	MessageWhyAsk    = "why-ask"
+	MessageWhy       = "why"
+	MessageGone      = "core-gone"
 )
 
 // Gone is an operator's word that a core machine will never return.
@@ -89,7 +89,7 @@
 	switch event := event.(type) {
 	case contract.Tick:
 		commands = append(commands, owner.tick(now)...)
-	case contract.Letter:
+	case contract.Message:
 		commands = append(commands, owner.shardEvent(now, event)...)
 		commands = append(commands, owner.index.Handle(now, event)...)
 		commands = append(commands, owner.gathered(now, event)...)
@@ -140,12 +140,12 @@
 	if first == 0 || member.Name == owner.Self().Name {
 		return nil
 	}
-	return []contract.Command{contract.Send{To: member.Address, Kind: feed.LetterLack, Body: feed.Lack{From: first, Address: owner.Self().Address}}}
+	return []contract.Command{contract.Send{To: member.Address, Kind: feed.MessageLack, Body: feed.Lack{From: first, Address: owner.Self().Address}}}
 }
 
-func (owner *Owner) refill(now time.Duration, letter contract.Letter) []contract.Command {
+func (owner *Owner) refill(now time.Duration, message contract.Message) []contract.Command {
 	var kept feed.Kept
-	if letter.Kind != feed.LetterKept || json.Unmarshal(letter.Body, &kept) != nil {
+	if message.Kind != feed.MessageKept || json.Unmarshal(message.Body, &kept) != nil {
 		return nil
 	}
 	return owner.chain.Refill(now, kept.Versions)
@@ -270,14 +270,14 @@
 	told := []string{}
 	for _, member := range owner.Neighbours.Live(now, func(member contract.Member) bool { return member.Core }) {
 		told = append(told, member.Name)
-		commands = append(commands, contract.Send{To: member.Address, Kind: LetterGone, Body: word})
+		commands = append(commands, contract.Send{To: member.Address, Kind: MessageGone, Body: word})
 	}
 	return append(commands, contract.Answer{Token: ask.Token, Status: 200, Body: map[string]any{"told": told}})
 }
 
-func (owner *Owner) told(letter contract.Letter) []contract.Command {
+func (owner *Owner) told(message contract.Message) []contract.Command {
 	var word Gone
-	if letter.Kind == LetterGone && json.Unmarshal(letter.Body, &word) == nil && owner.chain.Declare(word.Name) {
+	if message.Kind == MessageGone && json.Unmarshal(message.Body, &word) == nil && owner.chain.Declare(word.Name) {
 		return []contract.Command{contract.Say{What: "declared gone", Detail: []any{"machine", word.Name}}}
 	}
 	return nil
--- a/control/gateway.go
+++ b/control/gateway.go
@@ -65,6 +65,6 @@
 		return contract.Version{}, false
 	}
 	read, failure := manifest.Read(latest.Manifest)
-	hall, there := read.Halls[ask.Subject]
-	return latest, failure == nil && there && hall.Drained == (ask.Verb == contract.VerbDrain)
+	zone, there := read.Zones[ask.Subject]
+	return latest, failure == nil && there && zone.Drained == (ask.Verb == contract.VerbDrain)
 }
--- a/control/gateway_test.go
+++ b/control/gateway_test.go
@@ -11,7 +11,7 @@
 )
 
 func section(revision int64, routes string) []byte {
-	return []byte(fmt.Sprintf(`{"regions":{"east":{"shards":1,"machines":[]}},"halls":{"east-a":{"region":"east"}},"gateway":{"revision":%d,"routes":{%s},"services":{"s":{}}}}`, revision, routes))
+	return []byte(fmt.Sprintf(`{"regions":{"east":{"shards":1,"machines":[]}},"zones":{"east-a":{"region":"east"}},"gateway":{"revision":%d,"routes":{%s},"services":{"s":{}}}}`, revision, routes))
 }
 
 const oneRoute = `"r":{"host":"h","prefix":"/","timeoutMs":1000,"service":"s"}`
@@ -46,7 +46,7 @@
 		Expect(overtaken(contract.Ask{Verb: contract.VerbDrain, Base: 0}, readNewest(latest()))).To(BeEmpty())
 	})
 
-	It("given a drained hall, when a whole configuration comes, then the hall stays drained and is not withdrawn again", func() {
+	It("given a drained zone, when a whole configuration comes, then the zone stays drained and is not withdrawn again", func() {
 		version := latest()
 		drained, drains, failure := compose(contract.Ask{Verb: contract.VerbDrain, Subject: "east-a"}, readNewest(version))
 		Expect(failure).NotTo(HaveOccurred())
--- a/control/gather.go
+++ b/control/gather.go
@@ -20,14 +20,14 @@
 	then    func(now time.Duration) []contract.Command
 }
 
-func (owner *Owner) gather(now time.Duration, fits func(contract.Member) bool, kind string, letter func(token int64) any,
+func (owner *Owner) gather(now time.Duration, fits func(contract.Member) bool, kind string, message func(token int64) any,
 	take func(body json.RawMessage) bool, then func(now time.Duration) []contract.Command) []contract.Command {
 	owner.token++
 	pending := &gather{until: now + owner.Bounds.Round(), waiting: mapset.NewThreadUnsafeSet[string](), take: take, then: then}
 	commands := []contract.Command{}
 	for _, member := range owner.Neighbours.Live(now, fits) {
 		pending.waiting.Add(member.Name)
-		commands = append(commands, contract.Send{To: member.Address, Kind: kind, Body: letter(owner.token)})
+		commands = append(commands, contract.Send{To: member.Address, Kind: kind, Body: message(owner.token)})
 	}
 	if pending.waiting.Cardinality() == 0 {
 		return then(now)
@@ -36,10 +36,10 @@
 	return commands
 }
 
-func (owner *Owner) gathered(now time.Duration, letter contract.Letter) []contract.Command {
-	if letter.Kind == LetterStatusAsk {
+func (owner *Owner) gathered(now time.Duration, message contract.Message) []contract.Command {
+	if message.Kind == MessageStatusAsk {
 		var ask StatusAsk
-		if json.Unmarshal(letter.Body, &ask) != nil {
+		if json.Unmarshal(message.Body, &ask) != nil {
 			return nil
 		}
 		var told any = owner.status(now)
@@ -47,23 +47,23 @@
 			told = owner.index.View(now)
 		}
 		body, _ := json.Marshal(told)
-		return []contract.Command{contract.Send{To: ask.Address, Kind: LetterStatus, Body: Status{Token: ask.Token, Node: owner.Self().Name, Body: body}}}
+		return []contract.Command{contract.Send{To: ask.Address, Kind: MessageStatus, Body: Status{Token: ask.Token, Node: owner.Self().Name, Body: body}}}
 	}
-	if letter.Kind != LetterStatus && letter.Kind != LetterWhy && letter.Kind != shard.LetterWithdrawn {
+	if message.Kind != MessageStatus && message.Kind != MessageWhy && message.Kind != shard.MessageWithdrawn {
 		return nil
 	}
 	var status Status
-	if json.Unmarshal(letter.Body, &status) != nil {
+	if json.Unmarshal(message.Body, &status) != nil {
 		return nil
 	}
 	pending, there := owner.gathers[status.Token]
-	if !there || !pending.waiting.Contains(letter.From) {
+	if !there || !pending.waiting.Contains(message.From) {
 		return nil
 	}
-	pending.waiting.Remove(letter.From)
+	pending.waiting.Remove(message.From)
 	body := status.Body
-	if letter.Kind == shard.LetterWithdrawn {
-		body = letter.Body
+	if message.Kind == shard.MessageWithdrawn {
+		body = message.Body
 	}
 	if pending.take(body) || pending.waiting.Cardinality() == 0 {
 		delete(owner.gathers, status.Token)
@@ -83,7 +83,7 @@
 	return commands
 }
 
-func (owner *Owner) statusLetter(call string) func(token int64) any {
+func (owner *Owner) statusMessage(call string) func(token int64) any {
 	return func(token int64) any {
 		return StatusAsk{Token: token, Address: owner.Self().Address, Call: call}
 	}
@@ -92,7 +92,7 @@
 func (owner *Owner) shards(now time.Duration, ask contract.Ask) []contract.Command {
 	all := []shard.Status{}
 	fits := func(member contract.Member) bool { return member.Kind == contract.KindControl }
-	return owner.gather(now, fits, LetterStatusAsk, owner.statusLetter(""), func(body json.RawMessage) bool {
+	return owner.gather(now, fits, MessageStatusAsk, owner.statusMessage(""), func(body json.RawMessage) bool {
 		var statuses []shard.Status
 		if json.Unmarshal(body, &statuses) == nil {
 			all = append(all, statuses...)
@@ -115,8 +115,8 @@
 func (owner *Owner) cache(now time.Duration, ask contract.Ask) []contract.Command {
 	all := []index.Cached{}
 	fits := func(member contract.Member) bool { return member.Kind == contract.KindControl }
-	letter := func(token int64) any { return StatusAsk{Token: token, Address: owner.Self().Address, Cache: true} }
-	return owner.gather(now, fits, LetterStatusAsk, letter, func(body json.RawMessage) bool {
+	message := func(token int64) any { return StatusAsk{Token: token, Address: owner.Self().Address, Cache: true} }
+	return owner.gather(now, fits, MessageStatusAsk, message, func(body json.RawMessage) bool {
 		var views []index.Cached
 		if json.Unmarshal(body, &views) == nil {
 			all = append(all, views...)
@@ -130,7 +130,7 @@
 func (owner *Owner) why(now time.Duration, ask contract.Ask) []contract.Command {
 	tales := []json.RawMessage{}
 	fits := func(member contract.Member) bool { return member.Kind == contract.KindData }
-	return owner.gather(now, fits, LetterWhyAsk, owner.statusLetter(ask.Subject), func(body json.RawMessage) bool {
+	return owner.gather(now, fits, MessageWhyAsk, owner.statusMessage(ask.Subject), func(body json.RawMessage) bool {
 		var some []json.RawMessage
 		if json.Unmarshal(body, &some) == nil {
 			tales = append(tales, some...)
--- a/control/place_test.go
+++ b/control/place_test.go
@@ -102,7 +102,7 @@
 				for _, command := range owner.Handle(world.now, contract.Tick{}) {
 					if persist, fine := command.(index.Persist); fine {
 						snapshots = append(snapshots, persist.Snapshot)
-						Expect(owner.Handle(world.now, index.Persisted{Mishap: "full"})).To(ContainElement(contract.Count{Name: "index_unsaved", By: 1}))
+						Expect(owner.Handle(world.now, index.Persisted{Error: "full"})).To(ContainElement(contract.Count{Name: "index_unsaved", By: 1}))
 					}
 				}
 			}
@@ -131,14 +131,14 @@
 		told := func(kind string, body any) []contract.Command {
 			content, failure := json.Marshal(body)
 			Expect(failure).NotTo(HaveOccurred())
-			return owner.Handle(world.now, contract.Letter{Kind: kind, From: "other", Body: content})
+			return owner.Handle(world.now, contract.Message{Kind: kind, From: "other", Body: content})
 		}
-		counted := told(index.LetterUsed, index.Used{Address: "other", Uses: uses, Results: index.Results(world.now, 2*time.Second, uses)})
+		counted := told(index.MessageUsed, index.Used{Address: "other", Uses: uses, Results: index.Results(world.now, 2*time.Second, uses)})
 		Expect(counted).To(ContainElement(contract.Count{Name: "index_checked", By: 1}))
 		for _, cache := range []bool{true, false} {
 			bodies := []json.RawMessage{}
-			for _, command := range told(LetterStatusAsk, StatusAsk{Token: 1, Address: "other", Cache: cache}) {
-				if send, fine := command.(contract.Send); fine && send.Kind == LetterStatus {
+			for _, command := range told(MessageStatusAsk, StatusAsk{Token: 1, Address: "other", Cache: cache}) {
+				if send, fine := command.(contract.Send); fine && send.Kind == MessageStatus {
 					bodies = append(bodies, send.Body.(Status).Body)
 				}
 			}
--- a/control/regions.go
+++ b/control/regions.go
@@ -67,7 +67,7 @@
 
 // shardEvent brings an event to the shards that it concerns: what is carried around or read for others is done once.
 func (owner *Owner) shardEvent(now time.Duration, event contract.Event) []contract.Command {
-	if letter, fine := event.(contract.Letter); fine && letter.Kind != shard.LetterAsk && letter.Kind != shard.LetterWithdraw && letter.Kind != shard.LetterAgesTold {
+	if message, fine := event.(contract.Message); fine && message.Kind != shard.MessageAsk && message.Kind != shard.MessageWithdraw && message.Kind != shard.MessageAgesTold {
 		return owner.shard.Handle(now, event)
 	}
 	if read, fine := event.(shard.ReportRead); fine && read.For.Back != "" {
@@ -89,7 +89,7 @@
 	if index > 0 {
 		region = manifest.SortedKeys(owner.others)[index-1]
 	}
-	part := shard.ListingRead{Region: region, Began: read.Began, Mishap: read.Mishap, Listing: contract.Listing{Region: region}}
+	part := shard.ListingRead{Region: region, Began: read.Began, Error: read.Error, Listing: contract.Listing{Region: region}}
 	for _, row := range read.Listing.Servers {
 		if row.Region == region {
 			part.Listing.Servers = append(part.Listing.Servers, row)
--- a/control/regions_test.go
+++ b/control/regions_test.go
@@ -24,7 +24,7 @@
 }
 
 const threeRegions = `{"regions":{"east":{"shards":1,"machines":[]},"north":{"shards":1,"machines":[]},"west":{"shards":1,"machines":[]}},` +
-	`"halls":{"east-a":{"region":"east"},"north-a":{"region":"north"},"west-a":{"region":"west"}},` +
+	`"zones":{"east-a":{"region":"east"},"north-a":{"region":"north"},"west-a":{"region":"west"}},` +
 	`"gateway":{"revision":1,"routes":{},"services":{"s":{}}}}`
 
 // node is one process of the world: its owner, and the list that it holds if it is a data node.
@@ -35,30 +35,30 @@
 	lists  map[string][]string
 }
 
-// world carries letters between owners in virtual time; every letter takes one step.
+// world carries messages between owners in virtual time; every message takes one step.
 type world struct {
-	now     time.Duration
-	random  *rand.Rand
-	nodes   map[string]*node
-	letters map[string][]contract.Event
-	down    map[string]bool
-	boots   int
-	listing contract.Listing
-	asked   int
+	now      time.Duration
+	random   *rand.Rand
+	nodes    map[string]*node
+	messages map[string][]contract.Event
+	down     map[string]bool
+	boots    int
+	listing  contract.Listing
+	asked    int
 }
 
 func newWorld(seed uint64) *world {
-	made := &world{random: rand.New(rand.NewPCG(seed, 5)), nodes: map[string]*node{}, letters: map[string][]contract.Event{}, down: map[string]bool{}}
+	made := &world{random: rand.New(rand.NewPCG(seed, 5)), nodes: map[string]*node{}, messages: map[string][]contract.Event{}, down: map[string]bool{}}
 	for _, region := range []string{"east", "north", "west"} {
 		for number := range 2 {
 			name := fmt.Sprintf("%s-s%d", region, number)
-			made.listing.Servers = append(made.listing.Servers, contract.ServerRow{Name: name, Address: name + ":80", Region: region, Hall: region + "-a", Pool: "s",
+			made.listing.Servers = append(made.listing.Servers, contract.ServerRow{Name: name, Address: name + ":80", Region: region, Zone: region + "-a", Pool: "s",
 				Incarnation: name, Unmeasured: true})
 			made.start(fmt.Sprintf("%s-m%d", region, number))
 		}
 	}
 	for _, name := range manifest.SortedKeys(made.nodes) {
-		made.post(name, feed.LetterChange, feed.Change{Versions: []contract.Version{{Place: contract.Place{View: 1, Revision: 1}, Manifest: json.RawMessage(threeRegions),
+		made.post(name, feed.MessageChange, feed.Change{Versions: []contract.Version{{Place: contract.Place{View: 1, Revision: 1}, Manifest: json.RawMessage(threeRegions),
 			Digest: contract.Digest([]byte(threeRegions))}}})
 	}
 	return made
@@ -67,14 +67,14 @@
 func (world *world) post(address, kind string, body any) {
 	content, failure := json.Marshal(body)
 	Expect(failure).NotTo(HaveOccurred())
-	world.letters[address] = append(world.letters[address], contract.Letter{Kind: kind, Body: content})
+	world.messages[address] = append(world.messages[address], contract.Message{Kind: kind, Body: content})
 }
 
 // start begins both processes of a machine anew, as blank ones.
 func (world *world) start(machine string) {
 	world.boots++
 	region, _, _ := strings.Cut(machine, "-")
-	settings := env.New(env.WithName(machine), env.WithHall(region+"-a"), env.WithRegion(region), env.WithControl(machine+"-control"), env.WithData(machine+"-data"),
+	settings := env.New(env.WithName(machine), env.WithZone(region+"-a"), env.WithRegion(region), env.WithControl(machine+"-control"), env.WithData(machine+"-data"),
 		env.WithSeeds([]string{"east-m0-control", "north-m0-control", "west-m0-control"}))
 	settings.Wide, settings.Gateway = true, env.Gateway{Traffic: "10.0.0.1:80", Contact: 4 * time.Second, RepeatWindow: 10 * time.Second}
 	boot := fmt.Sprint("boot", world.boots)
@@ -85,13 +85,13 @@
 
 func (world *world) step() {
 	world.now += env.DefaultBounds().Tick()
-	letters := world.letters
-	world.letters = map[string][]contract.Event{}
+	messages := world.messages
+	world.messages = map[string][]contract.Event{}
 	for _, name := range manifest.SortedKeys(world.nodes) {
 		if world.down[name] {
 			continue
 		}
-		for _, event := range append(letters[name], contract.Tick{}) {
+		for _, event := range append(messages[name], contract.Tick{}) {
 			world.carry(world.nodes[name], world.nodes[name].owner.Handle(world.now, event))
 		}
 	}
@@ -103,10 +103,10 @@
 		case contract.Send:
 			content, failure := json.Marshal(command.Body)
 			Expect(failure).NotTo(HaveOccurred())
-			world.letters[command.To] = append(world.letters[command.To], contract.Letter{Kind: command.Kind, From: from.name, Body: content})
+			world.messages[command.To] = append(world.messages[command.To], contract.Message{Kind: command.Kind, From: from.name, Body: content})
 		case shard.ReadPlatform:
 			world.asked++
-			world.letters[from.name] = append(world.letters[from.name], shard.ListingRead{Region: command.Region, Began: world.now, Listing: world.listing})
+			world.messages[from.name] = append(world.messages[from.name], shard.ListingRead{Region: command.Region, Began: world.now, Listing: world.listing})
 		case gateway.Update:
 			listed, fine := command.Event.(gateway.Listed)
 			if !fine {
--- a/control/stale_test.go
+++ b/control/stale_test.go
@@ -35,7 +35,7 @@
 	Expect(failure).NotTo(HaveOccurred())
 	place := contract.Place{View: 1, Revision: 1}
 	kept := contract.Version{Place: place, Operation: contract.OperationOf("first", "f"), Digest: contract.Digest(content), Manifest: content}
-	settings := env.New(env.WithName("m1"), env.WithHall("east-a"), env.WithRegion("east"), env.WithControl("m1"))
+	settings := env.New(env.WithName("m1"), env.WithZone("east-a"), env.WithRegion("east"), env.WithControl("m1"))
 	settings.Wide = true
 	recovered := chain.Recovered{Member: chain.MemberRecord{ID: nodes[0].ID, View: view}, Versions: []contract.Version{kept}, Committed: place}
 	owner := New(settings, "start", &recovered, rand.New(rand.NewPCG(1, 1)))
@@ -50,8 +50,8 @@
 func hear(owner *Owner, now time.Duration) {
 	for _, node := range coreNodes()[1:] {
 		body, _ := json.Marshal(neighbour.Shuffle{Members: []contract.Member{{Name: node.Name, Boot: "b", CoreID: node.ID, Kind: contract.KindControl, Core: true,
-			Hall: "east-b", Region: "east", Address: node.Address, Incarnation: 1, Heartbeat: int64(now) + 1}}, Answer: true})
-		owner.Handle(now, contract.Letter{Kind: neighbour.LetterShuffle, From: node.Name, Boot: "b", Body: body})
+			Zone: "east-b", Region: "east", Address: node.Address, Incarnation: 1, Heartbeat: int64(now) + 1}}, Answer: true})
+		owner.Handle(now, contract.Message{Kind: neighbour.MessageShuffle, From: node.Name, Boot: "b", Body: body})
 	}
 }
 
@@ -97,13 +97,13 @@
 		commands := owner.Handle(2*time.Millisecond, order(contract.VerbReplace, 9, 12))
 		var asked chain.Check
 		for _, command := range commands {
-			if send, fine := command.(contract.Send); fine && send.Kind == chain.LetterCheck {
+			if send, fine := command.(contract.Send); fine && send.Kind == chain.MessageCheck {
 				asked = send.Body.(chain.Check)
 			}
 		}
 		asked.Holds, asked.By = true, coreNodes()[1]
 		body, _ := json.Marshal(asked)
-		given := answers(owner, owner.Handle(3*time.Millisecond, contract.Letter{Kind: chain.LetterChecked, From: asked.By.Name, Body: body}), time.Second)
+		given := answers(owner, owner.Handle(3*time.Millisecond, contract.Message{Kind: chain.MessageChecked, From: asked.By.Name, Body: body}), time.Second)
 		Expect(given).To(HaveLen(1))
 		Expect(given[0].Status).To(Equal(409))
 	})
--- a/control/write.go
+++ b/control/write.go
@@ -32,19 +32,19 @@
 func patchOf(ask contract.Ask) (map[string]any, error) {
 	switch ask.Verb {
 	case contract.VerbDrain, contract.VerbUndrain:
-		return map[string]any{"halls": map[string]any{ask.Subject: map[string]any{"drained": ask.Verb == contract.VerbDrain}}}, nil
+		return map[string]any{"zones": map[string]any{ask.Subject: map[string]any{"drained": ask.Verb == contract.VerbDrain}}}, nil
 	case contract.VerbScale:
 		return map[string]any{"pools": map[string]any{ask.Subject: map[string]any{"scale": json.Number(strings.TrimSpace(string(ask.Body)))}}}, nil
 	}
 	return manifest.Tree(ask.Body)
 }
 
-func (owner *Owner) refuse(ask contract.Ask, status int, mishap string) []contract.Command {
+func (owner *Owner) refuse(ask contract.Ask, status int, err string) []contract.Command {
 	after := time.Duration(0)
 	if status == 503 {
 		after = owner.Bounds.Round()
 	}
-	return []contract.Command{contract.Count{Name: fmt.Sprintf("writes_refused_%d", status), By: 1}, contract.Refuse(ask.Token, status, mishap, after)}
+	return []contract.Command{contract.Count{Name: fmt.Sprintf("writes_refused_%d", status), By: 1}, contract.Refuse(ask.Token, status, err, after)}
 }
 
 func (owner *Owner) write(now time.Duration, ask contract.Ask, withdrawn map[string]bool) []contract.Command {
@@ -84,13 +84,13 @@
 		}
 		return owner.refuseSurely(now, ask, latest, 409, failure)
 	}
-	content, drains, mishap := compose(ask, read)
-	if mishap != nil {
-		return owner.refuseSurely(now, ask, latest, 400, mishap.Error())
+	content, drains, err := compose(ask, read)
+	if err != nil {
+		return owner.refuseSurely(now, ask, latest, 400, err.Error())
 	}
-	for _, hall := range manifest.SortedKeys(drains) {
-		if !withdrawn[hall] {
-			return owner.withdraw(now, ask, hall, drains[hall], withdrawn)
+	for _, zone := range manifest.SortedKeys(drains) {
+		if !withdrawn[zone] {
+			return owner.withdraw(now, ask, zone, drains[zone], withdrawn)
 		}
 	}
 	version, commands := owner.chain.Submit(now, operation, content)
@@ -98,11 +98,11 @@
 	return commands
 }
 
-// compose gives the next manifest and the halls it drains newly, with their regions and shards.
-func compose(ask contract.Ask, latest newest) ([]byte, map[string]hallReach, error) {
-	patch, mishap := patchOf(ask)
-	if mishap != nil {
-		return nil, nil, mishap
+// compose gives the next manifest and the zones it drains newly, with their regions and shards.
+func compose(ask contract.Ask, latest newest) ([]byte, map[string]zoneReach, error) {
+	patch, err := patchOf(ask)
+	if err != nil {
+		return nil, nil, err
 	}
 	tree, former, items := patch, latest.read, ask.Verb == contract.VerbReplace || ask.Verb == contract.VerbUpdate
 	if latest.there {
@@ -118,39 +118,39 @@
 	} else if items {
 		tree = manifest.WithGateway(patch, patch, ask.Verb == contract.VerbReplace)
 	}
-	next, mishap := manifest.FromTree(tree)
-	if mishap == nil && items && next.Gateway.Revision <= former.Gateway.Revision {
-		mishap = eris.Errorf("gateway.revision: want more than %d, got %d", former.Gateway.Revision, next.Gateway.Revision)
+	next, err := manifest.FromTree(tree)
+	if err == nil && items && next.Gateway.Revision <= former.Gateway.Revision {
+		err = eris.Errorf("gateway.revision: want more than %d, got %d", former.Gateway.Revision, next.Gateway.Revision)
 	}
-	if mishap != nil {
-		return nil, nil, mishap
+	if err != nil {
+		return nil, nil, err
 	}
-	drains := map[string]hallReach{}
-	for name, hall := range next.Halls {
-		if old, there := former.Halls[name]; there && old.Region != hall.Region {
-			return nil, nil, eris.Errorf("halls.%s.region: a hall does not move from %s to %s; name another", name, old.Region, hall.Region)
+	drains := map[string]zoneReach{}
+	for name, zone := range next.Zones {
+		if old, there := former.Zones[name]; there && old.Region != zone.Region {
+			return nil, nil, eris.Errorf("zones.%s.region: a zone does not move from %s to %s; name another", name, old.Region, zone.Region)
 		}
-		if hall.Drained && !former.Halls[name].Drained && latest.there {
-			drains[name] = hallReach{region: hall.Region, shards: former.Regions[hall.Region].Shards}
+		if zone.Drained && !former.Zones[name].Drained && latest.there {
+			drains[name] = zoneReach{region: zone.Region, shards: former.Regions[zone.Region].Shards}
 		}
 	}
-	content, mishap := json.Marshal(tree)
-	return content, drains, mishap
+	content, err := json.Marshal(tree)
+	return content, drains, err
 }
 
-type hallReach struct {
+type zoneReach struct {
 	region string
 	shards int
 }
 
-// withdraw has the owners of a hall's shards take it out of their lists before the drain is accepted.
-func (owner *Owner) withdraw(now time.Duration, ask contract.Ask, hall string, reach hallReach, withdrawn map[string]bool) []contract.Command {
+// withdraw has the owners of a zone's shards take it out of their lists before the drain is accepted.
+func (owner *Owner) withdraw(now time.Duration, ask contract.Ask, zone string, reach zoneReach, withdrawn map[string]bool) []contract.Command {
 	covered := map[int]bool{}
 	fits := func(member contract.Member) bool {
 		return member.Kind == contract.KindControl && (member.Region == reach.region || owner.wide)
 	}
-	return owner.gather(now, fits, shard.LetterWithdraw, func(token int64) any {
-		return shard.Withdraw{Hall: hall, Region: reach.region, Token: token, Address: owner.Self().Address}
+	return owner.gather(now, fits, shard.MessageWithdraw, func(token int64) any {
+		return shard.Withdraw{Zone: zone, Region: reach.region, Token: token, Address: owner.Self().Address}
 	}, func(body json.RawMessage) bool {
 		var answer shard.Withdrawn
 		if json.Unmarshal(body, &answer) == nil {
@@ -161,9 +161,9 @@
 		return len(covered) >= reach.shards
 	}, func(now time.Duration) []contract.Command {
 		if len(covered) < reach.shards {
-			return owner.refuse(ask, 503, fmt.Sprintf("hall %s: the owners of its shards cannot be reached; nothing was committed", hall))
+			return owner.refuse(ask, 503, fmt.Sprintf("zone %s: the owners of its shards cannot be reached; nothing was committed", zone))
 		}
-		next := map[string]bool{hall: true}
+		next := map[string]bool{zone: true}
 		for name := range withdrawn {
 			next[name] = true
 		}
@@ -213,7 +213,7 @@
 		if now-pending.began <= owner.Bounds.Commit() {
 			return 0, accepted
 		}
-		accepted.Outcome, accepted.Mishap = "unknown", "not yet acknowledged by the whole chain; ask by the operation key"
+		accepted.Outcome, accepted.Error = "unknown", "not yet acknowledged by the whole chain; ask by the operation key"
 		return 504, accepted
 	}
 	if pending.ask.Prompt {
--- a/data/data.go
+++ b/data/data.go
@@ -45,7 +45,7 @@
 	Attempt int
 	Proof   call.Proof
 	Pieces  []string
-	Mishap  string
+	Error   string
 }
 
 type Recalled struct {
@@ -62,7 +62,7 @@
 	Hop    bool
 }
 
-// Dispatch sends a call to a server; no byte of it may leave after Until, when the licence that allowed it has lapsed.
+// Dispatch sends a call to a server; no byte of it may leave after Until, when the lease that allowed it has lapsed.
 type Dispatch struct {
 	Token    int64
 	Attempt  int
@@ -139,8 +139,8 @@
 	switch event := event.(type) {
 	case contract.Tick:
 		owner.tick(now)
-	case contract.Letter:
-		owner.letter(now, event)
+	case contract.Message:
+		owner.message(now, event)
 	case Arrive:
 		owner.arrive(now, event)
 	case Stop:
@@ -165,7 +165,7 @@
 	return out
 }
 
-// woke follows a freeze: no licence from before it counts, and no call that has not left yet may leave.
+// woke follows a freeze: no lease from before it counts, and no call that has not left yet may leave.
 func (owner *Owner) woke(now, gap time.Duration) {
 	owner.emit(contract.Count{Name: "woken", By: 1}, contract.Say{What: "woken from a freeze", Detail: []any{"ms", gap.Milliseconds()}})
 	for _, held := range owner.grants {
@@ -173,7 +173,7 @@
 	}
 	for _, token := range owner.tokens() {
 		if job := owner.jobs[token]; job.phase != phaseRunning && job.phase != phasePassed {
-			owner.refuse(now, job, 503, "this node was frozen; the call did not run", owner.Bounds.Licence())
+			owner.refuse(now, job, 503, "this node was frozen; the call did not run", owner.Bounds.Lease())
 		}
 	}
 }
@@ -190,7 +190,7 @@
 func (owner *Owner) tick(now time.Duration) {
 	owner.table.Tick(now)
 	owner.tickLingers(now)
-	owner.askLicences(now)
+	owner.askLeases(now)
 	owner.askShares(now)
 	owner.tickFinds(now)
 	owner.tickJobs(now)
@@ -198,40 +198,40 @@
 	owner.gauges()
 }
 
-func (owner *Owner) letter(now time.Duration, letter contract.Letter) {
-	switch letter.Kind {
-	case shard.LetterLicence:
-		readLetter(owner, letter, func(licence contract.Licence) { owner.licence(now, letter.From, licence) })
-	case shard.LetterNotOwner:
-		readLetter(owner, letter, func(hint contract.NotOwner) { owner.notOwner(hint) })
-	case LetterHold:
-		readLetter(owner, letter, func(hold Hold) { owner.hold(now, hold) })
-	case LetterHeld:
-		readLetter(owner, letter, func(held Held) { owner.held(now, letter.From, held) })
-	case LetterFinish:
-		readLetter(owner, letter, func(record call.Record) { owner.table.Finish(record) })
-	case LetterFree:
-		readLetter(owner, letter, func(record call.Record) { owner.table.Free(record) })
-	case LetterFind:
-		readLetter(owner, letter, func(ask Find) { owner.find(now, ask) })
-	case LetterFound:
-		readLetter(owner, letter, func(found Found) { owner.found(now, letter.From, found) })
-	case LetterShare:
-		readLetter(owner, letter, func(ask Share) { owner.share(now, ask) })
-	case LetterShared:
-		readLetter(owner, letter, func(shared Shared) { owner.takeShare(now, letter, shared) })
-	case control.LetterWhyAsk:
-		readLetter(owner, letter, func(ask control.StatusAsk) {
+func (owner *Owner) message(now time.Duration, message contract.Message) {
+	switch message.Kind {
+	case shard.MessageLease:
+		readMessage(owner, message, func(lease contract.Lease) { owner.lease(now, message.From, lease) })
+	case shard.MessageNotOwner:
+		readMessage(owner, message, func(hint contract.NotOwner) { owner.notOwner(hint) })
+	case MessageHold:
+		readMessage(owner, message, func(hold Hold) { owner.hold(now, hold) })
+	case MessageHeld:
+		readMessage(owner, message, func(held Held) { owner.held(now, message.From, held) })
+	case MessageFinish:
+		readMessage(owner, message, func(record call.Record) { owner.table.Finish(record) })
+	case MessageFree:
+		readMessage(owner, message, func(record call.Record) { owner.table.Free(record) })
+	case MessageFind:
+		readMessage(owner, message, func(ask Find) { owner.find(now, ask) })
+	case MessageFound:
+		readMessage(owner, message, func(found Found) { owner.found(now, message.From, found) })
+	case MessageShare:
+		readMessage(owner, message, func(ask Share) { owner.share(now, ask) })
+	case MessageShared:
+		readMessage(owner, message, func(shared Shared) { owner.takeShare(now, message, shared) })
+	case control.MessageWhyAsk:
+		readMessage(owner, message, func(ask control.StatusAsk) {
 			body, _ := json.Marshal(owner.tales.find(ask.Call))
-			owner.emit(contract.Send{To: ask.Address, Kind: control.LetterWhy, Body: control.Status{Token: ask.Token, Node: owner.Self().Name, Body: body}})
+			owner.emit(contract.Send{To: ask.Address, Kind: control.MessageWhy, Body: control.Status{Token: ask.Token, Node: owner.Self().Name, Body: body}})
 		})
 	}
 }
 
-func readLetter[Body any](owner *Owner, letter contract.Letter, then func(Body)) {
+func readMessage[Body any](owner *Owner, message contract.Message, then func(Body)) {
 	var body Body
-	if json.Unmarshal(letter.Body, &body) != nil {
-		owner.count("letters_broken")
+	if json.Unmarshal(message.Body, &body) != nil {
+		owner.count("messages_broken")
 		return
 	}
 	then(body)
--- a/data/end.go
+++ b/data/end.go
@@ -21,7 +21,7 @@
 	usage.AtReport = min(usage.AtReport, usage.Own)
 	if !over {
 		usage.Lingering++
-		owner.lingers = append(owner.lingers, linger{attempt.server.Name, now + owner.Bounds.Licence()})
+		owner.lingers = append(owner.lingers, linger{attempt.server.Name, now + owner.Bounds.Lease()})
 	}
 	owner.setUsage(attempt.server.Name, usage)
 }
@@ -71,7 +71,7 @@
 	}
 	owner.dropAttempt(now, job, event.Attempt, event.Proof == call.Whole || event.Proof.NeverRan())
 	if place := event.Attempt - 1; place < len(job.tale.Attempts) {
-		job.tale.Attempts[place].Proof, job.tale.Attempts[place].Mishap = string(event.Proof), event.Mishap
+		job.tale.Attempts[place].Proof, job.tale.Attempts[place].Error = string(event.Proof), event.Error
 	}
 	owner.count("attempts_" + string(event.Proof))
 	if event.Proof == call.NotSent || event.Proof == call.Refused || event.Proof == call.Silent || event.Proof == call.Broken {
@@ -89,7 +89,7 @@
 	case event.Proof == call.Left:
 		owner.finish(now, job, call.Interrupted, nil)
 	default:
-		owner.trouble(now, job, 502, call.Unknown, "sent to a server, and no whole answer came: "+event.Mishap, 0)
+		owner.trouble(now, job, 502, call.Unknown, "sent to a server, and no whole answer came: "+event.Error, 0)
 	}
 	owner.serve(now)
 }
@@ -106,10 +106,10 @@
 	}
 	if job.tries >= mostAttempts || now >= job.deadline || !owner.repeats.Take() {
 		if job.call.Lookup && event.Proof == call.Silent {
-			owner.trouble(now, job, 502, call.Unknown, "no server answered the lookup: "+event.Mishap, owner.jitter(owner.Bounds.Round()))
+			owner.trouble(now, job, 502, call.Unknown, "no server answered the lookup: "+event.Error, owner.jitter(owner.Bounds.Round()))
 			return
 		}
-		owner.refuse(now, job, 503, "the server did not take the call: "+event.Mishap, owner.jitter(owner.Bounds.Round()))
+		owner.refuse(now, job, 503, "the server did not take the call: "+event.Error, owner.jitter(owner.Bounds.Round()))
 		return
 	}
 	owner.count("repeats_after_not_run")
@@ -159,6 +159,6 @@
 	}
 	if attempt, there := job.attempts[event.Attempt]; there && !attempt.pieces {
 		owner.emit(Cancel{Token: event.Token, Attempt: event.Attempt})
-		owner.ended(now, Ended{Token: event.Token, Attempt: event.Attempt, Proof: call.Withdrawn, Mishap: "recalled before it started"})
+		owner.ended(now, Ended{Token: event.Token, Attempt: event.Attempt, Proof: call.Withdrawn, Error: "recalled before it started"})
 	}
 }
--- a/data/find.go
+++ b/data/find.go
@@ -40,13 +40,13 @@
 		}
 		if member, there := owner.Neighbours.Look(name); there {
 			search.waiting.Add(name)
-			owner.emit(contract.Send{To: member.Address, Kind: LetterFind, Body: ask})
+			owner.emit(contract.Send{To: member.Address, Kind: MessageFind, Body: ask})
 		}
 	}
 	outer := owner.outerNodes()
 	for _, name := range manifest.SortedKeys(outer) {
 		search.outer.Add(name)
-		owner.emit(contract.Send{To: outer[name].Address, Kind: LetterFind, Body: ask})
+		owner.emit(contract.Send{To: outer[name].Address, Kind: MessageFind, Body: ask})
 	}
 	owner.concludeFind(now, search)
 }
@@ -56,7 +56,7 @@
 	if record, there := owner.table.Find(now, ask.Scoped); there {
 		found.Record = &record
 	}
-	owner.emit(contract.Send{To: ask.Address, Kind: LetterFound, Body: found})
+	owner.emit(contract.Send{To: ask.Address, Kind: MessageFound, Body: found})
 }
 
 func (owner *Owner) found(now time.Duration, from string, found Found) {
--- a/data/handover.go
+++ b/data/handover.go
@@ -35,7 +35,7 @@
 	for _, member := range owner.Neighbours.Members(now) {
 		if owner.owes(member) {
 			ask := Share{Address: owner.Self().Address, Region: owner.Self().Region, All: member.Region == owner.Self().Region}
-			owner.emit(contract.Send{To: member.Address, Kind: LetterShare, Body: ask})
+			owner.emit(contract.Send{To: member.Address, Kind: MessageShare, Body: ask})
 		}
 	}
 }
@@ -64,17 +64,17 @@
 	records := owner.table.Share(now, ask.Region, ask.All, shareMost)
 	for first := true; first || len(records) > 0; first = false {
 		count := min(shareBatch, len(records))
-		owner.emit(contract.Send{To: ask.Address, Kind: LetterShared, Body: Shared{Records: records[:count], Last: count == len(records)}})
+		owner.emit(contract.Send{To: ask.Address, Kind: MessageShared, Body: Shared{Records: records[:count], Last: count == len(records)}})
 		records = records[count:]
 	}
 }
 
-func (owner *Owner) takeShare(now time.Duration, letter contract.Letter, shared Shared) {
+func (owner *Owner) takeShare(now time.Duration, message contract.Message, shared Shared) {
 	for _, record := range shared.Records {
 		owner.table.Absorb(now, record)
 	}
 	owner.emit(contract.Count{Name: "records_handed_over", By: int64(len(shared.Records))})
 	if shared.Last {
-		owner.shared[letter.From] = letter.Boot
+		owner.shared[message.From] = message.Boot
 	}
 }
--- a/data/job.go
+++ b/data/job.go
@@ -115,15 +115,15 @@
 }
 
 // refuse ends a call that is proven not to run: it is out of our lines before the answer goes.
-func (owner *Owner) refuse(now time.Duration, job *job, status int, mishap string, after time.Duration) {
-	owner.trouble(now, job, status, call.NotRun, mishap, after)
+func (owner *Owner) refuse(now time.Duration, job *job, status int, err string, after time.Duration) {
+	owner.trouble(now, job, status, call.NotRun, err, after)
 }
 
-func (owner *Owner) trouble(now time.Duration, job *job, status int, outcome call.Outcome, mishap string, after time.Duration) {
-	job.tale.Mishap = mishap
+func (owner *Owner) trouble(now time.Duration, job *job, status int, outcome call.Outcome, err string, after time.Duration) {
+	job.tale.Error = err
 	owner.count(fmt.Sprintf("answers_%d", status))
 	owner.finish(now, job, outcome, contract.Answer{Token: job.token, Status: status, After: after,
-		Body: contract.Trouble{Outcome: string(outcome), Mishap: mishap, RetryAfterMs: after.Milliseconds()}})
+		Body: contract.Trouble{Outcome: string(outcome), Error: err, RetryAfterMs: after.Milliseconds()}})
 }
 
 // finish takes a call out of every line and record that it must leave, and gives its one answer.
@@ -177,7 +177,7 @@
 	job.phase = phaseLined
 	owner.serve(now)
 	if job.phase == phaseLined && owner.allRest(now, job) {
-		owner.refuse(now, job, 503, "its servers turn calls away; the call did not run", owner.jitter(owner.Bounds.Licence()))
+		owner.refuse(now, job, 503, "its servers turn calls away; the call did not run", owner.jitter(owner.Bounds.Lease()))
 		return
 	}
 	if job.phase == phaseLined && now+wait+owner.lines.Service(job.call.Route) > job.deadline {
@@ -210,7 +210,7 @@
 	if now >= job.deadline {
 		return false
 	}
-	want := pick.Want{Pool: job.route.Pools[job.call.Home], Class: job.route.Class, Hall: owner.Self().Hall, Prefix: job.call.Prefix, Avoid: job.tried, Resting: owner.resting(now)}
+	want := pick.Want{Pool: job.route.Pools[job.call.Home], Class: job.route.Class, Zone: owner.Self().Zone, Prefix: job.call.Prefix, Avoid: job.tried, Resting: owner.resting(now)}
 	if job.call.Session != "" {
 		want.Session = job.call.Caller + "\x1f" + job.call.Session
 	}
@@ -254,7 +254,7 @@
 	job.tale.Lists = nil
 	for _, index := range owner.shardIndexes() {
 		held := owner.grants[index]
-		list := TaleList{Shard: index, Epoch: held.licence.Epoch, Number: held.licence.Number}
+		list := TaleList{Shard: index, Epoch: held.lease.Epoch, Number: held.lease.Number}
 		for _, other := range lapsed {
 			list.Lapsed = list.Lapsed || other == index
 		}
--- a/data/keep.go
+++ b/data/keep.go
@@ -9,16 +9,16 @@
 )
 
 const (
-	LetterHold   = "keep-hold"
-	LetterHeld   = "keep-held"
-	LetterFinish = "keep-finish"
-	LetterFree   = "keep-free"
-	LetterFind   = "keep-find"
-	LetterFound  = "keep-found"
-	LetterShare  = "keep-share"
-	LetterShared = "keep-shared"
-	keeperMost   = 8
-	backersMost  = 2
+	MessageHold   = "keep-hold"
+	MessageHeld   = "keep-held"
+	MessageFinish = "keep-finish"
+	MessageFree   = "keep-free"
+	MessageFind   = "keep-find"
+	MessageFound  = "keep-found"
+	MessageShare  = "keep-share"
+	MessageShared = "keep-shared"
+	keeperMost    = 8
+	backersMost   = 2
 )
 
 type Hold struct {
@@ -85,17 +85,17 @@
 	job.keepers, job.backers = owner.keepersOf(now, job.voters), owner.backersOf(now, job.call.Scoped())
 	record := owner.record(job)
 	if _, fine, full := owner.table.Hold(now, record); !fine {
-		mishap := "the call is held by another"
+		err := "the call is held by another"
 		if full {
-			mishap = "the records are full"
+			err = "the records are full"
 		}
-		owner.refuse(now, job, 503, mishap, owner.jitter(owner.Bounds.Round()))
+		owner.refuse(now, job, 503, err, owner.jitter(owner.Bounds.Round()))
 		return
 	}
 	if _, self := job.keepers[owner.Self().Name]; self && owner.settled(now) {
 		job.granted[owner.Self().Name] = true
 	}
-	owner.tellKeepers(job, LetterHold, Hold{Record: record, Address: owner.Self().Address})
+	owner.tellKeepers(job, MessageHold, Hold{Record: record, Address: owner.Self().Address})
 	owner.checkHold(now, job)
 }
 
@@ -105,7 +105,7 @@
 	hold := Hold{Record: owner.record(job), Address: owner.Self().Address}
 	for _, name := range manifest.SortedKeys(job.keepers) {
 		if !job.granted[name] {
-			owner.emit(contract.Send{To: job.keepers[name].Address, Kind: LetterHold, Body: hold})
+			owner.emit(contract.Send{To: job.keepers[name].Address, Kind: MessageHold, Body: hold})
 		}
 	}
 }
@@ -126,7 +126,7 @@
 
 func (owner *Owner) hold(now time.Duration, hold Hold) {
 	known, fine, full := owner.table.Hold(now, hold.Record)
-	owner.emit(contract.Send{To: hold.Address, Kind: LetterHeld, Body: Held{Token: hold.Record.Token, Scoped: hold.Record.Scoped, Fine: fine, Full: full, Settled: owner.settled(now), Record: known}})
+	owner.emit(contract.Send{To: hold.Address, Kind: MessageHeld, Body: Held{Token: hold.Record.Token, Scoped: hold.Record.Scoped, Fine: fine, Full: full, Settled: owner.settled(now), Record: known}})
 }
 
 func (owner *Owner) held(now time.Duration, from string, held Held) {
@@ -210,7 +210,7 @@
 		return
 	}
 	owner.count("repeats_met")
-	job.tale.Mishap = "met the record of " + record.Node + ": " + string(record.Outcome)
+	job.tale.Error = "met the record of " + record.Node + ": " + string(record.Outcome)
 	switch {
 	case record.Outcome == call.Done && record.Kept:
 		owner.finish(now, job, call.Done, contract.Answer{Token: job.token, Status: 200, Body: Reply{Pieces: record.Pieces}})
@@ -234,7 +234,7 @@
 func (owner *Owner) free(job *job) {
 	record := owner.record(job)
 	owner.table.Free(record)
-	owner.tellKeepers(job, LetterFree, record)
+	owner.tellKeepers(job, MessageFree, record)
 	job.keepers = nil
 }
 
@@ -250,6 +250,6 @@
 	record := owner.record(job)
 	record.Outcome, record.Pieces = outcome, pieces
 	owner.table.Finish(record)
-	owner.tellKeepers(job, LetterFinish, record)
+	owner.tellKeepers(job, MessageFinish, record)
 	job.keepers = nil
 }
--- a/data/licence.go
+++ b/data/licence.go
@@ -10,9 +10,9 @@
 	"github.com/cedarreel/cedarreel/shard"
 )
 
-// grant is what this node holds of one shard: the newest licence and the highest epoch ever seen.
+// grant is what this node holds of one shard: the newest lease and the highest epoch ever seen.
 type grant struct {
-	licence contract.Licence
+	lease   contract.Lease
 	highest contract.Epoch
 	asked   time.Duration
 	expires time.Duration
@@ -20,7 +20,7 @@
 	way     string
 }
 
-func (owner *Owner) askLicences(now time.Duration) {
+func (owner *Owner) askLeases(now time.Duration) {
 	if now < owner.nextAsk || !owner.Feed.Known() {
 		return
 	}
@@ -33,29 +33,29 @@
 			held = &grant{}
 			owner.grants[index] = held
 		}
-		targets := map[string]bool{held.hint: true, held.licence.Epoch.Node: true}
+		targets := map[string]bool{held.hint: true, held.lease.Epoch.Node: true}
 		first := shard.First(members, region, index)
 		targets[first] = true
-		ask := contract.LicenceAsk{Node: owner.Self().Name, Address: owner.Self().Address, Region: region, Shard: index,
-			Asked: now, Highest: held.highest, Number: held.licence.Number, Shards: shards}
+		ask := contract.LeaseRequest{Node: owner.Self().Name, Address: owner.Self().Address, Region: region, Shard: index,
+			Asked: now, Highest: held.highest, Number: held.lease.Number, Shards: shards}
 		ask.Calls, ask.Lingering = owner.callsOn(index)
 		for _, name := range manifest.SortedKeys(targets) {
 			if member, there := owner.Neighbours.Look(name); there && member.Kind == contract.KindControl && owner.Neighbours.Alive(now, name) {
-				owner.emit(contract.Send{To: member.Address, Kind: shard.LetterAsk, Body: ask})
+				owner.emit(contract.Send{To: member.Address, Kind: shard.MessageAsk, Body: ask})
 			}
 		}
-		if now-held.asked > owner.Bounds.Licence() {
+		if now-held.asked > owner.Bounds.Lease() {
 			held.way = ""
 		}
-		if now-held.asked > owner.Bounds.Licence()/2 || held.way != "" {
+		if now-held.asked > owner.Bounds.Lease()/2 || held.way != "" {
 			owner.askAround(members, targets, ask, held.way)
 		}
 	}
 }
 
-// askAround asks by way of another control node, of any region, when the owner has been silent for half a licence: a cut link
+// askAround asks by way of another control node, of any region, when the owner has been silent for half a lease: a cut link
 // between the two must not stop a shard. A way that worked is used until the owner answers by itself.
-func (owner *Owner) askAround(members []contract.Member, asked map[string]bool, ask contract.LicenceAsk, way string) {
+func (owner *Owner) askAround(members []contract.Member, asked map[string]bool, ask contract.LeaseRequest, way string) {
 	others := []contract.Member{}
 	for _, member := range members {
 		if member.Name == way {
@@ -67,8 +67,8 @@
 		}
 	}
 	if len(others) > 0 {
-		owner.count("licences_asked_around")
-		owner.emit(contract.Send{To: others[owner.Random.IntN(len(others))].Address, Kind: shard.LetterAround, Body: ask})
+		owner.count("leases_asked_around")
+		owner.emit(contract.Send{To: others[owner.Random.IntN(len(others))].Address, Kind: shard.MessageAround, Body: ask})
 	}
 }
 
@@ -92,43 +92,43 @@
 	return calls, lingering
 }
 
-// licence takes a pick list unless a higher epoch was seen; its life counts from this node's own asking.
-func (owner *Owner) licence(now time.Duration, from string, licence contract.Licence) {
-	held, there := owner.grants[licence.Shard]
-	if !there || licence.Region != owner.Self().Region {
+// lease takes a pick list unless a higher epoch was seen; its life counts from this node's own asking.
+func (owner *Owner) lease(now time.Duration, from string, lease contract.Lease) {
+	held, there := owner.grants[lease.Shard]
+	if !there || lease.Region != owner.Self().Region {
 		return
 	}
-	if licence.Epoch.Before(held.highest) || licence.Shards != owner.shards() {
-		owner.count("licences_refused")
+	if lease.Epoch.Before(held.highest) || lease.Shards != owner.shards() {
+		owner.count("leases_refused")
 		return
 	}
-	same := licence.Epoch == held.highest
-	if licence.Asked > now || same && (licence.Number < held.licence.Number || licence.Asked < held.asked) {
-		owner.count("licences_late")
+	same := lease.Epoch == held.highest
+	if lease.Asked > now || same && (lease.Number < held.lease.Number || lease.Asked < held.asked) {
+		owner.count("leases_late")
 		return
 	}
 	if now >= held.expires {
 		owner.turned = map[string]rest{}
 	}
-	former := held.licence.Withdraw
-	held.highest, held.licence, held.asked, held.hint = licence.Epoch, licence, licence.Asked, ""
-	held.expires, held.way = licence.Asked+licence.Life, ""
-	if from != licence.Epoch.Node {
+	former := held.lease.Withdraw
+	held.highest, held.lease, held.asked, held.hint = lease.Epoch, lease, lease.Asked, ""
+	held.expires, held.way = lease.Asked+lease.Life, ""
+	if from != lease.Epoch.Node {
 		held.way = from
 	}
-	for _, candidate := range licence.Servers {
+	for _, candidate := range lease.Servers {
 		usage := owner.usages[candidate.Name]
 		if usage.Report != candidate.Report {
 			usage.Report, usage.AtReport = candidate.Report, usage.Own
 			owner.usages[candidate.Name] = usage
 		}
 	}
-	for _, name := range licence.Withdraw {
+	for _, name := range lease.Withdraw {
 		if !slices.Contains(former, name) {
 			owner.sessions.leave(name)
 		}
 	}
-	owner.recall(licence.Recall)
+	owner.recall(lease.Recall)
 	owner.serve(now)
 }
 
@@ -138,11 +138,11 @@
 	}
 }
 
-// candidates gives the servers under licences that have not lapsed, and the shards that cannot be picked from now.
+// candidates gives the servers under leases that have not lapsed, and the shards that cannot be picked from now.
 func (owner *Owner) candidates(now time.Duration) ([]contract.Candidate, []int) {
 	candidates, lapsed, shards, former := []contract.Candidate{}, []int{}, owner.shards(), false
 	for _, held := range owner.grants {
-		former = former || now < held.expires && held.licence.Shards != shards
+		former = former || now < held.expires && held.lease.Shards != shards
 	}
 	for _, index := range owner.shardIndexes() {
 		held := owner.grants[index]
@@ -152,7 +152,7 @@
 			}
 			continue
 		}
-		for _, candidate := range held.licence.Servers {
+		for _, candidate := range held.lease.Servers {
 			if owner.grantOf(now, candidate.Name) == held {
 				candidates = append(candidates, candidate)
 			}
@@ -162,16 +162,16 @@
 }
 
 // grantOf gives the grant that a server is picked under: that of the present division, or while there is none yet, what is
-// left of a licence of the former one.
+// left of a lease of the former one.
 func (owner *Owner) grantOf(now time.Duration, server string) *grant {
 	shards := owner.shards()
 	held, there := owner.grants[contract.ShardOf(server, shards)]
-	if there && now < held.expires && held.licence.Shards == shards {
+	if there && now < held.expires && held.lease.Shards == shards {
 		return held
 	}
 	for _, index := range owner.shardIndexes() {
 		former := owner.grants[index]
-		if now < former.expires && former.licence.Shards != shards && contract.ShardOf(server, former.licence.Shards) == index {
+		if now < former.expires && former.lease.Shards != shards && contract.ShardOf(server, former.lease.Shards) == index {
 			return former
 		}
 	}
@@ -239,7 +239,7 @@
 	Attempts []TaleAttempt `json:"attempts"`
 	Outcome  string        `json:"outcome"`
 	Status   int           `json:"status,omitempty"`
-	Mishap   string        `json:"mishap,omitempty"`
+	Error    string        `json:"error,omitempty"`
 	TookMs   int64         `json:"tookMs"`
 	arrived  time.Duration
 }
@@ -255,7 +255,7 @@
 	Server   string `json:"server"`
 	Verdicts any    `json:"candidates"`
 	Proof    string `json:"proof"`
-	Mishap   string `json:"mishap,omitempty"`
+	Error    string `json:"error,omitempty"`
 }
 
 type tales struct {
--- a/data/outer.go
+++ b/data/outer.go
@@ -43,7 +43,7 @@
 	job.outer = owner.outerNodes()
 	hold := Hold{Record: owner.record(job), Address: owner.Self().Address}
 	for _, name := range manifest.SortedKeys(job.outer) {
-		owner.emit(contract.Send{To: job.outer[name].Address, Kind: LetterHold, Body: hold})
+		owner.emit(contract.Send{To: job.outer[name].Address, Kind: MessageHold, Body: hold})
 	}
 }
 
--- a/data/pass.go
+++ b/data/pass.go
@@ -20,7 +20,7 @@
 	Token  int64
 	Node   string
 	Status int
-	Mishap string
+	Error  string
 }
 
 const passMost = 3
@@ -64,12 +64,12 @@
 	owner.emit(contract.Answer{Token: job.token, Body: Pass{Home: job.call.Home, Nodes: nodes, Limit: job.deadline - now}})
 }
 
-func (owner *Owner) away(now time.Duration, job *job, mishap string) {
+func (owner *Owner) away(now time.Duration, job *job, err string) {
 	after := owner.jitter(owner.Bounds.Round())
-	job.tale.Mishap = mishap
+	job.tale.Error = err
 	owner.count("answers_503")
 	owner.finish(now, job, call.NotRun, contract.Answer{Token: job.token, Status: 503, After: after, Body: contract.Trouble{Outcome: string(call.NotRun),
-		Mishap: mishap, Home: job.call.Home, RetryAfterMs: after.Milliseconds()}})
+		Error: err, Home: job.call.Home, RetryAfterMs: after.Milliseconds()}})
 }
 
 func (owner *Owner) passed(now time.Duration, event Passed) {
@@ -82,7 +82,7 @@
 		proof, outcome = string(call.NotSent), call.NotRun
 	}
 	owner.count("passed_on_" + map[bool]string{true: "answered", false: "unreached"}[event.Status > 0])
-	job.tale.Attempts = append(job.tale.Attempts, TaleAttempt{Server: "node " + event.Node, Proof: proof, Mishap: event.Mishap})
+	job.tale.Attempts = append(job.tale.Attempts, TaleAttempt{Server: "node " + event.Node, Proof: proof, Error: event.Error})
 	job.tale.Status = event.Status
 	owner.finish(now, job, outcome, nil)
 }
@@ -90,12 +90,12 @@
 // lookAway passes a question about a call on to the call's home; it tells whether it did.
 func (owner *Owner) lookAway(now time.Duration, event Look) bool {
 	home, fine := owner.Feed.Manifest().Home(event.Caller, event.Home, owner.Self().Region)
-	answer := contract.Answer{Token: event.Token, Status: 400, Body: contract.Trouble{Mishap: "the home is not this caller's, or no region"}}
+	answer := contract.Answer{Token: event.Token, Status: 400, Body: contract.Trouble{Error: "the home is not this caller's, or no region"}}
 	switch {
 	case fine && home == owner.Self().Region:
 		return false
 	case fine && event.Hop:
-		answer.Body = contract.Trouble{Mishap: "a question that was passed on arrived outside its home"}
+		answer.Body = contract.Trouble{Error: "a question that was passed on arrived outside its home"}
 	case fine:
 		nodes := owner.homeNodes(now, home, event.Key)
 		answer = contract.Refuse(event.Token, 503, "no node of the call's home can be reached", owner.jitter(owner.Bounds.Round()))
--- a/data/rest.go
+++ b/data/rest.go
@@ -14,9 +14,9 @@
 
 func (owner *Owner) turnedAway(now time.Duration, server string) {
 	former, there := owner.turned[server]
-	span := owner.Bounds.Licence()
+	span := owner.Bounds.Lease()
 	if there {
-		span = min(former.span*2, owner.Bounds.Licence()*mostRests)
+		span = min(former.span*2, owner.Bounds.Lease()*mostRests)
 	}
 	if there && now < former.until {
 		span = former.span
@@ -28,7 +28,7 @@
 func (owner *Owner) resting(now time.Duration) map[string]bool {
 	resting := map[string]bool{}
 	for name, known := range owner.turned {
-		if now > known.until+owner.Bounds.Licence()*mostRests {
+		if now > known.until+owner.Bounds.Lease()*mostRests {
 			delete(owner.turned, name)
 		}
 		if now < known.until {
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -22,13 +22,13 @@
 func sources(folder string, tests bool) map[string]string {
 	GinkgoHelper()
 	files := map[string]string{}
-	Expect(filepath.WalkDir(filepath.Join("..", folder), func(path string, entry fs.DirEntry, mishap error) error {
-		if mishap != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") != tests {
-			return mishap
+	Expect(filepath.WalkDir(filepath.Join("..", folder), func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") != tests {
+			return err
 		}
-		content, mishap := os.ReadFile(path)
+		content, err := os.ReadFile(path)
 		files[path] = string(content)
-		return mishap
+		return err
 	})).To(Succeed())
 	return files
 }
@@ -36,8 +36,8 @@
 var _ = It("every test that the pages name exists", func() {
 	named, checked := regexp.MustCompile("`([a-z/]+): ([^`]+)`"), 0
 	for _, page := range []string{"brief.md", "must-never.md"} {
-		content, mishap := os.ReadFile(page)
-		Expect(mishap).NotTo(HaveOccurred())
+		content, err := os.ReadFile(page)
+		Expect(err).NotTo(HaveOccurred())
 		for _, found := range named.FindAllStringSubmatch(string(content), -1) {
 			there := false
 			for _, source := range sources(found[1], true) {
--- a/emulator/control.go
+++ b/emulator/control.go
@@ -58,7 +58,7 @@
 		shell.machine.disk.Save(func() {
 			persisted := index.Persisted{}
 			if failure := image.SaveIndex(shell.machine.disk, command.Snapshot); failure != nil {
-				persisted.Mishap = failure.Error()
+				persisted.Error = failure.Error()
 			}
 			shell.event(persisted)
 		})
@@ -135,7 +135,7 @@
 		}, func(answer any) {
 			got, fine := answer.(listPage)
 			if !fine {
-				read.Listing, read.Mishap = contract.Listing{}, "the list could not be read"
+				read.Listing, read.Error = contract.Listing{}, "the list could not be read"
 				shell.handle(read)
 				return
 			}
@@ -159,7 +159,7 @@
 	read := shard.ReportRead{Server: command.Server, For: command, Outcome: retire.Outcome{Began: shell.now()}}
 	server := shell.day.at(command.Address)
 	if server == nil {
-		read.Mishap = "nobody is there"
+		read.Error = "nobody is there"
 		shell.event(read)
 		return
 	}
@@ -173,7 +173,7 @@
 		if report, fine := answer.(contract.Report); fine {
 			read.Report = report
 		} else {
-			read.Mishap = "no report"
+			read.Error = "no report"
 		}
 		shell.handle(read)
 	})
--- a/emulator/exchange.go
+++ b/emulator/exchange.go
@@ -225,7 +225,7 @@
 		return
 	}
 	server := shell.day.at(dispatch.Server.Address)
-	to := place{name: dispatch.Server.Address, zone: dispatch.Server.Hall, region: shell.day.site.region(dispatch.Server.Hall)}
+	to := place{name: dispatch.Server.Address, zone: dispatch.Server.Zone, region: shell.day.site.region(dispatch.Server.Zone)}
 	accept := func(*conn) bool { return false }
 	if server != nil {
 		to, accept = server.place(), server.accept
--- a/emulator/list.go
+++ b/emulator/list.go
@@ -84,7 +84,7 @@
 		if change.gone {
 			continue
 		}
-		row := contract.ServerRow{Name: server.name, Incarnation: server.name, Address: server.address, Hall: server.zone, Region: server.region,
+		row := contract.ServerRow{Name: server.name, Incarnation: server.name, Address: server.address, Zone: server.zone, Region: server.region,
 			Pool: server.service.Name, Leaving: change.leaving, Unmeasured: true}
 		if change.ends > 0 {
 			row.RemainingMs = max(1, (change.ends - now).Milliseconds())
--- a/emulator/machine.go
+++ b/emulator/machine.go
@@ -59,7 +59,7 @@
 
 func (machine *machine) settings() env.Env {
 	day, bounds := machine.day, machine.day.site.Bounds
-	settings := env.New(env.WithName(machine.name), env.WithHall(machine.zone), env.WithRegion(machine.region), env.WithSeeds(day.seeds(machine)),
+	settings := env.New(env.WithName(machine.name), env.WithZone(machine.zone), env.WithRegion(machine.region), env.WithSeeds(day.seeds(machine)),
 		env.WithControl(machine.address+":"+controlPort), env.WithData(machine.address+":"+dataPort), env.WithPlatform("http://10.200.0.1:80"))
 	settings.Zones = map[string]string{}
 	for _, zone := range day.site.Zones {
@@ -148,10 +148,10 @@
 	if target == nil {
 		return
 	}
-	letter := contract.Letter{Kind: command.Kind, From: process.machine.name + "-" + process.kind, Boot: process.boot, Body: content(command.Body)}
+	message := contract.Message{Kind: command.Kind, From: process.machine.name + "-" + process.kind, Boot: process.boot, Body: content(command.Body)}
 	process.day.world.post(process.machine.place(), target.machine.place(), func() {
 		if current := process.day.listening(command.To); current != nil {
-			current.event(letter)
+			current.event(message)
 		}
 	})
 }
--- a/emulator/operator.go
+++ b/emulator/operator.go
@@ -144,7 +144,7 @@
 			regions[zone.Region] = map[string]any{"shards": 1, "machines": []any{}}
 			zones[zone.Name] = map[string]any{"region": zone.Region}
 		}
-		tree["regions"], tree["halls"] = regions, zones
+		tree["regions"], tree["zones"] = regions, zones
 	}
 	body := content(tree)
 	operation := contract.Digest(append(fmt.Appendf(nil, "%s%d", verb, next.Base), body...))[:32]
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -61,7 +61,7 @@
 	return world.cuts[[2]string{from.name, to.name}] > 0 || world.dark[from.name] > 0 || world.dark[to.name] > 0
 }
 
-// post carries a letter; a cut loses it.
+// post carries a message; a cut loses it.
 func (world *World) post(from, to place, then func()) {
 	if world.broken(from, to) {
 		return
--- a/env/env.go
+++ b/env/env.go
@@ -29,7 +29,7 @@
 
 type Env struct {
 	Name     string
-	Hall     string
+	Zone     string
 	Region   string
 	Control  string
 	Data     string
@@ -58,7 +58,7 @@
 type Option func(*Env)
 
 func WithName(name string) Option { return func(settings *Env) { setText(&settings.Name, name) } }
-func WithHall(hall string) Option { return func(settings *Env) { setText(&settings.Hall, hall) } }
+func WithZone(zone string) Option { return func(settings *Env) { setText(&settings.Zone, zone) } }
 func WithRegion(region string) Option {
 	return func(settings *Env) { setText(&settings.Region, region) }
 }
@@ -95,13 +95,13 @@
 }
 
 func Load(path string, options ...Option) (Env, error) {
-	content, mishap := os.ReadFile(path)
-	if mishap != nil {
-		return Env{}, eris.Wrap(mishap, "settings cannot be read")
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Env{}, eris.Wrap(err, "settings cannot be read")
 	}
-	settings, mishap := Parse(content)
-	if mishap != nil {
-		return Env{}, mishap
+	settings, err := Parse(content)
+	if err != nil {
+		return Env{}, err
 	}
 	for _, option := range options {
 		option(&settings)
@@ -110,16 +110,16 @@
 }
 
 func Parse(content []byte) (Env, error) {
-	tree, mishap := manifest.Tree(content)
-	if mishap != nil {
-		return Env{}, eris.Wrap(mishap, "settings")
+	tree, err := manifest.Tree(content)
+	if err != nil {
+		return Env{}, eris.Wrap(err, "settings")
 	}
 	reader := manifest.NewReader(tree)
 	settings := New()
-	known := []string{"name", "hall", "region", "control", "data", "seeds", "folder", "platform", "coreSize", "bounds"}
+	known := []string{"name", "zone", "region", "control", "data", "seeds", "folder", "platform", "coreSize", "bounds"}
 	reader.Only("", known...)
 	settings.Name = reader.Text("name", "")
-	settings.Hall = reader.Text("hall", "")
+	settings.Zone = reader.Text("zone", "")
 	settings.Region = reader.Text("region", "")
 	settings.Control = reader.Text("control", "")
 	settings.Data = reader.Text("data", "")
@@ -128,7 +128,7 @@
 	settings.CoreSize = reader.Number("coreSize", 3, 1, 9)
 	settings.Seeds = reader.Texts("seeds")
 	settings.Bounds.read(reader)
-	return settings, reader.Mishap()
+	return settings, reader.Err()
 }
 
 func (bounds *Bounds) read(reader *manifest.Reader) {
@@ -153,7 +153,7 @@
 
 func (settings Env) Check() error {
 	wrong := []string{}
-	for _, field := range [][2]string{{"name", settings.Name}, {"hall", settings.Hall}, {"region", settings.Region}} {
+	for _, field := range [][2]string{{"name", settings.Name}, {"zone", settings.Zone}, {"region", settings.Region}} {
 		if field[1] == "" {
 			wrong = append(wrong, field[0]+": is missing")
 		}
@@ -163,8 +163,8 @@
 		addresses[fmt.Sprintf("seeds[%d]", index)] = seed
 	}
 	for _, path := range manifest.SortedKeys(addresses) {
-		host, _, mishap := net.SplitHostPort(addresses[path])
-		if mishap != nil || net.ParseIP(host) == nil {
+		host, _, err := net.SplitHostPort(addresses[path])
+		if err != nil || net.ParseIP(host) == nil {
 			wrong = append(wrong, fmt.Sprintf("%s: %q is not an IP number and port", path, addresses[path]))
 		}
 	}
@@ -183,7 +183,7 @@
 func (settings Env) Text() []byte {
 	bounds := settings.Bounds
 	content, _ := json.MarshalIndent(map[string]any{
-		"name": settings.Name, "hall": settings.Hall, "region": settings.Region, "control": settings.Control,
+		"name": settings.Name, "zone": settings.Zone, "region": settings.Region, "control": settings.Control,
 		"data": settings.Data, "seeds": settings.Seeds, "folder": settings.Folder, "platform": settings.Platform,
 		"coreSize": settings.CoreSize,
 		"bounds": map[string]any{"withdrawMs": bounds.WithdrawMs, "evacuateMs": bounds.EvacuateMs, "deliverMs": bounds.DeliverMs,
--- a/env/env_test.go
+++ b/env/env_test.go
@@ -17,48 +17,49 @@
 var _ = Describe("settings", func() {
 	It("shipped for both deployments are right", func() {
 		for _, name := range []string{"brazos", "seri"} {
-			settings, mishap := Load("../deploy/" + name + "/env.json")
-			Expect(mishap).NotTo(HaveOccurred())
+			settings, err := Load("../deploy/" + name + "/env.json")
+			Expect(err).NotTo(HaveOccurred())
 			Expect(settings.Seeds).To(HaveLen(3))
 		}
 	})
 
 	It("are written so that they read back the same", func() {
-		settings, mishap := Load("../deploy/brazos/env.json")
-		Expect(mishap).NotTo(HaveOccurred())
-		again, mishap := Parse(settings.Text())
-		Expect(mishap).NotTo(HaveOccurred())
+		settings, err := Load("../deploy/brazos/env.json")
+		Expect(err).NotTo(HaveOccurred())
+		again, err := Parse(settings.Text())
+		Expect(err).NotTo(HaveOccurred())
 		Expect(again).To(Equal(settings))
 	})
 
-	It("let flags win, and give every mishap at once", func() {
+	It("let flags win, and give every error at once", func() {
 		path := GinkgoT().TempDir() + "/env.json"
 		Expect(os.WriteFile(path, []byte(`{"name":"m1","control":"localhost:1","data":"10.0.0.1:2","seeds":["10.0.0.1:3"]}`), 0o600)).To(Succeed())
-		settings, mishap := Load(path, WithName("m2"))
+		settings, err := Load(path, WithName("m2"))
 		Expect(settings.Name).To(Equal("m2"))
-		for _, part := range []string{"hall: is missing", "region: is missing", "control:", "seeds: want 3", "platform:"} {
-			Expect(mishap).To(MatchError(ContainSubstring(part)))
+		for _, part := range []string{"zone: is missing", "region: is missing", "control:", "seeds: want 3", "platform:"} {
+			Expect(err).To(MatchError(ContainSubstring(part)))
 		}
 	})
 
 	DescribeTable("that are wrong are refused", func(content, part string) {
-		_, mishap := Parse([]byte(content))
-		Expect(mishap).To(MatchError(ContainSubstring(part)))
+		_, err := Parse([]byte(content))
+		Expect(err).To(MatchError(ContainSubstring(part)))
 	},
 		Entry("unknown", `{"nane":"m"}`, "nane: unknown field"),
+		Entry("of a former name", `{"hall":"a"}`, "hall: renamed, write zone"),
 		Entry("unknown bound", `{"bounds":{"slow":1}}`, "bounds.slow: unknown field"),
 		Entry("range", `{"bounds":{"withdrawMs":1}}`, "bounds.withdrawMs: want 400"),
 		Entry("type", `{"seeds":"x"}`, "seeds: want a list"),
 		Entry("twice", `{"name":"a","name":"b"}`, "key given twice"),
 	)
 
-	It("keep the withdrawal budget below its bound: platform reading, licence, link", func() {
+	It("keep the withdrawal budget below its bound: platform reading, lease, link", func() {
 		bounds := DefaultBounds()
-		cut := bounds.PlatformPoll() + bounds.PlatformPoll() + bounds.Ask() + bounds.Licence()
-		blind := bounds.PlatformGrace() + bounds.Licence()
-		frozen := bounds.Licence()
+		cut := bounds.PlatformPoll() + bounds.PlatformPoll() + bounds.Ask() + bounds.Lease()
+		blind := bounds.PlatformGrace() + bounds.Lease()
+		frozen := bounds.Lease()
 		Expect(max(cut, blind, frozen)).To(BeNumerically("<", bounds.Withdraw()))
-		Expect(bounds.Licence()).To(BeNumerically("<", bounds.Suspicion()))
+		Expect(bounds.Lease()).To(BeNumerically("<", bounds.Suspicion()))
 		Expect(bounds.Suspicion() + bounds.Round() + bounds.Ask()*2 + bounds.PlatformPoll()*2).To(BeNumerically("<", 5*time.Second))
 	})
 })
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -14,12 +14,12 @@
 )
 
 const (
-	LetterNews   = "feed-news"
-	LetterAsk    = "feed-ask"
-	LetterChange = "feed-change"
-	LetterLack   = "feed-lack"
-	LetterKept   = "feed-kept"
-	mostChanges  = 32
+	MessageNews   = "feed-news"
+	MessageAsk    = "feed-ask"
+	MessageChange = "feed-change"
+	MessageLack   = "feed-lack"
+	MessageKept   = "feed-kept"
+	mostChanges   = 32
 )
 
 type News struct {
@@ -79,37 +79,37 @@
 	return place.Revision > owner.version.Place.Revision || view > owner.view.Number
 }
 
-// Handle reads letters of the feed; news are told to the neighbours by the caller.
+// Handle reads messages of the feed; news are told to the neighbours by the caller.
 func (owner *Owner) Handle(now time.Duration, event contract.Event, neighbours []string) []contract.Command {
-	letter, fine := event.(contract.Letter)
+	message, fine := event.(contract.Message)
 	if !fine {
 		return nil
 	}
-	switch letter.Kind {
-	case LetterNews:
+	switch message.Kind {
+	case MessageNews:
 		var news News
-		if json.Unmarshal(letter.Body, &news) == nil && owner.behind(news.Place, news.View) && now-owner.told >= owner.bounds.Gossip() {
+		if json.Unmarshal(message.Body, &news) == nil && owner.behind(news.Place, news.View) && now-owner.told >= owner.bounds.Gossip() {
 			owner.told = now
 			return []contract.Command{owner.ask(news.From, false)}
 		}
-	case LetterAsk:
+	case MessageAsk:
 		var news News
-		if json.Unmarshal(letter.Body, &news) == nil {
+		if json.Unmarshal(message.Body, &news) == nil {
 			return owner.tell(news)
 		}
-	case LetterLack:
+	case MessageLack:
 		var lack Lack
-		if json.Unmarshal(letter.Body, &lack) == nil {
-			return []contract.Command{contract.Send{To: lack.Address, Kind: LetterKept, Body: Kept{owner.from(lack.From, false)}}}
+		if json.Unmarshal(message.Body, &lack) == nil {
+			return []contract.Command{contract.Send{To: lack.Address, Kind: MessageKept, Body: Kept{owner.from(lack.From, false)}}}
 		}
-	case LetterKept:
+	case MessageKept:
 		var kept Kept
-		if json.Unmarshal(letter.Body, &kept) == nil {
+		if json.Unmarshal(message.Body, &kept) == nil {
 			owner.regain(kept.Versions)
 		}
-	case LetterChange:
+	case MessageChange:
 		var change Change
-		if json.Unmarshal(letter.Body, &change) == nil {
+		if json.Unmarshal(message.Body, &change) == nil {
 			if len(change.Packed) > 0 && change.PackedOf.Revision > owner.version.Place.Revision {
 				if version, failure := decompress(change.Packed); failure == nil {
 					change.Versions = append(change.Versions, version)
@@ -177,7 +177,7 @@
 	if random.IntN(2) == 0 {
 		lack.From = gaps[random.IntN(len(gaps))]
 	}
-	return []contract.Command{contract.Send{To: near[random.IntN(len(near))].Address, Kind: LetterLack, Body: lack}}
+	return []contract.Command{contract.Send{To: near[random.IntN(len(near))].Address, Kind: MessageLack, Body: lack}}
 }
 
 func (owner *Owner) regain(versions []contract.Version) {
@@ -205,7 +205,7 @@
 }
 
 func (owner *Owner) ask(address string, brief bool) contract.Command {
-	return contract.Send{To: address, Kind: LetterAsk, Body: News{Place: owner.version.Place, View: owner.view.Number, From: owner.address, Brief: brief}}
+	return contract.Send{To: address, Kind: MessageAsk, Body: News{Place: owner.version.Place, View: owner.view.Number, From: owner.address, Brief: brief}}
 }
 
 func (owner *Owner) news() News {
@@ -232,11 +232,11 @@
 			owner.packed, owner.packedOf = compress(owner.version), owner.version.Place
 		}
 		if news.Brief {
-			return []contract.Command{contract.Send{To: news.From, Kind: LetterNews, Body: owner.news()}}
+			return []contract.Command{contract.Send{To: news.From, Kind: MessageNews, Body: owner.news()}}
 		}
 		change.Versions, change.Packed, change.PackedOf = nil, owner.packed, owner.version.Place
 	}
-	return []contract.Command{contract.Send{To: news.From, Kind: LetterChange, Body: change}}
+	return []contract.Command{contract.Send{To: news.From, Kind: MessageChange, Body: change}}
 }
 
 // from gives kept versions in order: the first ones from a place on, or the newest ones.
@@ -280,8 +280,8 @@
 		if version.Place.Revision <= owner.version.Place.Revision {
 			break
 		}
-		read, mishap := manifest.Read(version.Manifest)
-		if mishap != nil {
+		read, err := manifest.Read(version.Manifest)
+		if err != nil {
 			commands = append(commands, contract.Count{Name: "feed_refused", By: 1})
 			continue
 		}
@@ -294,7 +294,7 @@
 	}
 	if moved {
 		for _, address := range neighbours {
-			commands = append(commands, contract.Send{To: address, Kind: LetterNews, Body: owner.news()})
+			commands = append(commands, contract.Send{To: address, Kind: MessageNews, Body: owner.news()})
 		}
 	}
 	return commands
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -20,13 +20,13 @@
 }
 
 func version(revision int64) contract.Version {
-	content := fmt.Appendf(nil, `{"regions":{"r":{"shards":%d,"machines":["m"]}},"halls":{}}`, 1+revision%8)
+	content := fmt.Appendf(nil, `{"regions":{"r":{"shards":%d,"machines":["m"]}},"zones":{}}`, 1+revision%8)
 	return contract.Version{Place: contract.Place{View: 1, Revision: revision}, Digest: contract.Digest(content), Manifest: content}
 }
 
-func letter(kind string, body any) contract.Letter {
+func message(kind string, body any) contract.Message {
 	content, _ := json.Marshal(body)
-	return contract.Letter{Kind: kind, Body: content}
+	return contract.Message{Kind: kind, Body: content}
 }
 
 var _ = It("a restarted node regains what follows a gap that nobody can fill", func() {
@@ -40,8 +40,8 @@
 	for now := time.Second; now < 10*time.Minute; now += bounds.Gossip() {
 		for _, command := range restarted.Catch(now, near, near, random) {
 			asked := command.(contract.Send)
-			for _, told := range keeper.Handle(now, letter(asked.Kind, asked.Body), nil) {
-				restarted.Handle(now, letter(told.(contract.Send).Kind, told.(contract.Send).Body), nil)
+			for _, told := range keeper.Handle(now, message(asked.Kind, asked.Body), nil) {
+				restarted.Handle(now, message(told.(contract.Send).Kind, told.(contract.Send).Body), nil)
 			}
 		}
 	}
@@ -63,13 +63,13 @@
 	}
 
 	It("given a keeper of forty versions, when a node that has nothing asks, then it gets the newest alone", func() {
-		told := changed(keeper().Handle(time.Second, letter(LetterAsk, News{From: "new"}), nil))
+		told := changed(keeper().Handle(time.Second, message(MessageAsk, News{From: "new"}), nil))
 		Expect(told.Versions).To(HaveLen(1))
 		Expect(told.Versions[0].Place.Revision).To(Equal(int64(40)))
 	})
 
 	It("given a node that lacks three versions, when it asks, then it gets just these", func() {
-		told := changed(keeper().Handle(time.Second, letter(LetterAsk, News{Place: contract.Place{Revision: 37}, From: "late"}), nil))
+		told := changed(keeper().Handle(time.Second, message(MessageAsk, News{Place: contract.Place{Revision: 37}, From: "late"}), nil))
 		Expect(told.Versions).To(HaveLen(3))
 	})
 
@@ -86,25 +86,25 @@
 	})
 
 	It("given a large version, when others ask for it, then it is packed once and unpacks to the same; what does not unpack changes nothing", func() {
-		content := fmt.Appendf(nil, `{"regions":{"r":{"shards":1,"machines":["m"%s]}},"halls":{}}`, strings.Repeat(`,"another machine"`, 2000))
+		content := fmt.Appendf(nil, `{"regions":{"r":{"shards":1,"machines":["m"%s]}},"zones":{}}`, strings.Repeat(`,"another machine"`, 2000))
 		large := contract.Version{Place: contract.Place{View: 1, Revision: 41}, Digest: contract.Digest(content), Manifest: content}
 		made := keeper()
 		made.Take(Change{Versions: []contract.Version{large}}, nil)
-		first := changed(made.Handle(time.Second, letter(LetterAsk, News{From: "new"}), nil))
-		second := changed(made.Handle(time.Second, letter(LetterAsk, News{Place: contract.Place{Revision: 40}, From: "late"}), nil))
+		first := changed(made.Handle(time.Second, message(MessageAsk, News{From: "new"}), nil))
+		second := changed(made.Handle(time.Second, message(MessageAsk, News{Place: contract.Place{Revision: 40}, From: "late"}), nil))
 		Expect(first.Versions).To(BeEmpty())
 		Expect(len(first.Packed)).To(And(BeNumerically(">", 0), BeNumerically("<", len(content)/8)))
 		Expect(&first.Packed[0]).To(BeIdenticalTo(&second.Packed[0]))
 		node := New("node", env.DefaultBounds())
-		node.Handle(time.Second, letter(LetterChange, Change{Packed: first.Packed[:len(first.Packed)/2], PackedOf: large.Place}), nil)
-		node.Handle(time.Second, letter(LetterChange, Change{Packed: []byte("no gzip"), PackedOf: large.Place}), nil)
+		node.Handle(time.Second, message(MessageChange, Change{Packed: first.Packed[:len(first.Packed)/2], PackedOf: large.Place}), nil)
+		node.Handle(time.Second, message(MessageChange, Change{Packed: []byte("no gzip"), PackedOf: large.Place}), nil)
 		Expect(node.Known()).To(BeFalse())
-		node.Handle(time.Second, letter(LetterChange, first), nil)
+		node.Handle(time.Second, message(MessageChange, first), nil)
 		Expect(node.Version()).To(Equal(large))
 	})
 
 	It("given seeds that hold a large version, when a node asks all of them at once, then it has the version from one of them", func() {
-		content := fmt.Appendf(nil, `{"regions":{"r":{"shards":1,"machines":["m"%s]}},"halls":{}}`, strings.Repeat(`,"another machine"`, 2000))
+		content := fmt.Appendf(nil, `{"regions":{"r":{"shards":1,"machines":["m"%s]}},"zones":{}}`, strings.Repeat(`,"another machine"`, 2000))
 		large := contract.Version{Place: contract.Place{View: 1, Revision: 41}, Digest: contract.Digest(content), Manifest: content}
 		node, seeds, whole := New("node", env.DefaultBounds()), map[string]*Owner{}, 0
 		for _, name := range []string{"one", "two", "three"} {
@@ -116,12 +116,12 @@
 		for len(commands) > 0 {
 			asked := commands[0].(contract.Send)
 			commands = commands[1:]
-			for _, told := range seeds[asked.To].Handle(time.Second, letter(asked.Kind, asked.Body), nil) {
+			for _, told := range seeds[asked.To].Handle(time.Second, message(asked.Kind, asked.Body), nil) {
 				answer := told.(contract.Send)
-				if answer.Kind == LetterChange {
+				if answer.Kind == MessageChange {
 					whole++
 				}
-				for _, command := range node.Handle(time.Second, letter(answer.Kind, answer.Body), nil) {
+				for _, command := range node.Handle(time.Second, message(answer.Kind, answer.Body), nil) {
 					if send, fine := command.(contract.Send); fine {
 						commands = append(commands, send)
 					}
--- a/fleet/caller.go
+++ b/fleet/caller.go
@@ -54,7 +54,7 @@
 )
 
 func (visit *visit) place() place {
-	return place{"callers-" + visit.at.Hall, visit.at.Hall, visit.at.Region}
+	return place{"callers-" + visit.at.Zone, visit.at.Zone, visit.at.Region}
 }
 
 func (visit *visit) prefixName() string {
@@ -159,7 +159,7 @@
 	try.end("done", 0)
 }
 
-func (try *try) mishap() { try.end("interrupted", 0) }
+func (try *try) err() { try.end("interrupted", 0) }
 
 // broke is a connection that ended without an answer.
 func (try *try) broke() { try.end("broken", 0) }
--- a/fleet/faults.go
+++ b/fleet/faults.go
@@ -42,19 +42,19 @@
 	})
 }
 
-// around gives all that stands in the halls or regions of machines besides the machines: servers, platform, callers.
+// around gives all that stands in the zones or regions of machines besides the machines: servers, platform, callers.
 func (fleet *Fleet) around(machines []*Machine) []string {
-	names, halls, regions := Names(machines), map[string]bool{}, map[string]bool{}
+	names, zones, regions := Names(machines), map[string]bool{}, map[string]bool{}
 	for _, machine := range machines {
-		halls[machine.Hall], regions[machine.Region] = true, true
+		zones[machine.Zone], regions[machine.Region] = true, true
 	}
 	for _, server := range fleet.Servers {
-		if halls[server.Hall] {
+		if zones[server.Zone] {
 			names = append(names, server.Name)
 		}
 	}
-	for _, hall := range manifest.SortedKeys(halls) {
-		names = append(names, "callers-"+hall)
+	for _, zone := range manifest.SortedKeys(zones) {
+		names = append(names, "callers-"+zone)
 	}
 	for _, region := range manifest.SortedKeys(regions) {
 		names = append(names, "platform-"+region)
@@ -88,8 +88,8 @@
 	return fleet.Pick(func(machine *Machine) bool { return machine.Region == region })
 }
 
-func (fleet *Fleet) InHall(hall string) []*Machine {
-	return fleet.Pick(func(machine *Machine) bool { return machine.Hall == hall })
+func (fleet *Fleet) InZone(zone string) []*Machine {
+	return fleet.Pick(func(machine *Machine) bool { return machine.Zone == zone })
 }
 
 func (fleet *Fleet) Cores() []*Machine {
@@ -112,7 +112,7 @@
 	if old.Up() {
 		old.Kill()
 	}
-	fresh := fleet.NewMachine(site.Machine{Name: fmt.Sprintf("m%02d", len(fleet.Machines)+1), Hall: old.Hall, Region: old.Region, Core: true})
+	fresh := fleet.NewMachine(site.Machine{Name: fmt.Sprintf("m%02d", len(fleet.Machines)+1), Zone: old.Zone, Region: old.Region, Core: true})
 	for place, machine := range fleet.Machines {
 		if machine == old {
 			fleet.Machines[place] = fresh
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -51,15 +51,15 @@
 	for _, option := range options {
 		option(fleet)
 	}
-	read, mishap := manifest.Read(described.Manifest)
-	if mishap != nil {
-		panic(mishap)
+	read, err := manifest.Read(described.Manifest)
+	if err != nil {
+		panic(err)
 	}
 	fleet.Ledger = ledger.New(ledger.Judging(fleet.Bounds, read, len(described.Machines)))
 	fleet.Platform = &Platform{fleet: fleet, epochs: map[string]contract.Epoch{}}
 	for _, row := range described.Servers {
 		server := &Server{Server: row, fleet: fleet}
-		fleet.Ledger.Server(row.Name, row.Hall, row.Region, row.Slots)
+		fleet.Ledger.Server(row.Name, row.Zone, row.Region, row.Slots)
 		fleet.Servers = append(fleet.Servers, server)
 		fleet.byName[row.Name] = server
 		server.Return()
@@ -74,7 +74,7 @@
 func (fleet *Fleet) NewMachine(row site.Machine) *Machine {
 	number := len(fleet.Machines) + 1
 	machine := &Machine{Machine: row, fleet: fleet}
-	machine.env = env.New(env.WithName(row.Name), env.WithHall(row.Hall), env.WithRegion(row.Region), env.WithControl(fmt.Sprintf("10.0.0.%d:7400", number)),
+	machine.env = env.New(env.WithName(row.Name), env.WithZone(row.Zone), env.WithRegion(row.Region), env.WithControl(fmt.Sprintf("10.0.0.%d:7400", number)),
 		env.WithData(fmt.Sprintf("10.0.0.%d:7500", number)), env.WithPlatform("http://10.0.1.1:7600"))
 	machine.env.Bounds = fleet.Bounds
 	machine.env.Seeds = []string{"10.0.0.1:7400", "10.0.0.5:7400", "10.0.0.9:7400"}
@@ -209,9 +209,9 @@
 }
 
 func content(value any) []byte {
-	text, mishap := json.Marshal(value)
-	if mishap != nil {
-		panic(mishap)
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
 	}
 	return text
 }
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -27,15 +27,15 @@
 			fleet.World.After(sceneLasts*time.Duration(index)/4, func() { fleet.burst(class, sceneLasts/4, 120) })
 		}
 	}},
-	{"hall drain", func(fleet *Fleet) {
-		hall := fleet.Machines[0].Hall
-		fleet.Write(fleet.Machines[3], fleet.drain(hall), nil)
-		fleet.World.After(sceneLasts, func() { fleet.undrain(hall, 0) })
+	{"zone drain", func(fleet *Fleet) {
+		zone := fleet.Machines[0].Zone
+		fleet.Write(fleet.Machines[3], fleet.drain(zone), nil)
+		fleet.World.After(sceneLasts, func() { fleet.undrain(zone, 0) })
 	}},
-	{"hall lost", func(fleet *Fleet) {
-		hall := fleet.Machines[0].Hall
-		fleet.KillFor(fleet.InHall(hall), sceneLasts)
-		fleet.loseServers(func(server *Server) bool { return server.Hall == hall }, sceneLasts)
+	{"zone lost", func(fleet *Fleet) {
+		zone := fleet.Machines[0].Zone
+		fleet.KillFor(fleet.InZone(zone), sceneLasts)
+		fleet.loseServers(func(server *Server) bool { return server.Zone == zone }, sceneLasts)
 	}},
 	{"region return", func(fleet *Fleet) { fleet.KillRegion(fleet.Site.Regions()[0], sceneLasts/4) }},
 	{"region return, all cold", func(fleet *Fleet) {
--- a/fleet/losses.go
+++ b/fleet/losses.go
@@ -20,11 +20,11 @@
 	})
 }
 
-// loseHall loses all that stands in a hall: machines and servers.
-func loseHall(fleet *Fleet, span time.Duration) {
-	hall := one(fleet, fleet.halls())
-	fleet.KillFor(fleet.InHall(hall), span)
-	fleet.loseServers(func(server *Server) bool { return server.Hall == hall }, span)
+// loseZone loses all that stands in a zone: machines and servers.
+func loseZone(fleet *Fleet, span time.Duration) {
+	zone := one(fleet, fleet.zones())
+	fleet.KillFor(fleet.InZone(zone), span)
+	fleet.loseServers(func(server *Server) bool { return server.Zone == zone }, span)
 }
 
 func loseRegion(fleet *Fleet, span time.Duration) {
@@ -33,24 +33,24 @@
 	fleet.loseServers(func(server *Server) bool { return server.Region == region }, span)
 }
 
-// hallsApart cuts the machines of two halls of one region from each other, while both hear of each other from elsewhere.
-func hallsApart(fleet *Fleet, span time.Duration) {
-	halls := map[string][]*Machine{}
+// zonesApart cuts the machines of two zones of one region from each other, while both hear of each other from elsewhere.
+func zonesApart(fleet *Fleet, span time.Duration) {
+	zones := map[string][]*Machine{}
 	region := one(fleet, fleet.Site.Regions())
 	for _, machine := range fleet.InRegion(region) {
-		halls[machine.Hall] = append(halls[machine.Hall], machine)
+		zones[machine.Zone] = append(zones[machine.Zone], machine)
 	}
 	names := []string{}
-	for _, hall := range fleet.halls() {
-		if len(halls[hall]) > 0 {
-			names = append(names, hall)
+	for _, zone := range fleet.zones() {
+		if len(zones[zone]) > 0 {
+			names = append(names, zone)
 		}
 	}
 	if len(names) < 2 {
-		hallsApart(fleet, span)
+		zonesApart(fleet, span)
 		return
 	}
-	fleet.World.After(span, fleet.World.CutBoth(Names(halls[names[0]]), Names(halls[names[1]])))
+	fleet.World.After(span, fleet.World.CutBoth(Names(zones[names[0]]), Names(zones[names[1]])))
 }
 
 func serversCrash(fleet *Fleet, span time.Duration) {
@@ -62,9 +62,9 @@
 }
 
 func serversDark(fleet *Fleet, span time.Duration) {
-	hall := one(fleet, fleet.halls())
+	zone := one(fleet, fleet.zones())
 	for _, server := range fleet.Servers {
-		if server.Hall == hall {
+		if server.Zone == zone {
 			overlap(fleet, &server.Mode, "dark", span, nil)
 		}
 	}
--- a/fleet/passage.go
+++ b/fleet/passage.go
@@ -10,8 +10,8 @@
 func (session *session) pass(pass data.Pass, nodes []string) {
 	process, fleet, asked := session.process, session.process.machine.fleet, session.asked
 	if len(nodes) == 0 {
-		process.handle(data.Passed{Token: session.token, Mishap: "no node of the home was reached"})
-		refusal := contract.Trouble{Outcome: string(call.NotRun), Mishap: "no node of the call's home was reached"}
+		process.handle(data.Passed{Token: session.token, Error: "no node of the home was reached"})
+		refusal := contract.Trouble{Outcome: string(call.NotRun), Error: "no node of the call's home was reached"}
 		session.towards(func() { session.try.refused(503, refusal, process.machine.env.Bounds.Round()) })
 		session.close()
 		return
@@ -87,7 +87,7 @@
 	if outer.over {
 		return
 	}
-	outer.process.handle(data.Passed{Token: outer.token, Status: 502, Mishap: "the home's answer was lost"})
+	outer.process.handle(data.Passed{Token: outer.token, Status: 502, Error: "the home's answer was lost"})
 	if outer.written > 0 {
 		outer.towards(outer.try.broke)
 	} else {
--- a/fleet/platform.go
+++ b/fleet/platform.go
@@ -27,7 +27,7 @@
 		if server.Region != region || server.gone {
 			continue
 		}
-		row := map[string]any{"name": server.Name, "address": server.Name, "hall": server.Hall, "pool": server.Pool,
+		row := map[string]any{"name": server.Name, "address": server.Name, "zone": server.Zone, "pool": server.Pool,
 			"incarnation": fmt.Sprint(server.incarnation), "leaving": server.leaving, "unloaded": server.unloaded}
 		if server.leaving && server.ends > 0 {
 			row["remainingMs"] = max(1, (server.ends - platform.fleet.World.Now).Milliseconds())
@@ -77,9 +77,9 @@
 			return fleet.Platform.listing(command.Region)
 		}, func(content []byte) {
 			read := shard.ListingRead{Began: began}
-			var mishap error
-			if read.Listing, mishap = listing.ReadListing(content, command.Region); mishap != nil {
-				read.Mishap = mishap.Error()
+			var err error
+			if read.Listing, err = listing.ReadListing(content, command.Region); err != nil {
+				read.Error = err.Error()
 			}
 			process.handle(read)
 		})
@@ -87,19 +87,19 @@
 		server := fleet.Server(command.Server)
 		fleet.question(process, server.place(), limit, server.report, func(content []byte) {
 			read := shard.ReportRead{Server: command.Server, For: command, Outcome: retire.Outcome{Began: began}}
-			var mishap error
-			if read.Report, mishap = listing.ReadReport(content, command.Server); mishap != nil {
-				read.Mishap = mishap.Error()
+			var err error
+			if read.Report, err = listing.ReadReport(content, command.Server); err != nil {
+				read.Error = err.Error()
 			}
 			process.handle(read)
 		})
 	case shard.Order:
 		world.travel(here, place{"platform-" + process.machine.Region, "", process.machine.Region}, false, func() {
-			mishap := ""
+			err := ""
 			if !fleet.Platform.order(command, process.machine.Region) {
-				mishap = "stale epoch"
+				err = "stale epoch"
 			}
-			process.Event(shard.Ordered{Server: command.Server, Load: command.Load, Mishap: mishap})
+			process.Event(shard.Ordered{Server: command.Server, Load: command.Load, Error: err})
 		})
 	default:
 		panic(fmt.Sprintf("a command that nobody carries out: %T", command))
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -31,7 +31,7 @@
 }
 
 func (machine *Machine) place() place {
-	return place{machine.Name, machine.Hall, machine.Region}
+	return place{machine.Name, machine.Zone, machine.Region}
 }
 
 // Process is one life of a program.
@@ -58,9 +58,9 @@
 	seed := func() *rand.Rand { return rand.New(rand.NewPCG(fleet.World.Random.Uint64(), 5)) }
 	var recovered *chain.Recovered
 	if machine.Core {
-		loaded, mishap := image.Load(machine.Disk)
-		if mishap != nil {
-			panic(mishap)
+		loaded, err := image.Load(machine.Disk)
+		if err != nil {
+			panic(err)
 		}
 		recovered = &loaded
 	}
@@ -141,14 +141,14 @@
 	if !there {
 		return
 	}
-	body, mishap := json.Marshal(command.Body)
-	if mishap != nil {
-		panic(mishap)
+	body, err := json.Marshal(command.Body)
+	if err != nil {
+		panic(err)
 	}
-	letter := contract.Letter{Kind: command.Kind, From: process.machine.Name + "-" + process.kind, Boot: process.boot, Body: body}
+	message := contract.Message{Kind: command.Kind, From: process.machine.Name + "-" + process.kind, Boot: process.boot, Body: body}
 	fleet.World.travel(process.machine.place(), target.machine.place(), true, func() {
 		if current := fleet.processes[command.To]; current != nil {
-			current.Event(letter)
+			current.Event(message)
 		}
 	})
 }
@@ -211,8 +211,8 @@
 			return
 		}
 		persisted := chain.Persisted{Token: work.Token}
-		if mishap := image.Save(disk, work); mishap != nil {
-			persisted.Failure = mishap.Error()
+		if err := image.Save(disk, work); err != nil {
+			persisted.Failure = err.Error()
 		}
 		disk.Acknowledged()
 		process.Event(persisted)
--- a/fleet/readback.go
+++ b/fleet/readback.go
@@ -34,7 +34,7 @@
 			digest = fmt.Sprintf("status %d", answer.Status)
 		}
 		fleet.Ledger.ReadBack(revision, digest, fleet.World.Now)
-		if tree, mishap := manifest.Tree(version.Manifest); mishap == nil && answer.Status == 200 {
+		if tree, err := manifest.Tree(version.Manifest); err == nil && answer.Status == 200 {
 			trees[revision] = tree
 		}
 	}
@@ -69,7 +69,7 @@
 	}
 	switch ask.Verb {
 	case contract.VerbDrain, contract.VerbUndrain:
-		return under("halls", "drained", ask.Verb == contract.VerbDrain)
+		return under("zones", "drained", ask.Verb == contract.VerbDrain)
 	case contract.VerbScale:
 		return under("pools", "scale", json.Number(strings.TrimSpace(string(ask.Body))))
 	}
--- a/fleet/retirement.go
+++ b/fleet/retirement.go
@@ -33,9 +33,9 @@
 func WithOrdinary() Option { return func(fleet *Fleet) { fleet.ordinary = true } }
 
 func (fleet *Fleet) plain(command contract.Send) contract.Send {
-	if licence, fine := command.Body.(contract.Licence); fine && fleet.ordinary {
-		licence.Withdraw, licence.Recall = nil, nil
-		command.Body = licence
+	if lease, fine := command.Body.(contract.Lease); fine && fleet.ordinary {
+		lease.Withdraw, lease.Recall = nil, nil
+		command.Body = lease
 	}
 	return command
 }
@@ -139,7 +139,7 @@
 	case "short reclaim":
 		target.Mark(tooShort)
 	case "drain":
-		fleet.Write(fleet.Machines[3], contract.Ask{Verb: contract.VerbDrain, Subject: target.Hall, Operation: "drain"}, nil)
+		fleet.Write(fleet.Machines[3], contract.Ask{Verb: contract.VerbDrain, Subject: target.Zone, Operation: "drain"}, nil)
 	}
 }
 
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -28,15 +28,15 @@
 	return items[fleet.World.Random.IntN(len(items))]
 }
 
-func (fleet *Fleet) halls() []string {
-	halls, known := []string{}, map[string]bool{}
+func (fleet *Fleet) zones() []string {
+	zones, known := []string{}, map[string]bool{}
 	for _, machine := range fleet.Machines {
-		if !known[machine.Hall] {
-			known[machine.Hall] = true
-			halls = append(halls, machine.Hall)
+		if !known[machine.Zone] {
+			known[machine.Zone] = true
+			zones = append(zones, machine.Zone)
 		}
 	}
-	return halls
+	return zones
 }
 
 func (fleet *Fleet) anyNode() *Machine {
@@ -64,14 +64,14 @@
 var faults = []fault{
 	{"kill", func(fleet *Fleet, span time.Duration) { fleet.KillFor(fleet.some(fleet.Machines, 1), span) }},
 	{"kill many", func(fleet *Fleet, span time.Duration) { fleet.KillFor(fleet.some(fleet.Machines, 5), span) }},
-	{"kill hall", func(fleet *Fleet, span time.Duration) { fleet.KillFor(fleet.InHall(one(fleet, fleet.halls())), span) }},
+	{"kill zone", func(fleet *Fleet, span time.Duration) { fleet.KillFor(fleet.InZone(one(fleet, fleet.zones())), span) }},
 	{"kill region", func(fleet *Fleet, span time.Duration) { fleet.KillRegion(one(fleet, fleet.Site.Regions()), span) }},
-	{"lose hall", loseHall},
+	{"lose zone", loseZone},
 	{"lose region", loseRegion},
-	{"cut hall", func(fleet *Fleet, span time.Duration) {
-		fleet.CutFor(fleet.around(fleet.InHall(one(fleet, fleet.halls()))), span, true)
+	{"cut zone", func(fleet *Fleet, span time.Duration) {
+		fleet.CutFor(fleet.around(fleet.InZone(one(fleet, fleet.zones()))), span, true)
 	}},
-	{"halls apart", hallsApart},
+	{"zones apart", zonesApart},
 	{"kill cores", func(fleet *Fleet, span time.Duration) { fleet.KillFor(fleet.Cores(), span/2) }},
 	{"freeze", func(fleet *Fleet, span time.Duration) { fleet.FreezeFor(fleet.some(fleet.Machines, 1), span) }},
 	{"freeze many", func(fleet *Fleet, span time.Duration) { fleet.FreezeFor(fleet.some(fleet.Machines, 4), span/2) }},
@@ -248,22 +248,22 @@
 }
 
 func drainOne(fleet *Fleet, span time.Duration) {
-	hall := one(fleet, fleet.halls())
-	fleet.Write(fleet.anyNode(), fleet.drain(hall), nil)
-	fleet.World.After(span, func() { fleet.undrain(hall, 0) })
+	zone := one(fleet, fleet.zones())
+	fleet.Write(fleet.anyNode(), fleet.drain(zone), nil)
+	fleet.World.After(span, func() { fleet.undrain(zone, 0) })
 }
 
-func (fleet *Fleet) drain(hall string) contract.Ask {
-	return contract.Ask{Verb: contract.VerbDrain, Subject: hall, Operation: fmt.Sprintf("drain-%s-%d", hall, fleet.World.Now)}
+func (fleet *Fleet) drain(zone string) contract.Ask {
+	return contract.Ask{Verb: contract.VerbDrain, Subject: zone, Operation: fmt.Sprintf("drain-%s-%d", zone, fleet.World.Now)}
 }
 
 // undrain is an operator who asks until it is accepted.
-func (fleet *Fleet) undrain(hall string, tries int) {
-	ask := contract.Ask{Verb: contract.VerbUndrain, Subject: hall, Operation: fmt.Sprintf("undrain-%s-%d", hall, fleet.World.Now)}
-	fleet.Ledger.Undrained(hall, fleet.World.Now)
+func (fleet *Fleet) undrain(zone string, tries int) {
+	ask := contract.Ask{Verb: contract.VerbUndrain, Subject: zone, Operation: fmt.Sprintf("undrain-%s-%d", zone, fleet.World.Now)}
+	fleet.Ledger.Undrained(zone, fleet.World.Now)
 	fleet.Write(fleet.anyNode(), ask, func(written Written) {
 		if written.Status != 200 && written.Status != 202 && tries < 20 {
-			fleet.World.After(time.Second, func() { fleet.undrain(hall, tries+1) })
+			fleet.World.After(time.Second, func() { fleet.undrain(zone, tries+1) })
 		}
 	})
 }
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -42,7 +42,7 @@
 	told     []string
 }
 
-func (server *Server) place() place { return place{server.Name, server.Hall, server.Region} }
+func (server *Server) place() place { return place{server.Name, server.Zone, server.Region} }
 
 // Return brings the server up cold, under a new incarnation.
 func (server *Server) Return() {
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -126,7 +126,7 @@
 	if !whole {
 		trouble, _ := answer.Body.(contract.Trouble)
 		if session.written > 0 {
-			session.towards(func() { session.try.mishap() })
+			session.towards(func() { session.try.err() })
 			return
 		}
 		session.towards(func() { session.try.refused(answer.Status, trouble, answer.After) })
@@ -170,7 +170,7 @@
 func (attempt *attempt) close() { attempt.closed = true }
 
 // end is the last word of an attempt; once a piece has come it can only be whole or broken.
-func (attempt *attempt) end(proof call.Proof, mishap string) {
+func (attempt *attempt) end(proof call.Proof, err string) {
 	if attempt.closed {
 		return
 	}
@@ -179,9 +179,9 @@
 		proof = call.Broken
 	}
 	process, open := attempt.session.process, attempt.session
-	process.handle(data.Ended{Token: open.token, Attempt: attempt.command.Attempt, Proof: proof, Pieces: attempt.pieces, Mishap: mishap})
+	process.handle(data.Ended{Token: open.token, Attempt: attempt.command.Attempt, Proof: proof, Pieces: attempt.pieces, Error: err})
 	if proof == call.Broken {
-		open.towards(func() { open.try.mishap() })
+		open.towards(func() { open.try.err() })
 		open.inform(502)
 		open.close()
 	}
@@ -227,8 +227,8 @@
 		}
 		if attempt.relay.Finished() {
 			attempt.end(call.Whole, "")
-		} else if attempt.relay.Mishap() != nil {
-			attempt.end(call.Silent, attempt.relay.Mishap().Error())
+		} else if attempt.relay.Err() != nil {
+			attempt.end(call.Silent, attempt.relay.Err().Error())
 		}
 	})
 }
@@ -248,9 +248,9 @@
 			attempt.end(call.Whole, "")
 			return
 		}
-		pieces, mishap := stream.Whole(content, attempt.command.Identity)
-		if mishap != nil {
-			attempt.end(call.Silent, mishap.Error())
+		pieces, err := stream.Whole(content, attempt.command.Identity)
+		if err != nil {
+			attempt.end(call.Silent, err.Error())
 			return
 		}
 		attempt.pieces = pieces
--- a/fleet/world.go
+++ b/fleet/world.go
@@ -29,9 +29,9 @@
 	linkSpread = 700 * time.Microsecond
 )
 
-// place is where something stands: a machine, or one of the outside things of a hall.
+// place is where something stands: a machine, or one of the outside things of a zone.
 type place struct {
-	name, hall, region string
+	name, zone, region string
 }
 
 func (world *World) delay(from, to place) time.Duration {
--- a/gateway/apart_test.go
+++ b/gateway/apart_test.go
@@ -86,11 +86,11 @@
 			}
 		}),
 		Entry("a drained zone", func(bench *bench) {
-			hall := bench.read.Halls["east-b"]
-			hall.Drained = true
-			bench.read.Halls["east-b"] = hall
+			zone := bench.read.Zones["east-b"]
+			zone.Drained = true
+			bench.read.Zones["east-b"] = zone
 			for place := range 4 {
-				bench.servers[fmt.Sprintf("e%02d", place)].Hall = "east-b"
+				bench.servers[fmt.Sprintf("e%02d", place)].Zone = "east-b"
 			}
 		}),
 	)
--- a/gateway/condition_test.go
+++ b/gateway/condition_test.go
@@ -118,7 +118,7 @@
 
 	It("given a call that failed, when the node asks for the list, then the tally travels with the question", func() {
 		node := following()
-		owner := contract.Member{Name: "owner-control", Boot: "b", Kind: contract.KindControl, Hall: "east-a", Region: "east", Address: "10.0.0.9:8166"}
+		owner := contract.Member{Name: "owner-control", Boot: "b", Kind: contract.KindControl, Zone: "east-a", Region: "east", Address: "10.0.0.9:8166"}
 		node.meets(owner)
 		traffic := node.known.(*Traffic)
 		traffic.Handle(node.now, config(nil))
@@ -129,9 +129,9 @@
 		node.now += node.askEvery()
 		asked := 0
 		for _, command := range node.take(contract.Tick{}) {
-			if send, fine := command.(contract.Send); fine && send.Kind == shard.LetterAsk && send.Body.(contract.LicenceAsk).Region == "east" {
+			if send, fine := command.(contract.Send); fine && send.Kind == shard.MessageAsk && send.Body.(contract.LeaseRequest).Region == "east" {
 				asked++
-				Expect(send.Body.(contract.LicenceAsk).Tallies).To(Equal(map[string]contract.Tally{"a": {Failed: 1}}))
+				Expect(send.Body.(contract.LeaseRequest).Tallies).To(Equal(map[string]contract.Tally{"a": {Failed: 1}}))
 			}
 		}
 		Expect(asked).To(BeNumerically(">", 0))
--- a/gateway/cost_test.go
+++ b/gateway/cost_test.go
@@ -10,23 +10,21 @@
 	"github.com/cedarreel/cedarreel/engine"
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/gateway"
-	"github.com/cedarreel/cedarreel/hollow"
 	"github.com/cedarreel/cedarreel/manifest"
+	"github.com/cedarreel/cedarreel/planned"
 )
 
 func rows(servers, services int) []contract.Candidate {
 	rows := make([]contract.Candidate, servers)
 	for index := range rows {
 		name := fmt.Sprintf("server-%05d", index)
-		rows[index] = contract.Candidate{Name: name, Incarnation: name, Address: "10.0.0.1:8000", Hall: "zone-000", Pool: fmt.Sprintf("model-%d", index%services)}
+		rows[index] = contract.Candidate{Name: name, Incarnation: name, Address: "10.0.0.1:8000", Zone: "zone-000", Pool: fmt.Sprintf("model-%d", index%services)}
 	}
 	return rows
 }
 
 func read(b *testing.B, routes int, warmup bool) manifest.Manifest {
-	plan := hollow.Proportional(hollow.PlannedNodes)
-	plan.Routes, plan.Warmup = routes, warmup
-	read, failure := manifest.Read(plan.Configuration())
+	read, failure := manifest.Read(planned.Fleet{Routes: routes, Warmup: warmup}.Configuration())
 	if failure != nil {
 		b.Fatal(failure)
 	}
@@ -34,7 +32,7 @@
 }
 
 func traffic(b *testing.B, servers, services int, warmup bool) *gateway.Traffic {
-	settings := env.New(env.WithName("node"), env.WithRegion("region-00"), env.WithHall("zone-000"))
+	settings := env.New(env.WithName("node"), env.WithRegion("region-00"), env.WithZone("zone-000"))
 	settings.Gateway = env.Gateway{RepeatRatio: 0.2, RepeatWindow: 10 * time.Second, Contact: 4 * time.Second}
 	traffic := gateway.NewTraffic(settings, rand.New(rand.NewPCG(1, 2)))
 	traffic.Handle(0, gateway.Configured{Manifest: read(b, 64, warmup)})
@@ -92,7 +90,7 @@
 }
 
 func BenchmarkFind(b *testing.B) {
-	for _, routes := range []int{16, 1000, hollow.PlannedTenants} {
+	for _, routes := range []int{16, 1000, planned.Tenants} {
 		b.Run(fmt.Sprintf("routes=%d", routes), func(b *testing.B) {
 			table := gateway.NewTable(read(b, routes, false).Gateway)
 			b.ResetTimer()
@@ -108,9 +106,9 @@
 // BenchmarkFleet is one change of the set of data nodes, with services that bound what a cold server takes.
 func BenchmarkFleet(b *testing.B) {
 	for _, servers := range []int{100, 400} {
-		for _, nodes := range []int{48, 350, hollow.PlannedNodes} {
+		for _, nodes := range []int{48, 350, planned.Nodes} {
 			b.Run(fmt.Sprintf("servers=%d/nodes=%d", servers, nodes), func(b *testing.B) {
-				traffic, names := traffic(b, servers, hollow.PlannedModels, true), []string{}
+				traffic, names := traffic(b, servers, planned.Models, true), []string{}
 				for index := range nodes {
 					names = append(names, fmt.Sprintf("node-%05d-data", index))
 				}
@@ -125,9 +123,9 @@
 
 // BenchmarkCalls is what a node tells of its calls in one question for the list of one region.
 func BenchmarkCalls(b *testing.B) {
-	for _, servers := range []int{100, 1000, hollow.PlannedServers} {
+	for _, servers := range []int{100, 1000, planned.Servers} {
 		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
-			traffic := traffic(b, servers, hollow.PlannedModels, false)
+			traffic := traffic(b, servers, planned.Models, false)
 			b.ResetTimer()
 			for range b.N {
 				traffic.Calls("region-01")
@@ -138,9 +136,9 @@
 
 // BenchmarkConfigured is what the owner of the calls does for one change of the configuration.
 func BenchmarkConfigured(b *testing.B) {
-	for _, routes := range []int{16, 1000, hollow.PlannedTenants} {
+	for _, routes := range []int{16, 1000, planned.Tenants} {
 		b.Run(fmt.Sprintf("routes=%d", routes), func(b *testing.B) {
-			traffic, event := traffic(b, hollow.PlannedServers, hollow.PlannedModels, false), gateway.Configured{Manifest: read(b, routes, false)}
+			traffic, event := traffic(b, planned.Servers, planned.Models, false), gateway.Configured{Manifest: read(b, routes, false)}
 			b.ResetTimer()
 			for range b.N {
 				traffic.Handle(0, event)
--- a/gateway/index.go
+++ b/gateway/index.go
@@ -27,7 +27,7 @@
 		if owner.Region == self.Region {
 			return owner, contract.Member{}
 		}
-		if member.Region == self.Region && (near.Name == "" || near.Hall != self.Hall && member.Hall == self.Hall) {
+		if member.Region == self.Region && (near.Name == "" || near.Zone != self.Zone && member.Zone == self.Zone) {
 			near = member
 		}
 	}
@@ -46,20 +46,20 @@
 		node.emit(Update{told})
 	}
 	if uses := node.known.Uses(); owner.Name != "" && len(uses) > 0 {
-		node.emit(contract.Send{To: owner.Address, Kind: index.LetterUsed, Body: index.Used{Address: node.Self().Address, Uses: uses,
+		node.emit(contract.Send{To: owner.Address, Kind: index.MessageUsed, Body: index.Used{Address: node.Self().Address, Uses: uses,
 			Results: index.Results(now, node.Bounds.Withdraw()/2, uses)}})
 	}
 }
 
 func (node *Node) askPlace(now time.Duration, ask AskPlace) {
 	keeper, near := node.keepers(now)
-	mishap := "no owner of the index is known"
+	err := "no owner of the index is known"
 	if ask.Ask.Known {
-		keeper, mishap = near, "no replica of the index is near"
+		keeper, err = near, "no replica of the index is near"
 	}
 	body, failure := json.Marshal(ask.Ask)
 	if keeper.Name == "" || failure != nil {
-		node.emit(contract.Refuse(ask.Token, 503, mishap, 0))
+		node.emit(contract.Refuse(ask.Token, 503, err, 0))
 		return
 	}
 	if ask.Ask.Known {
--- a/gateway/index_test.go
+++ b/gateway/index_test.go
@@ -13,7 +13,7 @@
 )
 
 func controlNode(name, host string) contract.Member {
-	return contract.Member{Name: name + "-control", Boot: "boot", Kind: contract.KindControl, Hall: "east-a", Region: "east", Address: host + ":8166"}
+	return contract.Member{Name: name + "-control", Boot: "boot", Kind: contract.KindControl, Zone: "east-a", Region: "east", Address: host + ":8166"}
 }
 
 func events[Event contract.Event](commands []contract.Command) []Event {
@@ -88,9 +88,9 @@
 	})
 
 	Describe("and the replica near it", func() {
-		at := func(name, hall, region string) contract.Member {
+		at := func(name, zone, region string) contract.Member {
 			member := controlNode(name, name)
-			member.Hall, member.Region = hall, region
+			member.Zone, member.Region = zone, region
 			return member
 		}
 		// names are in the agreed order, that of the owner first.
@@ -150,7 +150,7 @@
 			told := events[Indexed](beat(node))
 			node.meets(at(names[1], "east-b", "east"))
 			told = append(told, events[Indexed](beat(node))...)
-			node.take(letter(neighbour.LetterBye, names[1], neighbour.Bye{Name: names[1] + "-control", Boot: "boot", Heartbeat: node.beat}))
+			node.take(message(neighbour.MessageBye, names[1], neighbour.Bye{Name: names[1] + "-control", Boot: "boot", Heartbeat: node.beat}))
 			for range 2 {
 				told = append(told, events[Indexed](beat(node))...)
 			}
@@ -178,19 +178,19 @@
 		}}
 		node.meets(controls...)
 		node.now = node.nextTell - 1
-		Expect(sends(node.take(contract.Tick{}), index.LetterUsed)).To(BeEmpty())
-		sent := sends(beat(node), index.LetterUsed)
+		Expect(sends(node.take(contract.Tick{}), index.MessageUsed)).To(BeEmpty())
+		sent := sends(beat(node), index.MessageUsed)
 		Expect(sent).To(HaveLen(1))
 		Expect(sent[0].To).To(Equal(first().Address))
 		Expect(sent[0].Body).To(Equal(index.Used{Address: node.Self().Address, Uses: []index.Use{{Key: index.Key{Scope: "s", Anchor: 1}, Server: "a", Took: 5}}}))
-		Expect(sends(beat(node), index.LetterUsed)).To(BeEmpty())
+		Expect(sends(beat(node), index.MessageUsed)).To(BeEmpty())
 	})
 
-	It("given a letter of corrections, when it comes, then the calls are told, and one that cannot be read changes nothing", func() {
+	It("given a message of corrections, when it comes, then the calls are told, and one that cannot be read changes nothing", func() {
 		node := following()
 		places := []index.Place{{Key: index.Key{Scope: "s", Anchor: 1}, Server: "b"}}
-		Expect(events[Relocated](node.take(letter(index.LetterMoved, "c1-control", index.Moved{Places: places})))).To(Equal([]Relocated{{Places: places}}))
-		Expect(events[Relocated](node.take(contract.Letter{Kind: index.LetterMoved, Body: []byte(`{"places":7}`)}))).To(BeEmpty())
+		Expect(events[Relocated](node.take(message(index.MessageMoved, "c1-control", index.Moved{Places: places})))).To(Equal([]Relocated{{Places: places}}))
+		Expect(events[Relocated](node.take(contract.Message{Kind: index.MessageMoved, Body: []byte(`{"places":7}`)}))).To(BeEmpty())
 	})
 })
 
--- a/gateway/interim_test.go
+++ b/gateway/interim_test.go
@@ -9,25 +9,25 @@
 )
 
 var _ = Describe("the list that stands in until an owner's comes", func() {
-	give := func(node *follower, given contract.Licence) [][]string {
-		return lists(node.take(letter(shard.LetterLicence, "some-control", given)))
+	give := func(node *follower, given contract.Lease) [][]string {
+		return lists(node.take(message(shard.MessageLease, "some-control", given)))
 	}
-	interim := func(asked time.Duration, names ...string) contract.Licence {
-		given := licence(0, 0, asked, names...)
+	interim := func(asked time.Duration, names ...string) contract.Lease {
+		given := lease(0, 0, asked, names...)
 		given.Epoch, given.Interim = contract.Epoch{}, true
 		return given
 	}
-	asks := func(node *follower) map[string][]contract.LicenceAsk {
-		found := map[string][]contract.LicenceAsk{}
+	asks := func(node *follower) map[string][]contract.LeaseRequest {
+		found := map[string][]contract.LeaseRequest{}
 		for _, command := range node.take(contract.Tick{}) {
-			if send, fine := command.(contract.Send); fine && send.Kind == shard.LetterAsk {
-				found[send.To] = append(found[send.To], send.Body.(contract.LicenceAsk))
+			if send, fine := command.(contract.Send); fine && send.Kind == shard.MessageAsk {
+				found[send.To] = append(found[send.To], send.Body.(contract.LeaseRequest))
 			}
 		}
 		return found
 	}
 	control := func(name, host string) contract.Member {
-		return contract.Member{Name: name + "-control", Boot: "boot", Kind: contract.KindControl, Hall: "east-a", Region: "east", Address: host + ":8166"}
+		return contract.Member{Name: name + "-control", Boot: "boot", Kind: contract.KindControl, Zone: "east-a", Region: "east", Address: host + ":8166"}
 	}
 
 	It("given a node without any list, when some control node tells what it sees, then servers are known at once, and newer ones replace them", func() {
@@ -40,19 +40,19 @@
 	It("given such a list, when the owner's comes, then it holds from then on, whatever others tell", func() {
 		node := following()
 		give(node, interim(100, "a", "b"))
-		Expect(give(node, licence(1, 1, 50, "c"))).To(Equal([][]string{{"c"}}))
+		Expect(give(node, lease(1, 1, 50, "c"))).To(Equal([][]string{{"c"}}))
 		Expect(give(node, interim(300, "a", "b"))).To(BeEmpty())
 	})
 
 	It("given a node that has heard of an owner's epoch and lost nothing, when others tell what they see, then it changes nothing", func() {
 		node := following()
-		give(node, licence(4, 2, 100, "a"))
+		give(node, lease(4, 2, 100, "a"))
 		Expect(give(node, interim(200, "b"))).To(BeEmpty())
 	})
 
 	It("given lists of shards or regions that are not known, when they come, then they are refused", func() {
 		node := following()
-		for _, change := range []func(*contract.Licence){func(given *contract.Licence) { given.Shard = 2 }, func(given *contract.Licence) { given.Region = "moon" }} {
+		for _, change := range []func(*contract.Lease){func(given *contract.Lease) { given.Shard = 2 }, func(given *contract.Lease) { given.Region = "moon" }} {
 			given := interim(100, "a")
 			change(&given)
 			Expect(give(node, given)).To(BeEmpty())
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -100,8 +100,8 @@
 		node.ask(now)
 		node.tellFleet(now)
 		node.tellIndex(now)
-	case contract.Letter:
-		node.letter(now, event)
+	case contract.Message:
+		node.message(now, event)
 	case Lookup:
 		node.emit(contract.Answer{Token: event.Token, Status: 200, Body: node.lookup(now, event)})
 	case AskPlace:
@@ -160,7 +160,7 @@
 
 func (node *Node) askOne(now time.Duration, members []contract.Member, region string, index, shards int) {
 	held, self := node.lists[region][index], node.Self()
-	ask := contract.LicenceAsk{Node: self.Name, Address: self.Address, Region: region, Shard: index, Asked: now,
+	ask := contract.LeaseRequest{Node: self.Name, Address: self.Address, Region: region, Shard: index, Asked: now,
 		Highest: held.highest, Number: held.number, Calls: node.known.Calls(region), Stale: node.known.Stale(region),
 		Tallies: node.known.Tallies(now, region), Shards: shards, Brief: held.held,
 		Interim: !held.held && (held.interim == 0 || now-held.interim >= node.askEvery())}
@@ -170,7 +170,7 @@
 	}
 	for _, name := range targets {
 		if member, there := node.Neighbours.Look(name); there {
-			node.emit(contract.Send{To: member.Address, Kind: shard.LetterAsk, Body: ask})
+			node.emit(contract.Send{To: member.Address, Kind: shard.MessageAsk, Body: ask})
 		}
 	}
 	if !ask.Interim && now-held.asked <= 3*node.askEvery() {
@@ -188,28 +188,28 @@
 	if len(others) == 0 {
 		return
 	}
-	kind := shard.LetterAround
+	kind := shard.MessageAround
 	if ask.Interim {
-		kind = shard.LetterAsk
+		kind = shard.MessageAsk
 	}
 	node.emit(contract.Count{Name: "lists_asked_around", By: 1}, contract.Send{To: others[node.Random.IntN(len(others))], Kind: kind, Body: ask})
 }
 
-func (node *Node) letter(now time.Duration, letter contract.Letter) {
-	switch letter.Kind {
-	case shard.LetterLicence:
-		var licence contract.Licence
-		if json.Unmarshal(letter.Body, &licence) == nil {
-			node.take(now, licence)
+func (node *Node) message(now time.Duration, message contract.Message) {
+	switch message.Kind {
+	case shard.MessageLease:
+		var lease contract.Lease
+		if json.Unmarshal(message.Body, &lease) == nil {
+			node.take(now, lease)
 		}
-	case index.LetterMoved:
+	case index.MessageMoved:
 		var moved index.Moved
-		if json.Unmarshal(letter.Body, &moved) == nil {
+		if json.Unmarshal(message.Body, &moved) == nil {
 			node.emit(Update{Relocated{Places: moved.Places}})
 		}
-	case shard.LetterNotOwner:
+	case shard.MessageNotOwner:
 		var hint contract.NotOwner
-		if json.Unmarshal(letter.Body, &hint) == nil {
+		if json.Unmarshal(message.Body, &hint) == nil {
 			if held := node.lists[hint.Region][hint.Shard]; held != nil {
 				held.hint = hint.Owner
 			}
@@ -218,47 +218,47 @@
 }
 
 // take accepts a list unless a higher epoch was seen; an older list of the same epoch changes nothing.
-func (node *Node) take(now time.Duration, licence contract.Licence) {
-	held := node.lists[licence.Region][licence.Shard]
-	if licence.Interim {
-		node.takeInterim(held, licence)
+func (node *Node) take(now time.Duration, lease contract.Lease) {
+	held := node.lists[lease.Region][lease.Shard]
+	if lease.Interim {
+		node.takeInterim(held, lease)
 		return
 	}
-	if held == nil || licence.Epoch.Before(held.highest) || licence.Asked > now {
+	if held == nil || lease.Epoch.Before(held.highest) || lease.Asked > now {
 		node.emit(contract.Count{Name: "lists_refused", By: 1})
 		return
 	}
-	if licence.Epoch == held.highest && (licence.Number < held.number || licence.Asked < held.asked) {
+	if lease.Epoch == held.highest && (lease.Number < held.number || lease.Asked < held.asked) {
 		return
 	}
-	if licence.Same && (licence.Epoch != held.epoch || licence.Number != held.number) {
+	if lease.Same && (lease.Epoch != held.epoch || lease.Number != held.number) {
 		return
 	}
-	held.highest, held.epoch, held.number, held.asked, held.hint = licence.Epoch, licence.Epoch, licence.Number, licence.Asked, ""
-	if licence.Same {
+	held.highest, held.epoch, held.number, held.asked, held.hint = lease.Epoch, lease.Epoch, lease.Number, lease.Asked, ""
+	if lease.Same {
 		return
 	}
 	held.held = true
-	node.list(licence)
+	node.list(lease)
 }
 
 // takeInterim accepts what stands in for an owner's list, as long as this node has heard of no owner.
-func (node *Node) takeInterim(held *list, licence contract.Licence) {
-	if held == nil || held.held || held.highest != (contract.Epoch{}) || licence.Asked <= held.interim {
+func (node *Node) takeInterim(held *list, lease contract.Lease) {
+	if held == nil || held.held || held.highest != (contract.Epoch{}) || lease.Asked <= held.interim {
 		return
 	}
-	held.interim = licence.Asked
-	node.list(licence)
+	held.interim = lease.Asked
+	node.list(lease)
 }
 
-func (node *Node) list(licence contract.Licence) {
-	node.servers[licence.Region][licence.Shard] = licence.Servers
+func (node *Node) list(lease contract.Lease) {
+	node.servers[lease.Region][lease.Shard] = lease.Servers
 	all := []contract.Candidate{}
-	for index := 0; index < len(node.lists[licence.Region]); index++ {
-		all = append(all, node.servers[licence.Region][index]...)
+	for index := 0; index < len(node.lists[lease.Region]); index++ {
+		all = append(all, node.servers[lease.Region][index]...)
 	}
-	node.emit(Update{Listed{Region: licence.Region, Servers: all}},
-		contract.Say{What: "list", Detail: []any{"region", licence.Region, "epoch", licence.Epoch.Number, "number", licence.Number, "servers", len(all)}})
+	node.emit(Update{Listed{Region: lease.Region, Servers: all}},
+		contract.Say{What: "list", Detail: []any{"region", lease.Region, "epoch", lease.Epoch.Number, "number", lease.Number, "servers", len(all)}})
 }
 
 // tellFleet names the data nodes that share the limits; those that fell silent still count. It is told only when this node has had
@@ -305,7 +305,7 @@
 		if member.Region == ask.Region {
 			region = append(region, address)
 		}
-		if member.Hall == ask.Zone {
+		if member.Zone == ask.Zone {
 			zone = append(zone, address)
 		}
 	}
--- a/gateway/node_test.go
+++ b/gateway/node_test.go
@@ -14,12 +14,12 @@
 )
 
 const regions = `{"regions":{"east":{"shards":2,"machines":[]},"west":{"shards":1,"machines":[]}},` +
-	`"halls":{"east-a":{"region":"east"},"east-b":{"region":"east"},"west-a":{"region":"west"}}}`
+	`"zones":{"east-a":{"region":"east"},"east-b":{"region":"east"},"west-a":{"region":"west"}}}`
 
-func letter(kind, from string, body any) contract.Letter {
+func message(kind, from string, body any) contract.Message {
 	content, failure := json.Marshal(body)
 	Expect(failure).NotTo(HaveOccurred())
-	return contract.Letter{Kind: kind, From: from, Body: content}
+	return contract.Message{Kind: kind, From: from, Body: content}
 }
 
 // follower is a node with a clock of its own and what it told since.
@@ -37,9 +37,9 @@
 	return made
 }
 
-func configured() contract.Letter {
+func configured() contract.Message {
 	version := contract.Version{Place: contract.Place{View: 1, Revision: 1}, Manifest: json.RawMessage(regions), Digest: contract.Digest([]byte(regions))}
-	return letter(feed.LetterChange, "", feed.Change{Versions: []contract.Version{version}})
+	return message(feed.MessageChange, "", feed.Change{Versions: []contract.Version{version}})
 }
 
 func (node *follower) take(event contract.Event) []contract.Command {
@@ -54,13 +54,13 @@
 		if member.Incarnation = max(member.Incarnation, 1); member.Heartbeat == 0 {
 			member.Heartbeat = node.beat
 		}
-		node.take(letter(neighbour.LetterShuffle, member.Name, neighbour.Shuffle{Members: []contract.Member{member}, Answer: true}))
+		node.take(message(neighbour.MessageShuffle, member.Name, neighbour.Shuffle{Members: []contract.Member{member}, Answer: true}))
 	}
 	node.now += 10 * time.Millisecond
 }
 
-func dataNode(name, hall, host string) contract.Member {
-	return contract.Member{Name: name + "-data", Boot: "boot", Kind: contract.KindData, Hall: hall, Region: strings.Split(hall, "-")[0], Address: host + ":7720",
+func dataNode(name, zone, host string) contract.Member {
+	return contract.Member{Name: name + "-data", Boot: "boot", Kind: contract.KindData, Zone: zone, Region: strings.Split(zone, "-")[0], Address: host + ":7720",
 		Place: contract.Place{View: 1, Revision: 1}}
 }
 
@@ -82,8 +82,8 @@
 	return all
 }
 
-func licence(epoch, number int64, asked time.Duration, names ...string) contract.Licence {
-	given := contract.Licence{Region: "east", Epoch: contract.Epoch{Number: epoch, Node: "owner"}, Number: number, Asked: asked}
+func lease(epoch, number int64, asked time.Duration, names ...string) contract.Lease {
+	given := contract.Lease{Region: "east", Epoch: contract.Epoch{Number: epoch, Node: "owner"}, Number: number, Asked: asked}
 	for _, name := range names {
 		given.Servers = append(given.Servers, candidate(name, "east-a"))
 	}
@@ -91,32 +91,32 @@
 }
 
 var _ = Describe("the lists of servers of a node", func() {
-	give := func(node *follower, given contract.Licence) [][]string {
-		return lists(node.take(letter(shard.LetterLicence, "owner-control", given)))
+	give := func(node *follower, given contract.Lease) [][]string {
+		return lists(node.take(message(shard.MessageLease, "owner-control", given)))
 	}
 
 	It("given a first list, when another of a higher epoch or number comes, then it is taken", func() {
 		node := following()
-		Expect(give(node, licence(1, 4, 100, "a"))).To(Equal([][]string{{"a"}}))
-		Expect(give(node, licence(1, 5, 200, "a", "b"))).To(Equal([][]string{{"a", "b"}}))
-		Expect(give(node, licence(2, 1, 300, "c"))).To(Equal([][]string{{"c"}}))
+		Expect(give(node, lease(1, 4, 100, "a"))).To(Equal([][]string{{"a"}}))
+		Expect(give(node, lease(1, 5, 200, "a", "b"))).To(Equal([][]string{{"a", "b"}}))
+		Expect(give(node, lease(2, 1, 300, "c"))).To(Equal([][]string{{"c"}}))
 	})
 
 	It("given a list, when one of a lower epoch, a lower number or an earlier question comes, then it changes nothing", func() {
 		node := following()
-		give(node, licence(3, 4, 500, "a"))
-		Expect(give(node, licence(2, 9, 600, "b"))).To(BeEmpty())
+		give(node, lease(3, 4, 500, "a"))
+		Expect(give(node, lease(2, 9, 600, "b"))).To(BeEmpty())
 		Expect(node.told).To(ContainElement(contract.Count{Name: "lists_refused", By: 1}))
-		Expect(give(node, licence(3, 3, 600, "b"))).To(BeEmpty())
-		Expect(give(node, licence(3, 5, 400, "b"))).To(BeEmpty())
-		Expect(give(node, licence(3, 5, 600, "b"))).To(Equal([][]string{{"b"}}))
+		Expect(give(node, lease(3, 3, 600, "b"))).To(BeEmpty())
+		Expect(give(node, lease(3, 5, 400, "b"))).To(BeEmpty())
+		Expect(give(node, lease(3, 5, 600, "b"))).To(Equal([][]string{{"b"}}))
 	})
 
 	It("given two owners of one epoch number, when both tell lists, then only one of them holds in the end", func() {
 		for _, order := range [][]string{{"left", "right", "left"}, {"right", "left", "right"}} {
 			node, held := following(), []string{}
 			for place, owner := range order {
-				given := licence(3, int64(place+1), time.Duration(place+1), owner)
+				given := lease(3, int64(place+1), time.Duration(place+1), owner)
 				given.Epoch.Node = owner
 				for _, names := range give(node, given) {
 					held = names
@@ -128,34 +128,34 @@
 
 	It("given a list from a question of the future, when it comes, then it is refused", func() {
 		node := following()
-		Expect(give(node, licence(1, 1, node.now+time.Second, "a"))).To(BeEmpty())
+		Expect(give(node, lease(1, 1, node.now+time.Second, "a"))).To(BeEmpty())
 	})
 
 	It("given a list, when the answer is that it is the same, then it stays, and one that is the same as another is not taken", func() {
 		node := following()
-		give(node, licence(2, 2, 100, "a"))
-		same := licence(2, 2, 300)
+		give(node, lease(2, 2, 100, "a"))
+		same := lease(2, 2, 300)
 		same.Same = true
 		Expect(give(node, same)).To(BeEmpty())
-		Expect(give(node, licence(2, 2, 200))).To(BeEmpty(), "the answer that it is the same is newer")
-		other := licence(4, 2, 400)
+		Expect(give(node, lease(2, 2, 200))).To(BeEmpty(), "the answer that it is the same is newer")
+		other := lease(4, 2, 400)
 		other.Same = true
 		Expect(give(node, other)).To(BeEmpty())
-		Expect(give(node, licence(3, 1, 500, "b"))).To(Equal([][]string{{"b"}}), "the epoch of a list that was never taken binds nobody")
+		Expect(give(node, lease(3, 1, 500, "b"))).To(Equal([][]string{{"b"}}), "the epoch of a list that was never taken binds nobody")
 	})
 
 	It("given two shards, when each tells its list, then both are told together", func() {
 		node := following()
-		give(node, licence(1, 1, 100, "a"))
-		second := licence(1, 1, 200, "b")
+		give(node, lease(1, 1, 100, "a"))
+		second := lease(1, 1, 200, "b")
 		second.Shard = 1
 		Expect(give(node, second)).To(Equal([][]string{{"a", "b"}}))
 	})
 
 	It("given lists of shards or regions that are not known, when they come, then they are refused", func() {
 		node := following()
-		for _, change := range []func(*contract.Licence){func(given *contract.Licence) { given.Shard = 2 }, func(given *contract.Licence) { given.Region = "moon" }} {
-			given := licence(9, 9, 100, "a")
+		for _, change := range []func(*contract.Lease){func(given *contract.Lease) { given.Shard = 2 }, func(given *contract.Lease) { given.Region = "moon" }} {
+			given := lease(9, 9, 100, "a")
 			change(&given)
 			Expect(give(node, given)).To(BeEmpty())
 		}
@@ -163,14 +163,14 @@
 
 	It("given a list, when the node asks again, then it tells the highest epoch and number and wants only what is new", func() {
 		node := following()
-		owner := contract.Member{Name: "owner-control", Boot: "b", Kind: contract.KindControl, Hall: "east-a", Region: "east", Address: "10.0.0.9:8166"}
+		owner := contract.Member{Name: "owner-control", Boot: "b", Kind: contract.KindControl, Zone: "east-a", Region: "east", Address: "10.0.0.9:8166"}
 		node.meets(owner)
-		give(node, licence(3, 7, 100, "a"))
+		give(node, lease(3, 7, 100, "a"))
 		node.now += node.askEvery() * 2
-		asks := []contract.LicenceAsk{}
+		asks := []contract.LeaseRequest{}
 		for _, command := range node.take(contract.Tick{}) {
-			if send, fine := command.(contract.Send); fine && send.Kind == shard.LetterAsk && send.To == owner.Address {
-				asks = append(asks, send.Body.(contract.LicenceAsk))
+			if send, fine := command.(contract.Send); fine && send.Kind == shard.MessageAsk && send.To == owner.Address {
+				asks = append(asks, send.Body.(contract.LeaseRequest))
 			}
 		}
 		Expect(asks).To(HaveLen(3), "two shards of the east, and the west, which has no node of its own")
@@ -194,7 +194,7 @@
 	fleet := func() *follower {
 		node := following()
 		node.meets(dataNode("a2", "east-a", "10.0.0.2"), dataNode("b1", "east-b", "10.0.1.1"), dataNode("w1", "west-a", "10.1.0.1"),
-			contract.Member{Name: "c1-control", Boot: "boot", Kind: contract.KindControl, Hall: "east-a", Region: "east", Address: "10.0.0.8:8166", Place: contract.Place{View: 1, Revision: 1}})
+			contract.Member{Name: "c1-control", Boot: "boot", Kind: contract.KindControl, Zone: "east-a", Region: "east", Address: "10.0.0.8:8166", Place: contract.Place{View: 1, Revision: 1}})
 		return node
 	}
 
@@ -213,7 +213,7 @@
 
 	It("given nodes that said goodbye or have no configuration, when a caller asks, then they are left out", func() {
 		node := fleet()
-		node.take(letter(neighbour.LetterBye, "a2-data", neighbour.Bye{Name: "a2-data", Boot: "boot"}))
+		node.take(message(neighbour.MessageBye, "a2-data", neighbour.Bye{Name: "a2-data", Boot: "boot"}))
 		blank := dataNode("a3", "east-a", "10.0.0.3")
 		blank.Place = contract.Place{}
 		node.meets(blank)
@@ -222,7 +222,7 @@
 
 	It("given a goodbye of an earlier start, when a caller asks, then the node's new start is told", func() {
 		node := fleet()
-		node.take(letter(neighbour.LetterBye, "a2-data", neighbour.Bye{Name: "a2-data", Boot: "former"}))
+		node.take(message(neighbour.MessageBye, "a2-data", neighbour.Bye{Name: "a2-data", Boot: "former"}))
 		Expect(look(node, "east", "east-a")).To(ContainElement("10.0.0.2:8161"))
 	})
 
@@ -251,7 +251,7 @@
 	It("given nodes that fell silent, when the fleet is told, then they still count, and those that said goodbye do not", func() {
 		node := following()
 		node.meets(dataNode("a2", "east-a", "10.0.0.2"), dataNode("a3", "east-a", "10.0.0.3"))
-		node.take(letter(neighbour.LetterBye, "a3-data", neighbour.Bye{Name: "a3-data", Boot: "boot"}))
+		node.take(message(neighbour.MessageBye, "a3-data", neighbour.Bye{Name: "a3-data", Boot: "boot"}))
 		var last Fleet
 		for range 100 {
 			node.now += 100 * time.Millisecond
@@ -271,12 +271,12 @@
 	It("given an owner that restarted under the number of its former self, when its list has a lower number, then the list is taken", func() {
 		node := following()
 		node.take(contract.Tick{})
-		former := licence(2, 5, node.now, "a", "b")
+		former := lease(2, 5, node.now, "a", "b")
 		former.Epoch.Life = "first"
-		Expect(lists(node.take(letter(shard.LetterLicence, "owner-control", former)))).To(HaveLen(1))
+		Expect(lists(node.take(message(shard.MessageLease, "owner-control", former)))).To(HaveLen(1))
 		node.now += time.Second
-		reborn := licence(2, 1, node.now, "a")
+		reborn := lease(2, 1, node.now, "a")
 		reborn.Epoch.Life = "second"
-		Expect(lists(node.take(letter(shard.LetterLicence, "owner-control", reborn)))).To(Equal([][]string{{"a"}}))
+		Expect(lists(node.take(message(shard.MessageLease, "owner-control", reborn)))).To(Equal([][]string{{"a"}}))
 	})
 })
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -37,7 +37,7 @@
 	most := traffic.connections(traffic.read.Gateway.Services[work.service])
 	open := []*server{}
 	for _, server := range traffic.services[work.service] {
-		if server.moved || work.avoid[server.Name] || traffic.read.Drained(server.Hall) || server.own >= most || traffic.closed(now, server, resting && len(work.avoid) == 0) {
+		if server.moved || work.avoid[server.Name] || traffic.read.Drained(server.Zone) || server.own >= most || traffic.closed(now, server, resting && len(work.avoid) == 0) {
 			continue
 		}
 		if len(work.route.Regions) > 0 && !slices.Contains(work.route.Regions, server.region) {
@@ -171,7 +171,7 @@
 	switch {
 	case server.region != traffic.settings.Region:
 		return farRegion + time.Duration(size)*regionPer10K/10000
-	case server.Hall != traffic.settings.Hall:
+	case server.Zone != traffic.settings.Zone:
 		return farZone
 	}
 	return 0
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -96,7 +96,7 @@
 // lost tells whether a place is gone for longer than a moment.
 func (traffic *Traffic) lost(now time.Duration, name string) bool {
 	server, there := traffic.servers[name]
-	return !there || !server.listed || server.moved || traffic.read.Drained(server.Hall) || now < server.until && server.failures > 1
+	return !there || !server.listed || server.moved || traffic.read.Drained(server.Zone) || now < server.until && server.failures > 1
 }
 
 // candidates gives the servers that may be a prompt's place, those of the own region first: whoever reads a prompt first waits the longest
--- a/gateway/places_test.go
+++ b/gateway/places_test.go
@@ -147,13 +147,13 @@
 			bench.servers[name].own++
 			bench.Handle(bench.now, eastList("b", "c", "d", "e", "f"))
 		}),
-		Entry("its hall drained", func(bench *bench, name string) {
+		Entry("its zone drained", func(bench *bench, name string) {
 			listed := eastList("a", "b", "c", "d", "e", "f")
-			listed.Servers[0].Hall = "east-b"
+			listed.Servers[0].Zone = "east-b"
 			bench.Handle(bench.now, listed)
 			bench.Handle(bench.now, config(func(read *manifest.Manifest) {
 				engines(read)
-				read.Halls["east-b"] = manifest.Hall{Region: "east", Drained: true}
+				read.Zones["east-b"] = manifest.Zone{Region: "east", Drained: true}
 			}))
 		}),
 		Entry("moved", func(bench *bench, name string) {
--- a/gateway/sizes.go
+++ b/gateway/sizes.go
@@ -158,5 +158,5 @@
 
 // usable tells whether calls go to a server freely.
 func (traffic *Traffic) usable(now time.Duration, server *server) bool {
-	return !server.moved && !server.ramp.cold(now) && now >= server.until && !traffic.read.Drained(server.Hall)
+	return !server.moved && !server.ramp.cold(now) && now >= server.until && !traffic.read.Drained(server.Zone)
 }
--- a/gateway/suite_test.go
+++ b/gateway/suite_test.go
@@ -31,7 +31,7 @@
 func seeded(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
 
 func settingsFor(name string) env.Env {
-	settings := env.New(env.WithName(name), env.WithHall("east-a"), env.WithRegion("east"), env.WithData("10.0.0.1:7720"))
+	settings := env.New(env.WithName(name), env.WithZone("east-a"), env.WithRegion("east"), env.WithData("10.0.0.1:7720"))
 	settings.Gateway = env.Gateway{Traffic: "10.0.0.1:8161", RepeatRatio: 0.2, RepeatWindow: 10 * time.Second, RepeatAllowance: 64, WarmOverage: 1.5, WarmAllowance: 5, Contact: 4 * time.Second}
 	return settings
 }
@@ -39,7 +39,7 @@
 // config has one route of each kind, all of them to one service.
 func config(change func(*manifest.Manifest)) Configured {
 	read := manifest.Manifest{Regions: map[string]manifest.Region{"east": {Shards: 1}, "west": {Shards: 1}},
-		Halls:   map[string]manifest.Hall{"east-a": {Region: "east"}, "east-b": {Region: "east"}, "west-a": {Region: "west"}},
+		Zones:   map[string]manifest.Zone{"east-a": {Region: "east"}, "east-b": {Region: "east"}, "west-a": {Region: "west"}},
 		Gateway: manifest.Gateway{Revision: 1, Routes: map[string]manifest.GatewayRoute{}, Services: map[string]manifest.Service{"s": {}}}}
 	for _, route := range []manifest.GatewayRoute{{Name: "read", Kind: manifest.KindReadOnly}, {Name: "write", Kind: manifest.KindMutating},
 		{Name: "stream", Kind: manifest.KindStreaming}, {Name: "resumed", Kind: manifest.KindStreaming, Resumable: true}} {
@@ -61,8 +61,8 @@
 	}
 }
 
-func candidate(name, hall string) contract.Candidate {
-	return contract.Candidate{Name: name, Address: name + ":80", Hall: hall, Pool: "s", Incarnation: name, Slots: 4}
+func candidate(name, zone string) contract.Candidate {
+	return contract.Candidate{Name: name, Address: name + ":80", Zone: zone, Pool: "s", Incarnation: name, Slots: 4}
 }
 
 func listOf(region string, servers ...contract.Candidate) Listed {
--- a/gateway/table_test.go
+++ b/gateway/table_test.go
@@ -30,5 +30,5 @@
 	Entry("a path above the only prefix", "other.example", "/x", ""),
 	Entry("an unknown host", "none.example", "/a/x", ""),
 	Entry("no host", "", "/a/x", ""),
-	Entry("a path in other letters", "other.example", "/X/z", ""),
+	Entry("a path in other messages", "other.example", "/X/z", ""),
 )
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -124,7 +124,7 @@
 		traffic.table = NewTable(event.Manifest.Gateway)
 	}
 	for _, server := range traffic.servers {
-		if former.Drained(server.Hall) && !event.Manifest.Drained(server.Hall) {
+		if former.Drained(server.Zone) && !event.Manifest.Drained(server.Zone) {
 			traffic.doubt(now, server, traffic.terms.Contact)
 		}
 	}
--- a/gateway/traffic_test.go
+++ b/gateway/traffic_test.go
@@ -111,11 +111,11 @@
 		}
 		bench.Handle(bench.now, eastList())
 		Expect(refused(bench.asked("/read/x", nil)).Status).To(Equal(503))
-		Expect(bench.sent("/write/x").Server.Hall).To(Equal("west-a"), "a route without homes may go abroad")
+		Expect(bench.sent("/write/x").Server.Zone).To(Equal("west-a"), "a route without homes may go abroad")
 	})
 
 	It("given a drained zone, when calls come, then none goes there, also when it has the only servers", func() {
-		bench := started(func(read *manifest.Manifest) { read.Halls["east-a"] = manifest.Hall{Region: "east", Drained: true} },
+		bench := started(func(read *manifest.Manifest) { read.Zones["east-a"] = manifest.Zone{Region: "east", Drained: true} },
 			listOf("east", candidate("a", "east-a"), candidate("b", "east-b")))
 		for range 100 {
 			Expect(bench.sent("/write/x").Server.Name).To(Equal("b"))
@@ -128,7 +128,7 @@
 		cold := func(drained bool) Configured {
 			return config(func(read *manifest.Manifest) {
 				read.Gateway.Services["s"] = manifest.Service{Warmup: 3 * time.Second, WarmupRate: 10}
-				read.Halls["east-a"] = manifest.Hall{Region: "east", Drained: drained}
+				read.Zones["east-a"] = manifest.Zone{Region: "east", Drained: drained}
 			})
 		}
 		bench := started(nil, eastList("a"))
--- a/index/checks.go
+++ b/index/checks.go
@@ -17,7 +17,7 @@
 	Unclear Shown = 'u'
 	// Kept means that the first piece came sooner than reading the prompt could be.
 	Kept Shown = 'k'
-	// missed means that it came later than all that the call's node knows of explains, as if the prompt was read anew; the letters from
+	// missed means that it came later than all that the call's node knows of explains, as if the prompt was read anew; the messages from
 	// there on tell what part of the wait may be explained by others and it still was.
 	missed, lastMissed Shown = 'A', 'Z'
 )
@@ -62,20 +62,20 @@
 	missIfKept  = 1.0 / 32
 )
 
-// Results gives two letters for each use: what it showed and how many steps ago its first piece came.
+// Results gives two messages for each use: what it showed and how many steps ago its first piece came.
 func Results(now, rest time.Duration, uses []Use) string {
 	if slices.IndexFunc(uses, func(use Use) bool { return use.Shown != 0 }) < 0 {
 		return ""
 	}
-	letters := make([]byte, 0, 2*len(uses))
+	messages := make([]byte, 0, 2*len(uses))
 	for _, use := range uses {
 		shown := use.Shown
 		if shown == 0 {
 			shown = Unclear
 		}
-		letters = append(letters, byte(shown), 'a'+byte(min(lastStep, max(0, (now-use.At)*agoSteps/rest))))
+		messages = append(messages, byte(shown), 'a'+byte(min(lastStep, max(0, (now-use.At)*agoSteps/rest))))
 	}
-	return string(letters)
+	return string(messages)
 }
 
 // result gives what a use showed and when; a node that doesn't tell it leaves it unclear.
--- a/index/checks_test.go
+++ b/index/checks_test.go
@@ -37,7 +37,7 @@
 func (watch *watch) call(server string, anchor uint64, took time.Duration, shown Shown) {
 	GinkgoHelper()
 	use := Use{Key: key(anchor), Server: server, Took: took.Milliseconds(), Shown: shown, At: watch.now}
-	watch.take(watch.Handle(watch.now, letter(LetterUsed, Used{Address: "node", Uses: []Use{use}, Results: Results(watch.now, rest, []Use{use})})))
+	watch.take(watch.Handle(watch.now, message(MessageUsed, Used{Address: "node", Uses: []Use{use}, Results: Results(watch.now, rest, []Use{use})})))
 }
 
 func (watch *watch) passes(span time.Duration) {
@@ -96,7 +96,7 @@
 		watch.call("a", 1, slow, late)
 		watch.now += 300 * time.Millisecond
 		other := Use{Key: key(2), Server: "a", Took: 800, Shown: late, At: watch.now - 250*time.Millisecond}
-		watch.take(watch.Handle(watch.now, letter(LetterUsed, Used{Address: "other", Uses: []Use{other}, Results: Results(watch.now, rest, []Use{other})})))
+		watch.take(watch.Handle(watch.now, message(MessageUsed, Used{Address: "other", Uses: []Use{other}, Results: Results(watch.now, rest, []Use{other})})))
 		watch.passes(settled)
 		Expect(watch.counts).To(BeEmpty())
 	})
@@ -124,14 +124,14 @@
 		watch := watched()
 		watch.reads("a", 1)
 		for _, results := range []string{"", "Z", "ZaZa", "\x00\xff"} {
-			watch.take(watch.Handle(watch.now, letter(LetterUsed, Used{Address: "node", Uses: []Use{{Key: key(1), Server: "a", Took: 900}}, Results: results})))
+			watch.take(watch.Handle(watch.now, message(MessageUsed, Used{Address: "node", Uses: []Use{{Key: key(1), Server: "a", Took: 900}}, Results: results})))
 			watch.passes(settled)
 		}
 		Expect(watch.counts).To(BeEmpty())
 		Expect(watch.placed(1, "", "b").Server).To(Equal("a"))
 	})
 
-	It("given uses that are told, when they travel, then each has two letters more, and none if no node judged", func() {
+	It("given uses that are told, when they travel, then each has two messages more, and none if no node judged", func() {
 		uses := []Use{{Shown: Kept, At: time.Second}, {Shown: Missed(slow, slow), At: 500 * time.Millisecond}, {}}
 		results := Results(time.Second, rest, uses)
 		Expect(results).To(HaveLen(2 * len(uses)))
@@ -253,8 +253,8 @@
 		replica, told := started(), []contract.Command{}
 		replica.Restore(Snapshot{[]Place{{Key: key(1), Server: "a"}, {Key: key(2), Server: "a"}}})
 		for _, command := range watch.Tick(watch.now, []contract.Member{{Name: "other", Address: "other"}}) {
-			if send, fine := command.(contract.Send); fine && send.Kind == LetterTold {
-				told = append(told, replica.Handle(replica.now, letter(LetterTold, send.Body))...)
+			if send, fine := command.(contract.Send); fine && send.Kind == MessageTold {
+				told = append(told, replica.Handle(replica.now, message(MessageTold, send.Body))...)
 			}
 		}
 		Expect(told).To(BeEmpty())
--- a/index/cost_test.go
+++ b/index/cost_test.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// BenchmarkUsed is one letter with the uses of a node.
+// BenchmarkUsed is one message with the uses of a node.
 func BenchmarkUsed(b *testing.B) {
 	for _, uses := range []int{1, 16, MostUses} {
 		b.Run(fmt.Sprintf("uses=%d", uses), func(b *testing.B) {
@@ -69,7 +69,7 @@
 			b.SetBytes(int64(len(body)))
 			b.ResetTimer()
 			for number := range b.N {
-				owner.Handle(time.Duration(number)*time.Microsecond, contract.Letter{Kind: LetterUsed, Body: body})
+				owner.Handle(time.Duration(number)*time.Microsecond, contract.Message{Kind: MessageUsed, Body: body})
 			}
 		})
 	}
--- a/index/index.go
+++ b/index/index.go
@@ -11,11 +11,11 @@
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
-// LetterUsed carries what a node sent where, LetterMoved the places that its index has wrong, LetterTold places between control nodes.
+// MessageUsed carries what a node sent where, MessageMoved the places that its index has wrong, MessageTold places between control nodes.
 const (
-	LetterUsed  = "index-used"
-	LetterMoved = "index-moved"
-	LetterTold  = "index-told"
+	MessageUsed  = "index-used"
+	MessageMoved = "index-moved"
+	MessageTold  = "index-told"
 )
 
 // Key names a shared prompt: scope is the service with the regions that the calls are bound to, anchor stands for its leading parts.
@@ -50,7 +50,7 @@
 	At     time.Duration `json:"-"`
 }
 
-// Used is what a node at Address sent since it last told. Results has two letters for each use; older nodes don't tell them.
+// Used is what a node at Address sent since it last told. Results has two messages for each use; older nodes don't tell them.
 type Used struct {
 	Address string `json:"address"`
 	Uses    []Use  `json:"uses"`
@@ -224,23 +224,23 @@
 	switch event := event.(type) {
 	case Persisted:
 		return owner.persisted(event)
-	case contract.Letter:
+	case contract.Message:
 		switch event.Kind {
-		case LetterUsed:
+		case MessageUsed:
 			return owner.used(now, event)
-		case LetterTold:
+		case MessageTold:
 			return owner.told(now, event)
 		}
 	}
 	return nil
 }
 
-var broken = []contract.Command{contract.Count{Name: "letters_broken", By: 1}}
+var broken = []contract.Command{contract.Count{Name: "messages_broken", By: 1}}
 
 // used confirms places; one that is not known or only hearsay is taken from the node, one that is another is put right there.
-func (owner *Owner) used(now time.Duration, letter contract.Letter) []contract.Command {
+func (owner *Owner) used(now time.Duration, message contract.Message) []contract.Command {
 	var used Used
-	if json.Unmarshal(letter.Body, &used) != nil {
+	if json.Unmarshal(message.Body, &used) != nil {
 		return broken
 	}
 	moved, kept := Moved{}, int64(0)
@@ -270,7 +270,7 @@
 		commands = append(commands, contract.Count{Name: "index_checked", By: kept})
 	}
 	if len(moved.Places) > 0 {
-		commands = append(commands, contract.Send{To: used.Address, Kind: LetterMoved, Body: moved})
+		commands = append(commands, contract.Send{To: used.Address, Kind: MessageMoved, Body: moved})
 	}
 	return commands
 }
--- a/index/index_test.go
+++ b/index/index_test.go
@@ -43,16 +43,16 @@
 	return place
 }
 
-func letter(kind string, body any) contract.Letter {
+func message(kind string, body any) contract.Message {
 	GinkgoHelper()
 	content, failure := json.Marshal(body)
 	Expect(failure).NotTo(HaveOccurred())
-	return contract.Letter{Kind: kind, Body: content}
+	return contract.Message{Kind: kind, Body: content}
 }
 
 func (bench *bench) uses(address string, uses ...Use) []contract.Command {
 	GinkgoHelper()
-	return bench.Handle(bench.now, letter(LetterUsed, Used{Address: address, Uses: uses}))
+	return bench.Handle(bench.now, message(MessageUsed, Used{Address: address, Uses: uses}))
 }
 
 var _ = Describe("the place of a prompt", func() {
@@ -254,7 +254,7 @@
 		bench.placed(1, "", "a")
 		bench.placed(2, "", "a")
 		commands := bench.uses("10.0.0.7:7720", Use{Key: key(1), Server: "a"}, Use{Key: key(2), Server: "b"})
-		Expect(commands).To(Equal([]contract.Command{contract.Send{To: "10.0.0.7:7720", Kind: LetterMoved, Body: Moved{Places: []Place{{Key: key(2), Server: "a"}}}}}))
+		Expect(commands).To(Equal([]contract.Command{contract.Send{To: "10.0.0.7:7720", Kind: MessageMoved, Body: Moved{Places: []Place{{Key: key(2), Server: "a"}}}}}))
 		Expect(bench.placed(2, "", "a", "b").Server).To(Equal("a"))
 	})
 
@@ -267,12 +267,12 @@
 		Expect(bench.Len()).To(Equal(MostUses - 1))
 	})
 
-	It("given letters that cannot be read or are of other kinds, when they come, then they are counted or ignored and change nothing", func() {
+	It("given messages that cannot be read or are of other kinds, when they come, then they are counted or ignored and change nothing", func() {
 		bench := started()
-		for _, kind := range []string{LetterUsed, LetterTold} {
-			Expect(bench.Handle(bench.now, contract.Letter{Kind: kind, Body: []byte(`{"uses":7,"places":7}`)})).To(Equal([]contract.Command{contract.Count{Name: "letters_broken", By: 1}}))
+		for _, kind := range []string{MessageUsed, MessageTold} {
+			Expect(bench.Handle(bench.now, contract.Message{Kind: kind, Body: []byte(`{"uses":7,"places":7}`)})).To(Equal([]contract.Command{contract.Count{Name: "messages_broken", By: 1}}))
 		}
-		Expect(bench.Handle(bench.now, contract.Letter{Kind: "other", Body: []byte(`{`)})).To(BeEmpty())
+		Expect(bench.Handle(bench.now, contract.Message{Kind: "other", Body: []byte(`{`)})).To(BeEmpty())
 		Expect(bench.Handle(bench.now, contract.Tick{})).To(BeEmpty())
 		Expect(bench.Len()).To(BeZero())
 	})
--- a/index/replication.go
+++ b/index/replication.go
@@ -12,7 +12,7 @@
 const (
 	// MostSaved bounds a snapshot.
 	MostSaved = 1 << 12
-	// mostTold bounds the places in a letter.
+	// mostTold bounds the places in a message.
 	mostTold = 1 << 10
 	// savesPerHalfLife and tellsPerHalfLife are how often in a half-life changes are saved and told to replicas at most.
 	savesPerHalfLife = 4
@@ -27,8 +27,8 @@
 // Persist asks for a snapshot to be saved, never a second one before the first is Persisted.
 type Persist struct{ Snapshot Snapshot }
 
-// Persisted ends a Persist; a Mishap has it tried again.
-type Persisted struct{ Mishap string }
+// Persisted ends a Persist; a Error has it tried again.
+type Persisted struct{ Error string }
 
 // Told are places that changed, or with Kept those that the receiver may have missed: these only fill gaps. One without a server is gone.
 type Told struct {
@@ -90,7 +90,7 @@
 			if len(kept) == 0 {
 				kept = owner.latest(mostTold)
 			}
-			commands = append(commands, contract.Send{To: peer.Address, Kind: LetterTold, Body: Told{kept, true}})
+			commands = append(commands, contract.Send{To: peer.Address, Kind: MessageTold, Body: Told{kept, true}})
 		}
 	}
 	owner.met = met
@@ -109,7 +109,7 @@
 	}
 	told, commands := Told{Places: owner.named(keys)}, make([]contract.Command, 0, len(peers))
 	for _, peer := range peers {
-		commands = append(commands, contract.Send{To: peer.Address, Kind: LetterTold, Body: told})
+		commands = append(commands, contract.Send{To: peer.Address, Kind: MessageTold, Body: told})
 	}
 	return commands
 }
@@ -128,7 +128,7 @@
 
 func (owner *Owner) persisted(event Persisted) []contract.Command {
 	owner.saving = false
-	if event.Mishap == "" {
+	if event.Error == "" {
 		return nil
 	}
 	owner.dirty = true
@@ -136,9 +136,9 @@
 }
 
 // told takes places of another control node as hearsay; they are not told further. One that just changed does not move again at once.
-func (owner *Owner) told(now time.Duration, letter contract.Letter) []contract.Command {
+func (owner *Owner) told(now time.Duration, message contract.Message) []contract.Command {
 	var told Told
-	if json.Unmarshal(letter.Body, &told) != nil {
+	if json.Unmarshal(message.Body, &told) != nil {
 		return broken
 	}
 	moved := now
--- a/index/replication_test.go
+++ b/index/replication_test.go
@@ -24,7 +24,7 @@
 	for _, command := range bench.Tick(bench.now, peers) {
 		switch command := command.(type) {
 		case contract.Send:
-			Expect(command.Kind).To(Equal(LetterTold))
+			Expect(command.Kind).To(Equal(MessageTold))
 			Expect(told).NotTo(HaveKey(command.To))
 			told[command.To] = command.Body.(Told)
 		case Persist:
@@ -36,7 +36,7 @@
 
 func (bench *bench) hears(told Told) {
 	GinkgoHelper()
-	Expect(bench.Handle(bench.now, letter(LetterTold, told))).To(BeEmpty())
+	Expect(bench.Handle(bench.now, message(MessageTold, told))).To(BeEmpty())
 }
 
 func named(anchor uint64, server string) Place { return Place{Key: key(anchor), Server: server} }
@@ -86,7 +86,7 @@
 		bench.Restore(Snapshot{})
 		bench.placed(1, "", "a")
 		bench.tick()
-		Expect(bench.Handle(bench.now, Persisted{Mishap: "full"})).To(Equal([]contract.Command{contract.Count{Name: "index_unsaved", By: 1}}))
+		Expect(bench.Handle(bench.now, Persisted{Error: "full"})).To(Equal([]contract.Command{contract.Count{Name: "index_unsaved", By: 1}}))
 		bench.now += beat
 		_, snapshots := bench.tick()
 		Expect(snapshots).To(HaveLen(1))
@@ -237,7 +237,7 @@
 		Expect(told).To(BeEmpty())
 	})
 
-	It("given more changes than a letter takes, when beats pass, then all are told, a bounded letter each", func() {
+	It("given more changes than a message takes, when beats pass, then all are told, a bounded message each", func() {
 		bench, successor := started(), started()
 		for anchor := range uint64(mostTold * 5 / 2) {
 			bench.placed(anchor, "", "a")
@@ -251,7 +251,7 @@
 		Expect(successor.Len()).To(Equal(mostTold * 5 / 2))
 	})
 
-	It("given a letter with more places than it may have, when it comes, then the rest is left out", func() {
+	It("given a message with more places than it may have, when it comes, then the rest is left out", func() {
 		bench, places := started(), []Place{}
 		for anchor := range uint64(mostTold + 5) {
 			places = append(places, named(anchor, "a"))
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -20,7 +20,7 @@
 	BrokenStream Rule = "stream skipped, repeated, joined or looked finished"
 	WrongAnswer  Rule = "another's answer or half a success"
 	LatePick     Rule = "picked after it was marked leaving"
-	LateDrain    Rule = "a drained hall was sent a call"
+	LateDrain    Rule = "a drained zone was sent a call"
 	LeftHome     Rule = "left the home region"
 	LateManifest Rule = "manifest late or slipped back"
 	LostManifest Rule = "accepted manifest missing or altered"
@@ -96,7 +96,7 @@
 type span struct{ from, to time.Duration }
 
 type serverFacts struct {
-	hall, region string
+	zone, region string
 	marked       time.Duration
 	cold         time.Duration
 	running      int64
@@ -131,10 +131,10 @@
 	ledger.breaches = append(ledger.breaches, Breach{rule, at, fmt.Sprintf(format, detail...)})
 }
 
-func (ledger *Ledger) Server(name, hall, region string, slots int64) {
+func (ledger *Ledger) Server(name, zone, region string, slots int64) {
 	ledger.lock.Lock()
 	defer ledger.lock.Unlock()
-	ledger.servers[name] = &serverFacts{hall: hall, region: region, marked: never, cold: -never, slots: slots}
+	ledger.servers[name] = &serverFacts{zone: zone, region: region, marked: never, cold: -never, slots: slots}
 }
 
 // Marked says that the platform marked a server as leaving; Cold that it came (back) with nothing in its cache.
@@ -156,17 +156,17 @@
 	ledger.servers[server].cold, ledger.servers[server].running = at, 0
 }
 
-func (ledger *Ledger) Drained(hall string, accepted time.Duration) {
+func (ledger *Ledger) Drained(zone string, accepted time.Duration) {
 	ledger.lock.Lock()
 	defer ledger.lock.Unlock()
-	ledger.drains[hall] = append(ledger.drains[hall], span{accepted, never})
+	ledger.drains[zone] = append(ledger.drains[zone], span{accepted, never})
 }
 
-func (ledger *Ledger) Undrained(hall string, sent time.Duration) {
+func (ledger *Ledger) Undrained(zone string, sent time.Duration) {
 	ledger.lock.Lock()
 	defer ledger.lock.Unlock()
-	for index := range ledger.drains[hall] {
-		ledger.drains[hall][index].to = min(ledger.drains[hall][index].to, sent)
+	for index := range ledger.drains[zone] {
+		ledger.drains[zone][index].to = min(ledger.drains[zone][index].to, sent)
 	}
 }
 
@@ -219,11 +219,11 @@
 			ledger.breach(at, LatePick, "%s was picked %v after it was marked", server, at-facts.marked)
 		}
 	}
-	for _, drain := range ledger.drains[facts.hall] {
+	for _, drain := range ledger.drains[facts.zone] {
 		if at > drain.from && at < drain.to {
 			ledger.Figures.lateDrain(at - drain.from)
 			if at-drain.from > ledger.bounds.Drain {
-				ledger.breach(at, LateDrain, "%s in hall %s was picked %v after the drain", server, facts.hall, at-drain.from)
+				ledger.breach(at, LateDrain, "%s in zone %s was picked %v after the drain", server, facts.zone, at-drain.from)
 			}
 		}
 	}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -16,8 +16,8 @@
 
 func fresh() *Ledger {
 	ledger := New(Bounds{Leave: 5 * time.Second, Drain: 5 * time.Second, Deliver: 3 * time.Second, Return: 12 * time.Second, Ramp: 8 * time.Second, RepeatPct: 5, RepeatAtOnce: 10, Patience: 3 * time.Second})
-	ledger.Server("near", "hall-a", "home", 4)
-	ledger.Server("far", "hall-c", "away", 4)
+	ledger.Server("near", "zone-a", "home", 4)
+	ledger.Server("far", "zone-c", "away", 4)
 	return ledger
 }
 
@@ -104,8 +104,8 @@
 		ran(ledger, "a", "run-1", "near", 7*second)
 		ledger.Answered("a", 0, 8*second, Reply{Outcome: "interrupted"})
 	}),
-	Entry("a pick in a drained hall", LateDrain, func(ledger *Ledger) {
-		ledger.Drained("hall-a", second)
+	Entry("a pick in a drained zone", LateDrain, func(ledger *Ledger) {
+		ledger.Drained("zone-a", second)
 		sent(ledger, "a", 1)
 		ran(ledger, "a", "run-1", "near", 7*second)
 		ledger.Answered("a", 0, 8*second, Reply{Outcome: "interrupted"})
--- a/link/compress_test.go
+++ b/link/compress_test.go
@@ -40,7 +40,7 @@
 	})
 
 	ginkgo.It("given a node's question for its list, when it is compressed, then it comes out unchanged and travels as less than four fifths, the header with it", func() {
-		question := `{"letters":[{"kind":"licence-ask","from":"machine-of-zone-1-17-data","boot":"5f0c83d1a4","body":{"node":"machine-of-zone-1-17-data",` +
+		question := `{"messages":[{"kind":"lease-request","from":"machine-of-zone-1-17-data","boot":"5f0c83d1a4","body":{"node":"machine-of-zone-1-17-data",` +
 			`"address":"10.1.2.3:7500","region":"east","asked":25200000000000,"highest":{"number":4,"node":"machine-of-zone-1-02-control","life":"9b1e7c20dd"},` +
 			`"number":17,"shards":1,"brief":true}}]}`
 		body, encoding := compress([]byte(question))
--- a/link/cost_test.go
+++ b/link/cost_test.go
@@ -50,7 +50,7 @@
 
 func (idle) Handle(time.Duration, contract.Event) []contract.Command { return nil }
 
-// receiver takes letters on a real socket; at each post it tells the bytes of the wire both ways since the former one.
+// receiver takes messages on a real socket; at each post it tells the bytes of the wire both ways since the former one.
 type receiver struct {
 	address string
 	wire    chan int64
@@ -83,12 +83,12 @@
 	return receiver
 }
 
-func question() contract.LicenceAsk {
-	return contract.LicenceAsk{Node: "machine-of-zone-1-17-data", Address: "10.1.2.3:7500", Region: "east", Asked: 7 * time.Hour,
+func question() contract.LeaseRequest {
+	return contract.LeaseRequest{Node: "machine-of-zone-1-17-data", Address: "10.1.2.3:7500", Region: "east", Asked: 7 * time.Hour,
 		Highest: contract.Epoch{Number: 4, Node: "machine-of-zone-1-02-control", Life: "9b1e7c20dd"}, Number: 17, Shards: 1, Brief: true}
 }
 
-var _ = Describe("letters on the wire", func() {
+var _ = Describe("messages on the wire", func() {
 	It("given a kept connection, when a node asks for its list, then HTTP and the compressed bundle, both ways, take less than 9/8 of the plain bundle", func() {
 		stop := make(chan struct{})
 		defer close(stop)
@@ -96,9 +96,9 @@
 		self := contract.Member{Name: "machine-of-zone-1-17-data", Boot: "5f0c83d1a4"}
 		sender := link.NewSender(self, 5*time.Second, &link.Faults{}, stop)
 		body, _ := json.Marshal(question())
-		plain, _ := json.Marshal(link.Bundle{Letters: []contract.Letter{{Kind: "licence-ask", From: self.Name, Boot: self.Boot, Body: body}}})
+		plain, _ := json.Marshal(link.Bundle{Messages: []contract.Message{{Kind: "lease-request", From: self.Name, Boot: self.Boot, Body: body}}})
 		for round := range 4 {
-			sender.Send(contract.Send{To: receiver.address, Kind: "licence-ask", Body: question()})
+			sender.Send(contract.Send{To: receiver.address, Kind: "lease-request", Body: question()})
 			wire, body := <-receiver.wire, <-receiver.body
 			if round > 0 {
 				AddReportEntry("bytes", fmt.Sprintf("%d on the wire, %d of them the bundle, which is %d plain", wire, len(body), len(plain)))
@@ -108,7 +108,7 @@
 	})
 
 	answer := func(agent string) *httptest.ResponseRecorder {
-		content, failure := json.Marshal(link.Bundle{Letters: []contract.Letter{{Kind: "licence-ask", From: "a", Boot: "b1", Body: json.RawMessage("{}")}}})
+		content, failure := json.Marshal(link.Bundle{Messages: []contract.Message{{Kind: "lease-request", From: "a", Boot: "b1", Body: json.RawMessage("{}")}}})
 		Expect(failure).NotTo(HaveOccurred())
 		request := httptest.NewRequest(http.MethodPost, link.Path, bytes.NewReader(content))
 		if agent != "" {
@@ -129,7 +129,7 @@
 		Expect(answer("Go-http-client/1.1").Code).To(Equal(http.StatusOK))
 	})
 
-	DescribeTable("given an answer, when a post has got it, then its letter is counted as lost or not",
+	DescribeTable("given an answer, when a post has got it, then its message is counted as lost or not",
 		func(status int, lost bool) {
 			stop, posts, losses := make(chan struct{}), make(chan struct{}), make(chan string, 2)
 			defer close(stop)
@@ -149,7 +149,7 @@
 		Entry("of a receiver of this version", http.StatusNoContent, false), Entry("of an older receiver", http.StatusOK, false), Entry("a refusal", http.StatusBadRequest, true))
 })
 
-// BenchmarkPost counts the bytes of one bundle with one letter on a kept connection, both ways, the frame of HTTP with them.
+// BenchmarkPost counts the bytes of one bundle with one message on a kept connection, both ways, the frame of HTTP with them.
 func BenchmarkPost(b *testing.B) {
 	for _, size := range []int{2, 2000} {
 		b.Run(fmt.Sprintf("body=%d", size), func(b *testing.B) {
@@ -159,11 +159,11 @@
 			sender := link.NewSender(contract.Member{Name: "node-00001-data", Boot: "b1"}, 5*time.Second, &link.Faults{}, stop)
 			body := strings.Repeat("x", size-2)
 			for range b.N {
-				sender.Send(contract.Send{To: receiver.address, Kind: "licence-ask", Body: body})
+				sender.Send(contract.Send{To: receiver.address, Kind: "lease-request", Body: body})
 				total += <-receiver.wire
 				<-receiver.body
 			}
-			b.ReportMetric(float64(total)/float64(b.N), "bytes/letter")
+			b.ReportMetric(float64(total)/float64(b.N), "bytes/message")
 		})
 	}
 }
--- a/link/faults.go
+++ b/link/faults.go
@@ -41,7 +41,7 @@
 		case <-ticker.C:
 		}
 		var state faultState
-		if content, mishap := os.ReadFile(faults.path); mishap == nil && json.Unmarshal(content, &state) != nil {
+		if content, err := os.ReadFile(faults.path); err == nil && json.Unmarshal(content, &state) != nil {
 			continue
 		}
 		faults.lock.Lock()
--- a/link/loop.go
+++ b/link/loop.go
@@ -1,4 +1,4 @@
-// Package link carries letters between processes and runs an owner in a process: one goroutine a duty, joined by bounded rings.
+// Package link carries messages between processes and runs an owner in a process: one goroutine a duty, joined by bounded rings.
 package link
 
 import (
@@ -25,7 +25,7 @@
 	sender   *Sender
 }
 
-// NewLoop runs an owner; act carries out the commands that are not letters, counts, lines or answers.
+// NewLoop runs an owner; act carries out the commands that are not messages, counts, lines or answers.
 func NewLoop(owner contract.Owner, period time.Duration, sender *Sender, logger log.Logger) *Loop {
 	return &Loop{owner: owner, events: make(chan contract.Event, ringSize), began: time.Now(), period: period,
 		logger: logger, measures: newMeasures(), waiting: map[int64]func(contract.Answer){}, sender: sender}
