--- a/link/operators.go
+++ b/link/operators.go
@@ -51,12 +51,12 @@
 	routes := map[string]string{
 		"PUT /v1/manifest": contract.VerbPut, "PATCH /v1/manifest": contract.VerbPatch, "GET /v1/manifest": contract.VerbGet,
 		"GET /v1/manifest/history": contract.VerbHistory, "GET /v1/operations/{subject}": contract.VerbOperation,
-		"POST /v1/halls/{subject}/drain": contract.VerbDrain, "POST /v1/halls/{subject}/undrain": contract.VerbUndrain,
+		"POST /v1/zones/{subject}/drain": contract.VerbDrain, "POST /v1/zones/{subject}/undrain": contract.VerbUndrain,
 		"POST /v1/pools/{subject}/scale": contract.VerbScale, "GET /v1/members": contract.VerbMembers, "GET /v1/shards": contract.VerbShards,
 		"GET /v1/retirements": contract.VerbRetirements, "GET /v1/cache": contract.VerbCache, "GET /v1/chain": contract.VerbChain, "GET /v1/why/{subject}": contract.VerbWhy,
 		"POST /v1/machines/{subject}/gone": contract.VerbGone,
 	}
-	options := []kithttp.ServerOption{kithttp.ServerErrorEncoder(encodeMishap)}
+	options := []kithttp.ServerOption{kithttp.ServerErrorEncoder(encodeError)}
 	for pattern, verb := range routes {
 		mux.Handle(pattern, kithttp.NewServer(operators.answer(), operators.decode(verb), encodeGiven, options...))
 	}
@@ -64,8 +64,8 @@
 }
 
 func (operators *Operators) read(request *http.Request, bound int64) ([]byte, error) {
-	content, mishap := io.ReadAll(io.LimitReader(request.Body, bound+1))
-	if mishap != nil {
+	content, err := io.ReadAll(io.LimitReader(request.Body, bound+1))
+	if err != nil {
 		return nil, badAsk{400, "the body could not be read"}
 	}
 	if int64(len(content)) > bound {
@@ -76,9 +76,9 @@
 
 func (operators *Operators) decode(verb string) kithttp.DecodeRequestFunc {
 	return func(_ context.Context, request *http.Request) (any, error) {
-		content, mishap := operators.read(request, operators.bound)
-		if mishap != nil {
-			return nil, mishap
+		content, err := operators.read(request, operators.bound)
+		if err != nil {
+			return nil, err
 		}
 		ask := contract.Ask{Verb: verb, Subject: request.PathValue("subject"), Body: content, Operation: request.Header.Get("Operation-Key")}
 		if len(ask.Operation) > 128 || strings.Contains(ask.Operation, "/") {
@@ -91,12 +91,12 @@
 			}
 		}
 		if ask.HasBase = query.Has("base"); ask.HasBase {
-			if ask.Base, mishap = strconv.ParseInt(query.Get("base"), 10, 64); mishap != nil || ask.Base < 0 {
+			if ask.Base, err = strconv.ParseInt(query.Get("base"), 10, 64); err != nil || ask.Base < 0 {
 				return nil, badAsk{400, "query base: want a revision"}
 			}
 		}
 		if query.Has("revision") {
-			if ask.Revision, mishap = strconv.ParseInt(query.Get("revision"), 10, 64); mishap != nil || ask.Revision < 1 {
+			if ask.Revision, err = strconv.ParseInt(query.Get("revision"), 10, 64); err != nil || ask.Revision < 1 {
 				return nil, badAsk{400, "query revision: want a revision"}
 			}
 		}
@@ -105,9 +105,9 @@
 }
 
 func (operators *Operators) decodeForwarded(_ context.Context, request *http.Request) (any, error) {
-	content, mishap := operators.read(request, 2*operators.bound)
-	if mishap != nil {
-		return nil, mishap
+	content, err := operators.read(request, 2*operators.bound)
+	if err != nil {
+		return nil, err
 	}
 	var ask contract.Ask
 	if json.Unmarshal(content, &ask) != nil {
@@ -131,8 +131,8 @@
 			if passed, fine := answer.Body.(given); fine {
 				return passed, nil
 			}
-			body, mishap := json.Marshal(answer.Body)
-			return given{answer.Status, answer.After, body}, mishap
+			body, err := json.Marshal(answer.Body)
+			return given{answer.Status, answer.After, body}, err
 		case <-ctx.Done():
 			return nil, badAsk{504, "the asker left"}
 		case <-time.After(operators.patient):
@@ -158,38 +158,38 @@
 
 // Forward carries an ask to the authority; a lost answer to a write is unknown, never a refusal.
 func (operators *Operators) Forward(forward contract.Forward) {
-	fail := func(mishap error) {
+	fail := func(err error) {
 		var dialed *net.OpError
-		if errors.As(mishap, &dialed) && dialed.Op == "dial" {
+		if errors.As(err, &dialed) && dialed.Op == "dial" {
 			operators.loop.Answer(contract.Refuse(forward.Ask.Token, 503, "the authority cannot be reached; nothing was done", operators.patient/12))
 			return
 		}
-		body := contract.Accepted{Outcome: "unknown", Operation: forward.Ask.Operation, Mishap: "the authority's answer was lost: " + mishap.Error()}
+		body := contract.Accepted{Outcome: "unknown", Operation: forward.Ask.Operation, Error: "the authority's answer was lost: " + err.Error()}
 		operators.loop.Answer(contract.Answer{Token: forward.Ask.Token, Status: 504, Body: body})
 	}
 	if operators.faults.Cut(forward.Address) {
 		fail(errors.New("link cut"))
 		return
 	}
-	content, mishap := json.Marshal(forward.Ask)
-	if mishap != nil {
-		fail(mishap)
+	content, err := json.Marshal(forward.Ask)
+	if err != nil {
+		fail(err)
 		return
 	}
-	request, mishap := http.NewRequest(http.MethodPost, "http://"+forward.Address+forwardPath, io.NopCloser(bytes.NewReader(content)))
-	if mishap != nil {
-		fail(mishap)
+	request, err := http.NewRequest(http.MethodPost, "http://"+forward.Address+forwardPath, io.NopCloser(bytes.NewReader(content)))
+	if err != nil {
+		fail(err)
 		return
 	}
-	response, mishap := operators.client.Do(request)
-	if mishap != nil {
-		fail(mishap)
+	response, err := operators.client.Do(request)
+	if err != nil {
+		fail(err)
 		return
 	}
 	defer response.Body.Close()
-	body, mishap := io.ReadAll(io.LimitReader(response.Body, mostBody))
-	if mishap != nil {
-		fail(mishap)
+	body, err := io.ReadAll(io.LimitReader(response.Body, mostBody))
+	if err != nil {
+		fail(err)
 		return
 	}
 	seconds, _ := strconv.ParseInt(response.Header.Get("Retry-After"), 10, 64)
@@ -209,8 +209,8 @@
 	writer.Header().Set("Content-Type", "application/json")
 	RetryAfter(writer, answer.after)
 	writer.WriteHeader(answer.status)
-	_, mishap := writer.Write(append(answer.body, '\n'))
-	return mishap
+	_, err := writer.Write(append(answer.body, '\n'))
+	return err
 }
 
 // RetryAfter tells when to come back, in whole seconds rounded up.
@@ -220,10 +220,10 @@
 	}
 }
 
-func encodeMishap(_ context.Context, mishap error, writer http.ResponseWriter) {
+func encodeError(_ context.Context, err error, writer http.ResponseWriter) {
 	status := http.StatusBadRequest
 	var bad badAsk
-	if errors.As(mishap, &bad) {
+	if errors.As(err, &bad) {
 		status = bad.status
 	}
 	if status == http.StatusServiceUnavailable {
@@ -231,5 +231,5 @@
 	}
 	writer.Header().Set("Content-Type", "application/json")
 	writer.WriteHeader(status)
-	_ = json.NewEncoder(writer).Encode(contract.Trouble{Mishap: mishap.Error()})
+	_ = json.NewEncoder(writer).Encode(contract.Trouble{Error: err.Error()})
 }
--- a/link/sender.go
+++ b/link/sender.go
@@ -25,7 +25,7 @@
 
 // Bundle is what one process posts to another.
 type Bundle struct {
-	Letters []contract.Letter `json:"letters"`
+	Messages []contract.Message `json:"messages"`
 }
 
 // Sender has one goroutine and one bounded ring for each address; what does not fit or does not arrive is lost and counted.
@@ -35,70 +35,70 @@
 	faults *Faults
 	count  func(name string, by int64)
 	lock   sync.Mutex
-	rings  map[string]chan contract.Letter
+	rings  map[string]chan contract.Message
 	stop   <-chan struct{}
 }
 
 func NewSender(self contract.Member, timeout time.Duration, faults *Faults, stop <-chan struct{}) *Sender {
 	transport := &http.Transport{MaxIdleConnsPerHost: 2, MaxIdleConns: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
 	return &Sender{self: self, client: &http.Client{Transport: transport, Timeout: timeout}, faults: faults,
-		count: func(string, int64) {}, rings: map[string]chan contract.Letter{}, stop: stop}
+		count: func(string, int64) {}, rings: map[string]chan contract.Message{}, stop: stop}
 }
 
 func (sender *Sender) Counting(count func(name string, by int64)) { sender.count = count }
 
 func (sender *Sender) Send(command contract.Send) {
-	body, mishap := json.Marshal(command.Body)
-	if mishap != nil {
-		panic(mishap)
+	body, err := json.Marshal(command.Body)
+	if err != nil {
+		panic(err)
 	}
-	letter := contract.Letter{Kind: command.Kind, From: sender.self.Name, Boot: sender.self.Boot, Body: body}
+	message := contract.Message{Kind: command.Kind, From: sender.self.Name, Boot: sender.self.Boot, Body: body}
 	sender.lock.Lock()
 	ring, there := sender.rings[command.To]
 	if !there && len(sender.rings) < mostLinks {
-		ring = make(chan contract.Letter, rowSize)
+		ring = make(chan contract.Message, rowSize)
 		sender.rings[command.To] = ring
 		go sender.carry(command.To, ring)
 	}
 	sender.lock.Unlock()
 	select {
-	case ring <- letter:
+	case ring <- message:
 	default:
-		sender.count("letters_dropped", 1)
+		sender.count("messages_dropped", 1)
 	}
 }
 
-func (sender *Sender) carry(address string, ring chan contract.Letter) {
+func (sender *Sender) carry(address string, ring chan contract.Message) {
 	post := sender.endpoint(address)
 	for {
 		bundle := Bundle{}
 		select {
 		case <-sender.stop:
 			return
-		case letter := <-ring:
-			bundle.Letters = append(bundle.Letters, letter)
+		case message := <-ring:
+			bundle.Messages = append(bundle.Messages, message)
 		}
-		size := len(bundle.Letters[0].Body)
-		for len(ring) > 0 && len(bundle.Letters) < batchSize && size < mostBody/4 {
-			letter := <-ring
-			size += len(letter.Body)
-			bundle.Letters = append(bundle.Letters, letter)
+		size := len(bundle.Messages[0].Body)
+		for len(ring) > 0 && len(bundle.Messages) < batchSize && size < mostBody/4 {
+			message := <-ring
+			size += len(message.Body)
+			bundle.Messages = append(bundle.Messages, message)
 		}
 		if sender.faults.Cut(address) || sender.faults.Lost() {
-			sender.count("letters_cut", int64(len(bundle.Letters)))
+			sender.count("messages_cut", int64(len(bundle.Messages)))
 			continue
 		}
-		if _, mishap := post(context.Background(), bundle); mishap != nil {
-			sender.count("letters_lost", int64(len(bundle.Letters)))
+		if _, err := post(context.Background(), bundle); err != nil {
+			sender.count("messages_lost", int64(len(bundle.Messages)))
 		}
 	}
 }
 
 func (sender *Sender) endpoint(address string) endpoint.Endpoint {
 	encode := func(_ context.Context, request any) (*http.Request, error) {
-		content, mishap := json.Marshal(request)
-		if mishap != nil {
-			return nil, mishap
+		content, err := json.Marshal(request)
+		if err != nil {
+			return nil, err
 		}
 		body, encoding := compress(content)
 		posted, failure := http.NewRequest(http.MethodPost, "http://"+address+Path, io.NopCloser(bytes.NewReader(body)))
@@ -116,13 +116,13 @@
 		if response.StatusCode != http.StatusNoContent && response.StatusCode != http.StatusOK {
 			return nil, eris.Errorf("link answered %d", response.StatusCode)
 		}
-		_, mishap := io.Copy(io.Discard, io.LimitReader(response.Body, mostBody))
-		return nil, mishap
+		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, mostBody))
+		return nil, err
 	}
 	return kithttp.NewExplicitClient(encode, decode, kithttp.SetClient(sender.client)).Endpoint()
 }
 
-// Receive is the face that takes letters from other processes.
+// Receive is the face that takes messages from other processes.
 func Receive(loop *Loop) http.Handler {
 	decode := func(_ context.Context, request *http.Request) (any, error) {
 		var bundle Bundle
@@ -134,8 +134,8 @@
 		return bundle, json.NewDecoder(body).Decode(&bundle)
 	}
 	take := func(_ context.Context, request any) (any, error) {
-		for _, letter := range request.(Bundle).Letters {
-			loop.Try(letter)
+		for _, message := range request.(Bundle).Messages {
+			loop.Try(message)
 		}
 		return struct{}{}, nil
 	}
--- a/listing/platform.go
+++ b/listing/platform.go
@@ -15,9 +15,9 @@
 // ReadListing refuses whatever is not a whole, well-formed listing: a broken one is never an empty one.
 func ReadListing(content []byte, region string) (contract.Listing, error) {
 	listing := contract.Listing{}
-	tree, mishap := manifest.Tree(content)
-	if mishap != nil {
-		return listing, eris.Wrap(mishap, "listing")
+	tree, err := manifest.Tree(content)
+	if err != nil {
+		return listing, eris.Wrap(err, "listing")
 	}
 	items, fine := tree["servers"].([]any)
 	if complete, _ := tree["complete"].(bool); !fine || !complete || tree["region"] != region || len(items) > mostServers {
@@ -31,18 +31,18 @@
 			return listing, eris.New("listing: a server is not an object")
 		}
 		reader := manifest.NewReader(row)
-		for _, must := range []string{"name", "address", "hall", "pool", "incarnation"} {
+		for _, must := range []string{"name", "address", "zone", "pool", "incarnation"} {
 			reader.Must(must)
 		}
 		server := contract.ServerRow{Name: reader.Text("name", ""), Address: reader.Text("address", ""), Region: region,
-			Hall: reader.Text("hall", ""), Pool: reader.Text("pool", ""), Incarnation: reader.Text("incarnation", ""),
+			Zone: reader.Text("zone", ""), Pool: reader.Text("pool", ""), Incarnation: reader.Text("incarnation", ""),
 			Leaving: reader.Truth("leaving"), Unloaded: reader.Truth("unloaded"), RemainingMs: reader.Number("remainingMs", 0, 0, 1<<40)}
 		if names[server.Name] || server.Name == "" {
 			reader.Wrong("name", "%q is empty or listed twice", server.Name)
 		}
 		names[server.Name] = true
-		if mishap := reader.Mishap(); mishap != nil {
-			return listing, eris.Wrap(mishap, "listing")
+		if err := reader.Err(); err != nil {
+			return listing, eris.Wrap(err, "listing")
 		}
 		listing.Servers = append(listing.Servers, server)
 	}
@@ -52,9 +52,9 @@
 // ReadReport gives a report only when every figure in it is there; a partial one comes back as not complete.
 func ReadReport(content []byte, server string) (contract.Report, error) {
 	report := contract.Report{Server: server}
-	tree, mishap := manifest.Tree(content)
-	if mishap != nil {
-		return report, eris.Wrap(mishap, "report")
+	tree, err := manifest.Tree(content)
+	if err != nil {
+		return report, eris.Wrap(err, "report")
 	}
 	reader := manifest.NewReader(tree)
 	reader.Must("incarnation")
@@ -76,5 +76,5 @@
 	if tree["server"] != server {
 		reader.Wrong("server", "another server's report")
 	}
-	return report, reader.Mishap()
+	return report, reader.Err()
 }
--- a/listing/platform_test.go
+++ b/listing/platform_test.go
@@ -13,12 +13,12 @@
 	RunSpecs(t, "platform")
 }
 
-const listing = `{"region":"r","complete":true,"servers":[{"name":"s","address":"10.0.0.1:1","hall":"h","pool":"p","incarnation":"1","leaving":true,"remainingMs":900}]}`
+const listing = `{"region":"r","complete":true,"servers":[{"name":"s","address":"10.0.0.1:1","zone":"h","pool":"p","incarnation":"1","leaving":true,"remainingMs":900}]}`
 const report = `{"server":"s","incarnation":"1","number":7,"running":1,"waiting":2,"prefixes":["a"],"complete":true,"ageMs":5}`
 
 var _ = DescribeTable("a broken listing is no listing", func(from, to string) {
-	_, mishap := ReadListing([]byte(strings.Replace(listing, from, to, 1)), "r")
-	Expect(mishap).To(HaveOccurred())
+	_, err := ReadListing([]byte(strings.Replace(listing, from, to, 1)), "r")
+	Expect(err).To(HaveOccurred())
 },
 	Entry("not complete", `"complete":true`, `"complete":false`),
 	Entry("of another region", `"region":"r"`, `"region":"x"`),
@@ -31,8 +31,8 @@
 )
 
 var _ = DescribeTable("a broken report is no report", func(from, to string) {
-	read, mishap := ReadReport([]byte(strings.Replace(report, from, to, 1)), "s")
-	Expect(mishap != nil || !read.Complete).To(BeTrue())
+	read, err := ReadReport([]byte(strings.Replace(report, from, to, 1)), "s")
+	Expect(err != nil || !read.Complete).To(BeTrue())
 },
 	Entry("running is missing", `"running":1,`, ``),
 	Entry("waiting is text", `"waiting":2`, `"waiting":"2"`),
@@ -44,11 +44,11 @@
 )
 
 var _ = It("reads a whole listing and a whole report", func() {
-	listed, mishap := ReadListing([]byte(listing), "r")
-	Expect(mishap).NotTo(HaveOccurred())
+	listed, err := ReadListing([]byte(listing), "r")
+	Expect(err).NotTo(HaveOccurred())
 	Expect(listed.Servers[0].RemainingMs).To(Equal(int64(900)))
-	read, mishap := ReadReport([]byte(report), "s")
-	Expect(mishap).NotTo(HaveOccurred())
+	read, err := ReadReport([]byte(report), "s")
+	Expect(err).NotTo(HaveOccurred())
 	Expect(read.Complete).To(BeTrue())
 	Expect(read.Idle()).To(BeFalse())
 })
@@ -57,9 +57,9 @@
 	f.Add([]byte(listing))
 	f.Add([]byte(`{"region":"r","complete":true,"servers":[{}]}`))
 	f.Fuzz(func(t *testing.T, content []byte) {
-		read, mishap := ReadListing(content, "r")
+		read, err := ReadListing(content, "r")
 		for _, server := range read.Servers {
-			if mishap == nil && (server.Name == "" || server.Region != "r") {
+			if err == nil && (server.Name == "" || server.Region != "r") {
 				t.Fatal("a broken listing was taken")
 			}
 		}
@@ -70,11 +70,11 @@
 	f.Add([]byte(report))
 	f.Add([]byte(`{"server":"s","incarnation":"1","complete":true}`))
 	f.Fuzz(func(t *testing.T, content []byte) {
-		read, mishap := ReadReport(content, "s")
-		if mishap == nil && (read.Running < 0 || read.Waiting < 0) {
+		read, err := ReadReport(content, "s")
+		if err == nil && (read.Running < 0 || read.Waiting < 0) {
 			t.Fatal("a broken report was taken")
 		}
-		if mishap == nil && read.Complete && !strings.Contains(string(content), "running") && !strings.Contains(string(content), `\u`) {
+		if err == nil && read.Complete && !strings.Contains(string(content), "running") && !strings.Contains(string(content), `\u`) {
 			t.Fatal("a partial report counts as complete")
 		}
 	})
--- a/machine/machine.go
+++ b/machine/machine.go
@@ -26,7 +26,7 @@
 	if kind == contract.KindControl {
 		address, sibling = sibling, address
 	}
-	self := contract.Member{Name: settings.Name + "-" + kind, Boot: boot, Kind: kind, Hall: settings.Hall, Region: settings.Region, Address: address}
+	self := contract.Member{Name: settings.Name + "-" + kind, Boot: boot, Kind: kind, Zone: settings.Zone, Region: settings.Region, Address: address}
 	seeds := slices.Clone(settings.Seeds)
 	if sibling != "" {
 		seeds = append(seeds, sibling)
--- a/manifest/gateway.go
+++ b/manifest/gateway.go
@@ -148,7 +148,7 @@
 			reader.Wrong("split", "want a list of objects")
 			continue
 		}
-		one := &Reader{tree: tree, prefix: Join(reader.prefix, "split"), mishaps: reader.mishaps}
+		one := &Reader{tree: tree, prefix: Join(reader.prefix, "split"), errs: reader.errs}
 		share := Share{Service: one.Text("service", ""), Weight: one.Real("weight", 0, 0, 1e9)}
 		known("split", share.Service)
 		sum += share.Weight
--- a/manifest/manifest.go
+++ b/manifest/manifest.go
@@ -15,7 +15,7 @@
 	Machines []string
 }
 
-type Hall struct {
+type Zone struct {
 	Region  string
 	Drained bool
 }
@@ -45,7 +45,7 @@
 
 type Manifest struct {
 	Regions      map[string]Region
-	Halls        map[string]Hall
+	Zones        map[string]Zone
 	Pools        map[string]Pool
 	Routes       map[string]Route
 	Homes        map[string]string
@@ -56,31 +56,31 @@
 }
 
 func Read(content []byte) (Manifest, error) {
-	tree, mishap := Tree(content)
-	if mishap != nil {
-		return Manifest{}, mishap
+	tree, err := Tree(content)
+	if err != nil {
+		return Manifest{}, err
 	}
 	return FromTree(tree)
 }
 
-// FromTree checks the whole tree and gives every mishap at once.
+// FromTree checks the whole tree and gives every error at once.
 func FromTree(tree map[string]any) (Manifest, error) {
 	reader := NewReader(tree)
-	reader.Only("", "regions", "halls", "pools", "routes", "homes", "retirement", "repeats", "gateway")
-	read := Manifest{Regions: map[string]Region{}, Halls: map[string]Hall{}, Pools: map[string]Pool{}, Routes: map[string]Route{}, Homes: map[string]string{}}
+	reader.Only("", "regions", "zones", "pools", "routes", "homes", "retirement", "repeats", "gateway")
+	read := Manifest{Regions: map[string]Region{}, Zones: map[string]Zone{}, Pools: map[string]Pool{}, Routes: map[string]Route{}, Homes: map[string]string{}}
 	reader.Must("regions")
-	reader.Must("halls")
+	reader.Must("zones")
 	for _, name := range reader.Keys("regions") {
 		path := "regions." + name
 		reader.Only(path, "shards", "machines")
 		reader.Must(path + ".machines")
 		read.Regions[name] = Region{Shards: int(reader.Number(path+".shards", 1, 1, 64)), Machines: reader.Texts(path + ".machines")}
 	}
-	for _, name := range reader.Keys("halls") {
-		path := "halls." + name
+	for _, name := range reader.Keys("zones") {
+		path := "zones." + name
 		reader.Only(path, "region", "drained")
 		reader.Must(path + ".region")
-		read.Halls[name] = Hall{Region: reader.regionAt(path+".region", read), Drained: reader.Truth(path + ".drained")}
+		read.Zones[name] = Zone{Region: reader.regionAt(path+".region", read), Drained: reader.Truth(path + ".drained")}
 	}
 	for _, name := range reader.Keys("pools") {
 		path := "pools." + name
@@ -99,7 +99,7 @@
 	read.RepeatAtOnce = reader.Number("repeats.atOnce", 10, 0, 1000)
 	read.Retirement = reader.retirement()
 	read.Gateway = reader.gateway()
-	return read, reader.Mishap()
+	return read, reader.Err()
 }
 
 func (reader *Reader) regionAt(path string, read Manifest) string {
@@ -148,7 +148,7 @@
 	}
 }
 
-func (read Manifest) Drained(hall string) bool { return read.Halls[hall].Drained }
+func (read Manifest) Drained(zone string) bool { return read.Zones[zone].Drained }
 
 // Home tells where a call is bound: the caller's home if the manifest names one, else what it asked for, else here.
 func (read Manifest) Home(caller, asked, here string) (string, bool) {
--- a/manifest/manifest_test.go
+++ b/manifest/manifest_test.go
@@ -15,12 +15,12 @@
 	RunSpecs(t, "manifest")
 }
 
-const good = `{"regions":{"r":{"shards":2,"machines":["m1"]}},"halls":{"h":{"region":"r"}},
+const good = `{"regions":{"r":{"shards":2,"machines":["m1"]}},"zones":{"h":{"region":"r"}},
 "pools":{"p":{"region":"r","slots":4,"scale":3}},"routes":{"c":{"class":"short","pools":{"r":"p"}}},"homes":{"desk":"r"}}`
 
 var _ = DescribeTable("a wrong manifest is refused with the path of what is wrong", func(from, to, path string) {
-	_, mishap := Read([]byte(strings.Replace(good, from, to, 1)))
-	Expect(mishap).To(MatchError(ContainSubstring(path)))
+	_, err := Read([]byte(strings.Replace(good, from, to, 1)))
+	Expect(err).To(MatchError(ContainSubstring(path)))
 },
 	Entry("unknown field", `"slots":4`, `"slotz":4`, "pools.p.slotz: unknown field"),
 	Entry("unknown field at the top", `"homes"`, `"hones"`, "hones: unknown field"),
@@ -30,7 +30,7 @@
 	Entry("a fraction", `"slots":4`, `"slots":4.5`, "pools.p.slots: want a whole number"),
 	Entry("out of range", `"slots":4`, `"slots":0`, "pools.p.slots: want 1 to 4096"),
 	Entry("far out of range", `"slots":4`, `"slots":99999999999999999999`, "pools.p.slots"),
-	Entry("a hall of no region", `"halls":{"h":{"region":"r"}}`, `"halls":{"h":{"region":"x"}}`, `halls.h.region: no such region "x"`),
+	Entry("a zone of no region", `"zones":{"h":{"region":"r"}}`, `"zones":{"h":{"region":"x"}}`, `zones.h.region: no such region "x"`),
 	Entry("a route to no pool", `{"r":"p"}`, `{"r":"q"}`, `routes.c.pools.r: no such pool "q"`),
 	Entry("a home that is no region", `{"desk":"r"}`, `{"desk":"x"}`, "homes.desk: no such region"),
 	Entry("not an object", good, `[]`, "want a JSON object"),
@@ -41,15 +41,15 @@
 )
 
 var _ = Describe("a manifest", func() {
-	It("gives every mishap at once", func() {
-		_, mishap := Read([]byte(strings.NewReplacer(`"slots":4`, `"slots":0`, `"desk":"r"`, `"desk":"x"`).Replace(good)))
-		Expect(mishap.Error()).To(ContainSubstring("pools.p.slots"))
-		Expect(mishap.Error()).To(ContainSubstring("homes.desk"))
+	It("gives every error at once", func() {
+		_, err := Read([]byte(strings.NewReplacer(`"slots":4`, `"slots":0`, `"desk":"r"`, `"desk":"x"`).Replace(good)))
+		Expect(err.Error()).To(ContainSubstring("pools.p.slots"))
+		Expect(err.Error()).To(ContainSubstring("homes.desk"))
 	})
 
 	It("keeps numbers exact and merges by path, so two patches both hold", func() {
-		tree, mishap := Tree([]byte(`{"a":{"b":12345678901234567890,"c":1},"d":1}`))
-		Expect(mishap).NotTo(HaveOccurred())
+		tree, err := Tree([]byte(`{"a":{"b":12345678901234567890,"c":1},"d":1}`))
+		Expect(err).NotTo(HaveOccurred())
 		first, _ := Tree([]byte(`{"a":{"c":2}}`))
 		second, _ := Tree([]byte(`{"d":null,"a":{"e":{"f":true}}}`))
 		content, _ := json.Marshal(Merge(Merge(tree, first), second))
@@ -60,18 +60,18 @@
 
 	for _, name := range []string{"brazos", "seri"} {
 		It("of "+name+" is shipped and right", func() {
-			content, mishap := os.ReadFile("../deploy/" + name + "/manifest.json")
-			Expect(mishap).NotTo(HaveOccurred())
-			read, mishap := Read(content)
-			Expect(mishap).NotTo(HaveOccurred())
-			Expect(read.Halls).To(HaveLen(3))
+			content, err := os.ReadFile("../deploy/" + name + "/manifest.json")
+			Expect(err).NotTo(HaveOccurred())
+			read, err := Read(content)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(read.Zones).To(HaveLen(3))
 			Expect(read.Routes).To(HaveLen(3))
 		})
 	}
 
 	It("binds a caller to its home, and refuses another", func() {
-		read, mishap := Read([]byte(good))
-		Expect(mishap).NotTo(HaveOccurred())
+		read, err := Read([]byte(good))
+		Expect(err).NotTo(HaveOccurred())
 		home, fine := read.Home("desk", "", "elsewhere")
 		Expect([]any{home, fine}).To(Equal([]any{"r", true}))
 		_, fine = read.Home("desk", "moon", "r")
@@ -83,12 +83,12 @@
 
 func FuzzRead(f *testing.F) {
 	f.Add([]byte(good))
-	f.Add([]byte(`{"regions":{"":{}},"halls":null}`))
+	f.Add([]byte(`{"regions":{"":{}},"zones":null}`))
 	f.Add([]byte(strings.Repeat(`{"a":`, 40)))
 	f.Add([]byte(`{"a":1,"a":2}`))
 	f.Fuzz(func(t *testing.T, content []byte) {
-		read, mishap := Read(content)
-		if mishap != nil {
+		read, err := Read(content)
+		if err != nil {
 			return
 		}
 		for _, pool := range read.Pools {
@@ -96,16 +96,16 @@
 				t.Fatal("a manifest that is wrong was taken")
 			}
 		}
-		tree, mishap := Tree(content)
-		if mishap != nil {
-			t.Fatal(mishap)
+		tree, err := Tree(content)
+		if err != nil {
+			t.Fatal(err)
 		}
-		again, mishap := json.Marshal(Merge(tree, map[string]any{}))
-		if mishap != nil {
-			t.Fatal(mishap)
+		again, err := json.Marshal(Merge(tree, map[string]any{}))
+		if err != nil {
+			t.Fatal(err)
 		}
-		if _, mishap = Read(again); mishap != nil {
-			t.Fatal("what was taken is refused when it is written back:", mishap)
+		if _, err = Read(again); err != nil {
+			t.Fatal("what was taken is refused when it is written back:", err)
 		}
 	})
 }
--- a/manifest/tree.go
+++ b/manifest/tree.go
@@ -19,11 +19,11 @@
 // Tree reads one JSON object: duplicate keys, trailing data and too deep nesting are refused, numbers stay exact.
 func Tree(content []byte) (map[string]any, error) {
 	decoder := jsontext.NewDecoder(bytes.NewBuffer(content), jsontext.AllowDuplicateNames(true), jsontext.AllowInvalidUTF8(true))
-	value, mishap := branch(decoder, nil)
-	if mishap != nil {
-		return nil, mishap
+	value, err := branch(decoder, nil)
+	if err != nil {
+		return nil, err
 	}
-	if _, mishap = decoder.ReadToken(); mishap != io.EOF {
+	if _, err = decoder.ReadToken(); err != io.EOF {
 		return nil, eris.New("data after the end of the object")
 	}
 	tree, fine := value.(map[string]any)
@@ -63,9 +63,9 @@
 	if here != nil && here.depth > deepest {
 		return nil, eris.Errorf("%s: nested too deep", here)
 	}
-	token, mishap := decoder.ReadToken()
-	if mishap != nil {
-		return nil, eris.Wrapf(mishap, "%s: not JSON", here)
+	token, err := decoder.ReadToken()
+	if err != nil {
+		return nil, eris.Wrapf(err, "%s: not JSON", here)
 	}
 	switch token.Kind() {
 	case '{':
@@ -73,9 +73,9 @@
 	case '[':
 		items := []any{}
 		for decoder.PeekKind() != ']' {
-			item, mishap := branch(decoder, here.under("", len(items)))
-			if mishap != nil {
-				return nil, mishap
+			item, err := branch(decoder, here.under("", len(items)))
+			if err != nil {
+				return nil, err
 			}
 			items = append(items, item)
 		}
@@ -93,17 +93,17 @@
 func object(decoder *jsontext.Decoder, here *step) (any, error) {
 	tree := map[string]any{}
 	for decoder.PeekKind() != '}' {
-		token, mishap := decoder.ReadToken()
-		if mishap != nil {
-			return nil, eris.Wrapf(mishap, "%s: not JSON", here)
+		token, err := decoder.ReadToken()
+		if err != nil {
+			return nil, eris.Wrapf(err, "%s: not JSON", here)
 		}
 		key := token.String()
 		inside := here.under(key, -1)
 		if _, double := tree[key]; double {
 			return nil, eris.Errorf("%s: key given twice", inside)
 		}
-		if tree[key], mishap = branch(decoder, inside); mishap != nil {
-			return nil, mishap
+		if tree[key], err = branch(decoder, inside); err != nil {
+			return nil, err
 		}
 	}
 	return tree, closed(decoder, here)
@@ -111,8 +111,8 @@
 
 // closed reads the end of a list or an object.
 func closed(decoder *jsontext.Decoder, here *step) error {
-	_, mishap := decoder.ReadToken()
-	return eris.Wrapf(mishap, "%s: not JSON", here)
+	_, err := decoder.ReadToken()
+	return eris.Wrapf(err, "%s: not JSON", here)
 }
 
 func Join(path, key string) string {
@@ -156,14 +156,14 @@
 	return keys
 }
 
-// Reader walks a tree by dotted paths and collects every mishap it meets.
+// Reader walks a tree by dotted paths and collects every error it meets.
 type Reader struct {
-	tree    map[string]any
-	prefix  string
-	mishaps *[]string
+	tree   map[string]any
+	prefix string
+	errs   *[]string
 }
 
-func NewReader(tree map[string]any) *Reader { return &Reader{tree: tree, mishaps: &[]string{}} }
+func NewReader(tree map[string]any) *Reader { return &Reader{tree: tree, errs: &[]string{}} }
 
 // Under reads one object below; what it finds wrong is told with the whole path.
 func (reader *Reader) Under(path string) *Reader {
@@ -172,18 +172,18 @@
 	if !fine {
 		reader.Wrong(path, "want an object")
 	}
-	return &Reader{tree: tree, prefix: Join(reader.prefix, path), mishaps: reader.mishaps}
+	return &Reader{tree: tree, prefix: Join(reader.prefix, path), errs: reader.errs}
 }
 
 func (reader *Reader) Wrong(path, format string, detail ...any) {
-	*reader.mishaps = append(*reader.mishaps, Join(reader.prefix, path)+": "+fmt.Sprintf(format, detail...))
+	*reader.errs = append(*reader.errs, Join(reader.prefix, path)+": "+fmt.Sprintf(format, detail...))
 }
 
-func (reader *Reader) Mishap() error {
-	if len(*reader.mishaps) == 0 {
+func (reader *Reader) Err() error {
+	if len(*reader.errs) == 0 {
 		return nil
 	}
-	return eris.New(strings.Join(*reader.mishaps, "; "))
+	return eris.New(strings.Join(*reader.errs, "; "))
 }
 
 func (reader *Reader) at(path string) (any, bool) {
@@ -223,6 +223,16 @@
 	return SortedKeys(tree)
 }
 
+// renamedFields are names of former versions, with those of today.
+var renamedFields = map[string]string{"hall": "zone", "halls": "zones"}
+
+func unknownField(name string) string {
+	if renamed, there := renamedFields[name]; there {
+		return "renamed, write " + renamed
+	}
+	return "unknown field"
+}
+
 func (reader *Reader) Only(path string, known ...string) {
 	for _, key := range reader.Keys(path) {
 		found := false
@@ -230,7 +240,7 @@
 			found = found || name == key
 		}
 		if !found {
-			reader.Wrong(Join(path, key), "unknown field")
+			reader.Wrong(Join(path, key), "%s", unknownField(key))
 		}
 	}
 }
@@ -289,11 +299,11 @@
 		reader.Wrong(path, "want a whole number")
 		return fallback
 	}
-	whole, mishap := number.Int64()
-	if real, other := number.Float64(); mishap != nil && other == nil && real == float64(int64(real)) {
-		whole, mishap = int64(real), nil
+	whole, err := number.Int64()
+	if real, other := number.Float64(); err != nil && other == nil && real == float64(int64(real)) {
+		whole, err = int64(real), nil
 	}
-	if mishap != nil {
+	if err != nil {
 		reader.Wrong(path, "want a whole number, got %s", number)
 		return fallback
 	}
--- a/modelcheck/action.go
+++ b/modelcheck/action.go
@@ -100,7 +100,7 @@
 	}
 	target := cluster.member(taken.to)
 	if action.Kind != Drop && target != nil && target.up() {
-		cluster.handle(target, contract.Letter{Kind: taken.kind, From: taken.from, Body: taken.body})
+		cluster.handle(target, contract.Message{Kind: taken.kind, From: taken.from, Body: taken.body})
 	}
 }
 
--- a/neighbour/look.go
+++ b/neighbour/look.go
@@ -27,7 +27,7 @@
 	return addresses
 }
 
-// Near gives the members whose own letters came here lately.
+// Near gives the members whose own messages came here lately.
 func (owner *Owner) Near(now time.Duration) []contract.Member {
 	return owner.Live(now, func(member contract.Member) bool {
 		known, there := owner.table[member.Name]
@@ -35,7 +35,7 @@
 	})
 }
 
-// lastHeard gives those whose own letters came here last, however long ago: a node that hears nobody begins with them.
+// lastHeard gives those whose own messages came here last, however long ago: a node that hears nobody begins with them.
 func (owner *Owner) lastHeard(most int) []string {
 	names := slices.DeleteFunc(slices.Clone(owner.names()), func(name string) bool { return owner.table[name].heard == 0 })
 	slices.SortStableFunc(names, func(left, right string) int { return cmp.Compare(owner.table[right].heard, owner.table[left].heard) })
--- a/neighbour/near.go
+++ b/neighbour/near.go
@@ -7,7 +7,7 @@
 	"github.com/cedarreel/cedarreel/contract"
 )
 
-// The active view has this many neighbours of the own zone and of other zones of the region; the others are any members. Letters stay
+// The active view has this many neighbours of the own zone and of other zones of the region; the others are any members. Messages stay
 // in the zone for the most part, where links are short and cost nothing, and some always cross, so that zones and regions stay joined.
 const (
 	activeZone   = 2
@@ -53,7 +53,7 @@
 }
 
 func (owner *Owner) sameZone(name string) bool {
-	return owner.table[name].member.Hall == owner.self.Hall
+	return owner.table[name].member.Zone == owner.self.Zone
 }
 func (owner *Owner) sameRegion(name string) bool {
 	return owner.table[name].member.Region == owner.self.Region
--- a/neighbour/near_test.go
+++ b/neighbour/near_test.go
@@ -19,17 +19,17 @@
 
 // knowing is an owner in zone a1 of region a that has heard of count members in each zone of two regions.
 func knowing(seed uint64, count int) *Owner {
-	owner := New(contract.Member{Name: "self-data", Hall: "a1", Region: "a", Address: "self"}, []string{"seed"}, env.DefaultBounds(), rand.New(rand.NewPCG(seed, 1)))
+	owner := New(contract.Member{Name: "self-data", Zone: "a1", Region: "a", Address: "self"}, []string{"seed"}, env.DefaultBounds(), rand.New(rand.NewPCG(seed, 1)))
 	for _, zone := range []string{"a1", "a2", "b1", "b2"} {
 		for index := range count {
 			name := fmt.Sprintf("%s-%d-data", zone, index)
-			owner.merge(0, contract.Member{Name: name, Address: name, Hall: zone, Region: zone[:1], Incarnation: 1, Heartbeat: 1})
+			owner.merge(0, contract.Member{Name: name, Address: name, Zone: zone, Region: zone[:1], Incarnation: 1, Heartbeat: 1})
 		}
 	}
 	return owner
 }
 
-// shares plays so many gossips with everybody alive and gives the letters to the own zone, the own region, other regions, and seeds.
+// shares plays so many gossips with everybody alive and gives the messages to the own zone, the own region, other regions, and seeds.
 func shares(owner *Owner, rounds int) (zone, region, other, seeds int) {
 	now := time.Duration(0)
 	for range rounds {
@@ -55,7 +55,7 @@
 }
 
 var _ = Describe("the neighbours of a node", func() {
-	It("given a large fleet in two regions, when it gossips, then most letters stay in its zone and some always cross", func() {
+	It("given a large fleet in two regions, when it gossips, then most messages stay in its zone and some always cross", func() {
 		zone, region, other, seeds := shares(knowing(1, 25), 4000)
 		all := zone + region + other + seeds
 		Expect(zone).To(BeNumerically(">", all/3))
@@ -75,7 +75,7 @@
 		for _, left := range []string{"b", "a2", ""} {
 			owner := knowing(2, 6)
 			for name, known := range owner.table {
-				if len(left) == 0 || known.member.Hall[:len(left)] != left {
+				if len(left) == 0 || known.member.Zone[:len(left)] != left {
 					delete(owner.table, name)
 				}
 			}
--- a/neighbour/neighbour.go
+++ b/neighbour/neighbour.go
@@ -67,8 +67,8 @@
 }
 
 const (
-	LetterShuffle = "shuffle"
-	LetterBye     = "bye"
+	MessageShuffle = "shuffle"
+	MessageBye     = "bye"
 )
 
 func New(self contract.Member, seeds []string, bounds env.Bounds, random *rand.Rand) *Owner {
@@ -97,15 +97,15 @@
 		owner.seeds = event.Addresses
 	case contract.Tick:
 		return owner.tick(now)
-	case contract.Letter:
+	case contract.Message:
 		switch event.Kind {
-		case LetterShuffle:
+		case MessageShuffle:
 			var shuffle Shuffle
 			if json.Unmarshal(event.Body, &shuffle) != nil {
-				return []contract.Command{contract.Count{Name: "letters_broken", By: 1}}
+				return []contract.Command{contract.Count{Name: "messages_broken", By: 1}}
 			}
 			return owner.shuffled(now, event.From, shuffle)
-		case LetterBye:
+		case MessageBye:
 			var bye Bye
 			if json.Unmarshal(event.Body, &bye) == nil {
 				if known, there := owner.table[bye.Name]; there && known.member.Boot == bye.Boot {
@@ -134,7 +134,7 @@
 	commands := []contract.Command{}
 	owner.left = true
 	for _, name := range owner.names() {
-		commands = append(commands, contract.Send{To: owner.table[name].member.Address, Kind: LetterBye, Body: Bye{owner.self.Name, owner.self.Boot, owner.self.Heartbeat}})
+		commands = append(commands, contract.Send{To: owner.table[name].member.Address, Kind: MessageBye, Body: Bye{owner.self.Name, owner.self.Boot, owner.self.Heartbeat}})
 	}
 	return commands
 }
@@ -174,7 +174,7 @@
 	sort.Strings(addresses)
 	commands := []contract.Command{}
 	for _, address := range addresses {
-		commands = append(commands, contract.Send{To: address, Kind: LetterShuffle, Body: owner.sample(now, false)})
+		commands = append(commands, contract.Send{To: address, Kind: MessageShuffle, Body: owner.sample(now, false)})
 	}
 	return commands
 }
@@ -259,7 +259,7 @@
 	}
 	if known, there := owner.table[from]; there {
 		known.heard = now
-		if known.member.Hall != owner.self.Hall || contract.MachineOf(from) != contract.MachineOf(owner.self.Name) {
+		if known.member.Zone != owner.self.Zone || contract.MachineOf(from) != contract.MachineOf(owner.self.Name) {
 			owner.spoken = now
 		}
 	}
@@ -281,7 +281,7 @@
 	if known, there := owner.table[from]; there && known.member.Boot != boot {
 		answer.Members = append(answer.Members, known.member)
 	}
-	return []contract.Command{contract.Send{To: address, Kind: LetterShuffle, Body: answer}}
+	return []contract.Command{contract.Send{To: address, Kind: MessageShuffle, Body: answer}}
 }
 
 // beat moves a known member's heartbeat, and its place, which only goes forward within a life; whoever is not known by this incarnation
@@ -289,10 +289,10 @@
 func (owner *Owner) beat(now time.Duration, text string, place contract.Place) {
 	name, counts, _ := strings.Cut(text, " ")
 	first, second, _ := strings.Cut(counts, " ")
-	incarnation, mishap := strconv.ParseInt(first, 10, 64)
+	incarnation, err := strconv.ParseInt(first, 10, 64)
 	heartbeat, other := strconv.ParseInt(second, 10, 64)
 	known, there := owner.table[name]
-	if mishap != nil || other != nil || !there || known.member.Incarnation != incarnation {
+	if err != nil || other != nil || !there || known.member.Incarnation != incarnation {
 		return
 	}
 	if known.member.Place.Revision < place.Revision {
--- a/neighbour/place_test.go
+++ b/neighbour/place_test.go
@@ -13,7 +13,7 @@
 func hears(owner *Owner, now time.Duration, from string, shuffle Shuffle) {
 	body, failure := json.Marshal(shuffle)
 	Expect(failure).NotTo(HaveOccurred())
-	owner.Handle(now, contract.Letter{Kind: LetterShuffle, From: from, Body: body})
+	owner.Handle(now, contract.Message{Kind: MessageShuffle, From: from, Body: body})
 }
 
 // moves tells an owner that every member of its table but some has another revision in force now.
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -26,7 +26,7 @@
 type Want struct {
 	Pool    string
 	Class   string
-	Hall    string
+	Zone    string
 	Session string
 	Prefix  string
 	Avoid   map[string]bool
@@ -58,7 +58,7 @@
 	return true, ""
 }
 
-// Choose gives the server for a call: session first, then prefix, then the better of two at random, in the own hall before others.
+// Choose gives the server for a call: session first, then prefix, then the better of two at random, in the own zone before others.
 func Choose(want Want, candidates []contract.Candidate, usages map[string]Usage, sessions map[string]string, random *rand.Rand) (contract.Candidate, []Verdict, bool) {
 	verdicts, open := []Verdict{}, []contract.Candidate{}
 	for _, candidate := range candidates {
@@ -105,7 +105,7 @@
 	}
 	near, holding := []contract.Candidate{}, []contract.Candidate{}
 	for _, candidate := range open {
-		if candidate.Hall == want.Hall && usages[candidate.Name].Load(candidate)*ofShares < candidate.Slots*spillShare {
+		if candidate.Zone == want.Zone && usages[candidate.Name].Load(candidate)*ofShares < candidate.Slots*spillShare {
 			near = append(near, candidate)
 		}
 		if want.Prefix != "" && Holds(candidate, want.Prefix) {
@@ -121,9 +121,9 @@
 		}
 	}
 	if len(near) > 0 {
-		return better(near, usages, random), "in the own hall"
+		return better(near, usages, random), "in the own zone"
 	}
-	return better(open, usages, random), "spilled to another hall"
+	return better(open, usages, random), "spilled to another zone"
 }
 
 // first gives the server that every node would give to a new session, so that its turns meet wherever they arrive.
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -19,7 +19,7 @@
 func candidates(count int, change func(int, *contract.Candidate)) []contract.Candidate {
 	made := []contract.Candidate{}
 	for index := range count {
-		candidate := contract.Candidate{Name: fmt.Sprint("s", index), Hall: []string{"a", "b"}[index%2], Pool: "p", Slots: 4, Share: -1}
+		candidate := contract.Candidate{Name: fmt.Sprint("s", index), Zone: []string{"a", "b"}[index%2], Pool: "p", Slots: 4, Share: -1}
 		if change != nil {
 			change(index, &candidate)
 		}
@@ -40,7 +40,7 @@
 		all := candidates(8, nil)
 		home := chosen(want, all, nil, nil, 1)
 		for seed := range uint64(20) {
-			want.Hall = []string{"a", "b"}[seed%2]
+			want.Zone = []string{"a", "b"}[seed%2]
 			Expect(chosen(want, all, nil, nil, seed)).To(Equal(home))
 		}
 		full := candidates(8, func(_ int, candidate *contract.Candidate) {
@@ -55,7 +55,7 @@
 	})
 
 	It("prefers who holds the prefix, unless it is full", func() {
-		want := Want{Class: manifest.ClassLong, Prefix: "contract", Hall: "a"}
+		want := Want{Class: manifest.ClassLong, Prefix: "contract", Zone: "a"}
 		holding := candidates(6, func(index int, candidate *contract.Candidate) {
 			if index == 5 {
 				candidate.Prefixes = []string{"contract"}
@@ -65,8 +65,8 @@
 		Expect(chosen(want, holding, map[string]Usage{"s5": {Own: 3}}, nil, 1)).NotTo(Equal("s5"))
 	})
 
-	It("stays in the own hall and spills only when that is nearly full", func() {
-		want := Want{Class: manifest.ClassShort, Hall: "a"}
+	It("stays in the own zone and spills only when that is nearly full", func() {
+		want := Want{Class: manifest.ClassShort, Zone: "a"}
 		for seed := range uint64(30) {
 			Expect(chosen(want, candidates(6, nil), nil, nil, seed)).To(BeElementOf("s0", "s2", "s4"))
 			busy := candidates(6, func(index int, candidate *contract.Candidate) { candidate.Running = int64(3 * (1 - index%2)) })
--- a/retire/retire.go
+++ b/retire/retire.go
@@ -33,16 +33,16 @@
 // Terms are the bounds of one retirement, from the manifest and the settings.
 type Terms struct {
 	manifest.Retirement
-	Licence   time.Duration
+	Lease     time.Duration
 	Link      time.Duration
 	Remaining time.Duration
 }
 
-// Outcome is one try to read a server's report; a failed one has a Mishap.
+// Outcome is one try to read a server's report; a failed one has a Error.
 type Outcome struct {
 	Began  time.Duration
 	Report contract.Report
-	Mishap string
+	Error  string
 }
 
 // Word is what a data node last told of its pick list and of its own calls on the server.
@@ -97,7 +97,7 @@
 }
 
 func (retirement *Retirement) restart(now time.Duration) {
-	window := max(retirement.terms.Window, retirement.terms.Licence+retirement.terms.Link)
+	window := max(retirement.terms.Window, retirement.terms.Lease+retirement.terms.Link)
 	retirement.Since, retirement.Ready, retirement.State = now, now+window, Withdrawn
 	retirement.confirmed, retirement.Idle, retirement.lastReport, retirement.asking = false, 0, 0, false
 	retirement.Tries++
@@ -126,7 +126,7 @@
 		retirement.State = Reading
 	}
 	for _, word := range facts.Words {
-		if word.Calls > 0 && now-word.Told < retirement.terms.Licence {
+		if word.Calls > 0 && now-word.Told < retirement.terms.Lease {
 			retirement.hold("a data node has a call there")
 			retirement.nextRead = now + retirement.terms.Poll
 			return false, false
@@ -145,7 +145,7 @@
 		return
 	}
 	for _, word := range facts.Words {
-		lapsed := now > word.Granted+retirement.terms.Licence+retirement.terms.Link
+		lapsed := now > word.Granted+retirement.terms.Lease+retirement.terms.Link
 		if word.Number < retirement.Number && !lapsed {
 			return
 		}
@@ -194,8 +194,8 @@
 	report := outcome.Report
 	sampled := outcome.Began - time.Duration(report.AgeMs)*time.Millisecond
 	switch {
-	case outcome.Mishap != "":
-		retirement.hold("read failed: " + outcome.Mishap)
+	case outcome.Error != "":
+		retirement.hold("read failed: " + outcome.Error)
 	case report.Incarnation != retirement.Incarnation:
 		retirement.hold("the server restarted")
 	case !report.Complete:
--- a/retire/retire_test.go
+++ b/retire/retire_test.go
@@ -19,7 +19,7 @@
 
 func terms() Terms {
 	return Terms{Retirement: manifest.Retirement{Window: 5 * second, Poll: second, Hold: 30 * second, Drain: 8 * second, Evacuation: 5 * second},
-		Licence: 1500 * time.Millisecond, Link: 250 * time.Millisecond}
+		Lease: 1500 * time.Millisecond, Link: 250 * time.Millisecond}
 }
 
 // played drives one retirement through time, with a report for each second and the words of the data nodes.
@@ -76,14 +76,14 @@
 		Expect(story.reads).To(Equal([]time.Duration{5 * second, 6 * second}))
 	})
 
-	It("makes the window at least the licence's life and a link's time", func() {
+	It("makes the window at least the lease's life and a link's time", func() {
 		short := terms()
 		short.Window = second
 		retirement := New(0, "server", "1", ScaleDown, 7, short)
 		Expect(retirement.Ready).To(Equal(1750 * time.Millisecond))
 	})
 
-	It("waits out a data node that does not confirm, by its licence, and reads nothing before", func() {
+	It("waits out a data node that does not confirm, by its lease, and reads nothing before", func() {
 		story := play(ScaleDown)
 		story.facts = func(at time.Duration) Facts { return word(6, 0, min(at, 8*second)) }
 		story.until(20 * second)
@@ -125,7 +125,7 @@
 	Entry("busy", "busy", func(_ *played, outcome *Outcome) { outcome.Report.Running = 1 }),
 	Entry("waiting", "busy", func(_ *played, outcome *Outcome) { outcome.Report.Waiting = 1 }),
 	Entry("partial", "partial", func(_ *played, outcome *Outcome) { outcome.Report.Complete = false }),
-	Entry("refused, timed out or not to be read", "read failed", func(_ *played, outcome *Outcome) { outcome.Mishap = "no answer" }),
+	Entry("refused, timed out or not to be read", "read failed", func(_ *played, outcome *Outcome) { outcome.Error = "no answer" }),
 	Entry("not a new one", "not a new one", func(story *played, outcome *Outcome) { outcome.Report.Number = 1; story.number-- }),
 	Entry("sampled too early", "sampled", func(_ *played, outcome *Outcome) { outcome.Report.AgeMs = 2000 }),
 	Entry("of another incarnation", "restarted", func(_ *played, outcome *Outcome) { outcome.Report.Incarnation = "2" }),
--- a/rig/callers.go
+++ b/rig/callers.go
@@ -35,7 +35,7 @@
 	return &Crowd{rig: rig, random: rand.New(rand.NewPCG(seed, 2)), most: mostCallers}
 }
 
-// Call for a while: the rate is the site's, times a factor.
+// Run sends the traffic of a site for a while and returns once all of it is over.
 func (crowd *Crowd) Run(span time.Duration, factor float64) {
 	ends := time.Now().Add(span)
 	for _, kind := range crowd.rig.Site.Callers {
@@ -132,17 +132,17 @@
 			messages = append(messages, map[string]any{"role": "system", "content": visit.prefix + strings.Repeat(" clause", int(visit.kind.Tokens/2))})
 		}
 		messages = append(messages, map[string]any{"role": "user", "content": fmt.Sprintf("call %s pieces %d", visit.scoped, visit.kind.Pieces)})
-		content, mishap := json.Marshal(map[string]any{"model": visit.kind.Route, "stream": !visit.kind.Unary, "messages": messages})
-		if mishap != nil {
-			return nil, mishap
+		content, err := json.Marshal(map[string]any{"model": visit.kind.Route, "stream": !visit.kind.Unary, "messages": messages})
+		if err != nil {
+			return nil, err
 		}
 		method, path, body = http.MethodPost, "/v1/chat/completions", content
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(visit.kind.DeadlineMs)*time.Millisecond+visit.crowd.rig.bounds.Deliver())
-	request, mishap := http.NewRequestWithContext(ctx, method, base+path, onceOnly(body))
-	if mishap != nil {
+	request, err := http.NewRequestWithContext(ctx, method, base+path, onceOnly(body))
+	if err != nil {
 		cancel()
-		return nil, mishap
+		return nil, err
 	}
 	context.AfterFunc(ctx, cancel)
 	request.Header.Set("Cedar-Route", visit.kind.Route)
@@ -170,18 +170,18 @@
 // try sends one attempt and judges what came back.
 func (visit *visit) try(node *Node, repeat bool, age time.Duration) (ledger.Reply, time.Duration) {
 	rig := visit.crowd.rig
-	request, mishap := visit.request(node, repeat, age)
-	if mishap != nil {
+	request, err := visit.request(node, repeat, age)
+	if err != nil {
 		return ledger.Reply{Outcome: "not_run"}, 0
 	}
 	began := time.Now()
 	index := rig.Ledger.Sent(visit.scoped, visit.kind.Class, visit.home, visit.kind.Class != "lookup", node.Settings.Name, node.Settings.Region != visit.home, rig.now(), time.Duration(visit.kind.DeadlineMs)*time.Millisecond)
-	response, mishap := rig.client.Do(request)
+	response, err := rig.client.Do(request)
 	reply, after := ledger.Reply{Outcome: "broken"}, time.Duration(0)
-	if mishap != nil && strings.Contains(mishap.Error(), "connection refused") {
+	if err != nil && strings.Contains(err.Error(), "connection refused") {
 		reply.Outcome = "not_run"
 	}
-	if mishap == nil {
+	if err == nil {
 		defer response.Body.Close()
 		reply.Status = response.StatusCode
 		visit.read(response, &reply, began, &after)
@@ -221,7 +221,7 @@
 		if !fine {
 			continue
 		}
-		if event == "mishap" {
+		if event == "error" {
 			reply.Outcome = "interrupted"
 			return
 		}
@@ -258,8 +258,8 @@
 }
 
 func (visit *visit) readWhole(response *http.Response, reply *ledger.Reply, began time.Time) {
-	content, mishap := io.ReadAll(response.Body)
-	if mishap != nil {
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
 		return
 	}
 	reply.First = time.Since(began)
--- a/rig/mixed.go
+++ b/rig/mixed.go
@@ -13,12 +13,12 @@
 	"github.com/cedarreel/cedarreel/ledger"
 )
 
-// hallsApart cuts the machines of the first region's two halls from each other; all others still hear both.
-func hallsApart(rig *Rig, plan Plan) error {
-	hall, region := rig.Nodes[0].Machine.Hall, rig.Nodes[0].Machine.Region
+// zonesApart cuts the machines of the first region's two zones from each other; all others still hear both.
+func zonesApart(rig *Rig, plan Plan) error {
+	zone, region := rig.Nodes[0].Machine.Zone, rig.Nodes[0].Machine.Region
 	time.Sleep(plan.part(0.2))
-	rig.Cut(rig.where(func(node *Node) bool { return node.Machine.Hall == hall }),
-		rig.where(func(node *Node) bool { return node.Machine.Region == region && node.Machine.Hall != hall }))
+	rig.Cut(rig.where(func(node *Node) bool { return node.Machine.Zone == zone }),
+		rig.where(func(node *Node) bool { return node.Machine.Region == region && node.Machine.Zone != zone }))
 	time.Sleep(plan.part(0.5))
 	rig.Heal()
 	return rig.Await("serving again", rig.bounds.Return(), rig.serves)
@@ -35,23 +35,23 @@
 // end, and none may look finished that is not; the callers beside them are judged as ever.
 func slowReaders(rig *Rig, plan Plan) error {
 	time.Sleep(plan.part(0.1))
-	group, mishaps := sync.WaitGroup{}, make([]error, stalledReaders)
+	group, errs := sync.WaitGroup{}, make([]error, stalledReaders)
 	for place := range stalledReaders {
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			mishaps[place] = rig.stall(rig.Nodes[place%len(rig.Nodes)], fmt.Sprintf("stalled-%d", place))
+			errs[place] = rig.stall(rig.Nodes[place%len(rig.Nodes)], fmt.Sprintf("stalled-%d", place))
 		}()
 	}
 	group.Wait()
 	plan.Say(fmt.Sprintf("%d stalled readers held %d bytes of the %d that were theirs", stalledReaders, rig.stalls.Load(), stalledReaders*stalledPieces*stalledWidth))
-	return errors.Join(mishaps...)
+	return errors.Join(errs...)
 }
 
 func (rig *Rig) stall(node *Node, key string) error {
-	made, mishap := net.Dial("tcp", node.Settings.Data)
-	if mishap != nil {
-		return mishap
+	made, err := net.Dial("tcp", node.Settings.Data)
+	if err != nil {
+		return err
 	}
 	defer made.Close()
 	_ = made.(*net.TCPConn).SetReadBuffer(4 << 10)
@@ -63,15 +63,15 @@
 	}
 	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":"call %s pieces %d wide %d"}]}`, route, key, stalledPieces, stalledWidth)
 	began, index := time.Now(), rig.Ledger.Sent(key, "stalled", node.Settings.Region, true, node.Settings.Name, false, rig.now(), stalledFor)
-	if _, mishap = fmt.Fprintf(made, "POST /v1/chat/completions HTTP/1.1\r\nHost: node\r\nConnection: close\r\nContent-Type: application/json\r\nCedar-Route: %s\r\nCedar-Caller: desk\r\n"+
-		"Idempotency-Key: %s\r\nCedar-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s", route, key, stalledFor.Milliseconds(), len(body), body); mishap != nil {
-		return mishap
+	if _, err = fmt.Fprintf(made, "POST /v1/chat/completions HTTP/1.1\r\nHost: node\r\nConnection: close\r\nContent-Type: application/json\r\nCedar-Route: %s\r\nCedar-Caller: desk\r\n"+
+		"Idempotency-Key: %s\r\nCedar-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s", route, key, stalledFor.Milliseconds(), len(body), body); err != nil {
+		return err
 	}
 	time.Sleep(stalledFor + rig.bounds.Round()*2)
 	rig.Ledger.Answered(key, index, rig.now(), ledger.Reply{Outcome: "left"})
 	_ = made.SetReadDeadline(time.Now().Add(stalledFor * 8))
-	left, mishap := io.ReadAll(bufio.NewReader(made))
-	if timeout, fine := mishap.(net.Error); fine && timeout.Timeout() {
+	left, err := io.ReadAll(bufio.NewReader(made))
+	if timeout, fine := err.(net.Error); fine && timeout.Timeout() {
 		return fmt.Errorf("%s at %s still holds its caller %v after the call came", key, node.Settings.Name, time.Since(began))
 	}
 	rig.stalls.Add(int64(len(left)))
@@ -84,28 +84,28 @@
 // mixed plays two lanes of failures at once for the whole span: one of nodes, links and disks, one of servers, operators and callers.
 func mixed(rig *Rig, plan Plan) error {
 	lanes := [][]string{
-		{"kill", "kill many", "kill hall", "kill cores", "kill region", "freeze", "cut", "cut one way", "cut region", "halls apart", "lossy", "disk full", "disk stalled",
+		{"kill", "kill many", "kill zone", "kill cores", "kill region", "freeze", "cut", "cut one way", "cut region", "zones apart", "lossy", "disk full", "disk stalled",
 			"disk slow", "disk lies", "disk torn", "wipe core", "graceful stop"},
 		{"server crash", "bad replies", "reclaim", "drain", "crowd", "slow readers", "rolling", "platform broken"},
 	}
-	ends, group, mishaps := rig.now()+plan.Span*9/10, sync.WaitGroup{}, make([]error, len(lanes))
+	ends, group, errs := rig.now()+plan.Span*9/10, sync.WaitGroup{}, make([]error, len(lanes))
 	part := plan
 	part.Span = mixedPart
 	for place, lane := range lanes {
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			for rig.now() < ends-mixedPart && mishaps[place] == nil {
+			for rig.now() < ends-mixedPart && errs[place] == nil {
 				name := lane[rig.draw(len(lane))]
 				plan.Say(fmt.Sprintf("%v %s", rig.now().Round(time.Second), name))
-				if mishap := stories[name](rig, part); mishap != nil {
-					mishaps[place] = fmt.Errorf("%s: %w", name, mishap)
+				if err := stories[name](rig, part); err != nil {
+					errs[place] = fmt.Errorf("%s: %w", name, err)
 				}
 			}
 		}()
 	}
 	group.Wait()
-	return errors.Join(append(mishaps, rig.Await("serving again", 2*rig.bounds.Return(), rig.serves), rig.readBack())...)
+	return errors.Join(append(errs, rig.Await("serving again", 2*rig.bounds.Return(), rig.serves), rig.readBack())...)
 }
 
 const mixedPart = 12 * time.Second
--- a/rig/model.go
+++ b/rig/model.go
@@ -46,9 +46,9 @@
 
 // start brings the server up, cold and under a new incarnation, at its old address.
 func (server *Server) start() error {
-	listener, mishap := net.Listen("tcp", server.Address)
-	if mishap != nil {
-		return mishap
+	listener, err := net.Listen("tcp", server.Address)
+	if err != nil {
+		return err
 	}
 	server.lock.Lock()
 	defer server.lock.Unlock()
@@ -230,7 +230,7 @@
 			writer.Header().Set("Content-Type", "text/event-stream")
 			chunk := map[string]any{"id": id, "number": place, "choices": []any{map[string]any{"delta": map[string]any{"content": piece}, "finish_reason": nil}}}
 			content, _ := json.Marshal(chunk)
-			if _, mishap := fmt.Fprintf(writer, "data: %s\n\n", content); mishap != nil {
+			if _, err := fmt.Fprintf(writer, "data: %s\n\n", content); err != nil {
 				server.rig.Ledger.Over(identity, told, false)
 				return
 			}
--- a/rig/platform.go
+++ b/rig/platform.go
@@ -21,9 +21,9 @@
 }
 
 func newPlatform(rig *Rig) (*Platform, error) {
-	listener, mishap := net.Listen("tcp", "127.0.0.1:0")
-	if mishap != nil {
-		return nil, mishap
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
 	}
 	platform := &Platform{Address: "http://" + listener.Addr().String(), rig: rig, epochs: map[string]int64{}}
 	mux := http.NewServeMux()
@@ -49,7 +49,7 @@
 			continue
 		}
 		server.lock.Lock()
-		row := map[string]any{"name": server.Row.Name, "address": server.Address, "hall": server.Row.Hall, "pool": server.Row.Pool,
+		row := map[string]any{"name": server.Row.Name, "address": server.Address, "zone": server.Row.Zone, "pool": server.Row.Pool,
 			"incarnation": fmt.Sprint(server.incarnation), "leaving": !server.leaving.IsZero(), "unloaded": server.unloaded}
 		if !server.leaving.IsZero() && server.leavingMs > 0 {
 			row["remainingMs"] = max(0, server.leavingMs-time.Since(server.leaving).Milliseconds())
--- a/rig/play.go
+++ b/rig/play.go
@@ -41,8 +41,8 @@
 }
 
 type end struct {
-	clean  bool
-	mishap error
+	clean bool
+	err   error
 }
 
 // Play brings a fleet up, lets the callers come, plays the story, and tells whether the ledger found nothing wrong.
@@ -51,43 +51,43 @@
 	if !there {
 		return false, fmt.Errorf("no story %q; there are %v", plan.Story, StoryNames())
 	}
-	rig, mishap := New(plan.Site, plan.Bin, plan.Folder, plan.Seed)
-	if mishap != nil {
-		return false, mishap
+	rig, err := New(plan.Site, plan.Bin, plan.Folder, plan.Seed)
+	if err != nil {
+		return false, err
 	}
 	defer rig.Close()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	ended := make(chan end, 1)
 	go func() {
-		clean, mishap := rig.play(plan, told)
-		ended <- end{clean, mishap}
+		clean, err := rig.play(plan, told)
+		ended <- end{clean, err}
 	}()
 	select {
 	case <-signals:
 		return false, errors.New("ended by a signal; every process that was started is ended too")
 	case over := <-ended:
-		if plan.Stay && over.mishap == nil {
+		if plan.Stay && over.err == nil {
 			plan.Say("the fleet stays up; end it with a signal")
 			<-signals
 		}
-		return over.clean, over.mishap
+		return over.clean, over.err
 	}
 }
 
 // play is a run from the start of the processes to the ledger's last look.
 func (rig *Rig) play(plan Plan, told story) (bool, error) {
-	mishap := error(nil)
-	if mishap = rig.Start(); mishap != nil {
-		return false, mishap
+	err := error(nil)
+	if err = rig.Start(); err != nil {
+		return false, err
 	}
-	if mishap = rig.Adopt(20 * time.Second); mishap != nil {
-		return false, mishap
+	if err = rig.Adopt(20 * time.Second); err != nil {
+		return false, err
 	}
 	plan.Say(fmt.Sprintf("%s: the manifest is in force after %v; settings and logs in %s", plan.Site.Name, rig.now().Round(time.Millisecond), plan.Folder))
 	plan.Say("any node answers operators, for example " + rig.Nodes[0].Settings.Control)
-	if mishap = rig.Await("serving", rig.bounds.Return(), rig.serves); mishap != nil {
-		return false, mishap
+	if err = rig.Await("serving", rig.bounds.Return(), rig.serves); err != nil {
+		return false, err
 	}
 	crowd := rig.NewCrowd(plan.Seed)
 	crowd.Run(plan.Span, plan.Rate)
@@ -97,7 +97,7 @@
 		defer close(watched)
 		rig.watch(stop)
 	}()
-	mishap = told(rig, plan)
+	err = told(rig, plan)
 	crowd.Wait()
 	close(stop)
 	<-watched
@@ -110,7 +110,7 @@
 		}
 	}
 	plan.Say(fmt.Sprintf("breaches: %d", len(breaches)))
-	return len(breaches) == 0 && mishap == nil, mishap
+	return len(breaches) == 0 && err == nil, err
 }
 
 // serves holds when every data node can pick from every shard of its region.
--- a/rig/rig.go
+++ b/rig/rig.go
@@ -52,20 +52,20 @@
 
 func New(described site.Site, bin, folder string, seed uint64) (*Rig, error) {
 	bounds := env.DefaultBounds()
-	read, mishap := manifest.Read(described.Manifest)
-	if mishap != nil {
-		return nil, mishap
+	read, err := manifest.Read(described.Manifest)
+	if err != nil {
+		return nil, err
 	}
 	rig := &Rig{Site: described, folder: folder, bin: bin, began: time.Now(), bounds: bounds, random: rand.New(rand.NewPCG(seed, 1)),
 		Ledger: ledger.New(ledger.Judging(bounds, read, len(described.Machines))), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
-	if rig.Platform, mishap = newPlatform(rig); mishap != nil {
-		return nil, mishap
+	if rig.Platform, err = newPlatform(rig); err != nil {
+		return nil, err
 	}
 	for _, row := range described.Servers {
-		rig.Ledger.Server(row.Name, row.Hall, row.Region, row.Slots)
-		server, mishap := newServer(rig, row)
-		if mishap != nil {
-			return nil, mishap
+		rig.Ledger.Server(row.Name, row.Zone, row.Region, row.Slots)
+		server, err := newServer(rig, row)
+		if err != nil {
+			return nil, err
 		}
 		rig.servers = append(rig.servers, server)
 	}
@@ -99,23 +99,23 @@
 
 // freeAddress finds a free port below those that the kernel gives to outgoing links, so that none is taken in between.
 func freeAddress() (string, error) {
-	var mishap error
+	var err error
 	for range portTries {
 		var listener net.Listener
-		listener, mishap = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
-		if mishap == nil {
+		listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
+		if err == nil {
 			defer listener.Close()
 			return listener.Addr().String(), nil
 		}
 	}
-	return "", mishap
+	return "", err
 }
 
 func (rig *Rig) place() error {
 	for _, machine := range rig.Site.Machines {
-		node, mishap := rig.newNode(machine)
-		if mishap != nil {
-			return mishap
+		node, err := rig.newNode(machine)
+		if err != nil {
+			return err
 		}
 		rig.Nodes = append(rig.Nodes, node)
 	}
@@ -132,7 +132,7 @@
 		return nil, first
 	}
 	node := &Node{Machine: machine, folder: filepath.Join(rig.folder, machine.Name), bin: rig.bin, cut: map[string]bool{}}
-	node.Settings = env.New(env.WithName(machine.Name), env.WithHall(machine.Hall), env.WithRegion(machine.Region),
+	node.Settings = env.New(env.WithName(machine.Name), env.WithZone(machine.Zone), env.WithRegion(machine.Region),
 		env.WithControl(control), env.WithData(data), env.WithPlatform(rig.Platform.Address))
 	if machine.Core {
 		node.Settings.Folder = filepath.Join(node.folder, "data")
@@ -153,40 +153,40 @@
 func (node *Node) faultsPath() string { return filepath.Join(node.folder, "faults.json") }
 
 func (node *Node) writeFaults() error {
-	content, mishap := json.Marshal(map[string]any{"cut": manifest.SortedKeys(node.cut), "disk": node.disk, "loss": node.loss})
-	if mishap != nil {
-		return mishap
+	content, err := json.Marshal(map[string]any{"cut": manifest.SortedKeys(node.cut), "disk": node.disk, "loss": node.loss})
+	if err != nil {
+		return err
 	}
 	aside := node.faultsPath() + ".aside"
-	if mishap = os.WriteFile(aside, content, 0o600); mishap != nil {
-		return mishap
+	if err = os.WriteFile(aside, content, 0o600); err != nil {
+		return err
 	}
 	return os.Rename(aside, node.faultsPath())
 }
 
 func (node *Node) Start() error {
-	if mishap := os.MkdirAll(node.folder, 0o700); mishap != nil {
-		return mishap
+	if err := os.MkdirAll(node.folder, 0o700); err != nil {
+		return err
 	}
-	if mishap := node.writeFaults(); mishap != nil {
-		return mishap
+	if err := node.writeFaults(); err != nil {
+		return err
 	}
 	path := filepath.Join(node.folder, "env.json")
-	if mishap := os.WriteFile(path, node.Settings.Text(), 0o600); mishap != nil {
-		return mishap
+	if err := os.WriteFile(path, node.Settings.Text(), 0o600); err != nil {
+		return err
 	}
-	var mishap error
-	if node.control, mishap = node.start("cedarcp", path); mishap != nil {
-		return mishap
+	var err error
+	if node.control, err = node.start("cedarcp", path); err != nil {
+		return err
 	}
-	node.data, mishap = node.start("cedardp", path)
-	return mishap
+	node.data, err = node.start("cedardp", path)
+	return err
 }
 
 func (node *Node) start(program, path string) (*exec.Cmd, error) {
-	output, mishap := os.OpenFile(filepath.Join(node.folder, program+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if mishap != nil {
-		return nil, mishap
+	output, err := os.OpenFile(filepath.Join(node.folder, program+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
 	}
 	defer output.Close()
 	command := exec.Command(filepath.Join(node.bin, program), "--env", path, "--faults", node.faultsPath())
@@ -216,8 +216,8 @@
 	clean := true
 	node.each(func(command *exec.Cmd) { _ = command.Process.Signal(syscall.SIGTERM) })
 	node.each(func(command *exec.Cmd) {
-		state, mishap := command.Process.Wait()
-		clean = clean && mishap == nil && state.Success()
+		state, err := command.Process.Wait()
+		clean = clean && err == nil && state.Success()
 	})
 	node.control, node.data = nil, nil
 	return clean
@@ -272,8 +272,8 @@
 
 func (rig *Rig) Start() error {
 	for _, node := range rig.Nodes {
-		if mishap := node.Start(); mishap != nil {
-			return mishap
+		if err := node.Start(); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/rig/rig_test.go
+++ b/rig/rig_test.go
@@ -32,12 +32,12 @@
 
 var _ = BeforeSuite(func() {
 	bin = GinkgoT().TempDir()
-	output, mishap := exec.Command("go", "build", "-o", bin, "../cmd/...").CombinedOutput()
-	Expect(mishap).NotTo(HaveOccurred(), string(output))
-	described, mishap := site.Load("../deploy/seri")
-	Expect(mishap).NotTo(HaveOccurred())
-	played, mishap = New(described, bin, GinkgoT().TempDir(), 1)
-	Expect(mishap).NotTo(HaveOccurred())
+	output, err := exec.Command("go", "build", "-o", bin, "../cmd/...").CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(output))
+	described, err := site.Load("../deploy/seri")
+	Expect(err).NotTo(HaveOccurred())
+	played, err = New(described, bin, GinkgoT().TempDir(), 1)
+	Expect(err).NotTo(HaveOccurred())
 	Expect(played.Start()).To(Succeed())
 	DeferCleanup(func() { played.Close() })
 	Expect(played.Adopt(patience)).To(Succeed())
@@ -54,18 +54,18 @@
 
 func sendBody(node *Node, method, path, body string, given map[string]string) (int, string, http.Header) {
 	GinkgoHelper()
-	request, mishap := http.NewRequest(method, "http://"+node.Settings.Data+path, bytes.NewReader([]byte(body)))
-	Expect(mishap).NotTo(HaveOccurred())
+	request, err := http.NewRequest(method, "http://"+node.Settings.Data+path, bytes.NewReader([]byte(body)))
+	Expect(err).NotTo(HaveOccurred())
 	for name, value := range given {
 		if value != "" {
 			request.Header.Set(name, value)
 		}
 	}
-	response, mishap := played.client.Do(request)
-	Expect(mishap).NotTo(HaveOccurred())
+	response, err := played.client.Do(request)
+	Expect(err).NotTo(HaveOccurred())
 	defer response.Body.Close()
-	content, mishap := io.ReadAll(response.Body)
-	Expect(mishap).NotTo(HaveOccurred())
+	content, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
 	return response.StatusCode, string(content), response.Header
 }
 
@@ -174,14 +174,14 @@
 		answers := map[string]bool{}
 		for _, node := range played.Nodes {
 			for _, address := range []string{node.Settings.Control, node.Settings.Data} {
-				status, content, mishap := played.Operate(address, "GET", "/v1/manifest", "", nil)
-				Expect(mishap).NotTo(HaveOccurred())
+				status, content, err := played.Operate(address, "GET", "/v1/manifest", "", nil)
+				Expect(err).NotTo(HaveOccurred())
 				Expect(status).To(Equal(200))
 				answers[string(content)] = true
 			}
 		}
 		Expect(answers).To(HaveLen(1))
-		for body, part := range map[string]string{`{"halls":{"x":{"region":"moon"}},"nane":1}`: "nane", `{"homes":{"a":"klang","a":"klang"}}`: "twice", `{} {}`: "after the end"} {
+		for body, part := range map[string]string{`{"zones":{"x":{"region":"moon"}},"nane":1}`: "nane", `{"homes":{"a":"klang","a":"klang"}}`: "twice", `{} {}`: "after the end"} {
 			status, content, _ := played.Operate(played.Nodes[4].Settings.Data, "PATCH", "/v1/manifest", "bad", []byte(body))
 			Expect(status).To(Equal(400), string(content))
 			Expect(string(content)).To(ContainSubstring(part))
@@ -200,28 +200,28 @@
 		bad := filepath.Join(GinkgoT().TempDir(), "env.json")
 		Expect(os.WriteFile(bad, []byte(`{"name":"m","seeds":[],"control":"nowhere"}`), 0o600)).To(Succeed())
 		for _, program := range []string{"cedarcp", "cedardp"} {
-			output, mishap := exec.Command(filepath.Join(bin, program), "--env", bad, "--check").CombinedOutput()
-			Expect(mishap).To(MatchError("exit status 2"))
-			for _, part := range []string{"hall:", "region:", "control:", "seeds:", "platform:"} {
+			output, err := exec.Command(filepath.Join(bin, program), "--env", bad, "--check").CombinedOutput()
+			Expect(err).To(MatchError("exit status 2"))
+			for _, part := range []string{"zone:", "region:", "control:", "seeds:", "platform:"} {
 				Expect(string(output)).To(ContainSubstring(part))
 			}
-			output, mishap = exec.Command(filepath.Join(bin, program), "--version").CombinedOutput()
-			Expect(mishap).NotTo(HaveOccurred())
+			output, err = exec.Command(filepath.Join(bin, program), "--version").CombinedOutput()
+			Expect(err).NotTo(HaveOccurred())
 			Expect(string(output)).To(HavePrefix(program))
 		}
 		control := func(words ...string) (string, error) {
-			output, mishap := exec.Command(filepath.Join(bin, "cedarctl"), append([]string{"--node", played.Nodes[8].Settings.Data}, words...)...).CombinedOutput()
-			return string(output), mishap
+			output, err := exec.Command(filepath.Join(bin, "cedarctl"), append([]string{"--node", played.Nodes[8].Settings.Data}, words...)...).CombinedOutput()
+			return string(output), err
 		}
-		told, mishap := control("--json", "get")
-		Expect(mishap).NotTo(HaveOccurred())
+		told, err := control("--json", "get")
+		Expect(err).NotTo(HaveOccurred())
 		Expect(json.Valid([]byte(told))).To(BeTrue())
-		_, mishap = control("drain")
-		Expect(mishap).To(MatchError("exit status 2"))
-		_, mishap = control("drain", "nowhere")
-		Expect(mishap).To(MatchError("exit status 3"))
-		told, mishap = control("members")
-		Expect(mishap).NotTo(HaveOccurred())
+		_, err = control("drain")
+		Expect(err).To(MatchError("exit status 2"))
+		_, err = control("drain", "nowhere")
+		Expect(err).To(MatchError("exit status 3"))
+		told, err = control("members")
+		Expect(err).NotTo(HaveOccurred())
 		Expect(told).To(ContainSubstring("m12-control"))
 	})
 
--- a/rig/stories.go
+++ b/rig/stories.go
@@ -14,7 +14,7 @@
 		"calm":            func(*Rig, Plan) error { return nil },
 		"kill":            withNodes(1, (*Rig).killSome),
 		"kill many":       withNodes(4, (*Rig).killSome),
-		"kill hall":       killHall,
+		"kill zone":       killZone,
 		"kill cores":      killCores,
 		"kill region":     killRegion,
 		"freeze":          withNodes(3, (*Rig).freezeSome),
@@ -42,7 +42,7 @@
 		"crowd":           crowded,
 		"races":           races,
 		"slow readers":    slowReaders,
-		"halls apart":     hallsApart,
+		"zones apart":     zonesApart,
 		"mixed":           mixed,
 		"all":             everything,
 	}
@@ -85,11 +85,11 @@
 		rig.Ledger.Restarted(node.Machine.Name + "-data")
 	}
 	time.Sleep(span)
-	var mishaps []error
+	var errs []error
 	for _, node := range nodes {
-		mishaps = append(mishaps, node.Start())
+		errs = append(errs, node.Start())
 	}
-	return errors.Join(mishaps...)
+	return errors.Join(errs...)
 }
 
 func (rig *Rig) freezeSome(nodes []*Node, span time.Duration) error {
@@ -110,17 +110,17 @@
 	return nil
 }
 
-func killHall(rig *Rig, plan Plan) error {
-	hall := rig.Nodes[rig.draw(len(rig.Nodes))].Machine.Hall
+func killZone(rig *Rig, plan Plan) error {
+	zone := rig.Nodes[rig.draw(len(rig.Nodes))].Machine.Zone
 	time.Sleep(plan.part(0.2))
-	return rig.killSome(rig.where(func(node *Node) bool { return node.Machine.Hall == hall }), plan.part(0.3))
+	return rig.killSome(rig.where(func(node *Node) bool { return node.Machine.Zone == zone }), plan.part(0.3))
 }
 
 func killCores(rig *Rig, plan Plan) error {
 	time.Sleep(plan.part(0.2))
 	cores := rig.where(func(node *Node) bool { return node.Machine.Core })
-	if mishap := rig.killSome(cores, plan.part(0.1)); mishap != nil {
-		return mishap
+	if err := rig.killSome(cores, plan.part(0.1)); err != nil {
+		return err
 	}
 	return rig.writes("after the cores returned")
 }
@@ -140,13 +140,13 @@
 	region := rig.Site.Regions()[1]
 	time.Sleep(plan.part(0.2))
 	nodes := rig.where(func(node *Node) bool { return node.Machine.Region == region })
-	if mishap := rig.killSome(nodes, plan.part(0.2)); mishap != nil {
-		return mishap
+	if err := rig.killSome(nodes, plan.part(0.2)); err != nil {
+		return err
 	}
 	back := rig.now()
-	mishap := rig.Await("serving again", 2*rig.bounds.Return(), rig.serves)
+	err := rig.Await("serving again", 2*rig.bounds.Return(), rig.serves)
 	rig.Ledger.Returned(region, back, rig.now())
-	return mishap
+	return err
 }
 
 func cutRegion(rig *Rig, plan Plan) error {
@@ -165,10 +165,10 @@
 		node := rig.where(func(node *Node) bool { return node.Machine.Core })[rig.draw(3)]
 		node.Disk(state)
 		time.Sleep(plan.part(0.2))
-		mishap := rig.writes("while a disk is " + state)
+		err := rig.writes("while a disk is " + state)
 		node.Disk("")
 		time.Sleep(plan.part(0.2))
-		return errors.Join(mishap, rig.writes("later"))
+		return errors.Join(err, rig.writes("later"))
 	}
 }
 
@@ -201,15 +201,15 @@
 }
 
 func drain(rig *Rig, plan Plan) error {
-	hall := rig.Nodes[0].Machine.Hall
+	zone := rig.Nodes[0].Machine.Zone
 	time.Sleep(plan.part(0.2))
-	if mishap := rig.insist("/v1/halls/" + hall + "/drain"); mishap != nil {
-		return mishap
+	if err := rig.insist("/v1/zones/" + zone + "/drain"); err != nil {
+		return err
 	}
-	rig.Ledger.Drained(hall, rig.now())
+	rig.Ledger.Drained(zone, rig.now())
 	time.Sleep(plan.part(0.5))
-	rig.Ledger.Undrained(hall, rig.now())
-	return rig.insist("/v1/halls/" + hall + "/undrain")
+	rig.Ledger.Undrained(zone, rig.now())
+	return rig.insist("/v1/zones/" + zone + "/undrain")
 }
 
 // insist is an operator who asks one node after another, with one key, until a write is accepted.
@@ -224,8 +224,8 @@
 
 func scale(rig *Rig, plan Plan) error {
 	pool := rig.servers[0].Row.Pool
-	if _, _, mishap := rig.Write(rig.Nodes[7], http.MethodPost, "/v1/pools/"+pool+"/scale", "down", []byte("3")); mishap != nil {
-		return mishap
+	if _, _, err := rig.Write(rig.Nodes[7], http.MethodPost, "/v1/pools/"+pool+"/scale", "down", []byte("3")); err != nil {
+		return err
 	}
 	time.Sleep(plan.part(0.7))
 	rig.Platform.lock.Lock()
@@ -234,16 +234,16 @@
 	if orders == 0 {
 		return errors.New("no server was unloaded")
 	}
-	_, _, mishap := rig.Write(rig.Nodes[2], http.MethodPost, "/v1/pools/"+pool+"/scale", "up", []byte("8"))
-	return mishap
+	_, _, err := rig.Write(rig.Nodes[2], http.MethodPost, "/v1/pools/"+pool+"/scale", "up", []byte("8"))
+	return err
 }
 
 func storm(rig *Rig, plan Plan) error {
 	for index := range 50 {
 		key := fmt.Sprintf("storm-%d-%d", index, rig.now())
 		body := fmt.Appendf(nil, `{"homes":{"guest-%d":%q}}`, index%10, rig.Site.Regions()[index%2])
-		if _, _, mishap := rig.Write(rig.Nodes[index%len(rig.Nodes)], http.MethodPatch, "/v1/manifest", key, body); mishap != nil {
-			return mishap
+		if _, _, err := rig.Write(rig.Nodes[index%len(rig.Nodes)], http.MethodPatch, "/v1/manifest", key, body); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -275,9 +275,9 @@
 	old.Kill()
 	machine := old.Machine
 	machine.Name = "m13"
-	fresh, mishap := rig.newNode(machine)
-	if mishap != nil {
-		return mishap
+	fresh, err := rig.newNode(machine)
+	if err != nil {
+		return err
 	}
 	seeds := []string{}
 	for place, node := range rig.Nodes {
@@ -288,13 +288,13 @@
 		}
 	}
 	fresh.Settings.Seeds = seeds
-	if mishap = fresh.Start(); mishap != nil {
-		return mishap
+	if err = fresh.Start(); err != nil {
+		return err
 	}
 	return errors.Join(rig.writes("after the swap"), rig.Await("the empty machine in the chain", 2*rig.bounds.Return(), func() bool {
-		_, told, mishap := rig.Operate(fresh.Settings.Control, http.MethodGet, "/v1/chain", "", nil)
+		_, told, err := rig.Operate(fresh.Settings.Control, http.MethodGet, "/v1/chain", "", nil)
 		_, chain, found := strings.Cut(string(told), `"chain":`)
-		return mishap == nil && found && strings.Contains(chain, "m13-control")
+		return err == nil && found && strings.Contains(chain, "m13-control")
 	}))
 }
 
@@ -303,12 +303,12 @@
 	node := rig.where(func(node *Node) bool { return node.Machine.Core })[rig.draw(3)]
 	node.Kill()
 	rig.Ledger.Restarted(node.Machine.Name + "-data")
-	if mishap := node.wipe(); mishap != nil {
-		return mishap
+	if err := node.wipe(); err != nil {
+		return err
 	}
 	time.Sleep(plan.part(0.1))
-	if mishap := node.Start(); mishap != nil {
-		return mishap
+	if err := node.Start(); err != nil {
+		return err
 	}
 	return rig.writes("after the wipe")
 }
@@ -319,8 +319,8 @@
 	part.Span = plan.Span / 8
 	for _, name := range []string{"kill", "freeze", "cut", "wipe core", "kill cores", "drain", "kill region", "server crash"} {
 		plan.Say("playing " + name)
-		if mishap := stories[name](rig, part); mishap != nil {
-			return fmt.Errorf("%s: %w", name, mishap)
+		if err := stories[name](rig, part); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
 		}
 	}
 	return nil
--- a/rig/troubles.go
+++ b/rig/troubles.go
@@ -33,9 +33,9 @@
 	time.Sleep(plan.part(0.2))
 	rig.lose(lossPercent)
 	time.Sleep(plan.part(0.5))
-	mishap := rig.writes("while links lose")
+	err := rig.writes("while links lose")
 	rig.lose(0)
-	return mishap
+	return err
 }
 
 func (rig *Rig) lose(percent int) {
@@ -54,17 +54,17 @@
 	time.Sleep(plan.part(0.1))
 	node := rig.cores()[rig.draw(3)]
 	copied := filepath.Join(node.folder, "older")
-	if mishap := os.CopyFS(copied, os.DirFS(node.Settings.Folder)); mishap != nil {
-		return mishap
+	if err := os.CopyFS(copied, os.DirFS(node.Settings.Folder)); err != nil {
+		return err
 	}
-	if mishap := rig.writes("before the loss"); mishap != nil {
-		return mishap
+	if err := rig.writes("before the loss"); err != nil {
+		return err
 	}
 	time.Sleep(plan.part(0.1))
 	node.Kill()
 	rig.Ledger.Restarted(node.Machine.Name + "-data")
-	if mishap := errors.Join(node.wipe(), os.Rename(copied, node.Settings.Folder), node.Start()); mishap != nil {
-		return mishap
+	if err := errors.Join(node.wipe(), os.Rename(copied, node.Settings.Folder), node.Start()); err != nil {
+		return err
 	}
 	time.Sleep(plan.part(0.2))
 	return errors.Join(rig.writes("after the loss"), rig.readBack())
@@ -76,21 +76,21 @@
 	node := rig.cores()[rig.draw(3)]
 	node.Kill()
 	rig.Ledger.Restarted(node.Machine.Name + "-data")
-	entries, mishap := os.ReadDir(node.Settings.Folder)
-	if mishap != nil || len(entries) == 0 {
-		return errors.Join(mishap, errors.New("the folder has no files"))
+	entries, err := os.ReadDir(node.Settings.Folder)
+	if err != nil || len(entries) == 0 {
+		return errors.Join(err, errors.New("the folder has no files"))
 	}
 	for _, entry := range entries[max(0, len(entries)-2):] {
 		path := filepath.Join(node.Settings.Folder, entry.Name())
-		if information, mishap := os.Stat(path); mishap == nil && !information.IsDir() {
-			if mishap = os.Truncate(path, information.Size()/2); mishap != nil {
-				return mishap
+		if information, err := os.Stat(path); err == nil && !information.IsDir() {
+			if err = os.Truncate(path, information.Size()/2); err != nil {
+				return err
 			}
 		}
 	}
 	time.Sleep(plan.part(0.1))
-	if mishap = node.Start(); mishap != nil {
-		return mishap
+	if err = node.Start(); err != nil {
+		return err
 	}
 	time.Sleep(plan.part(0.2))
 	return errors.Join(rig.writes("after the tear"), rig.readBack())
@@ -99,11 +99,11 @@
 // readBack wants every accepted revision through any node.
 func (rig *Rig) readBack() error {
 	for place, revision := range rig.Ledger.AcceptedRevisions() {
-		if mishap := rig.Await(fmt.Sprintf("revision %d", revision), rig.bounds.Return(), func() bool {
+		if err := rig.Await(fmt.Sprintf("revision %d", revision), rig.bounds.Return(), func() bool {
 			status, _, _ := rig.Operate(rig.Nodes[place%len(rig.Nodes)].Settings.Control, http.MethodGet, fmt.Sprintf("/v1/manifest?revision=%d", revision), "", nil)
 			return status == http.StatusOK
-		}); mishap != nil {
-			return mishap
+		}); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -114,9 +114,9 @@
 		server.Mode("late")
 	}
 	pool := rig.servers[0].Row.Pool
-	_, _, mishap := rig.Write(rig.Nodes[7], http.MethodPost, "/v1/pools/"+pool+"/scale", "down", []byte("3"))
-	if mishap == nil {
-		mishap = rig.Await("an unload by late reports", 3*rig.bounds.Return(), func() bool {
+	_, _, err := rig.Write(rig.Nodes[7], http.MethodPost, "/v1/pools/"+pool+"/scale", "down", []byte("3"))
+	if err == nil {
+		err = rig.Await("an unload by late reports", 3*rig.bounds.Return(), func() bool {
 			rig.Platform.lock.Lock()
 			defer rig.Platform.lock.Unlock()
 			return len(rig.Platform.Orders) > 0
@@ -125,7 +125,7 @@
 	for _, server := range rig.servers {
 		server.Mode("")
 	}
-	return mishap
+	return err
 }
 
 // rolling replaces every server of a region, one after another.
@@ -140,8 +140,8 @@
 	for _, server := range servers {
 		rig.Platform.Mark(server, pause)
 		time.Sleep(pause)
-		if mishap := rig.Platform.Replace(server); mishap != nil {
-			return mishap
+		if err := rig.Platform.Replace(server); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -166,38 +166,38 @@
 	return nil
 }
 
-// races has two operators drain two halls, undrain them, and patch, all at once and through different nodes.
+// races has two operators drain two zones, undrain them, and patch, all at once and through different nodes.
 func races(rig *Rig, plan Plan) error {
-	halls := []string{}
+	zones := []string{}
 	for _, node := range rig.Nodes {
-		if node.Machine.Region == rig.Site.Regions()[0] && !slices.Contains(halls, node.Machine.Hall) {
-			halls = append(halls, node.Machine.Hall)
+		if node.Machine.Region == rig.Site.Regions()[0] && !slices.Contains(zones, node.Machine.Zone) {
+			zones = append(zones, node.Machine.Zone)
 		}
 	}
 	time.Sleep(plan.part(0.2))
 	for turn, verb := range []string{"drain", "undrain"} {
-		group, mishaps := sync.WaitGroup{}, make([]error, len(halls)+1)
-		for place, hall := range halls {
+		group, errs := sync.WaitGroup{}, make([]error, len(zones)+1)
+		for place, zone := range zones {
 			group.Add(1)
 			go func() {
 				defer group.Done()
 				if verb == "undrain" {
-					rig.Ledger.Undrained(hall, rig.now())
+					rig.Ledger.Undrained(zone, rig.now())
 				}
-				_, _, mishaps[place] = rig.Write(rig.Nodes[place*3+turn], http.MethodPost, "/v1/halls/"+hall+"/"+verb, fmt.Sprintf("%s-%s-%d", verb, hall, rig.now()), nil)
-				if verb == "drain" && mishaps[place] == nil {
-					rig.Ledger.Drained(hall, rig.now())
+				_, _, errs[place] = rig.Write(rig.Nodes[place*3+turn], http.MethodPost, "/v1/zones/"+zone+"/"+verb, fmt.Sprintf("%s-%s-%d", verb, zone, rig.now()), nil)
+				if verb == "drain" && errs[place] == nil {
+					rig.Ledger.Drained(zone, rig.now())
 				}
 			}()
 		}
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			mishaps[len(halls)] = storm(rig, Plan{Seed: plan.Seed})
+			errs[len(zones)] = storm(rig, Plan{Seed: plan.Seed})
 		}()
 		group.Wait()
-		if mishap := errors.Join(mishaps...); mishap != nil {
-			return mishap
+		if err := errors.Join(errs...); err != nil {
+			return err
 		}
 		time.Sleep(plan.part(0.2))
 	}
--- a/schema/generate/main.go
+++ b/schema/generate/main.go
@@ -9,9 +9,9 @@
 )
 
 func main() {
-	made, mishap := schema.Client()
-	if mishap != nil {
-		fmt.Fprintln(os.Stderr, "generate:", mishap)
+	made, err := schema.Client()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "generate:", err)
 		os.Exit(1)
 	}
 	_, _ = os.Stdout.Write(made)
--- a/schema/schema.go
+++ b/schema/schema.go
@@ -31,12 +31,12 @@
 
 // Read checks the schema and gives its operations in the order of their names.
 func Read() ([]Operation, error) {
-	document, mishap := openapi3.NewLoader().LoadFromData(text)
-	if mishap != nil {
-		return nil, eris.Wrap(mishap, "schema")
+	document, err := openapi3.NewLoader().LoadFromData(text)
+	if err != nil {
+		return nil, eris.Wrap(err, "schema")
 	}
-	if mishap = document.Validate(openapi3.NewLoader().Context); mishap != nil {
-		return nil, eris.Wrap(mishap, "schema")
+	if err = document.Validate(openapi3.NewLoader().Context); err != nil {
+		return nil, eris.Wrap(err, "schema")
 	}
 	operations := []Operation{}
 	for path, item := range document.Paths.Map() {
@@ -83,14 +83,14 @@
 
 // Client gives the client's code.
 func Client() ([]byte, error) {
-	operations, mishap := Read()
-	if mishap != nil {
-		return nil, mishap
+	operations, err := Read()
+	if err != nil {
+		return nil, err
 	}
 	var out bytes.Buffer
-	if mishap = template.Must(template.New("client").Parse(source)).Execute(&out, operations); mishap != nil {
-		return nil, eris.Wrap(mishap, "client")
+	if err = template.Must(template.New("client").Parse(source)).Execute(&out, operations); err != nil {
+		return nil, eris.Wrap(err, "client")
 	}
-	made, mishap := format.Source(out.Bytes())
-	return made, eris.Wrap(mishap, "client")
+	made, err := format.Source(out.Bytes())
+	return made, eris.Wrap(err, "client")
 }
--- a/schema/schema_test.go
+++ b/schema/schema_test.go
@@ -15,20 +15,20 @@
 }
 
 var _ = It("is what the client's code was made from", func() {
-	made, mishap := Client()
-	Expect(mishap).NotTo(HaveOccurred())
-	kept, mishap := os.ReadFile("../client/operations.go")
-	Expect(mishap).NotTo(HaveOccurred())
+	made, err := Client()
+	Expect(err).NotTo(HaveOccurred())
+	kept, err := os.ReadFile("../client/operations.go")
+	Expect(err).NotTo(HaveOccurred())
 	Expect(string(kept)).To(Equal(string(made)), "go run ./schema/generate > client/operations.go")
 })
 
 var _ = It("has just the questions that the nodes answer", func() {
-	operations, mishap := Read()
-	Expect(mishap).NotTo(HaveOccurred())
+	operations, err := Read()
+	Expect(err).NotTo(HaveOccurred())
 	faces := ""
 	for _, path := range []string{"../link/operators.go", "../serve/data.go", "../serve/serve.go"} {
-		content, mishap := os.ReadFile(path)
-		Expect(mishap).NotTo(HaveOccurred())
+		content, err := os.ReadFile(path)
+		Expect(err).NotTo(HaveOccurred())
 		faces += string(content)
 	}
 	described := 0
--- a/serve/callers.go
+++ b/serve/callers.go
@@ -37,8 +37,8 @@
 	if len(value) > longestName {
 		return "", badCall{status: 400, text: fmt.Sprintf("%s: longer than %d characters", header, longestName)}
 	}
-	for _, letter := range value {
-		if letter < ' ' {
+	for _, message := range value {
+		if message < ' ' {
 			return "", badCall{status: 400, text: header + ": has a control character"}
 		}
 	}
@@ -50,33 +50,33 @@
 	if value == "" {
 		return 0, nil
 	}
-	count, mishap := strconv.ParseInt(value, 10, 64)
-	if mishap != nil || count <= 0 || count > int64(time.Hour/time.Millisecond) {
+	count, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || count <= 0 || count > int64(time.Hour/time.Millisecond) {
 		return 0, badCall{status: 400, text: fmt.Sprintf("%s: %q is not a time left in milliseconds", header, value)}
 	}
 	return time.Duration(count) * time.Millisecond, nil
 }
 
-// common reads the headers that every call may carry, collecting mishaps in one look.
+// common reads the headers that every call may carry, collecting errors in one look.
 func common(request *http.Request) (call.Call, error) {
-	var mishaps [7]error
+	var errs [7]error
 	asked := call.Call{}
-	asked.Caller, mishaps[0] = name(request, "Cedar-Caller", true)
-	asked.Session, mishaps[1] = name(request, "Cedar-Session", false)
-	asked.Home, mishaps[2] = name(request, "Cedar-Home", false)
-	asked.Deadline, mishaps[3] = milliseconds(request, "Cedar-Deadline-Ms")
-	asked.Age, mishaps[4] = milliseconds(request, "Cedar-Age-Ms")
-	asked.Hop, mishaps[6] = hop(request)
+	asked.Caller, errs[0] = name(request, "Cedar-Caller", true)
+	asked.Session, errs[1] = name(request, "Cedar-Session", false)
+	asked.Home, errs[2] = name(request, "Cedar-Home", false)
+	asked.Deadline, errs[3] = milliseconds(request, "Cedar-Deadline-Ms")
+	asked.Age, errs[4] = milliseconds(request, "Cedar-Age-Ms")
+	asked.Hop, errs[6] = hop(request)
 	if tries := request.Header.Get("Cedar-Attempt"); tries != "" {
-		number, mishap := strconv.Atoi(tries)
-		if mishap != nil || number < 1 {
-			mishaps[5] = badCall{status: 400, text: fmt.Sprintf("Cedar-Attempt: %q is not a number from 1 on", tries)}
+		number, err := strconv.Atoi(tries)
+		if err != nil || number < 1 {
+			errs[5] = badCall{status: 400, text: fmt.Sprintf("Cedar-Attempt: %q is not a number from 1 on", tries)}
 		}
 		asked.Repeat = number > 1
 	}
-	for _, mishap := range mishaps {
-		if mishap != nil {
-			return asked, mishap
+	for _, err := range errs {
+		if err != nil {
+			return asked, err
 		}
 	}
 	return asked, nil
@@ -92,27 +92,27 @@
 const tokenBytes = 4
 
 func (shell *dataShell) decodeCall(_ context.Context, request *http.Request) (any, error) {
-	asked, mishap := common(request)
-	if mishap != nil {
-		return nil, mishap
+	asked, err := common(request)
+	if err != nil {
+		return nil, err
 	}
-	if asked.Route, mishap = name(request, "Cedar-Route", true); mishap != nil {
-		return nil, mishap
+	if asked.Route, err = name(request, "Cedar-Route", true); err != nil {
+		return nil, err
 	}
-	if asked.Key, mishap = name(request, "Idempotency-Key", true); mishap != nil {
-		return nil, mishap
+	if asked.Key, err = name(request, "Idempotency-Key", true); err != nil {
+		return nil, err
 	}
 	bound := shell.Settings.Bounds.BodyBytes
-	body, mishap := io.ReadAll(io.LimitReader(request.Body, bound+1))
-	if mishap != nil {
+	body, err := io.ReadAll(io.LimitReader(request.Body, bound+1))
+	if err != nil {
 		return nil, badCall{status: 400, text: "the body could not be read"}
 	}
 	if int64(len(body)) > bound {
 		return nil, badCall{status: 413, text: fmt.Sprintf("the body is larger than %d bytes", bound)}
 	}
-	tree, mishap := manifest.Tree(body)
-	if mishap != nil {
-		return nil, badCall{status: 400, text: "body: " + mishap.Error()}
+	tree, err := manifest.Tree(body)
+	if err != nil {
+		return nil, badCall{status: 400, text: "body: " + err.Error()}
 	}
 	reader := manifest.NewReader(tree)
 	streamed := reader.Truth("stream")
@@ -120,8 +120,8 @@
 	if !fine || len(messages) == 0 {
 		reader.Wrong("messages", "want a list that is not empty")
 	}
-	if mishap = reader.Mishap(); mishap != nil {
-		return nil, badCall{status: 400, text: "body: " + mishap.Error()}
+	if err = reader.Err(); err != nil {
+		return nil, badCall{status: 400, text: "body: " + err.Error()}
 	}
 	asked.Digest = contract.Digest(append([]byte(asked.Route+"\x00"), body...))
 	asked.Tokens = int64(len(body) / tokenBytes)
@@ -135,17 +135,17 @@
 	if !fine || first["role"] != "system" || len(messages) < 2 {
 		return ""
 	}
-	content, mishap := json.Marshal(first["content"])
-	if mishap != nil {
+	content, err := json.Marshal(first["content"])
+	if err != nil {
 		return ""
 	}
 	return contract.Digest(content)[:16]
 }
 
 func (shell *dataShell) decodeLookup(_ context.Context, request *http.Request) (any, error) {
-	asked, mishap := common(request)
-	if mishap != nil {
-		return nil, mishap
+	asked, err := common(request)
+	if err != nil {
+		return nil, err
 	}
 	asked.Route, asked.Key, asked.Lookup = request.PathValue("route"), request.PathValue("key"), true
 	if len(asked.Key) > longestName {
@@ -155,8 +155,8 @@
 }
 
 func decodeLook(_ context.Context, request *http.Request) (any, error) {
-	asked, mishap := common(request)
-	return data.Look{Caller: asked.Caller, Key: request.PathValue("key"), Home: asked.Home, Hop: asked.Hop}, mishap
+	asked, err := common(request)
+	return data.Look{Caller: asked.Caller, Key: request.PathValue("key"), Home: asked.Home, Hop: asked.Hop}, err
 }
 
 func (shell *dataShell) look() endpoint.Endpoint {
@@ -195,11 +195,11 @@
 	return json.NewEncoder(writer).Encode(answer.Body)
 }
 
-func encodeBad(_ context.Context, mishap error, writer http.ResponseWriter) {
-	bad := badCall{status: http.StatusBadRequest, text: mishap.Error()}
-	errors.As(mishap, &bad)
+func encodeBad(_ context.Context, err error, writer http.ResponseWriter) {
+	bad := badCall{status: http.StatusBadRequest, text: err.Error()}
+	errors.As(err, &bad)
 	writer.Header().Set("Content-Type", "application/json")
 	link.RetryAfter(writer, bad.after)
 	writer.WriteHeader(bad.status)
-	_ = json.NewEncoder(writer).Encode(contract.Trouble{Outcome: string(call.NotRun), Mishap: bad.text, RetryAfterMs: bad.after.Milliseconds()})
+	_ = json.NewEncoder(writer).Encode(contract.Trouble{Outcome: string(call.NotRun), Error: bad.text, RetryAfterMs: bad.after.Milliseconds()})
 }
--- a/serve/control.go
+++ b/serve/control.go
@@ -54,13 +54,13 @@
 	var recovered *chain.Recovered
 	shell := &controlShell{face: face, disk: make(chan chain.Persist, diskRing), readers: make(chan struct{}, readersAtOnce)}
 	if settings.Folder != "" {
-		folder, mishap := image.Open(settings.Folder)
-		if mishap != nil {
-			return mishap
+		folder, err := image.Open(settings.Folder)
+		if err != nil {
+			return err
 		}
-		loaded, mishap := image.Load(folder)
-		if mishap != nil {
-			return mishap
+		loaded, err := image.Load(folder)
+		if err != nil {
+			return err
 		}
 		recovered, shell.files = &loaded, folder
 	}
@@ -72,8 +72,8 @@
 		shell.Loop.Count("index_snapshots_damaged", int64(damaged))
 		shell.Loop.Count("index_places_restored", int64(len(snapshot.Places)))
 		shell.files = link.FaultyDisk(shell.files, shell.Faults)
-		for _, mishap := range recovered.Damaged {
-			_ = shell.Logger.Log("what", "image put aside", "mishap", mishap)
+		for _, err := range recovered.Damaged {
+			_ = shell.Logger.Log("what", "image put aside", "error", err)
 		}
 	}
 	shell.client = &http.Client{Timeout: settings.Bounds.PlatformPoll(), CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
@@ -98,11 +98,11 @@
 	case index.Persist:
 		go shell.writeIndex(command)
 	case shard.ReadPlatform:
-		shell.read(func() { shell.readPlatform(command) }, shard.ListingRead{Mishap: "too many reads at once"})
+		shell.read(func() { shell.readPlatform(command) }, shard.ListingRead{Error: "too many reads at once"})
 	case shard.ReadReport:
-		shell.read(func() { shell.readReport(command) }, shard.ReportRead{Server: command.Server, For: command, Outcome: retire.Outcome{Mishap: "too many reads at once"}})
+		shell.read(func() { shell.readReport(command) }, shard.ReportRead{Server: command.Server, For: command, Outcome: retire.Outcome{Error: "too many reads at once"}})
 	case shard.Order:
-		shell.read(func() { shell.order(command) }, shard.Ordered{Server: command.Server, Load: command.Load, Mishap: "too many reads at once"})
+		shell.read(func() { shell.order(command) }, shard.Ordered{Server: command.Server, Load: command.Load, Error: "too many reads at once"})
 	case contract.Forward:
 		go shell.forward.Forward(command)
 	default:
@@ -118,8 +118,8 @@
 			return
 		case work := <-shell.disk:
 			persisted := chain.Persisted{Token: work.Token}
-			if mishap := image.Save(shell.files, work); mishap != nil {
-				persisted.Failure = mishap.Error()
+			if err := image.Save(shell.files, work); err != nil {
+				persisted.Failure = err.Error()
 			}
 			shell.Loop.Post(persisted)
 		}
@@ -130,7 +130,7 @@
 func (shell *controlShell) writeIndex(work index.Persist) {
 	persisted := index.Persisted{}
 	if failure := image.SaveIndex(shell.files, work.Snapshot); failure != nil {
-		persisted.Mishap = failure.Error()
+		persisted.Error = failure.Error()
 	}
 	shell.Loop.Post(persisted)
 }
@@ -156,44 +156,45 @@
 		if response.StatusCode != http.StatusOK {
 			return nil, eris.Errorf("answered %d", response.StatusCode)
 		}
-		content, mishap := io.ReadAll(io.LimitReader(response.Body, bound+1))
-		if mishap == nil && int64(len(content)) > bound {
-			mishap = eris.Errorf("larger than %d bytes", bound)
+		content, err := io.ReadAll(io.LimitReader(response.Body, bound+1))
+		if err == nil && int64(len(content)) > bound {
+			err = eris.Errorf("larger than %d bytes", bound)
 		}
-		return content, mishap
+		return content, err
 	}
-	content, mishap := kithttp.NewExplicitClient(encode, decode, kithttp.SetClient(shell.client)).Endpoint()(context.Background(), nil)
-	if mishap != nil {
-		return nil, mishap
+	content, err := kithttp.NewExplicitClient(encode, decode, kithttp.SetClient(shell.client)).Endpoint()(context.Background(), nil)
+	if err != nil {
+		return nil, err
 	}
 	return content.([]byte), nil
 }
 
 func (shell *controlShell) readPlatform(command shard.ReadPlatform) {
 	read := shard.ListingRead{Began: shell.Loop.Now()}
-	content, mishap := []byte{}, error(nil)
+	var content []byte
+	var err error
 	if shell.face != nil {
-		read.Listing, mishap = shell.face.Listing(shell.Settings, shell.get)
-	} else if content, mishap = shell.get(shell.Settings.Platform + "/servers?region=" + url.QueryEscape(command.Region)); mishap == nil {
-		read.Listing, mishap = listing.ReadListing(content, command.Region)
+		read.Listing, err = shell.face.Listing(shell.Settings, shell.get)
+	} else if content, err = shell.get(shell.Settings.Platform + "/servers?region=" + url.QueryEscape(command.Region)); err == nil {
+		read.Listing, err = listing.ReadListing(content, command.Region)
 	}
-	if mishap != nil {
-		read.Mishap = mishap.Error()
+	if err != nil {
+		read.Error = err.Error()
 	}
 	shell.Loop.Post(read)
 }
 
 func (shell *controlShell) readReport(command shard.ReadReport) {
 	read := shard.ReportRead{Server: command.Server, For: command, Outcome: retire.Outcome{Began: shell.Loop.Now()}}
-	content, mishap := shell.get("http://" + command.Address + "/report")
+	content, err := shell.get("http://" + command.Address + "/report")
 	switch {
-	case mishap == nil && shell.face != nil:
-		read.Report, mishap = shell.face.Report(content, command.Server)
-	case mishap == nil:
-		read.Report, mishap = listing.ReadReport(content, command.Server)
+	case err == nil && shell.face != nil:
+		read.Report, err = shell.face.Report(content, command.Server)
+	case err == nil:
+		read.Report, err = listing.ReadReport(content, command.Server)
 	}
-	if mishap != nil {
-		read.Mishap = mishap.Error()
+	if err != nil {
+		read.Error = err.Error()
 	}
 	shell.Loop.Post(read)
 }
@@ -208,20 +209,20 @@
 	if command.Load {
 		verb = "load"
 	}
-	body, mishap := json.Marshal(map[string]any{"region": shell.Settings.Region, "shard": command.Shard, "epoch": command.Epoch})
-	if mishap == nil {
+	body, err := json.Marshal(map[string]any{"region": shell.Settings.Region, "shard": command.Shard, "epoch": command.Epoch})
+	if err == nil {
 		address := fmt.Sprintf("%s/servers/%s/%s", shell.Settings.Platform, url.PathEscape(command.Server), verb)
 		var response *http.Response
-		response, mishap = shell.client.Post(address, "application/json", io.NopCloser(bytes.NewReader(body)))
-		if mishap == nil {
+		response, err = shell.client.Post(address, "application/json", io.NopCloser(bytes.NewReader(body)))
+		if err == nil {
 			_ = response.Body.Close()
 			if response.StatusCode != http.StatusOK {
-				mishap = eris.Errorf("answered %d", response.StatusCode)
+				err = eris.Errorf("answered %d", response.StatusCode)
 			}
 		}
 	}
-	if mishap != nil {
-		ordered.Mishap = mishap.Error()
+	if err != nil {
+		ordered.Error = err.Error()
 	}
 	shell.Loop.Post(ordered)
 }
--- a/serve/dispatch.go
+++ b/serve/dispatch.go
@@ -22,7 +22,7 @@
 
 type sendingKey struct{}
 
-// sending is one attempt's licence to send, and whether a byte of it may have left.
+// sending is one attempt's lease to send, and whether a byte of it may have left.
 type sending struct {
 	shell *dataShell
 	until time.Duration
@@ -31,7 +31,7 @@
 
 func (sending *sending) lapsed() bool { return sending.shell.Loop.Now() >= sending.until }
 
-// licensed is a link whose first byte leaves only under the licence.
+// licensed is a link whose first byte leaves only under the lease.
 type licensed struct {
 	net.Conn
 	*sending
@@ -39,7 +39,7 @@
 
 func (link licensed) Write(content []byte) (int, error) {
 	if !link.sent.Load() && link.lapsed() {
-		return 0, eris.New("the licence lapsed before a byte was sent")
+		return 0, eris.New("the lease lapsed before a byte was sent")
 	}
 	link.sent.Store(true)
 	return link.Conn.Write(content)
@@ -50,9 +50,9 @@
 func (shell *dataShell) transport() *http.Transport {
 	dialer := net.Dialer{Timeout: shell.Settings.Bounds.Round()}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		made, mishap := dialer.DialContext(ctx, network, address)
-		if mishap != nil {
-			return nil, mishap
+		made, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
 		}
 		sending, there := ctx.Value(sendingKey{}).(*sending)
 		if !there {
@@ -60,7 +60,7 @@
 		}
 		if sending.lapsed() {
 			_ = made.Close()
-			return nil, eris.New("the licence lapsed before the link was made")
+			return nil, eris.New("the lease lapsed before the link was made")
 		}
 		return licensed{made, sending}, nil
 	}
@@ -86,14 +86,14 @@
 func (shell *dataShell) attempt(ctx context.Context, session *session, command data.Dispatch) data.Ended {
 	ended := data.Ended{Token: command.Token, Attempt: command.Attempt, Proof: call.NotSent}
 	sending := &sending{shell: shell, until: command.Until}
-	request, mishap := session.request(context.WithValue(ctx, sendingKey{}, sending), command)
-	if mishap != nil {
-		ended.Mishap = mishap.Error()
+	request, err := session.request(context.WithValue(ctx, sendingKey{}, sending), command)
+	if err != nil {
+		ended.Error = err.Error()
 		return ended
 	}
-	response, mishap := shell.client.Do(request)
-	if mishap != nil {
-		ended.Mishap = mishap.Error()
+	response, err := shell.client.Do(request)
+	if err != nil {
+		ended.Error = err.Error()
 		if sending.sent.Load() {
 			ended.Proof = call.Silent
 		}
@@ -103,9 +103,9 @@
 	ended.Proof = call.Silent
 	switch {
 	case response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Cedar-Not-Run") == command.Identity:
-		ended.Proof, ended.Mishap = call.Refused, "the server refused the call"
+		ended.Proof, ended.Error = call.Refused, "the server refused the call"
 	case response.StatusCode != http.StatusOK:
-		ended.Mishap = "the server answered " + response.Status
+		ended.Error = "the server answered " + response.Status
 	case session.caller.stream:
 		shell.relay(ctx, session, response, command, &ended)
 	default:
@@ -121,9 +121,9 @@
 	if !session.caller.call.Lookup {
 		method, body = http.MethodPost, io.NopCloser(bytes.NewReader(session.caller.body))
 	}
-	request, mishap := http.NewRequestWithContext(ctx, method, address, body)
-	if mishap != nil {
-		return nil, eris.Wrap(mishap, "no request for the server")
+	request, err := http.NewRequestWithContext(ctx, method, address, body)
+	if err != nil {
+		return nil, eris.Wrap(err, "no request for the server")
 	}
 	if !session.caller.call.Lookup {
 		request.ContentLength = int64(len(session.caller.body))
@@ -137,70 +137,70 @@
 
 func (shell *dataShell) relay(ctx context.Context, session *session, response *http.Response, command data.Dispatch, ended *data.Ended) {
 	if !strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
-		ended.Mishap = "the server did not stream"
+		ended.Error = "the server did not stream"
 		return
 	}
 	relay := stream.New(command.Identity, shell.Settings.Bounds.ReplyBytes)
 	buffer := make([]byte, 16<<10)
-	for !relay.Finished() && relay.Mishap() == nil {
-		count, mishap := response.Body.Read(buffer)
+	for !relay.Finished() && relay.Err() == nil {
+		count, err := response.Body.Read(buffer)
 		for _, piece := range relay.Feed(buffer[:count]) {
 			if len(ended.Pieces) == 0 {
 				shell.Loop.Post(data.Begun{Token: command.Token, Attempt: command.Attempt})
 			}
 			ended.Pieces = append(ended.Pieces, piece)
 			if !session.box.put(item{piece: piece}) {
-				ended.Mishap = "the caller reads too slowly, and too much waits for callers"
+				ended.Error = "the caller reads too slowly, and too much waits for callers"
 				shell.Loop.Count("readers_cut", 1)
 			}
 		}
 		select {
 		case <-ctx.Done():
-			ended.Mishap = "cut at its deadline"
+			ended.Error = "cut at its deadline"
 		case <-session.gone:
 			ended.Proof = call.Left
 			return
 		default:
 		}
-		if mishap != nil && !relay.Finished() {
-			if !errors.Is(mishap, io.EOF) {
-				ended.Mishap = mishap.Error()
+		if err != nil && !relay.Finished() {
+			if !errors.Is(err, io.EOF) {
+				ended.Error = err.Error()
 			} else {
-				ended.Mishap = "the stream ended before its finish"
+				ended.Error = "the stream ended before its finish"
 			}
 			break
 		}
-		if ended.Mishap != "" {
+		if ended.Error != "" {
 			break
 		}
 	}
-	if relay.Finished() && ended.Mishap == "" {
+	if relay.Finished() && ended.Error == "" {
 		ended.Proof = call.Whole
 		return
 	}
-	if relay.Mishap() != nil {
-		ended.Mishap = relay.Mishap().Error()
+	if relay.Err() != nil {
+		ended.Error = relay.Err().Error()
 	}
 	if len(ended.Pieces) > 0 {
 		ended.Proof = call.Broken
-		session.box.put(item{broken: ended.Mishap})
+		session.box.put(item{broken: ended.Error})
 	}
 }
 
 func (shell *dataShell) whole(session *session, response *http.Response, command data.Dispatch, ended *data.Ended) {
 	bound := shell.Settings.Bounds.ReplyBytes
-	content, mishap := io.ReadAll(io.LimitReader(response.Body, bound+1))
-	if mishap == nil && int64(len(content)) > bound {
-		mishap = eris.New("the reply is larger than its bound")
+	content, err := io.ReadAll(io.LimitReader(response.Body, bound+1))
+	if err == nil && int64(len(content)) > bound {
+		err = eris.New("the reply is larger than its bound")
 	}
-	if mishap == nil && session.caller.call.Lookup {
-		mishap = wholeLookup(content, command.Identity, session.caller.call.Key)
+	if err == nil && session.caller.call.Lookup {
+		err = wholeLookup(content, command.Identity, session.caller.call.Key)
 		ended.Pieces = []string{string(content)}
-	} else if mishap == nil {
-		ended.Pieces, mishap = stream.Whole(content, command.Identity)
+	} else if err == nil {
+		ended.Pieces, err = stream.Whole(content, command.Identity)
 	}
-	if mishap != nil {
-		ended.Pieces, ended.Mishap = nil, mishap.Error()
+	if err != nil {
+		ended.Pieces, ended.Error = nil, err.Error()
 		return
 	}
 	ended.Proof = call.Whole
@@ -212,8 +212,8 @@
 		Key   string           `json:"key"`
 		Value *json.RawMessage `json:"value"`
 	}
-	if mishap := json.Unmarshal(content, &read); mishap != nil {
-		return eris.Wrap(mishap, "reply is not JSON")
+	if err := json.Unmarshal(content, &read); err != nil {
+		return eris.Wrap(err, "reply is not JSON")
 	}
 	if read.ID != identity || read.Key != key || read.Value == nil {
 		return eris.New("reply is of another lookup")
@@ -225,15 +225,15 @@
 func (shell *dataShell) recall(command data.Recall) {
 	recalled := data.Recalled{Token: command.Token, Attempt: command.Attempt}
 	address := "http://" + command.Server.Address + "/calls/" + command.Identity + "/recall"
-	response, mishap := shell.asks.Post(address, "application/json", nil)
-	if mishap == nil {
+	response, err := shell.asks.Post(address, "application/json", nil)
+	if err == nil {
 		var answer struct {
 			Call         string `json:"call"`
 			NeverStarted bool   `json:"neverStarted"`
 		}
-		mishap = json.NewDecoder(io.LimitReader(response.Body, 4096)).Decode(&answer)
+		err = json.NewDecoder(io.LimitReader(response.Body, 4096)).Decode(&answer)
 		_ = response.Body.Close()
-		recalled.Never = mishap == nil && response.StatusCode == http.StatusOK && answer.Call == command.Identity && answer.NeverStarted
+		recalled.Never = err == nil && response.StatusCode == http.StatusOK && answer.Call == command.Identity && answer.NeverStarted
 	}
 	shell.Loop.Post(recalled)
 }
--- a/serve/main.go
+++ b/serve/main.go
@@ -13,7 +13,7 @@
 type arguments struct {
 	Env      string   `long:"env" description:"settings file (JSON); flags win over it"`
 	Name     string   `long:"name" description:"this machine's name"`
-	Hall     string   `long:"hall" description:"this machine's hall"`
+	Zone     string   `long:"zone" description:"this machine's zone"`
 	Region   string   `long:"region" description:"this machine's region"`
 	Control  string   `long:"control" description:"address of cedarcp, IP:port"`
 	Data     string   `long:"data" description:"address of cedardp, IP:port"`
@@ -35,34 +35,34 @@
 	var given arguments
 	parser := flags.NewParser(&given, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = program
-	if rest, mishap := parser.Parse(); mishap != nil || len(rest) > 0 {
+	if rest, err := parser.Parse(); err != nil || len(rest) > 0 {
 		var asked *flags.Error
-		if errors.As(mishap, &asked) && asked.Type == flags.ErrHelp {
+		if errors.As(err, &asked) && asked.Type == flags.ErrHelp {
 			fmt.Println(asked.Message)
 			return
 		}
-		fail(exitUsage, fmt.Sprint(program, ": ", mishap, rest))
+		fail(exitUsage, fmt.Sprint(program, ": ", err, rest))
 	}
 	if given.Version {
 		fmt.Println(program, Version)
 		return
 	}
-	options := []env.Option{env.WithName(given.Name), env.WithHall(given.Hall), env.WithRegion(given.Region), env.WithControl(given.Control),
+	options := []env.Option{env.WithName(given.Name), env.WithZone(given.Zone), env.WithRegion(given.Region), env.WithControl(given.Control),
 		env.WithData(given.Data), env.WithFolder(given.Folder), env.WithPlatform(given.Platform), env.WithSeeds(given.Seeds)}
-	settings, mishap := env.New(options...), error(nil)
+	settings, err := env.New(options...), error(nil)
 	if given.Env != "" {
-		settings, mishap = env.Load(given.Env, options...)
+		settings, err = env.Load(given.Env, options...)
 	} else {
-		mishap = settings.Check()
+		err = settings.Check()
 	}
-	if mishap != nil {
-		fail(exitUsage, program+": "+mishap.Error())
+	if err != nil {
+		fail(exitUsage, program+": "+err.Error())
 	}
 	if given.Check {
 		return
 	}
-	if mishap = run(settings, given.Faults); mishap != nil {
-		fail(exitFailed, program+": "+mishap.Error())
+	if err = run(settings, given.Faults); err != nil {
+		fail(exitFailed, program+": "+err.Error())
 	}
 }
 
--- a/serve/operate.go
+++ b/serve/operate.go
@@ -18,12 +18,12 @@
 			if errors.As(failure, &large) {
 				status = http.StatusRequestEntityTooLarge
 			}
-			writeJSON(writer, status, contract.Trouble{Mishap: "the body could not be read"})
+			writeJSON(writer, status, contract.Trouble{Error: "the body could not be read"})
 			return
 		}
 		ask, failure := order.Read(shell.Settings, request, content)
 		if failure != nil {
-			writeJSON(writer, http.StatusBadRequest, contract.Trouble{Mishap: failure.Error()})
+			writeJSON(writer, http.StatusBadRequest, contract.Trouble{Error: failure.Error()})
 			return
 		}
 		code, after, body := shell.forward.Ask(request.Context(), ask)
--- a/serve/pass.go
+++ b/serve/pass.go
@@ -56,10 +56,10 @@
 		if passage.shell.Faults.Cut(node) {
 			continue
 		}
-		request, mishap := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 			GotConn: func(httptrace.GotConnInfo) { passage.sent = true }}), passage.method, "http://"+node+passage.path, passage.reader())
-		if mishap != nil {
-			return nil, mishap
+		if err != nil {
+			return nil, err
 		}
 		request.ContentLength = int64(len(passage.body))
 		for name, value := range passage.headers {
@@ -71,11 +71,11 @@
 		request.Header.Set("Cedar-Deadline-Ms", strconv.FormatInt(max(1, passage.pass.Limit.Milliseconds()), 10))
 		request.Header.Set(hopHeader, "1")
 		passage.node = node
-		response, mishap := passage.shell.client.Do(request)
-		if mishap == nil || passage.sent {
-			return response, mishap
+		response, err := passage.shell.client.Do(request)
+		if err == nil || passage.sent {
+			return response, err
 		}
-		last = mishap
+		last = err
 	}
 	return nil, last
 }
@@ -92,17 +92,17 @@
 	bounds := passage.shell.Settings.Bounds
 	limited, cancel := context.WithTimeout(ctx, passage.pass.Limit+bounds.Round()/2)
 	defer cancel()
-	response, mishap := passage.ask(limited)
+	response, err := passage.ask(limited)
 	if !passage.sent {
-		trouble := contract.Trouble{Outcome: string(call.NotRun), Mishap: "no node of the call's home can be reached; it did not run", Home: passage.pass.Home,
+		trouble := contract.Trouble{Outcome: string(call.NotRun), Error: "no node of the call's home can be reached; it did not run", Home: passage.pass.Home,
 			RetryAfterMs: bounds.Round().Milliseconds()}
 		passage.tell(writer, http.StatusServiceUnavailable, bounds.Round(), trouble)
-		return 0, trouble.Mishap
+		return 0, trouble.Error
 	}
-	if mishap != nil {
+	if err != nil {
 		passage.tell(writer, http.StatusBadGateway, 0, contract.Trouble{Outcome: string(call.Unknown), Home: passage.pass.Home,
-			Mishap: "passed on to its home, and no answer came"})
-		return http.StatusBadGateway, mishap.Error()
+			Error: "passed on to its home, and no answer came"})
+		return http.StatusBadGateway, err.Error()
 	}
 	defer response.Body.Close()
 	for _, name := range []string{"Content-Type", "Cache-Control", "Retry-After", "Content-Length"} {
@@ -111,8 +111,8 @@
 		}
 	}
 	writer.WriteHeader(response.StatusCode)
-	if mishap = passage.copy(writer, response.Body, until); mishap != nil {
-		return -response.StatusCode, mishap.Error()
+	if err = passage.copy(writer, response.Body, until); err != nil {
+		return -response.StatusCode, err.Error()
 	}
 	return response.StatusCode, ""
 }
@@ -124,11 +124,11 @@
 	_ = json.NewEncoder(writer).Encode(trouble)
 }
 
-// copy ends without a mishap only when the home's whole answer came and was written.
+// copy ends without an error only when the home's whole answer came and was written.
 func (passage *passage) copy(writer http.ResponseWriter, from io.Reader, until time.Duration) error {
 	control, buffer := http.NewResponseController(writer), make([]byte, 16<<10)
 	for {
-		count, mishap := from.Read(buffer)
+		count, err := from.Read(buffer)
 		_ = control.SetWriteDeadline(nowPlus(min(passage.shell.Settings.Bounds.Return(), until-passage.shell.Loop.Now())))
 		if _, other := writer.Write(buffer[:count]); other != nil {
 			return other
@@ -136,11 +136,11 @@
 		if other := control.Flush(); other != nil {
 			return other
 		}
-		if mishap == io.EOF {
+		if err == io.EOF {
 			return nil
 		}
-		if mishap != nil {
-			return mishap
+		if err != nil {
+			return err
 		}
 	}
 }
@@ -149,8 +149,8 @@
 func (out *writerOf) passOn(ctx context.Context, pass data.Pass) error {
 	session := out.session
 	made := session.passage(pass)
-	status, mishap := made.carry(ctx, out.writer, session.until)
-	session.shell.Loop.Post(data.Passed{Token: session.token, Node: made.node, Status: max(status, -status), Mishap: mishap})
+	status, err := made.carry(ctx, out.writer, session.until)
+	session.shell.Loop.Post(data.Passed{Token: session.token, Node: made.node, Status: max(status, -status), Error: err})
 	if status < 0 {
 		panic(http.ErrAbortHandler)
 	}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -40,16 +40,16 @@
 
 func boot() string {
 	content := make([]byte, 6)
-	if _, mishap := rand.Read(content); mishap != nil {
-		panic(mishap)
+	if _, err := rand.Read(content); err != nil {
+		panic(err)
 	}
 	return hex.EncodeToString(content)
 }
 
 func source() *random.Rand {
 	content := [32]byte{}
-	if _, mishap := rand.Read(content[:]); mishap != nil {
-		panic(mishap)
+	if _, err := rand.Read(content[:]); err != nil {
+		panic(err)
 	}
 	return random.New(random.NewChaCha8(content))
 }
@@ -70,9 +70,9 @@
 
 // run serves until a signal comes; farewell then has its time to end what runs.
 func (process *Process) run(address string, farewell func()) error {
-	listener, mishap := net.Listen("tcp", address)
-	if mishap != nil {
-		return eris.Wrap(mishap, "cannot listen")
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "cannot listen")
 	}
 	process.server = &http.Server{Handler: boundedReading(process.Mux, process.Settings.Bounds.Return()), ReadHeaderTimeout: process.Settings.Bounds.Deliver(),
 		IdleTimeout: process.Settings.Bounds.Deadline(), MaxHeaderBytes: 1 << 16}
@@ -86,20 +86,20 @@
 	go process.Loop.Run(process.stop)
 	_ = process.Logger.Log("what", "started", "address", address, "version", Version)
 	select {
-	case mishap = <-ended:
+	case err = <-ended:
 	case <-signals:
 		_ = process.Logger.Log("what", "stopping")
 		farewell()
 		patience, cancel := context.WithTimeout(context.Background(), process.Settings.Bounds.Deadline()/2)
 		defer cancel()
-		mishap = process.server.Shutdown(patience)
+		err = process.server.Shutdown(patience)
 	}
 	close(process.stop)
-	if errors.Is(mishap, http.ErrServerClosed) || errors.Is(mishap, context.DeadlineExceeded) {
-		mishap = nil
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, context.DeadlineExceeded) {
+		err = nil
 	}
 	_ = process.Logger.Log("what", "stopped")
-	return mishap
+	return err
 }
 
 // reread takes up the seeds of a settings file that changed; all else of it is for the next start.
@@ -141,11 +141,11 @@
 }
 
 func (body slowBody) Read(content []byte) (int, error) {
-	count, mishap := body.ReadCloser.Read(content)
-	if errors.Is(mishap, io.EOF) {
+	count, err := body.ReadCloser.Read(content)
+	if errors.Is(err, io.EOF) {
 		_ = body.control.SetReadDeadline(time.Time{})
 	}
-	return count, mishap
+	return count, err
 }
 
 func settle(span time.Duration) { time.Sleep(span) }
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -55,10 +55,10 @@
 
 var _ = DescribeTable("an attempt at a server", func(handler http.HandlerFunc, until time.Duration, proof call.Proof, sent int64) {
 	ended, seen := attempted(handler, until)
-	Expect(ended.Proof).To(Equal(proof), ended.Mishap)
+	Expect(ended.Proof).To(Equal(proof), ended.Error)
 	Expect(seen).To(Equal(sent))
 },
-	Entry("after its licence lapsed sends nothing", http.HandlerFunc(abort), time.Duration(0), call.NotSent, int64(0)),
+	Entry("after its lease lapsed sends nothing", http.HandlerFunc(abort), time.Duration(0), call.NotSent, int64(0)),
 	Entry("whose link breaks is sent once and its end is not known", http.HandlerFunc(abort), time.Hour, call.Silent, int64(1)),
 	Entry("that is redirected goes nowhere else", http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		http.Redirect(writer, request, "/elsewhere", http.StatusTemporaryRedirect)
@@ -87,8 +87,8 @@
 	here, there := net.Pipe()
 	shell := &dataShell{Process: &Process{Settings: env.New(), Loop: link.NewLoop(deaf{}, time.Hour, nil, log.NewNopLogger())}}
 	late := licensed{here, &sending{shell: shell, until: 0}}
-	_, mishap := late.Write([]byte("call"))
-	Expect(mishap).To(HaveOccurred())
+	_, err := late.Write([]byte("call"))
+	Expect(err).To(HaveOccurred())
 	Expect(late.sent.Load()).To(BeFalse())
 	Expect(here.Close()).To(Succeed())
 	left, _ := io.ReadAll(there)
--- a/serve/session.go
+++ b/serve/session.go
@@ -58,7 +58,7 @@
 	session.box.close()
 }
 
-// encodeCall writes a session out. Whatever is not the whole reply ends in a mishap event and a broken connection.
+// encodeCall writes a session out. Whatever is not the whole reply ends in an error event and a broken connection.
 func encodeCall(ctx context.Context, writer http.ResponseWriter, response any) error {
 	session := response.(*session)
 	defer session.close()
@@ -69,13 +69,13 @@
 			session.shell.Loop.Post(data.Left{Token: session.token})
 			return ctx.Err()
 		case <-session.box.ready:
-			if mishap := out.drain(); mishap != nil {
+			if err := out.drain(); err != nil {
 				session.shell.Loop.Post(data.Left{Token: session.token})
-				return mishap
+				return err
 			}
 		case answer := <-session.answer:
-			if mishap := out.drain(); mishap != nil {
-				return mishap
+			if err := out.drain(); err != nil {
+				return err
 			}
 			if pass, away := answer.Body.(data.Pass); away {
 				return out.passOn(ctx, pass)
@@ -87,8 +87,8 @@
 
 func (out *writerOf) drain() error {
 	for next, there := out.session.box.take(); there; next, there = out.session.box.take() {
-		if mishap := out.next(next); mishap != nil {
-			return mishap
+		if err := out.next(next); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -96,7 +96,7 @@
 
 func (out *writerOf) next(next item) error {
 	if next.broken != "" {
-		out.mishap(next.broken)
+		out.err(next.broken)
 	}
 	return out.piece(next.piece)
 }
@@ -126,9 +126,9 @@
 }
 
 func (out *writerOf) event(kind string, body any) error {
-	content, mishap := json.Marshal(body)
-	if mishap != nil {
-		return mishap
+	content, err := json.Marshal(body)
+	if err != nil {
+		return err
 	}
 	text := "data: " + string(content) + "\n\n"
 	if kind != "" {
@@ -144,8 +144,8 @@
 
 func (out *writerOf) raw(text string) error {
 	_ = out.control.SetWriteDeadline(nowPlus(out.patience()))
-	if _, mishap := out.writer.Write([]byte(text)); mishap != nil {
-		return mishap
+	if _, err := out.writer.Write([]byte(text)); err != nil {
+		return err
 	}
 	return out.control.Flush()
 }
@@ -161,8 +161,8 @@
 	return out.event("", next)
 }
 
-func (out *writerOf) mishap(text string) {
-	_ = out.event("mishap", contract.Trouble{Outcome: string(call.Interrupted), Mishap: text})
+func (out *writerOf) err(text string) {
+	_ = out.event("error", contract.Trouble{Outcome: string(call.Interrupted), Error: text})
 	panic(http.ErrAbortHandler)
 }
 
@@ -171,27 +171,27 @@
 	reply, whole := answer.Body.(data.Reply)
 	if !whole {
 		if out.pieces > 0 {
-			out.mishap("the call ended early")
+			out.err("the call ended early")
 		}
 		return encodeAnswer(context.Background(), out.writer, answer)
 	}
 	if out.session.caller.call.Lookup {
 		out.writer.Header().Set("Content-Type", "application/json")
-		_, mishap := out.writer.Write([]byte(reply.Pieces[0]))
-		return mishap
+		_, err := out.writer.Write([]byte(reply.Pieces[0]))
+		return err
 	}
 	if !out.session.caller.stream {
 		return out.unary(answer, reply)
 	}
 	for out.pieces < int64(len(reply.Pieces)) {
-		if mishap := out.piece(reply.Pieces[out.pieces]); mishap != nil {
-			return mishap
+		if err := out.piece(reply.Pieces[out.pieces]); err != nil {
+			return err
 		}
 	}
 	finish := "stop"
 	last := chunk{ID: out.session.caller.call.Key, Object: "chat.completion.chunk", Number: out.pieces, Choices: []choice{{Finish: &finish}}}
-	if mishap := out.event("", last); mishap != nil {
-		return mishap
+	if err := out.event("", last); err != nil {
+		return err
 	}
 	return out.raw("data: [DONE]\n\n")
 }
--- a/serve/standin_test.go
+++ b/serve/standin_test.go
@@ -95,7 +95,7 @@
 const aim = 5 * time.Second
 
 func routes(attempts int64) gateway.Configured {
-	read := manifest.Manifest{Regions: map[string]manifest.Region{"north": {Shards: 1}}, Halls: map[string]manifest.Hall{"north-1": {Region: "north"}},
+	read := manifest.Manifest{Regions: map[string]manifest.Region{"north": {Shards: 1}}, Zones: map[string]manifest.Zone{"north-1": {Region: "north"}},
 		Gateway: manifest.Gateway{Revision: 1, Routes: map[string]manifest.GatewayRoute{}, Services: map[string]manifest.Service{"s": {}},
 			Limits: manifest.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20}}}
 	for _, route := range []manifest.GatewayRoute{{Name: "read", Kind: manifest.KindReadOnly}, {Name: "write", Kind: manifest.KindMutating},
@@ -120,7 +120,7 @@
 
 // newStage is a stage that cleanup ends; it needs no suite around it.
 func newStage(contact time.Duration, servers int, cleanup func(func()), script ...play) *stage {
-	settings := env.New(env.WithName("node"), env.WithHall("north-1"), env.WithRegion("north"))
+	settings := env.New(env.WithName("node"), env.WithZone("north-1"), env.WithRegion("north"))
 	settings.Gateway = env.Gateway{RepeatRatio: 0.2, RepeatWindow: 10 * time.Second, RepeatAllowance: 100, Contact: contact}
 	made := &stage{script: script, shell: serve.NewTestGateway(settings, platform.Face{})}
 	listed := gateway.Listed{Region: "north"}
@@ -131,7 +131,7 @@
 		}
 		cleanup(func() { _ = listener.Close() })
 		name := fmt.Sprint("server", place)
-		listed.Servers = append(listed.Servers, contract.Candidate{Name: name, Address: listener.Addr().String(), Hall: "north-1", Pool: "s", Slots: 8})
+		listed.Servers = append(listed.Servers, contract.Candidate{Name: name, Address: listener.Addr().String(), Zone: "north-1", Pool: "s", Slots: 8})
 		go func() {
 			for {
 				conn, failure := listener.Accept()
--- a/shard/ages.go
+++ b/shard/ages.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	LetterAgesAsk  = "ages-ask"
-	LetterAgesTold = "ages-told"
+	MessageAgesAsk  = "ages-ask"
+	MessageAgesTold = "ages-told"
 )
 
 // Ages is what a control node knows of servers that came back lately; one that has just started asks its fellows for it, or it
@@ -29,7 +29,7 @@
 	owner.nextAges = now + owner.bounds.Round()/2
 	for _, member := range owner.seen.Members {
 		if member.Kind == contract.KindControl && member.Region == owner.self.Region && member.Name != owner.self.Name {
-			owner.emit(contract.Send{To: member.Address, Kind: LetterAgesAsk, Body: Ages{Address: owner.self.Address}})
+			owner.emit(contract.Send{To: member.Address, Kind: MessageAgesAsk, Body: Ages{Address: owner.self.Address}})
 		}
 	}
 }
@@ -37,20 +37,20 @@
 // rising holds while this node is about to take a shard over, or has just done so.
 func (owner *Owner) rising(now time.Duration) bool {
 	for _, held := range owner.duties {
-		if held.firstSince >= 0 && (!held.owning || now-held.taken < owner.bounds.Licence()) {
+		if held.firstSince >= 0 && (!held.owning || now-held.taken < owner.bounds.Lease()) {
 			return true
 		}
 	}
 	return false
 }
 
-func (owner *Owner) tellAges(now time.Duration, letter contract.Letter) {
+func (owner *Owner) tellAges(now time.Duration, message contract.Message) {
 	var ages Ages
-	if json.Unmarshal(letter.Body, &ages) != nil {
+	if json.Unmarshal(message.Body, &ages) != nil {
 		return
 	}
 	ramp := owner.seen.Manifest.Retirement.Ramp
-	if letter.Kind == LetterAgesAsk {
+	if message.Kind == MessageAgesAsk {
 		told := Ages{Since: map[string]time.Duration{}}
 		for name, known := range owner.servers {
 			from := known.listedFrom
@@ -61,7 +61,7 @@
 				told.Since[ageKey(name, known.incarnation)] = now - from
 			}
 		}
-		owner.emit(contract.Send{To: ages.Address, Kind: LetterAgesTold, Body: told})
+		owner.emit(contract.Send{To: ages.Address, Kind: MessageAgesTold, Body: told})
 		return
 	}
 	for _, key := range manifest.SortedKeys(ages.Since) {
--- a/shard/condition.go
+++ b/shard/condition.go
@@ -73,26 +73,26 @@
 
 // witnesses joins the words of the nodes that asked lately, and counts those nodes and their zones.
 func (owner *Owner) witnesses(now time.Duration, held *duty) (joined map[string]*witness, nodes, zones int) {
-	halls, seen := map[string]string{}, map[string]bool{}
+	zoneOf, seen := map[string]string{}, map[string]bool{}
 	for _, member := range owner.seen.Members {
-		halls[member.Name] = member.Hall
+		zoneOf[member.Name] = member.Zone
 	}
 	joined = map[string]*witness{}
 	for node, tallies := range held.tallies {
-		if now-held.words[node].Told >= owner.bounds.Licence() {
+		if now-held.words[node].Told >= owner.bounds.Lease() {
 			delete(held.tallies, node)
 			continue
 		}
 		nodes++
-		hall := halls[node]
-		seen[hall] = true
+		zone := zoneOf[node]
+		seen[zone] = true
 		for name, tally := range tallies {
 			one := joined[name]
 			if one == nil {
 				one = &witness{zones: map[string]contract.Tally{}}
 				joined[name] = one
 			}
-			one.all, one.zones[hall] = one.all.Plus(tally), one.zones[hall].Plus(tally)
+			one.all, one.zones[zone] = one.all.Plus(tally), one.zones[zone].Plus(tally)
 			switch {
 			case tally.Lost > 0:
 				one.lost++
@@ -130,7 +130,7 @@
 		if now >= known.until {
 			known.since = now
 		}
-		known.until = now + owner.bounds.Licence()
+		known.until = now + owner.bounds.Lease()
 		if one.lost > 0 {
 			known.lostUntil = known.until
 		}
@@ -147,7 +147,7 @@
 
 // rest is the time of one step: what nodes told of the time before it is past. It doubles when the server falls ill again.
 func (owner *Owner) rest(known *condition) time.Duration {
-	return (owner.bounds.Withdraw() + owner.bounds.Licence()) << min(known.relapses, mostRelapses)
+	return (owner.bounds.Withdraw() + owner.bounds.Lease()) << min(known.relapses, mostRelapses)
 }
 
 // recover lets an ill server come back by a step when trial calls were answered well, or when nobody tried for long.
@@ -193,7 +193,7 @@
 		case known == nil:
 		case known.ill > 0:
 			owner.recover(now, known, row.Name, one)
-		case one == nil || now-known.since < owner.bounds.Licence() || now >= known.until:
+		case one == nil || now-known.since < owner.bounds.Lease() || now >= known.until:
 		case nodes >= fewestNodes && one.agreed(nodes, zones) && one.share() >= meanTimes*mean && 2*(ill+1) <= len(rows):
 			ill++
 			if known.healed > 0 {
--- a/shard/condition_test.go
+++ b/shard/condition_test.go
@@ -19,17 +19,17 @@
 	nodes   []contract.Member
 	listing contract.Listing
 	told    map[string]map[string]contract.Tally
-	held    map[string]contract.Licence
+	held    map[string]contract.Lease
 	lists   int
 }
 
 func warded(servers, nodes, zones int) *ward {
-	self := contract.Member{Name: "east-control", Kind: contract.KindControl, Region: "east", Hall: "zone0", Address: "owner:1"}
-	made := &ward{Owner: New(self, env.DefaultBounds()), now: time.Second, told: map[string]map[string]contract.Tally{}, held: map[string]contract.Licence{}}
+	self := contract.Member{Name: "east-control", Kind: contract.KindControl, Region: "east", Zone: "zone0", Address: "owner:1"}
+	made := &ward{Owner: New(self, env.DefaultBounds()), now: time.Second, told: map[string]map[string]contract.Tally{}, held: map[string]contract.Lease{}}
 	made.Prompt(true)
 	made.nodes = append(made.nodes, self)
 	for node := range nodes {
-		made.nodes = append(made.nodes, contract.Member{Name: fmt.Sprintf("node%02d", node), Kind: contract.KindData, Region: "east", Hall: fmt.Sprintf("zone%d", node%zones)})
+		made.nodes = append(made.nodes, contract.Member{Name: fmt.Sprintf("node%02d", node), Kind: contract.KindData, Region: "east", Zone: fmt.Sprintf("zone%d", node%zones)})
 	}
 	for server := range servers {
 		name := fmt.Sprintf("s%d", server)
@@ -39,13 +39,13 @@
 	return made
 }
 
-func (ward *ward) licence(command contract.Command) (contract.Licence, bool) {
+func (ward *ward) lease(command contract.Command) (contract.Lease, bool) {
 	send, fine := command.(contract.Send)
 	if !fine {
-		return contract.Licence{}, false
+		return contract.Lease{}, false
 	}
-	licence, fine := send.Body.(contract.Licence)
-	return licence, fine
+	lease, fine := send.Body.(contract.Lease)
+	return lease, fine
 }
 
 // passes lets time go by while every node tells its tallies every half second; each time, the words may be changed before.
@@ -63,11 +63,11 @@
 		}
 		for _, node := range ward.nodes[1:] {
 			last := ward.held[node.Name]
-			ask := contract.LicenceAsk{Node: node.Name, Region: "east", Address: node.Name, Shards: 1, Highest: last.Epoch, Number: last.Number, Brief: true, Tallies: ward.told[node.Name]}
+			ask := contract.LeaseRequest{Node: node.Name, Region: "east", Address: node.Name, Shards: 1, Highest: last.Epoch, Number: last.Number, Brief: true, Tallies: ward.told[node.Name]}
 			body, _ := json.Marshal(ask)
-			for _, command := range ward.Handle(ward.now, contract.Letter{Kind: LetterAsk, Body: body}) {
-				if licence, fine := ward.licence(command); fine && !licence.Same {
-					ward.held[node.Name] = licence
+			for _, command := range ward.Handle(ward.now, contract.Message{Kind: MessageAsk, Body: body}) {
+				if lease, fine := ward.lease(command); fine && !lease.Same {
+					ward.held[node.Name] = lease
 					ward.lists++
 				}
 			}
@@ -116,7 +116,7 @@
 func zoned(zones ...string) func(contract.Member) bool {
 	return func(node contract.Member) bool {
 		for _, zone := range zones {
-			if node.Hall == zone {
+			if node.Zone == zone {
 				return true
 			}
 		}
--- a/shard/cost_test.go
+++ b/shard/cost_test.go
@@ -5,17 +5,17 @@
 	"testing"
 
 	"github.com/cedarreel/cedarreel/contract"
-	"github.com/cedarreel/cedarreel/hollow"
+	"github.com/cedarreel/cedarreel/planned"
 	"github.com/cedarreel/cedarreel/shard"
 )
 
 // BenchmarkFirst finds the owner of a shard among all members, as every question for a list does.
 func BenchmarkFirst(b *testing.B) {
-	for _, nodes := range []int{48, 350, hollow.PlannedNodes} {
+	for _, nodes := range []int{48, 350, planned.Nodes} {
 		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
 			members := []contract.Member{}
-			for index := range nodes + nodes*hollow.PlannedControls/hollow.PlannedNodes {
-				member := contract.Member{Name: fmt.Sprintf("node-%05d", index), Kind: contract.KindData, Region: fmt.Sprintf("region-%02d", index%hollow.PlannedRegions)}
+			for index := range nodes + nodes*planned.Controls/planned.Nodes {
+				member := contract.Member{Name: fmt.Sprintf("node-%05d", index), Kind: contract.KindData, Region: fmt.Sprintf("region-%02d", index%planned.Regions)}
 				if index >= nodes {
 					member.Kind = contract.KindControl
 				}
--- a/shard/duty.go
+++ b/shard/duty.go
@@ -39,7 +39,7 @@
 	causes, wanted := map[string]retire.Cause{}, map[string]bool{}
 	pools := map[string][]contract.ServerRow{}
 	for _, row := range owner.listing.Servers {
-		if !row.Leaving && !owner.drained(row.Hall) {
+		if !row.Leaving && !owner.drained(row.Zone) {
 			pools[row.Pool] = append(pools[row.Pool], row)
 		}
 	}
@@ -75,7 +75,7 @@
 			continue
 		}
 		cause, leaving := surplus[row.Name]
-		if owner.drained(row.Hall) && !row.Unloaded {
+		if owner.drained(row.Zone) && !row.Unloaded {
 			cause, leaving = retire.Drain, true
 		}
 		if row.Leaving {
@@ -126,7 +126,7 @@
 	if running {
 		owner.end(now, held, retirement, "a stronger cause came")
 	}
-	terms := retire.Terms{Retirement: owner.seen.Manifest.Retirement, Licence: owner.bounds.Licence(), Link: owner.bounds.Ask(), Remaining: remaining}
+	terms := retire.Terms{Retirement: owner.seen.Manifest.Retirement, Lease: owner.bounds.Lease(), Link: owner.bounds.Ask(), Remaining: remaining}
 	held.retirements[row.Name] = retire.New(now, row.Name, row.Incarnation, cause, held.number+1, terms)
 	owner.emit(contract.Count{Name: "retirements", By: 1}, contract.Say{What: "withdrawn", Detail: []any{"server", row.Name, "cause", cause}})
 	owner.renumber(now, held)
--- a/shard/idle_test.go
+++ b/shard/idle_test.go
@@ -16,12 +16,12 @@
 	now      time.Duration
 	members  []contract.Member
 	readings []time.Duration
-	mishap   string
+	err      string
 }
 
 func reading(prompt bool) *reader {
 	member := func(name string) contract.Member {
-		return contract.Member{Name: name, Kind: contract.KindControl, Region: "east", Hall: "zone", Address: name}
+		return contract.Member{Name: name, Kind: contract.KindControl, Region: "east", Zone: "zone", Address: name}
 	}
 	both := contract.Ordered(Subject("east", 0), []string{"left", "right"})
 	made := &reader{Owner: New(member(both[1]), env.DefaultBounds()), now: time.Second, members: []contract.Member{member(both[0]), member(both[1])}}
@@ -38,7 +38,7 @@
 			if _, reads := command.(ReadPlatform); reads {
 				reader.readings = append(reader.readings, reader.now)
 				if answers {
-					reader.Handle(reader.now, ListingRead{Began: reader.now, Mishap: reader.mishap})
+					reader.Handle(reader.now, ListingRead{Began: reader.now, Error: reader.err})
 				}
 			}
 		}
@@ -75,7 +75,7 @@
 
 	ginkgo.It("given an idle node whose reading is refused, when time goes by, then it reads again as soon as an owner would", func() {
 		idle := reading(true)
-		idle.mishap = "over the rate"
+		idle.err = "over the rate"
 		Expect(idle.passes(10*poll, true)).To(BeNumerically("~", 10, 1))
 	})
 
@@ -86,9 +86,9 @@
 			node.passes(3*poll+20*time.Millisecond, true)
 		}
 		last := idle.listedAt
-		owner.passes(owner.listedAt+env.DefaultBounds().Licence()+50*time.Millisecond-owner.now, false)
+		owner.passes(owner.listedAt+env.DefaultBounds().Lease()+50*time.Millisecond-owner.now, false)
 		Expect(owner.Blind()).To(BeTrue())
-		idle.passes(last+env.DefaultBounds().Licence()+2*poll-idle.now, false)
+		idle.passes(last+env.DefaultBounds().Lease()+2*poll-idle.now, false)
 		Expect(idle.Blind()).To(BeFalse())
 		idle.passes(50*time.Millisecond, false)
 		Expect(idle.Blind()).To(BeTrue())
--- a/shard/interim_test.go
+++ b/shard/interim_test.go
@@ -13,10 +13,10 @@
 
 var _ = ginkgo.Describe("a question for a list at a control node that is not the owner", func() {
 	now := 5 * time.Second
-	seen := Seen{Manifest: manifest.Manifest{Regions: map[string]manifest.Region{"east": {Shards: 1}}, Halls: map[string]manifest.Hall{"closed": {Region: "east", Drained: true}},
+	seen := Seen{Manifest: manifest.Manifest{Regions: map[string]manifest.Region{"east": {Shards: 1}}, Zones: map[string]manifest.Zone{"closed": {Region: "east", Drained: true}},
 		Gateway: manifest.Gateway{Services: map[string]manifest.Service{"service": {}}}}}
-	row := func(name, hall string) contract.ServerRow {
-		return contract.ServerRow{Name: name, Address: name + ":80", Hall: hall, Region: "east", Pool: "service", Incarnation: name, Unmeasured: true}
+	row := func(name, zone string) contract.ServerRow {
+		return contract.ServerRow{Name: name, Address: name + ":80", Zone: zone, Region: "east", Pool: "service", Incarnation: name, Unmeasured: true}
 	}
 	node := func(prompt bool) *reader {
 		made := reading(prompt)
@@ -30,10 +30,10 @@
 		return made
 	}
 	asks := func(node *reader, at time.Duration, interim bool) []contract.Send {
-		body, failure := json.Marshal(contract.LicenceAsk{Node: "data", Address: "data:1", Region: "east", Shards: 1, Asked: 7, Interim: interim})
+		body, failure := json.Marshal(contract.LeaseRequest{Node: "data", Address: "data:1", Region: "east", Shards: 1, Asked: 7, Interim: interim})
 		Expect(failure).NotTo(HaveOccurred())
 		sent := []contract.Send{}
-		for _, command := range node.Handle(at, contract.Letter{Kind: LetterAsk, From: "data", Body: body}) {
+		for _, command := range node.Handle(at, contract.Message{Kind: MessageAsk, From: "data", Body: body}) {
 			if send, fine := command.(contract.Send); fine {
 				sent = append(sent, send)
 			}
@@ -44,19 +44,19 @@
 	ginkgo.It("given who has no list, when it asks, then it is told the owner, and what may take work as seen here, without an epoch", func() {
 		told := asks(node(true), now, true)
 		Expect(told).To(HaveLen(2))
-		Expect(told[0].Kind).To(Equal(LetterNotOwner))
-		licence := told[1].Body.(contract.Licence)
-		Expect(licence.Interim).To(BeTrue())
-		Expect(licence.Epoch).To(Equal(contract.Epoch{}))
-		Expect(licence.Asked).To(Equal(time.Duration(7)))
+		Expect(told[0].Kind).To(Equal(MessageNotOwner))
+		lease := told[1].Body.(contract.Lease)
+		Expect(lease.Interim).To(BeTrue())
+		Expect(lease.Epoch).To(Equal(contract.Epoch{}))
+		Expect(lease.Asked).To(Equal(time.Duration(7)))
 		names := map[string]int64{}
-		for _, server := range licence.Servers {
+		for _, server := range lease.Servers {
 			names[server.Name] = server.WarmMs
 		}
 		Expect(names).To(Equal(map[string]int64{"good": 0, "cold": 2000}))
 	})
 
-	ginkgo.It("given who has a list, or an owner whose licences bind, when it asks, then it is told the owner alone", func() {
+	ginkgo.It("given who has a list, or an owner whose leases bind, when it asks, then it is told the owner alone", func() {
 		Expect(asks(node(true), now, false)).To(HaveLen(1))
 		Expect(asks(node(false), now, true)).To(HaveLen(1))
 	})
--- a/shard/list.go
+++ b/shard/list.go
@@ -19,7 +19,7 @@
 		_, pooled := owner.seen.Manifest.Pools[row.Pool]
 		_, serves := owner.seen.Manifest.Gateway.Services[row.Pool]
 		released := held.released[row.Name] == row.Incarnation
-		if row.Leaving || row.Unloaded || retiring || released || !pooled && !serves || owner.drained(row.Hall) {
+		if row.Leaving || row.Unloaded || retiring || released || !pooled && !serves || owner.drained(row.Zone) {
 			continue
 		}
 		if !row.Unmeasured && (!known.good || known.failures >= darkAfter) {
@@ -30,9 +30,9 @@
 	return rows
 }
 
-func (owner *Owner) drained(hall string) bool {
-	_, early := owner.withdrawn[hall]
-	return early || owner.seen.Manifest.Drained(hall)
+func (owner *Owner) drained(zone string) bool {
+	_, early := owner.withdrawn[zone]
+	return early || owner.seen.Manifest.Drained(zone)
 }
 
 // renumber raises the list's number whenever its set of servers or their condition changed.
@@ -73,10 +73,10 @@
 	}
 }
 
-func (owner *Owner) ask(now time.Duration, ask contract.LicenceAsk) {
+func (owner *Owner) ask(now time.Duration, ask contract.LeaseRequest) {
 	held, there := owner.duties[ask.Shard]
 	if !there || ask.Shards != owner.shards {
-		owner.emit(contract.Send{To: ask.Address, Kind: LetterNotOwner, Body: contract.NotOwner{Region: ask.Region, Shard: ask.Shard, Back: ask.Back}})
+		owner.emit(contract.Send{To: ask.Address, Kind: MessageNotOwner, Body: contract.NotOwner{Region: ask.Region, Shard: ask.Shard, Back: ask.Back}})
 		return
 	}
 	if held.highest.Before(ask.Highest) {
@@ -87,7 +87,7 @@
 		}
 	}
 	if !held.owning || !owner.fresh(now) || owner.first(held.index) != owner.self.Name {
-		owner.emit(contract.Send{To: ask.Address, Kind: LetterNotOwner,
+		owner.emit(contract.Send{To: ask.Address, Kind: MessageNotOwner,
 			Body: contract.NotOwner{Region: ask.Region, Shard: ask.Shard, Owner: owner.first(held.index), Back: ask.Back}})
 		owner.interim(now, held, ask)
 		return
@@ -102,48 +102,48 @@
 	}
 	held.tallies[ask.Node] = ask.Tallies
 	held.words[ask.Node], held.calls[ask.Node], held.lingering[ask.Node] = word, ask.Calls, ask.Lingering
-	licence := contract.Licence{Region: ask.Region, Shard: ask.Shard, Asked: ask.Asked, Epoch: held.epoch, Number: held.number,
-		Life: owner.bounds.Licence(), Revision: owner.seen.Revision, Shards: owner.shards, Back: ask.Back}
-	licence.Same = ask.Brief && ask.Highest == held.epoch && ask.Number == held.number
+	lease := contract.Lease{Region: ask.Region, Shard: ask.Shard, Asked: ask.Asked, Epoch: held.epoch, Number: held.number,
+		Life: owner.bounds.Lease(), Revision: owner.seen.Revision, Shards: owner.shards, Back: ask.Back}
+	lease.Same = ask.Brief && ask.Highest == held.epoch && ask.Number == held.number
 	for _, row := range held.rows {
-		if licence.Same {
+		if lease.Same {
 			break
 		}
-		licence.Servers = append(licence.Servers, owner.candidate(now, held, row, owner.share(now, held, row, ask.Node)))
+		lease.Servers = append(lease.Servers, owner.candidate(now, held, row, owner.share(now, held, row, ask.Node)))
 	}
 	for _, name := range manifest.SortedKeys(held.retirements) {
-		licence.Withdraw = append(licence.Withdraw, name)
+		lease.Withdraw = append(lease.Withdraw, name)
 		if held.retirements[name].Recalls() {
-			licence.Recall = append(licence.Recall, name)
+			lease.Recall = append(lease.Recall, name)
 		}
 	}
-	owner.emit(contract.Send{To: ask.Address, Kind: LetterLicence, Body: licence})
+	owner.emit(contract.Send{To: ask.Address, Kind: MessageLease, Body: lease})
 }
 
 func (owner *Owner) candidate(now time.Duration, held *duty, row contract.ServerRow, share int64) contract.Candidate {
 	known := owner.servers[row.Name]
 	watched, suspected, ill := held.conditionOf(now, row.Name)
-	return contract.Candidate{Name: row.Name, Address: row.Address, Hall: row.Hall, Pool: row.Pool,
+	return contract.Candidate{Name: row.Name, Address: row.Address, Zone: row.Zone, Pool: row.Pool,
 		Incarnation: row.Incarnation, Slots: owner.seen.Manifest.Pools[row.Pool].Slots, Share: share,
 		Running: known.report.Running, Waiting: known.report.Waiting, Report: known.report.Number, Prefixes: known.report.Prefixes,
 		Cache: known.cache, Watched: watched, Suspected: suspected, Ill: ill, WarmMs: max(0, (known.warmUntil - now).Milliseconds())}
 }
 
 // interim gives a node that has no list yet what the platform lists here, while the owner is not found: without an epoch, so that any
-// owner's list replaces it. Only for nodes that go on by their last list whether a licence stands or not.
-func (owner *Owner) interim(now time.Duration, held *duty, ask contract.LicenceAsk) {
+// owner's list replaces it. Only for nodes that go on by their last list whether a lease stands or not.
+func (owner *Owner) interim(now time.Duration, held *duty, ask contract.LeaseRequest) {
 	if !owner.prompt || !ask.Interim || !owner.fresh(now) {
 		return
 	}
-	licence := contract.Licence{Region: ask.Region, Shard: ask.Shard, Asked: ask.Asked, Shards: owner.shards, Back: ask.Back, Interim: true}
+	lease := contract.Lease{Region: ask.Region, Shard: ask.Shard, Asked: ask.Asked, Shards: owner.shards, Back: ask.Back, Interim: true}
 	for _, row := range owner.eligible(now, held) {
-		licence.Servers = append(licence.Servers, owner.candidate(now, held, row, -1))
+		lease.Servers = append(lease.Servers, owner.candidate(now, held, row, -1))
 	}
-	owner.emit(contract.Count{Name: "lists_interim", By: 1}, contract.Send{To: ask.Address, Kind: LetterLicence, Body: licence})
+	owner.emit(contract.Count{Name: "lists_interim", By: 1}, contract.Send{To: ask.Address, Kind: MessageLease, Body: lease})
 }
 
 // share is this node's part of a cold server's ramp. What others were given and still hold, or still run, is taken off first,
-// so the parts never add up to more than the ramp. Below zero means no bound. Right after a take-over nothing is given: licences
+// so the parts never add up to more than the ramp. Below zero means no bound. Right after a take-over nothing is given: leases
 // of the former owner may still stand.
 func (owner *Owner) share(now time.Duration, held *duty, row contract.ServerRow, node string) int64 {
 	known := owner.servers[row.Name]
@@ -153,7 +153,7 @@
 		delete(held.shares, row.Name)
 		return -1
 	}
-	if now-held.taken < owner.bounds.Licence() {
+	if now-held.taken < owner.bounds.Lease() {
 		return 0
 	}
 	slots := owner.seen.Manifest.Pools[row.Pool].Slots
@@ -188,14 +188,14 @@
 	return share
 }
 
-// othersOn gives the nodes whose licences stand, and what all but one of them have, or may have, on a server. A node that is not
-// heard any more may run what it began under its last licence: that counts in full until a later report of the server, and then as
+// othersOn gives the nodes whose leases stand, and what all but one of them have, or may have, on a server. A node that is not
+// heard any more may run what it began under its last lease: that counts in full until a later report of the server, and then as
 // far as the report shows more than the others tell of. An owner that is new knows of no such nodes and goes by the report.
 func (owner *Owner) othersOn(now time.Duration, held *duty, server, node string) (names []string, others int64) {
 	known, told, unheard := owner.servers[server], int64(0), int64(0)
 	for _, name := range manifest.SortedKeys(held.words) {
 		lying := held.calls[name][server] + held.lingering[name][server]
-		most, lapses := max(held.shares[server][name], lying), held.words[name].Granted+owner.bounds.Licence()
+		most, lapses := max(held.shares[server][name], lying), held.words[name].Granted+owner.bounds.Lease()
 		switch {
 		case now < lapses:
 			names, told = append(names, name), told+lying
@@ -218,7 +218,7 @@
 	if order.Region != owner.self.Region {
 		return
 	}
-	owner.withdrawn[order.Hall] = now + owner.bounds.Deliver()*2
+	owner.withdrawn[order.Zone] = now + owner.bounds.Deliver()*2
 	answer := Withdrawn{Token: order.Token}
 	for _, index := range manifestOrder(owner.duties) {
 		held := owner.duties[index]
@@ -227,5 +227,5 @@
 			answer.Shards = append(answer.Shards, index)
 		}
 	}
-	owner.emit(contract.Send{To: order.Address, Kind: LetterWithdrawn, Body: answer})
+	owner.emit(contract.Send{To: order.Address, Kind: MessageWithdrawn, Body: answer})
 }
--- a/shard/reports.go
+++ b/shard/reports.go
@@ -8,18 +8,18 @@
 
 func (owner *Owner) reportRead(now time.Duration, event ReportRead) {
 	if event.For.Back != "" {
-		owner.emit(contract.Send{To: event.For.Back, Kind: LetterReadTold, Body: ReadTold{Server: event.Server, Asked: event.For.Asked, Report: event.Report, Mishap: event.Mishap}})
+		owner.emit(contract.Send{To: event.For.Back, Kind: MessageReadTold, Body: ReadTold{Server: event.Server, Asked: event.For.Asked, Report: event.Report, Error: event.Error}})
 		return
 	}
 	known, there := owner.servers[event.Server]
-	if !there || event.Mishap != "" && !event.Around && owner.readAround(now, event.Server) {
+	if !there || event.Error != "" && !event.Around && owner.readAround(now, event.Server) {
 		return
 	}
 	known.reading = false
-	if event.Mishap == "" && !event.Report.Complete {
+	if event.Error == "" && !event.Report.Complete {
 		owner.emit(contract.Count{Name: "reports_partial", By: 1})
 	}
-	if event.Mishap != "" {
+	if event.Error != "" {
 		known.failures++
 		owner.emit(contract.Count{Name: "reports_broken", By: 1})
 	} else if event.Report.Incarnation == known.incarnation {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -13,14 +13,14 @@
 )
 
 const (
-	LetterAsk       = "licence-ask"
-	LetterLicence   = "licence"
-	LetterNotOwner  = "licence-not-owner"
-	LetterAround    = "licence-around"
-	LetterReadAsk   = "report-ask"
-	LetterReadTold  = "report-told"
-	LetterWithdraw  = "hall-withdraw"
-	LetterWithdrawn = "hall-withdrawn"
+	MessageAsk       = "lease-request"
+	MessageLease     = "lease"
+	MessageNotOwner  = "lease-not-owner"
+	MessageAround    = "lease-around"
+	MessageReadAsk   = "report-ask"
+	MessageReadTold  = "report-told"
+	MessageWithdraw  = "zone-withdraw"
+	MessageWithdrawn = "zone-withdrawn"
 )
 
 type ReadPlatform struct{ Region string }
@@ -30,7 +30,7 @@
 	Region  string
 	Began   time.Duration
 	Listing contract.Listing
-	Mishap  string
+	Error   string
 }
 
 // ReadReport reads a server's report; with Back it is read for the owner at that address, which asked at Asked on its own clock.
@@ -59,7 +59,7 @@
 type Ordered struct {
 	Server string
 	Load   bool
-	Mishap string
+	Error  string
 }
 
 type Seen struct {
@@ -69,7 +69,7 @@
 }
 
 type Withdraw struct {
-	Hall    string `json:"hall"`
+	Zone    string `json:"zone"`
 	Region  string `json:"region"`
 	Token   int64  `json:"token"`
 	Address string `json:"address"`
@@ -151,7 +151,7 @@
 		ages: map[string]time.Duration{}}
 }
 
-// Prompt spares the wait for a former owner's licences: for nodes that go on by their last list whether a licence stands or not.
+// Prompt spares the wait for a former owner's leases: for nodes that go on by their last list whether a lease stands or not.
 func (owner *Owner) Prompt(prompt bool) { owner.prompt = prompt }
 
 func (owner *Owner) Handle(now time.Duration, event contract.Event) []contract.Command {
@@ -159,7 +159,7 @@
 		owner.begun, owner.started = true, now
 	}
 	owner.out = nil
-	if letter, fine := event.(contract.Letter); !fine || letter.Kind != LetterAsk {
+	if message, fine := event.(contract.Message); !fine || message.Kind != MessageAsk {
 		owner.changes++
 	}
 	switch event := event.(type) {
@@ -171,11 +171,11 @@
 	case ReportRead:
 		owner.reportRead(now, event)
 	case Ordered:
-		if event.Mishap != "" {
+		if event.Error != "" {
 			owner.emit(contract.Count{Name: "orders_refused", By: 1})
 		}
-	case contract.Letter:
-		owner.letter(now, event)
+	case contract.Message:
+		owner.message(now, event)
 	}
 	out := owner.out
 	owner.out = nil
@@ -195,22 +195,22 @@
 	}
 }
 
-func (owner *Owner) letter(now time.Duration, letter contract.Letter) {
-	switch letter.Kind {
-	case LetterAsk:
-		var ask contract.LicenceAsk
-		if json.Unmarshal(letter.Body, &ask) == nil && ask.Region == owner.self.Region {
+func (owner *Owner) message(now time.Duration, message contract.Message) {
+	switch message.Kind {
+	case MessageAsk:
+		var ask contract.LeaseRequest
+		if json.Unmarshal(message.Body, &ask) == nil && ask.Region == owner.self.Region {
 			owner.ask(now, ask)
 		}
-	case LetterAround, LetterLicence, LetterNotOwner:
-		owner.around(letter)
-	case LetterAgesAsk, LetterAgesTold:
-		owner.tellAges(now, letter)
-	case LetterReadAsk, LetterReadTold:
-		owner.readFor(now, letter)
-	case LetterWithdraw:
+	case MessageAround, MessageLease, MessageNotOwner:
+		owner.around(message)
+	case MessageAgesAsk, MessageAgesTold:
+		owner.tellAges(now, message)
+	case MessageReadAsk, MessageReadTold:
+		owner.readFor(now, message)
+	case MessageWithdraw:
 		var order Withdraw
-		if json.Unmarshal(letter.Body, &order) == nil {
+		if json.Unmarshal(message.Body, &order) == nil {
 			owner.withdraw(now, order)
 		}
 	}
@@ -236,9 +236,9 @@
 	}
 	owner.watchSight(now)
 	owner.askAges(now)
-	for hall, until := range owner.withdrawn {
+	for zone, until := range owner.withdrawn {
 		if now > until {
-			delete(owner.withdrawn, hall)
+			delete(owner.withdrawn, zone)
 		}
 	}
 	owner.poll(now)
@@ -265,7 +265,7 @@
 		return
 	}
 	owner.polling = false
-	if event.Mishap != "" {
+	if event.Error != "" {
 		owner.nextPoll = min(owner.nextPoll, now+owner.bounds.PlatformPoll())
 		owner.emit(contract.Count{Name: "listings_broken", By: 1})
 		return
@@ -320,7 +320,7 @@
 		held.firstSince = now
 	}
 	if !held.owning {
-		settled := now-owner.started >= owner.bounds.Licence() && now-held.firstSince >= owner.bounds.Round()
+		settled := now-owner.started >= owner.bounds.Lease() && now-held.firstSince >= owner.bounds.Round()
 		if owner.prompt {
 			settled = now-held.firstSince >= owner.patience(now)
 		}
@@ -371,7 +371,7 @@
 	for _, row := range owner.mine(held) {
 		known := owner.servers[row.Name]
 		_, retiring := held.retirements[row.Name]
-		if row.Unloaded || row.Unmeasured && !retiring || now < known.nextRead || known.reading && now < known.nextRead+owner.bounds.Licence() {
+		if row.Unloaded || row.Unmeasured && !retiring || now < known.nextRead || known.reading && now < known.nextRead+owner.bounds.Lease() {
 			continue
 		}
 		known.reading, known.nextRead = true, now+owner.bounds.PlatformPoll()
--- a/shard/sight.go
+++ b/shard/sight.go
@@ -67,12 +67,12 @@
 		owner.nextPoll-now > owner.bounds.PlatformPoll()
 }
 
-// watchSight makes a node blind after a licence's time without a good listing, and lets it see again only after a longer time
+// watchSight makes a node blind after a lease's time without a good listing, and lets it see again only after a longer time
 // with them, so that duties do not flap.
 func (owner *Owner) watchSight(now time.Duration) {
 	late := now - max(owner.listedAt, owner.started)
 	switch {
-	case !owner.blind && late > owner.bounds.Licence()+owner.pollEvery()-owner.bounds.PlatformPoll():
+	case !owner.blind && late > owner.bounds.Lease()+owner.pollEvery()-owner.bounds.PlatformPoll():
 		owner.blind, owner.sighted = true, now
 		owner.emit(contract.Count{Name: "blind", By: 1}, contract.Say{What: "the platform cannot be read here"})
 	case owner.blind && owner.fresh(now) && now-owner.sighted > owner.bounds.Refound():
@@ -101,33 +101,33 @@
 }
 
 // around carries a data node's question to the owner, once, and the owner's answer back.
-func (owner *Owner) around(letter contract.Letter) {
-	switch letter.Kind {
-	case LetterAround:
-		var ask contract.LicenceAsk
-		if json.Unmarshal(letter.Body, &ask) != nil || ask.Back != "" {
+func (owner *Owner) around(message contract.Message) {
+	switch message.Kind {
+	case MessageAround:
+		var ask contract.LeaseRequest
+		if json.Unmarshal(message.Body, &ask) != nil || ask.Back != "" {
 			return
 		}
 		first := First(owner.seen.Members, ask.Region, ask.Shard)
 		for _, member := range owner.seen.Members {
 			if member.Name == first {
 				ask.Address, ask.Back = owner.self.Address, ask.Address
-				owner.emit(contract.Send{To: member.Address, Kind: LetterAsk, Body: ask})
+				owner.emit(contract.Send{To: member.Address, Kind: MessageAsk, Body: ask})
 			}
 		}
-	case LetterLicence:
-		var licence contract.Licence
-		if json.Unmarshal(letter.Body, &licence) == nil && licence.Back != "" {
-			back := licence.Back
-			licence.Back = ""
-			owner.emit(contract.Send{To: back, Kind: LetterLicence, Body: licence})
+	case MessageLease:
+		var lease contract.Lease
+		if json.Unmarshal(message.Body, &lease) == nil && lease.Back != "" {
+			back := lease.Back
+			lease.Back = ""
+			owner.emit(contract.Send{To: back, Kind: MessageLease, Body: lease})
 		}
-	case LetterNotOwner:
+	case MessageNotOwner:
 		var hint contract.NotOwner
-		if json.Unmarshal(letter.Body, &hint) == nil && hint.Back != "" {
+		if json.Unmarshal(message.Body, &hint) == nil && hint.Back != "" {
 			back := hint.Back
 			hint.Back = ""
-			owner.emit(contract.Send{To: back, Kind: LetterNotOwner, Body: hint})
+			owner.emit(contract.Send{To: back, Kind: MessageNotOwner, Body: hint})
 		}
 	}
 }
@@ -137,7 +137,7 @@
 	Server string          `json:"server"`
 	Asked  time.Duration   `json:"asked"`
 	Report contract.Report `json:"report"`
-	Mishap string          `json:"mishap,omitempty"`
+	Error  string          `json:"error,omitempty"`
 }
 
 // readAround asks a fellow of the region to read a report that this node could not read, in turn; it tells whether it could ask.
@@ -160,21 +160,21 @@
 	known := owner.servers[server]
 	known.failures++
 	owner.turn++
-	owner.emit(contract.Count{Name: "reports_asked_around", By: 1}, contract.Send{To: fellows[owner.turn%len(fellows)].Address, Kind: LetterReadAsk,
+	owner.emit(contract.Count{Name: "reports_asked_around", By: 1}, contract.Send{To: fellows[owner.turn%len(fellows)].Address, Kind: MessageReadAsk,
 		Body: ReadReport{Server: server, Address: address, Back: owner.self.Address, Asked: now}})
 	return true
 }
 
-func (owner *Owner) readFor(now time.Duration, letter contract.Letter) {
-	if letter.Kind == LetterReadAsk {
+func (owner *Owner) readFor(now time.Duration, message contract.Message) {
+	if message.Kind == MessageReadAsk {
 		var ask ReadReport
-		if json.Unmarshal(letter.Body, &ask) == nil && ask.Back != "" {
+		if json.Unmarshal(message.Body, &ask) == nil && ask.Back != "" {
 			owner.emit(ask)
 		}
 		return
 	}
 	var told ReadTold
-	if json.Unmarshal(letter.Body, &told) == nil {
-		owner.reportRead(now, ReportRead{Server: told.Server, Around: true, Outcome: retire.Outcome{Began: told.Asked, Report: told.Report, Mishap: told.Mishap}})
+	if json.Unmarshal(message.Body, &told) == nil {
+		owner.reportRead(now, ReportRead{Server: told.Server, Around: true, Outcome: retire.Outcome{Began: told.Asked, Report: told.Report, Error: told.Error}})
 	}
 }
--- a/site/site.go
+++ b/site/site.go
@@ -11,12 +11,12 @@
 )
 
 type Machine struct {
-	Name, Hall, Region string
+	Name, Zone, Region string
 	Core               bool
 }
 
 type Server struct {
-	Name, Hall, Region, Pool, Kind string
+	Name, Zone, Region, Pool, Kind string
 	Slots                          int64
 }
 
@@ -40,24 +40,24 @@
 }
 
 func Load(folder string) (Site, error) {
-	content, mishap := os.ReadFile(filepath.Join(folder, "site.json"))
-	if mishap != nil {
-		return Site{}, eris.Wrap(mishap, "site")
+	content, err := os.ReadFile(filepath.Join(folder, "site.json"))
+	if err != nil {
+		return Site{}, eris.Wrap(err, "site")
 	}
-	tree, mishap := manifest.Tree(content)
-	if mishap != nil {
-		return Site{}, eris.Wrap(mishap, "site")
+	tree, err := manifest.Tree(content)
+	if err != nil {
+		return Site{}, eris.Wrap(err, "site")
 	}
 	reader := manifest.NewReader(tree)
 	reader.Only("", "name", "regionGapMs", "machines", "servers", "callers")
 	read := Site{Name: reader.Text("name", ""), GapMs: reader.Number("regionGapMs", 10, 0, 1000)}
 	each(tree["machines"], func(row *manifest.Reader) {
-		read.Machines = append(read.Machines, Machine{row.Text("name", ""), row.Text("hall", ""), row.Text("region", ""), row.Truth("core")})
+		read.Machines = append(read.Machines, Machine{row.Text("name", ""), row.Text("zone", ""), row.Text("region", ""), row.Truth("core")})
 	})
 	each(tree["servers"], func(row *manifest.Reader) {
-		halls, pool := row.Texts("halls"), row.Text("pool", "")
-		for index := int64(0); index < row.Number("count", 1, 1, 1000) && len(halls) > 0; index++ {
-			read.Servers = append(read.Servers, Server{Name: fmt.Sprintf("%s-%02d", pool, index+1), Hall: halls[index%int64(len(halls))],
+		zones, pool := row.Texts("zones"), row.Text("pool", "")
+		for index := int64(0); index < row.Number("count", 1, 1, 1000) && len(zones) > 0; index++ {
+			read.Servers = append(read.Servers, Server{Name: fmt.Sprintf("%s-%02d", pool, index+1), Zone: zones[index%int64(len(zones))],
 				Region: row.Text("region", ""), Pool: pool, Kind: row.Text("kind", "model"), Slots: row.Number("slots", 4, 1, 1000)})
 		}
 	})
@@ -66,11 +66,11 @@
 			PerSecond: row.Number("perSecond", 1, 0, 10000), Pieces: row.Number("pieces", 1, 1, 10000), Tokens: row.Number("tokens", 1, 1, 1000000),
 			Prefixes: row.Number("prefixes", 0, 0, 1000), DeadlineMs: row.Number("deadlineMs", 10000, 1, 3600000), Unary: row.Truth("unary")})
 	})
-	if mishap = reader.Mishap(); mishap != nil {
-		return Site{}, mishap
+	if err = reader.Err(); err != nil {
+		return Site{}, err
 	}
-	read.Manifest, mishap = os.ReadFile(filepath.Join(folder, "manifest.json"))
-	return read, eris.Wrap(mishap, "site")
+	read.Manifest, err = os.ReadFile(filepath.Join(folder, "manifest.json"))
+	return read, eris.Wrap(err, "site")
 }
 
 func each(value any, then func(*manifest.Reader)) {
--- a/stories/calls/apart_test.go
+++ b/stories/calls/apart_test.go
@@ -9,17 +9,17 @@
 	. "github.com/onsi/gomega"
 )
 
-// apart cuts the machines of the two halls of a region from each other; all others still hear both.
+// apart cuts the machines of the two zones of a region from each other; all others still hear both.
 func apart(played *fleet.Fleet) (left, right []*fleet.Machine, mend func()) {
 	nodes := played.InRegion(told.Home(played))
-	left = played.InHall(nodes[0].Hall)
-	right = played.InHall(nodes[len(nodes)-1].Hall)
+	left = played.InZone(nodes[0].Zone)
+	right = played.InZone(nodes[len(nodes)-1].Zone)
 	return left, right, played.World.CutBoth(fleet.Names(left), fleet.Names(right))
 }
 
-var _ = Describe("two halls of a region that are cut from each other", func() {
+var _ = Describe("two zones of a region that are cut from each other", func() {
 	for _, name := range told.Sites {
-		It("both go on serving in "+name+", with a third hall's word for each call", func() {
+		It("both go on serving in "+name+", with a third zone's word for each call", func() {
 			played := told.Given(name, 371)
 			played.Run(8 * time.Second)
 			left, right, mend := apart(played)
@@ -34,7 +34,7 @@
 			told.NothingWrong(played)
 		})
 
-		It("do not run a call of the other in "+name+": during the cut, after it, and when the other hall is then lost", func() {
+		It("do not run a call of the other in "+name+": during the cut, after it, and when the other zone is then lost", func() {
 			for seed := uint64(372); seed < 375; seed++ {
 				played := told.Given(name, seed)
 				played.Run(8 * time.Second)
@@ -60,7 +60,7 @@
 	}
 })
 
-var _ = Describe("a few nodes that were cut off together, of both halls of a region", func() {
+var _ = Describe("a few nodes that were cut off together, of both zones of a region", func() {
 	for _, name := range told.Sites {
 		It("do not run again in "+name+" what the others run, the moment they are back", func() {
 			for seed := uint64(391); seed < 397; seed++ {
--- a/stories/calls/repeats_test.go
+++ b/stories/calls/repeats_test.go
@@ -42,10 +42,10 @@
 			}
 		})
 
-		It("in "+name+", after the loss and return of a whole hall, and while views of the members differ", func() {
+		It("in "+name+", after the loss and return of a whole zone, and while views of the members differ", func() {
 			for seed := uint64(321); seed < 325; seed++ {
 				repeated(name, seed, unmarked, func(played *fleet.Fleet, nodes []*fleet.Machine) {
-					played.KillFor(played.InHall(nodes[int(seed)%len(nodes)].Hall), 500*time.Millisecond)
+					played.KillFor(played.InZone(nodes[int(seed)%len(nodes)].Zone), 500*time.Millisecond)
 					played.Run(500*time.Millisecond + time.Duration(seed%5)*400*time.Millisecond)
 				})
 			}
@@ -71,11 +71,11 @@
 			}
 		})
 
-		It("in "+name+", at the other side of a cut between the halls", func() {
+		It("in "+name+", at the other side of a cut between the zones", func() {
 			for seed := uint64(351); seed < 355; seed++ {
 				repeated(name, seed, unmarked, func(played *fleet.Fleet, nodes []*fleet.Machine) {
-					hall := played.InHall(nodes[int(seed)%len(nodes)].Hall)
-					played.CutFor(fleet.Names(hall), 20*time.Second, seed%2 == 0)
+					zone := played.InZone(nodes[int(seed)%len(nodes)].Zone)
+					played.CutFor(fleet.Names(zone), 20*time.Second, seed%2 == 0)
 					played.Run(time.Duration(seed%3) * 2 * time.Second)
 				})
 			}
@@ -85,12 +85,12 @@
 
 var _ = Describe("a marked repeat of a call that no node saw", func() {
 	for _, name := range told.Sites {
-		It("runs in "+name+" while a hall is away, and after two machines of it are gone", func() {
+		It("runs in "+name+" while a zone is away, and after two machines of it are gone", func() {
 			for seed := uint64(361); seed < 363; seed++ {
 				played := told.Given(name, seed)
 				nodes := played.InRegion(told.Home(played))
 				played.Run(10 * time.Second)
-				lost := played.InHall(nodes[len(nodes)-1].Hall)
+				lost := played.InZone(nodes[len(nodes)-1].Zone)
 				if seed%2 == 0 {
 					lost = lost[:2]
 				}
--- a/stories/core/worst_test.go
+++ b/stories/core/worst_test.go
@@ -55,14 +55,14 @@
 
 		It(fmt.Sprintf("does not confirm a drain that it believes to stand (cut both ways: %v)", bothWays), func() {
 			played := told.Given("brazos", 303)
-			hall := played.Site.Machines[0].Hall
-			Expect(played.Do(played.Machines[1], contract.Ask{Verb: contract.VerbDrain, Subject: hall}).Status).To(BeElementOf(200, 202))
+			zone := played.Site.Machines[0].Zone
+			Expect(played.Do(played.Machines[1], contract.Ask{Verb: contract.VerbDrain, Subject: zone}).Status).To(BeElementOf(200, 202))
 			head := played.Machine(told.ChainView(played, played.Machines[1]).Chain[0][:3])
 			played.CutFor([]string{head.Name}, 20*time.Second, bothWays)
 			played.Run(5 * time.Second)
 			others := played.Pick(func(machine *fleet.Machine) bool { return machine != head })
-			Expect(played.Do(others[0], contract.Ask{Verb: contract.VerbUndrain, Subject: hall}).Status).To(BeElementOf(200, 202))
-			drain := contract.Ask{Verb: contract.VerbDrain, Subject: hall, Operation: "again", Prompt: true}
+			Expect(played.Do(others[0], contract.Ask{Verb: contract.VerbUndrain, Subject: zone}).Status).To(BeElementOf(200, 202))
+			drain := contract.Ask{Verb: contract.VerbDrain, Subject: zone, Operation: "again", Prompt: true}
 			Expect(played.Operate(head, drain).Status).To(BeElementOf(503, 504))
 			played.Run(20 * time.Second)
 			told.NothingWrong(played)
@@ -103,10 +103,10 @@
 
 	It("does not confirm a drain that was withdrawn meanwhile", func() {
 		answer := woken(315, func(played *fleet.Fleet, other *fleet.Machine) contract.Ask {
-			hall := played.Site.Machines[0].Hall
-			Expect(played.Do(other, contract.Ask{Verb: contract.VerbDrain, Subject: hall}).Status).To(BeElementOf(200, 202))
-			Expect(played.Do(other, contract.Ask{Verb: contract.VerbUndrain, Subject: hall}).Status).To(BeElementOf(200, 202))
-			return contract.Ask{Verb: contract.VerbUndrain, Subject: hall, Operation: "again", Prompt: true}
+			zone := played.Site.Machines[0].Zone
+			Expect(played.Do(other, contract.Ask{Verb: contract.VerbDrain, Subject: zone}).Status).To(BeElementOf(200, 202))
+			Expect(played.Do(other, contract.Ask{Verb: contract.VerbUndrain, Subject: zone}).Status).To(BeElementOf(200, 202))
+			return contract.Ask{Verb: contract.VerbUndrain, Subject: zone, Operation: "again", Prompt: true}
 		})
 		Expect(answer.Status).To(BeElementOf(200, 503, 504))
 	})
--- a/stories/days/planted_test.go
+++ b/stories/days/planted_test.go
@@ -66,8 +66,8 @@
 		played := troubled(132)
 		played.Machine("m02").Data.Plant(func(owner contract.Owner) contract.Owner {
 			return faulty{Owner: owner, hears: func(event contract.Event) bool {
-				letter, fine := event.(contract.Letter)
-				return !fine || letter.Kind != feed.LetterChange
+				message, fine := event.(contract.Message)
+				return !fine || message.Kind != feed.MessageChange
 			}}
 		})
 		Expect(told.Patched(played, played.Machines[3], 1).Status).To(Equal(202))
--- a/stories/told/told.go
+++ b/stories/told/told.go
@@ -27,8 +27,8 @@
 var Sites = []string{"brazos", "seri"}
 
 func SiteOf(name string) site.Site {
-	described, mishap := site.Load("../../deploy/" + name)
-	Expect(mishap).NotTo(HaveOccurred())
+	described, err := site.Load("../../deploy/" + name)
+	Expect(err).NotTo(HaveOccurred())
 	return described
 }
 
@@ -61,8 +61,8 @@
 }
 
 func Text(value any) []byte {
-	content, mishap := json.Marshal(value)
-	Expect(mishap).NotTo(HaveOccurred())
+	content, err := json.Marshal(value)
+	Expect(err).NotTo(HaveOccurred())
 	return content
 }
 
--- a/stories/halls/drain_test.go
+++ b/stories/zones/drain_test.go
@@ -1,4 +1,4 @@
-package halls
+package zones
 
 import (
 	"time"
@@ -10,62 +10,62 @@
 	. "github.com/onsi/gomega"
 )
 
-func hallsOf(played *fleet.Fleet) []string {
-	halls := []string{}
+func zonesOf(played *fleet.Fleet) []string {
+	zones := []string{}
 	for _, machine := range played.Machines {
-		if len(halls) == 0 || halls[len(halls)-1] != machine.Hall {
-			halls = append(halls, machine.Hall)
+		if len(zones) == 0 || zones[len(zones)-1] != machine.Zone {
+			zones = append(zones, machine.Zone)
 		}
 	}
-	return halls
+	return zones
 }
 
-func drain(played *fleet.Fleet, machine *fleet.Machine, verb, hall string) fleet.Written {
-	return played.Do(machine, contract.Ask{Verb: verb, Subject: hall})
+func drain(played *fleet.Fleet, machine *fleet.Machine, verb, zone string) fleet.Written {
+	return played.Do(machine, contract.Ask{Verb: verb, Subject: zone})
 }
 
-func taken(played *fleet.Fleet, hall string) int {
+func taken(played *fleet.Fleet, zone string) int {
 	count := 0
 	for _, server := range played.Servers {
-		if server.Hall == hall {
+		if server.Zone == zone {
 			count += server.Taken
 		}
 	}
 	return count
 }
 
-var _ = Describe("a drained hall", func() {
+var _ = Describe("a drained zone", func() {
 	for _, name := range told.Sites {
 		It("gets no call in "+name+" soon after the drain was accepted, and is taken back by ramp", func() {
 			played := told.Given(name, 81)
-			hall := hallsOf(played)[1]
+			zone := zonesOf(played)[1]
 			played.Traffic(60*time.Second, 1)
 			played.Run(10 * time.Second)
-			Expect(drain(played, played.Machines[9], contract.VerbDrain, hall).Status).To(Equal(200))
+			Expect(drain(played, played.Machines[9], contract.VerbDrain, zone).Status).To(Equal(200))
 			played.Run(6 * time.Second)
-			before := taken(played, hall)
+			before := taken(played, zone)
 			played.Run(14 * time.Second)
-			Expect(taken(played, hall)).To(Equal(before))
-			Expect(drain(played, played.Machines[1], contract.VerbUndrain, hall).Status).To(Equal(200))
+			Expect(taken(played, zone)).To(Equal(before))
+			Expect(drain(played, played.Machines[1], contract.VerbUndrain, zone).Status).To(Equal(200))
 			played.Run(15 * time.Second)
-			Expect(taken(played, hall)).To(BeNumerically(">", before+10), "it serves again")
+			Expect(taken(played, zone)).To(BeNumerically(">", before+10), "it serves again")
 			told.NothingWrong(played)
 		})
 
 		It("holds beside another drained at the same moment in "+name, func() {
 			played := told.Given(name, 82)
-			halls := hallsOf(played)
+			zones := zonesOf(played)
 			played.Traffic(20*time.Second, 0.5)
 			statuses := map[string]int{}
-			for index, hall := range halls[:2] {
-				ask := contract.Ask{Verb: contract.VerbDrain, Subject: hall, Operation: "drain-" + hall}
-				played.Write(played.Machines[index*5], ask, func(written fleet.Written) { statuses[hall] = written.Status })
+			for index, zone := range zones[:2] {
+				ask := contract.Ask{Verb: contract.VerbDrain, Subject: zone, Operation: "drain-" + zone}
+				played.Write(played.Machines[index*5], ask, func(written fleet.Written) { statuses[zone] = written.Status })
 			}
 			played.Run(5 * time.Second)
-			Expect(statuses).To(Equal(map[string]int{halls[0]: 200, halls[1]: 200}))
+			Expect(statuses).To(Equal(map[string]int{zones[0]: 200, zones[1]: 200}))
 			read, _ := played.Manifest(played.Machines[7])
-			Expect(read.Drained(halls[0])).To(BeTrue())
-			Expect(read.Drained(halls[1])).To(BeTrue())
+			Expect(read.Drained(zones[0])).To(BeTrue())
+			Expect(read.Drained(zones[1])).To(BeTrue())
 			told.NothingWrong(played)
 		})
 	}
@@ -88,10 +88,10 @@
 
 	It("stays drained when its owner is killed right after the answer", func() {
 		played := told.Given("seri", 84)
-		hall := hallsOf(played)[0]
+		zone := zonesOf(played)[0]
 		played.Traffic(30*time.Second, 1)
 		played.Run(5 * time.Second)
-		Expect(drain(played, played.Machines[9], contract.VerbDrain, hall).Status).To(Equal(200))
+		Expect(drain(played, played.Machines[9], contract.VerbDrain, zone).Status).To(Equal(200))
 		played.KillFor([]*fleet.Machine{played.Owner("klang", 0), played.Owner("klang", 1)}, 6*time.Second)
 		played.Run(20 * time.Second)
 		told.NothingWrong(played)
--- a/stories/halls/ramp_test.go
+++ b/stories/zones/ramp_test.go
@@ -1,4 +1,4 @@
-package halls
+package zones
 
 import (
 	"time"
--- a/stories/halls/suite_test.go
+++ b/stories/zones/suite_test.go
@@ -1,4 +1,4 @@
-package halls
+package zones
 
 import (
 	"testing"
@@ -6,4 +6,4 @@
 	"github.com/cedarreel/cedarreel/stories/told"
 )
 
-func TestStories(t *testing.T) { told.Run(t, "halls") }
+func TestStories(t *testing.T) { told.Run(t, "zones") }
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -24,7 +24,7 @@
 	pieces   int64
 	stopped  bool
 	finished bool
-	mishap   error
+	err      error
 }
 
 func New(call string, most int64) *Relay { return &Relay{call: call, most: most} }
@@ -48,7 +48,7 @@
 		relay.fail("reply is larger than its bound")
 	}
 	relay.rest = append(relay.rest, content...)
-	for relay.mishap == nil {
+	for relay.err == nil {
 		end := bytes.IndexByte(relay.rest, '\n')
 		if end < 0 {
 			if len(relay.rest) > longestLine {
@@ -119,15 +119,15 @@
 }
 
 func (relay *Relay) fail(text string) {
-	if relay.mishap == nil {
-		relay.mishap = eris.New(text)
+	if relay.err == nil {
+		relay.err = eris.New(text)
 	}
 }
 
 // Finished tells whether the server's whole reply came.
-func (relay *Relay) Finished() bool { return relay.finished && relay.mishap == nil }
+func (relay *Relay) Finished() bool { return relay.finished && relay.err == nil }
 
-func (relay *Relay) Mishap() error { return relay.mishap }
+func (relay *Relay) Err() error { return relay.err }
 
 // Whole gives the pieces of a unary reply if it is the whole answer to this call.
 func Whole(content []byte, call string) ([]string, error) {
@@ -140,8 +140,8 @@
 			FinishReason string `json:"finish_reason"`
 		} `json:"choices"`
 	}
-	if mishap := json.Unmarshal(content, &read); mishap != nil {
-		return nil, eris.Wrap(mishap, "reply is not JSON")
+	if err := json.Unmarshal(content, &read); err != nil {
+		return nil, eris.Wrap(err, "reply is not JSON")
 	}
 	if read.ID != call {
 		return nil, eris.New("reply is of another call")
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -59,8 +59,8 @@
 )
 
 var _ = DescribeTable("a unary reply that is not whole is no reply", func(content string) {
-	_, mishap := Whole([]byte(content), "c")
-	Expect(mishap).To(HaveOccurred())
+	_, err := Whole([]byte(content), "c")
+	Expect(err).To(HaveOccurred())
 },
 	Entry("another's", `{"id":"d","choices":[{"message":{"content":"yes"},"finish_reason":"stop"}]}`),
 	Entry("unfinished", `{"id":"c","choices":[{"message":{"content":"yes"}}]}`),
@@ -83,7 +83,7 @@
 		for begin := 0; begin < len(content); begin += size {
 			parts = append(parts, cut.Feed(content[begin:min(begin+size, len(content))])...)
 		}
-		if strings.Join(pieces, "\x00") != strings.Join(parts, "\x00") && once.Mishap() == nil {
+		if strings.Join(pieces, "\x00") != strings.Join(parts, "\x00") && once.Err() == nil {
 			t.Fatal("pieces depend on how the bytes are cut")
 		}
 		if once.Finished() != cut.Finished() {
