--- /dev/null
+++ b/chain/past_test.go
@@ -0,0 +1,167 @@
+package chain
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/env"
+)
+
+// trio is a core of three members whose disks and links take no time; a member that is away gets nothing.
+type trio struct {
+	owners  []*Owner
+	away    map[int]bool
+	now     time.Duration
+	pending []delivery
+	// bytes counts what was sent to each member.
+	bytes map[int]int
+	// held is the newest version that the feed brought.
+	held contract.Version
+}
+
+type delivery struct {
+	to    int
+	event contract.Event
+}
+
+func newTrio() *trio {
+	made := &trio{away: map[int]bool{}, bytes: map[int]int{}}
+	for place := range 3 {
+		self := contract.CoreNode{Name: fmt.Sprintf("m%d-control", place), ID: "disk", Address: fmt.Sprint(place)}
+		made.owners = append(made.owners, New(self, "start", 3, env.DefaultBounds(), Recovered{}, rand.New(rand.NewPCG(uint64(place), 1))))
+	}
+	made.until(func() bool { return made.head() != nil })
+	return made
+}
+
+func (trio *trio) head() *Owner {
+	for place, owner := range trio.owners {
+		if !trio.away[place] && owner.Open() {
+			return owner
+		}
+	}
+	return nil
+}
+
+func (trio *trio) take(from int, commands []contract.Command) {
+	for _, command := range commands {
+		switch command := command.(type) {
+		case Persist:
+			trio.pending = append(trio.pending, delivery{from, Persisted{Token: command.Token}})
+		case Committed:
+			if trio.held.Place.Before(command.Version.Place) {
+				trio.held = command.Version
+			}
+		case contract.Send:
+			body, err := json.Marshal(command.Body)
+			if err != nil {
+				panic(err)
+			}
+			to := int(command.To[0] - '0')
+			trio.bytes[to] += len(body)
+			trio.pending = append(trio.pending, delivery{to, contract.Message{Kind: command.Kind, From: trio.owners[from].self.Name, Body: body}})
+		}
+	}
+}
+
+func (trio *trio) settle() {
+	for len(trio.pending) > 0 {
+		next := trio.pending[0]
+		trio.pending = trio.pending[1:]
+		if !trio.away[next.to] {
+			trio.take(next.to, trio.owners[next.to].Handle(trio.now, next.event))
+		}
+	}
+}
+
+func (trio *trio) tick() {
+	trio.now += env.DefaultBounds().Tick()
+	seen := Seen{Held: trio.held}
+	for place, owner := range trio.owners {
+		if !trio.away[place] {
+			seen.Members = append(seen.Members, contract.Member{Name: owner.self.Name, CoreID: owner.self.ID, Core: true, Address: owner.self.Address, View: owner.view.Number})
+		}
+	}
+	for place, owner := range trio.owners {
+		if !trio.away[place] {
+			trio.take(place, owner.Handle(trio.now, seen))
+		}
+	}
+	trio.settle()
+}
+
+const patience = 2000
+
+func (trio *trio) until(holds func() bool) {
+	for range patience {
+		if holds() {
+			return
+		}
+		trio.tick()
+	}
+	panic("the core does not get there")
+}
+
+func (trio *trio) write(number int, content []byte) {
+	head := trio.head()
+	for place, owner := range trio.owners {
+		if owner == head {
+			_, commands := head.Submit(trio.now, contract.OperationOf(fmt.Sprint(number), "f"), content)
+			trio.take(place, commands)
+		}
+	}
+	trio.settle()
+}
+
+// BenchmarkWrite is one write through a chain of three, and one tick of its head, after so many writes before it.
+func BenchmarkWrite(b *testing.B) {
+	for _, past := range []int{10, 1000, 100000} {
+		b.Run(fmt.Sprintf("past=%d", past), func(b *testing.B) {
+			core := newTrio()
+			for number := range past {
+				core.write(number, []byte(`{"small":true}`))
+			}
+			b.ResetTimer()
+			for number := range b.N {
+				core.write(past+number, []byte(`{"small":true}`))
+			}
+		})
+		b.Run(fmt.Sprintf("tick/past=%d", past), func(b *testing.B) {
+			core := newTrio()
+			for number := range past {
+				core.write(number, []byte(`{"small":true}`))
+			}
+			b.ResetTimer()
+			for range b.N {
+				core.tick()
+			}
+		})
+	}
+}
+
+// BenchmarkCatchUp is a member that missed 1,000 changes of 200 KB and joins the chain again.
+func BenchmarkCatchUp(b *testing.B) {
+	const missed, size = 1000, 200 << 10
+	content := append(append([]byte(`"`), bytes.Repeat([]byte("x"), size-2)...), '"')
+	for range b.N {
+		b.StopTimer()
+		core := newTrio()
+		core.away[2] = true
+		core.until(func() bool { head := core.head(); return head != nil && len(head.view.Chain) == 2 })
+		for number := range missed {
+			core.write(number, content)
+		}
+		core.away[2], core.bytes[2] = false, 0
+		began := core.now
+		b.StartTimer()
+		core.until(func() bool { return len(core.owners[2].view.Chain) == 3 && core.owners[2].Committed() == missed })
+		b.ReportMetric(float64(core.bytes[2])/1e6, "MB/catch-up")
+		b.ReportMetric((core.now - began).Seconds(), "virtual-s/catch-up")
+		b.ReportMetric(float64(len(core.owners[2].versions)), "versions")
+	}
+}
