The head doubts its successor only when no other member explains what holds versions up

Change: the doubt waits a suspicion and a round, and there is none while a member of the chain is out of reach.

--- a/chain/agree.go
+++ b/chain/agree.go
@@ -133,10 +133,17 @@
 	return len(owner.founders) > 0 && len(owner.view.Core) < owner.coreSize
 }
 
+// doubtSuccessor has the head leave its successor out when versions are held up and no other reason shows. A member that is silent or has a
+// disk in trouble shows by itself within a suspicion; until then the successor is not to blame.
 func (owner *Owner) doubtSuccessor(now time.Duration) {
-	if owner.stuck < 0 || now-owner.stuck < owner.bounds.Commit()/2 || len(owner.view.Chain) < 2 {
+	if owner.stuck < 0 || now-owner.stuck < owner.bounds.Suspicion()+owner.bounds.Round() || len(owner.view.Chain) < 2 {
 		return
 	}
+	for _, identity := range owner.view.Chain {
+		if node, there := owner.view.Node(identity); !there || !owner.reaches(node) {
+			return
+		}
+	}
 	owner.doubts[owner.view.Chain[1]] = now + owner.bounds.Return()/2
 	owner.stuck = -1
 }
