Read again: links judged once, drops queued once, one way to wait for a majority's word

- chain: whether a direct link works was judged in `reaches` and again in `link`: one `direct` now; `chainReaches` was a name for `linked`.
Five places queued dropped versions, six sent to all members but oneself, three asked whether a first view is synced: `queueDrop`, `sendOthers`, `syncedFoundation`.
`Owner.record` was read once, at the start: only its leave to bootstrap is kept.
- control: reads, refusals and standing drains each kept a table of what waits for a majority, with `confirmed` and `unsure` beside it: one table of what follows the word (`whenVouched`); a refusal is kept only while its ground is not committed.
- modelcheck: the folder was a second simulated disk beside `virtual.Disk`: it wraps that one, which learns to keep or lose each unsynced name by itself (with a test); a planted identity goes through image.Load and Save in the place of the file's own JSON.

--- a/chain/agree.go
+++ b/chain/agree.go
@@ -121,7 +121,7 @@
 		if rank >= 0 && (!fit || doubted) && living > 1 {
 			return len(owner.view.Chain) > 1 || fit
 		}
-		if rank < 0 && fit && !doubted && owner.chainReaches(node) {
+		if rank < 0 && fit && !doubted && owner.linked(owner.view.Chain, node.Identity()) {
 			return true
 		}
 	}
@@ -305,11 +305,8 @@
 	old, view := owner.view, campaign.proposal.View
 	owner.endCampaign(now)
 	owner.adopt(now, view)
-	for _, node := range append(append([]contract.CoreNode{}, old.Core...), view.Core...) {
-		if node.Identity() != owner.self.Identity() {
-			owner.send(node, MessageNews, view)
-		}
-	}
+	owner.sendOthers(old.Core, MessageNews, view)
+	owner.sendOthers(view.Core, MessageNews, view)
 }
 
 // adopt takes a committed view; numbers only rise, and the old view's promises end with it. The record of the view is queued ahead of
--- a/chain/chain.go
+++ b/chain/chain.go
@@ -139,13 +139,14 @@
 	seen      Seen
 	started   time.Duration
 	begun     bool
-	record    MemberRecord
 	presented bool
 	out       []contract.Command
 	loop      []contract.Message
 	bootstrap bool
-	founders  []string
-	marked    contract.Place
+	// mayBootstrap is what the folder remembers of the first start.
+	mayBootstrap bool
+	founders     []string
+	marked       contract.Place
 }
 
 // New makes the owner of a member. Its identity is that of its data folder, or self's where the folder has none. start names this start
@@ -165,7 +166,7 @@
 // Bootstraps tells whether this start may bootstrap a blank fleet. A member that was allowed to at its first start stays allowed until
 // it has a view; one that replaces another, or has lost its disk, only joins.
 func (owner *Owner) Bootstraps(may bool) {
-	owner.bootstrap = owner.bootstrap && may || owner.record.Bootstrap
+	owner.bootstrap = may || owner.mayBootstrap
 }
 
 // Self gives this member with the identity of its data folder.
@@ -229,6 +230,15 @@
 	owner.loop = append(owner.loop, contract.Message{Kind: kind, From: owner.self.Name, Body: content})
 }
 
+// sendOthers sends to all nodes but this one.
+func (owner *Owner) sendOthers(nodes []contract.CoreNode, kind string, body any) {
+	for _, node := range nodes {
+		if node.Identity() != owner.self.Identity() {
+			owner.send(node, kind, body)
+		}
+	}
+}
+
 func (owner *Owner) message(now time.Duration, message contract.Message) {
 	switch message.Kind {
 	case MessagePass:
--- a/chain/check.go
+++ b/chain/check.go
@@ -55,11 +55,7 @@
 	}
 	owner.out = nil
 	owner.checks[token] = &check{view: owner.view.Number, fits: fits, until: now + owner.bounds.Round(), votes: map[string]bool{owner.self.Identity(): true}}
-	for _, node := range owner.view.Core {
-		if node.Identity() != owner.self.Identity() {
-			owner.send(node, MessageCheck, Check{Nonce: token, Start: owner.start, View: owner.view.Number, Node: owner.self})
-		}
-	}
+	owner.sendOthers(owner.view.Core, MessageCheck, Check{Nonce: token, Start: owner.start, View: owner.view.Number, Node: owner.self})
 	out := owner.out
 	owner.out = nil
 	return out
--- a/chain/compose.go
+++ b/chain/compose.go
@@ -26,7 +26,7 @@
 	return false
 }
 
-// strangers are live core machines that the view does not know by this boot.
+// strangers are live core machines that the view does not know by this identity.
 func (owner *Owner) strangers() []contract.CoreNode {
 	strangers := []contract.CoreNode{}
 	for _, member := range owner.seen.Members {
--- a/chain/found.go
+++ b/chain/found.go
@@ -77,7 +77,7 @@
 	return contract.CoreNode{}, false
 }
 
-// Declare takes an operator's word that a machine's former boot never returns; a live one is not believed dead.
+// Declare takes an operator's word that a machine's former member never returns; a live one is not believed dead.
 func (owner *Owner) Declare(name string) bool {
 	for _, node := range owner.view.Core {
 		if node.Name == name && !owner.aliveCore(node) {
@@ -301,11 +301,7 @@
 	fellows, foundation := founding.fellows, *founding.foundation
 	owner.founding = nil
 	owner.begin(now, foundation)
-	for _, node := range fellows {
-		if node.Identity() != owner.self.Identity() {
-			owner.send(node, MessageFoundBegin, foundation)
-		}
-	}
+	owner.sendOthers(fellows, MessageFoundBegin, foundation)
 }
 
 // begin takes up a foundation: the image is in force again, with the older versions that this folder still has.
@@ -315,7 +311,6 @@
 	}
 	image := foundation.Image
 	former := owner.versions
-	defer func() { owner.salvaged = map[int64]contract.Version{} }()
 	owner.versions, owner.operations, owner.oldest, owner.top, owner.committed = map[int64]contract.Version{}, operations{}, 0, 0, 0
 	if image != nil {
 		for _, source := range []map[int64]contract.Version{owner.salvaged, former} {
@@ -339,7 +334,8 @@
 			}
 		}
 	}
-	owner.jobs = append(owner.jobs, job{drop: drop})
+	owner.queueDrop(drop)
+	owner.salvaged = map[int64]contract.Version{}
 	owner.adopt(now, foundation.View)
 	owner.emit(contract.Count{Name: "foundings", By: 1})
 }
--- a/chain/founded.go
+++ b/chain/founded.go
@@ -20,16 +20,20 @@
 }
 
 func (owner *Owner) askFounded(now time.Duration) {
-	accepted := owner.foundAccepted
-	if accepted == nil || owner.foundSynced != accepted.Ballot || now-owner.foundAsked < owner.bounds.Round() || now-owner.started < owner.bounds.Lease() {
+	accepted := owner.syncedFoundation()
+	if accepted == nil || now-owner.foundAsked < owner.bounds.Round() || now-owner.started < owner.bounds.Lease() {
 		return
 	}
 	owner.foundAsked, owner.foundHeld = now, map[string]bool{owner.self.Identity(): true}
-	for _, node := range accepted.View.Core {
-		if node.Identity() != owner.self.Identity() {
-			owner.send(node, MessageFoundedAsk, FoundedAsk{Node: owner.self})
-		}
+	owner.sendOthers(accepted.View.Core, MessageFoundedAsk, FoundedAsk{Node: owner.self})
+}
+
+// syncedFoundation gives the first view that this member's folder agrees to, or nothing.
+func (owner *Owner) syncedFoundation() *Foundation {
+	if accepted := owner.foundAccepted; accepted != nil && owner.foundSynced == accepted.Ballot {
+		return accepted
 	}
+	return nil
 }
 
 func (owner *Owner) foundedAsk(ask FoundedAsk) {
@@ -37,14 +41,14 @@
 		owner.send(ask.Node, MessageNews, owner.view)
 		return
 	}
-	if accepted := owner.foundAccepted; accepted != nil && owner.foundSynced == accepted.Ballot {
+	if accepted := owner.syncedFoundation(); accepted != nil {
 		owner.send(ask.Node, MessageFoundedHeld, FoundedHeld{Node: owner.self, View: accepted.View})
 	}
 }
 
 func (owner *Owner) foundedHeld(now time.Duration, held FoundedHeld) {
-	accepted := owner.foundAccepted
-	if accepted == nil || owner.foundSynced != accepted.Ballot || held.View.Number != accepted.View.Number || !sameCore(held.View, accepted.View) {
+	accepted := owner.syncedFoundation()
+	if accepted == nil || held.View.Number != accepted.View.Number || !sameCore(held.View, accepted.View) {
 		return
 	}
 	owner.foundHeld[held.Node.Identity()] = true
--- a/chain/persist.go
+++ b/chain/persist.go
@@ -36,14 +36,14 @@
 			newest[version.Place.Revision] = version
 		}
 	}
-	owner.record = recovered.Member
-	if owner.record.ID == "" {
-		owner.record = MemberRecord{ID: owner.self.ID}
+	record := recovered.Member
+	if record.ID == "" {
+		record = MemberRecord{ID: owner.self.ID}
 	}
-	owner.self.ID = owner.record.ID
-	owner.view, owner.promised, owner.accepted = owner.record.View, owner.record.Promised, owner.record.Accepted
+	owner.self.ID, owner.mayBootstrap = record.ID, record.Bootstrap
+	owner.view, owner.promised, owner.accepted = record.View, record.Promised, record.Accepted
 	owner.sealed = owner.promised.Round > 0
-	if founding := owner.record.Founding; founding != nil && founding.View.Number > owner.view.Number {
+	if founding := record.Founding; founding != nil && founding.View.Number > owner.view.Number {
 		owner.foundAccepted, owner.foundSynced = founding, founding.Ballot
 	}
 	if owner.view.Number == 0 {
@@ -59,9 +59,9 @@
 	if marked, there := newest[committed.Revision]; there && marked.Place == committed {
 		owner.committed, owner.marked = committed.Revision, committed
 	}
-	drop := []contract.Place{}
+	drop, holder := []contract.Place{}, owner.holder()
 	for revision, version := range newest {
-		if revision > owner.committed && !owner.holder() {
+		if revision > owner.committed && !holder {
 			drop = append(drop, version.Place)
 			continue
 		}
@@ -70,19 +70,19 @@
 	}
 	owner.assigned = owner.top
 	owner.settled = len(owner.view.Chain) == 1 && owner.committed >= owner.top
-	if len(drop) > 0 {
-		owner.jobs = append(owner.jobs, job{drop: drop})
+	owner.queueDrop(drop)
+}
+
+// queueDrop has versions removed from the folder with the next write.
+func (owner *Owner) queueDrop(places []contract.Place) {
+	if len(places) > 0 {
+		owner.jobs = append(owner.jobs, job{drop: places})
 	}
 }
 
 // holder tells whether this member's log counts: it is in the chain, or has everything that was acknowledged before the chain shrank.
 func (owner *Owner) holder() bool {
-	for _, identity := range owner.view.Takers() {
-		if identity == owner.self.Identity() {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(owner.view.Takers(), owner.self.Identity())
 }
 
 // present says once, at the first tick, what was recovered, and has a new member's identity written down before anything else.
@@ -143,9 +143,8 @@
 	if !wanted {
 		return nil
 	}
-	owner.record = MemberRecord{ID: owner.self.ID, Bootstrap: owner.bootstrap && owner.view.Number == 0, View: owner.view, Promised: owner.promised, Accepted: owner.accepted, Founding: owner.foundAccepted}
-	record := owner.record
-	return &record
+	return &MemberRecord{ID: owner.self.ID, Bootstrap: owner.bootstrap && owner.view.Number == 0, View: owner.view, Promised: owner.promised,
+		Accepted: owner.accepted, Founding: owner.foundAccepted}
 }
 
 func (owner *Owner) persisted(now time.Duration, event Persisted) {
--- a/chain/reach.go
+++ b/chain/reach.go
@@ -43,7 +43,7 @@
 	owner.beaten = now
 	heard := []string{}
 	for _, node := range owner.view.Core {
-		if owner.hears(now, node) {
+		if owner.hears(node.Identity()) {
 			heard = append(heard, node.Identity())
 		}
 	}
@@ -62,27 +62,24 @@
 }
 
 // hears tells whether a member's own heartbeats come.
-func (owner *Owner) hears(now time.Duration, node contract.CoreNode) bool {
-	return node.Identity() == owner.self.Identity() || now-owner.contacts[node.Identity()].at <= owner.bounds.Suspicion()
+func (owner *Owner) hears(identity string) bool {
+	return identity == owner.self.Identity() || owner.ticked-owner.contacts[identity].at <= owner.bounds.Suspicion()
 }
 
-// reaches tells whether messages pass both ways between this member and another one.
+// direct tells whether messages pass both ways between this member and another one, by their heartbeats.
+func (owner *Owner) direct(identity string) bool {
+	known := owner.contacts[identity]
+	return owner.hears(identity) && (known.fresh || slices.Contains(known.heard, owner.self.Identity()))
+}
+
+// reaches tells whether another member is alive and linked with this one.
 func (owner *Owner) reaches(node contract.CoreNode) bool {
-	if node.Identity() == owner.self.Identity() {
-		return true
-	}
-	known := owner.contacts[node.Identity()]
-	return owner.aliveCore(node) && owner.hears(owner.ticked, node) && (known.fresh || slices.Contains(known.heard, owner.self.Identity()))
+	return node.Identity() == owner.self.Identity() || owner.aliveCore(node) && owner.direct(node.Identity())
 }
 
 // linked tells whether a member and all of a chain reach each other, by what they say: a link that is cut would hold every version up.
 func (owner *Owner) linked(chain []string, identity string) bool {
-	for _, other := range chain {
-		if !owner.link(other, identity) {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(chain, func(other string) bool { return !owner.link(other, identity) })
 }
 
 func (owner *Owner) link(one, other string) bool {
@@ -90,8 +87,8 @@
 		one, other = other, one
 	}
 	if other == owner.self.Identity() {
-		known := owner.contacts[one]
-		return known.at == 0 || owner.ticked-known.at <= owner.bounds.Suspicion() && (known.fresh || slices.Contains(known.heard, other))
+		_, told := owner.contacts[one]
+		return !told || owner.direct(one)
 	}
 	return owner.says(one, other) && owner.says(other, one)
 }
@@ -101,8 +98,3 @@
 	known, told := owner.contacts[one]
 	return !told || known.fresh || slices.Contains(known.heard, other)
 }
-
-// chainReaches tells whether all members of the chain reach another one, by what they say: only then may it join them.
-func (owner *Owner) chainReaches(node contract.CoreNode) bool {
-	return owner.linked(owner.view.Chain, node.Identity())
-}
--- a/chain/write.go
+++ b/chain/write.go
@@ -249,18 +249,11 @@
 	if !owner.holder() {
 		last = owner.committed
 	}
-	if drop := owner.truncate(last); len(drop) > 0 {
-		owner.jobs = append(owner.jobs, job{drop: drop})
-	}
+	owner.queueDrop(owner.truncate(last))
 }
 
 func (owner *Owner) announce() {
-	done := Done{View: owner.view.Number, Place: owner.versions[owner.committed].Place, Settled: owner.settled}
-	for _, node := range owner.view.Core {
-		if node.Identity() != owner.self.Identity() {
-			owner.send(node, MessageDone, done)
-		}
-	}
+	owner.sendOthers(owner.view.Core, MessageDone, Done{View: owner.view.Number, Place: owner.versions[owner.committed].Place, Settled: owner.settled})
 }
 
 func (owner *Owner) done(now time.Duration, done Done) {
@@ -288,10 +281,7 @@
 		owner.marked = version.Place
 		owner.jobs = append(owner.jobs, job{mark: &version.Place})
 	}
-	drop := owner.trim()
-	if len(drop) > 0 {
-		owner.jobs = append(owner.jobs, job{drop: drop})
-	}
+	owner.queueDrop(owner.trim())
 }
 
 // retransmit passes the head's state and what is not yet acknowledged again, until the tail of this view has answered for it.
--- a/control/control.go
+++ b/control/control.go
@@ -52,9 +52,10 @@
 	listed  time.Duration
 	writes  map[int64]*write
 	gathers map[int64]*gather
-	reads   map[int64]contract.Ask
-	// refusals wait for a majority's word, by token.
-	refusals map[int64]*refusal
+	// vouches go on with a majority's word on the view, by token.
+	vouches map[int64]func(now time.Duration, fine bool) []contract.Command
+	// refusals wait until what they rest on is committed, by token.
+	refusals map[int64]refusal
 	token    int64
 	refills  time.Duration
 }
@@ -64,7 +65,8 @@
 	node := machine.New(settings, contract.KindControl, boot, random)
 	owner := &Owner{Node: node, shard: shard.New(node.Self(), settings.Bounds), index: index.New(settings.Bounds.Return(), settings.Bounds.Withdraw()/2),
 		others: map[string]*shard.Owner{}, wide: settings.Wide, listed: -settings.Bounds.PlatformPoll(),
-		writes: map[int64]*write{}, gathers: map[int64]*gather{}, reads: map[int64]contract.Ask{}, refusals: map[int64]*refusal{}}
+		writes: map[int64]*write{}, gathers: map[int64]*gather{}, refusals: map[int64]refusal{},
+		vouches: map[int64]func(time.Duration, bool) []contract.Command{}}
 	if recovered != nil {
 		self := contract.CoreNode{Name: node.Self().Name, ID: boot, Address: node.Self().Address}
 		owner.chain = chain.New(self, boot, int(settings.CoreSize), settings.Bounds, *recovered, random)
@@ -209,9 +211,8 @@
 	}
 	switch ask.Verb {
 	case contract.VerbGet, contract.VerbHistory:
-		owner.token++
-		owner.reads[owner.token] = ask
-		return owner.chain.Vouch(now, owner.token)
+		token := owner.whenVouched(func(_ time.Duration, fine bool) []contract.Command { return owner.answerRead(ask, fine) })
+		return owner.chain.Vouch(now, token)
 	case contract.VerbMembers:
 		return []contract.Command{contract.Answer{Token: ask.Token, Status: 200, Body: map[string]any{
 			"members": owner.Neighbours.Members(now), "silent": owner.Neighbours.Silent(now)}}}
@@ -283,19 +284,24 @@
 	return nil
 }
 
+// whenVouched keeps what follows a majority's word and gives the token to ask for it with.
+func (owner *Owner) whenVouched(then func(now time.Duration, fine bool) []contract.Command) int64 {
+	owner.token++
+	owner.vouches[owner.token] = then
+	return owner.token
+}
+
 func (owner *Owner) vouched(now time.Duration, vouched chain.Vouched) []contract.Command {
-	if _, there := owner.refusals[vouched.Token]; there {
-		return owner.refusalVouched(vouched.Token, vouched.Fine)
-	}
-	if pending, there := owner.writes[vouched.Token]; there {
-		return owner.writeVouched(vouched.Token, pending, vouched.Fine)
-	}
-	ask, there := owner.reads[vouched.Token]
+	then, there := owner.vouches[vouched.Token]
 	if !there {
 		return nil
 	}
-	delete(owner.reads, vouched.Token)
-	if !vouched.Fine {
+	delete(owner.vouches, vouched.Token)
+	return then(now, vouched.Fine)
+}
+
+func (owner *Owner) answerRead(ask contract.Ask, fine bool) []contract.Command {
+	if !fine {
 		return []contract.Command{contract.Refuse(ask.Token, 503, "the core cannot vouch for its view now", owner.Bounds.Round())}
 	}
 	if ask.Verb == contract.VerbHistory {
--- a/control/write.go
+++ b/control/write.go
@@ -20,8 +20,6 @@
 	operation string
 	began     time.Duration
 	committed bool
-	// unsure holds until a majority has confirmed the view from which the answer is taken.
-	unsure bool
 }
 
 func fingerprint(ask contract.Ask) string {
@@ -60,8 +58,7 @@
 		return nil
 	}
 	if former, there := owner.standing(ask); there {
-		owner.await(now, ask, former, former.Operation).unsure = true
-		return owner.chain.VouchHead(now, owner.token)
+		return owner.confirmStanding(now, ask, former)
 	}
 	if !owner.chain.Open() {
 		return owner.refuse(ask, 503, "the chain cannot take writes now; nothing was committed")
@@ -174,12 +171,10 @@
 	})
 }
 
-func (owner *Owner) await(now time.Duration, ask contract.Ask, version contract.Version, operation string) *write {
+func (owner *Owner) await(now time.Duration, ask contract.Ask, version contract.Version, operation string) {
 	owner.token++
-	pending := &write{ask: ask, revision: version.Place.Revision, operation: operation, began: now,
+	owner.writes[owner.token] = &write{ask: ask, revision: version.Place.Revision, operation: operation, began: now,
 		committed: version.Place.Revision <= owner.chain.Committed()}
-	owner.writes[owner.token] = pending
-	return pending
 }
 
 func (owner *Owner) committed(now time.Duration, version contract.Version) {
@@ -209,7 +204,7 @@
 // outcome gives the status of a write, or 0 while it is not known.
 func (owner *Owner) outcome(now time.Duration, pending *write) (int, contract.Accepted) {
 	accepted := contract.Accepted{Revision: pending.revision, Operation: pending.ask.Operation, View: owner.Feed.View().Number}
-	if !pending.committed || pending.unsure {
+	if !pending.committed {
 		if now-pending.began <= owner.Bounds.Commit() {
 			return 0, accepted
 		}
--- a/emulator/checks_test.go
+++ b/emulator/checks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
@@ -38,15 +39,17 @@
 
 var _ = Describe("the checks of the servers' caches", func() {
 	for _, name := range sites {
+		calm := sync.OnceValue(func() CacheFigures { return checked(name, "", 1, 2) })
+
 		It("given calm days on "+name+", when calls are checked, then few are taken for mismatches and no place is left", func() {
-			sum := checked(name, "", 1, 2)
+			sum := calm()
 			Expect(sum.Checked).To(BeNumerically(">", 100))
 			Expect(float64(sum.Falsely)).To(BeNumerically("<=", 0.05*float64(sum.Checked)))
 			Expect(sum.Left).To(BeZero())
 		})
 
 		noLoss := func() {
-			sum := checked(name, "", 1, 2)
+			sum := calm()
 			Expect(sum.Suspected + sum.Wrongly).To(BeZero())
 		}
 		// KNOWN-RED.txt says why this waits at one site.
--- a/modelcheck/action.go
+++ b/modelcheck/action.go
@@ -6,6 +6,7 @@
 
 	"github.com/cedarreel/cedarreel/chain"
 	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/image"
 )
 
 // Kind names what an action does.
@@ -145,8 +146,8 @@
 	}
 }
 
-func headOf(owner *chain.Owner) bool { return owner.Open() }
-func tailOf(owner *chain.Owner) bool { return owner.IsTail() }
+// headOf and tailOf find the members that take writes, and that believe themselves to be the tail.
+var headOf, tailOf = (*chain.Owner).Open, (*chain.Owner).IsTail
 
 // first gives the first member that fits, from a place on.
 func (cluster *Cluster) first(place int, fits func(*chain.Owner) bool) *member {
@@ -163,9 +164,12 @@
 	cluster.handle(observer, cluster.seen(observer))
 }
 
+// coin falls one way or the other.
+func (cluster *Cluster) coin() bool { return cluster.random.IntN(2) == 0 }
+
 func (cluster *Cluster) powerOff(member *member) {
 	member.owner, member.pending = nil, nil
-	member.disk.losePower(cluster.random)
+	member.disk.LosePowerByName(cluster.coin)
 }
 
 // tearWrite ends a process after so many operations of the write that its disk has under way, and takes the power too at odd places.
@@ -176,10 +180,10 @@
 	member.disk.budget = place % 8
 	work := *member.pending
 	member.owner, member.pending = nil, nil
-	_ = save(member.disk, work)
+	_ = image.Save(member.disk, work)
 	member.disk.budget = -1
 	if place%2 == 1 {
-		member.disk.losePower(cluster.random)
+		member.disk.LosePowerByName(cluster.coin)
 	}
 }
 
@@ -202,27 +206,25 @@
 	if !cluster.whole() {
 		return
 	}
-	kept := clone(member.disk.names)
+	kept := identityOf(member.disk)
 	member.owner, member.pending = nil, nil
-	member.disk.wipe()
-	if content, there := kept[identityFile]; there && cluster.fault == FaultIdentityKept {
-		keepIdentity(member.disk, content)
+	member.disk.Wipe()
+	if kept != nil && cluster.fault == FaultIdentityKept {
+		_ = image.Save(member.disk, chain.Persist{Member: kept})
 	}
 }
 
-func (cluster *Cluster) replace(member *member) {
+func (cluster *Cluster) replace(old *member) {
 	if !cluster.whole() {
 		return
 	}
-	member.owner, member.pending, member.removed = nil, nil, true
-	fresh := &memberOf{name: fmt.Sprintf("m%d", len(cluster.members)), disk: newDisk()}
+	old.owner, old.pending, old.removed = nil, nil, true
+	fresh := &member{name: fmt.Sprintf("m%d", len(cluster.members)), disk: newDisk()}
 	fresh.disk.keepsRemoved = cluster.fault == FaultRemovalLost
 	cluster.members = append(cluster.members, fresh)
 	cluster.start(fresh, false)
 }
 
-type memberOf = member
-
 func (cluster *Cluster) heal() {
 	cluster.blocked = map[[2]string]bool{}
 	for _, member := range cluster.members {
--- a/modelcheck/directed_test.go
+++ b/modelcheck/directed_test.go
@@ -2,6 +2,18 @@
 
 import "testing"
 
+// exchange lets disks write and messages arrive so many times, while no clock moves.
+func (cluster *Cluster) exchange(count int) {
+	for range count {
+		for _, member := range cluster.members {
+			for member.pending != nil {
+				cluster.finishWrite(member)
+			}
+		}
+		cluster.deliverAll()
+	}
+}
+
 // directed plays the situation that random walks seldom meet: a tail that was cut off while the others changed the view and accepted a
 // write, and that is asked for a read before it has heard of any of that.
 func directed(fault Fault) *Cluster {
@@ -25,14 +37,7 @@
 	}
 	cluster.heal()
 	cluster.read(tail)
-	for range 4 {
-		for _, member := range cluster.members {
-			for member.pending != nil {
-				cluster.finishWrite(member)
-			}
-		}
-		cluster.deliverAll()
-	}
+	cluster.exchange(4)
 	return cluster
 }
 
@@ -119,14 +124,7 @@
 	cluster.messages = nil
 	cluster.submit(head)
 	cluster.finishWrite(head)
-	for range 6 {
-		for _, member := range cluster.members {
-			for member.pending != nil {
-				cluster.finishWrite(member)
-			}
-		}
-		cluster.deliverAll()
-	}
+	cluster.exchange(6)
 	return cluster
 }
 
--- a/modelcheck/fault.go
+++ b/modelcheck/fault.go
@@ -1,8 +1,6 @@
 package modelcheck
 
 import (
-	"encoding/json"
-
 	"github.com/cedarreel/cedarreel/chain"
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/image"
@@ -84,19 +82,13 @@
 	return promise
 }
 
-const identityFile = "member.json"
-
-// keepIdentity leaves the identity and the view in a folder whose votes and versions are gone.
-func keepIdentity(disk *disk, content []byte) {
-	var sealed struct {
-		Body json.RawMessage `json:"body"`
-	}
-	var record chain.MemberRecord
-	if json.Unmarshal(content, &sealed) != nil || json.Unmarshal(sealed.Body, &record) != nil {
-		return
+// identityOf gives what is left of a member's record when its votes and versions are gone: the identity and the view.
+func identityOf(disk *disk) *chain.MemberRecord {
+	recovered, failure := image.Load(disk)
+	if failure != nil || recovered.Member.ID == "" {
+		return nil
 	}
+	record := recovered.Member
 	record.Promised, record.Accepted = chain.Ballot{}, nil
-	_ = save(disk, chain.Persist{Member: &record})
+	return &record
 }
-
-func save(disk *disk, work chain.Persist) error { return image.Save(disk, work) }
--- a/virtual/disk.go
+++ b/virtual/disk.go
@@ -127,6 +127,38 @@
 	disk.synced, disk.history, disk.Lies, disk.Torn = copied(disk.files), nil, 0, false
 }
 
+// LosePowerByName keeps or loses each name that is not as it was at the last sync of the folder, by itself, in the order of the names.
+func (disk *Disk) LosePowerByName(keeps func() bool) {
+	disk.Abandon()
+	for _, name := range disk.unsynced() {
+		if keeps() {
+			continue
+		}
+		if content, there := disk.synced[name]; there {
+			disk.files[name] = content
+		} else {
+			delete(disk.files, name)
+		}
+	}
+	disk.synced, disk.history = copied(disk.files), nil
+}
+
+// unsynced gives the names that were made, changed or removed since the last sync of the folder.
+func (disk *Disk) unsynced() []string {
+	names := map[string]bool{}
+	for name, content := range disk.files {
+		if former, there := disk.synced[name]; !there || !slices.Equal(former, content) {
+			names[name] = true
+		}
+	}
+	for name := range disk.synced {
+		if _, there := disk.files[name]; !there {
+			names[name] = true
+		}
+	}
+	return manifest.SortedKeys(names)
+}
+
 // Wipe empties the folder, as a swap for an empty machine does.
 func (disk *Disk) Wipe() {
 	disk.Abandon()
--- a/virtual/disk_test.go
+++ b/virtual/disk_test.go
@@ -193,6 +193,31 @@
 		}
 	})
 
+	It("keeps or loses each unsynced name by itself where it is asked to", func() {
+		for _, keeps := range []bool{true, false} {
+			disk := given(DiskOptions{LosesUnsynced: true})
+			saved(disk, "a", "one")
+			saved(disk, "b", "two")
+			write(disk, "a", "three")
+			write(disk, "c", "four")
+			Expect(disk.Remove("b")).To(Succeed())
+			asked := 0
+			disk.LosePowerByName(func() bool {
+				asked++
+				return keeps
+			})
+			Expect(asked).To(Equal(3), "a is changed, b removed, c made")
+			if keeps {
+				Expect(holds(disk)).To(Equal(map[string]string{"a": "three", "c": "four"}))
+			} else {
+				Expect(holds(disk)).To(Equal(map[string]string{"a": "one", "b": "two"}))
+			}
+			before := holds(disk)
+			disk.LosePower()
+			Expect(holds(disk)).To(Equal(before), "what is left lasts")
+		}
+	})
+
 	It("lets saves overlap, so that a later one may be over first", func() {
 		disk := given(DiskOptions{})
 		latency = []time.Duration{3 * time.Second, time.Second}
