--- /dev/null
+++ b/gateway/lists.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/manifest"
+	"github.com/cedarreel/cedarreel/shard"
+)
+
+// list is what this node holds of one shard's list of servers. All times are this node's own monotonic ones.
+type list struct {
+	epoch   contract.Epoch
+	highest contract.Epoch
+	number  int64
+	// asked is when the question was sent whose answer last said that this is the list: since then it is not confirmed.
+	asked time.Duration
+	hint  string
+	held  bool
+	// interim is when the list was asked for that stands in until an owner's comes, 0 without one.
+	interim time.Duration
+	// overdue tells that the list was said to be unconfirmed for too long.
+	overdue bool
+}
+
+// askEvery is the time between two questions for a list: a part of the bound for withdrawing a server.
+func (node *Node) askEvery() time.Duration { return node.Bounds.Withdraw() / 8 }
+
+func (node *Node) ask(now time.Duration) {
+	if now < node.nextAsk || !node.Feed.Known() {
+		return
+	}
+	node.nextAsk = now + node.askEvery()
+	if !node.complete() {
+		node.nextAsk = now + node.askEvery()/5
+	}
+	members, read := node.Neighbours.Members(now), node.Feed.Manifest()
+	for _, region := range manifest.SortedKeys(read.Regions) {
+		shards := read.Regions[region].Shards
+		if node.lists[region] == nil {
+			node.lists[region], node.servers[region] = map[int]*list{}, map[int][]contract.Candidate{}
+		}
+		for index := range node.lists[region] {
+			if index >= shards {
+				delete(node.lists[region], index)
+				delete(node.servers[region], index)
+			}
+		}
+		for index := 0; index < shards; index++ {
+			if node.lists[region][index] == nil {
+				node.lists[region][index] = &list{}
+			}
+			node.askOne(now, members, region, index, shards)
+		}
+	}
+}
+
+// complete tells whether every region's lists are here.
+func (node *Node) complete() bool {
+	for _, lists := range node.lists {
+		for _, held := range lists {
+			if !held.held {
+				return false
+			}
+		}
+	}
+	return len(node.lists) > 0
+}
+
+func (node *Node) askOne(now time.Duration, members []contract.Member, region string, index, shards int) {
+	held, self := node.lists[region][index], node.Self()
+	ask := contract.LeaseRequest{Node: self.Name, Address: self.Address, Region: region, Shard: index, Asked: now,
+		Highest: held.highest, Number: held.number, Calls: node.known.Calls(region), Stale: node.known.Stale(region),
+		Tallies: node.known.Tallies(now, region), Shards: shards, Brief: held.held,
+		Interim: !held.held && (held.interim == 0 || now-held.interim >= node.askEvery())}
+	targets := []string{shard.First(members, region, index)}
+	if held.hint != "" && !slices.Contains(targets, held.hint) {
+		targets = append(targets, held.hint)
+	}
+	for _, name := range targets {
+		if member, there := node.Neighbours.Look(name); there {
+			node.emit(contract.Send{To: member.Address, Kind: shard.MessageAsk, Body: ask})
+		}
+	}
+	if !ask.Interim && now-held.asked <= 3*node.askEvery() {
+		return
+	}
+	others := []string{}
+	for _, member := range members {
+		if member.Kind == contract.KindControl && !slices.Contains(targets, member.Name) {
+			others = append(others, member.Address)
+		}
+	}
+	if ask.Interim && len(others) == 0 {
+		others = node.Neighbours.Seeds()
+	}
+	if len(others) == 0 {
+		return
+	}
+	kind := shard.MessageAround
+	if ask.Interim {
+		kind = shard.MessageAsk
+	}
+	node.emit(contract.Count{Name: "lists_asked_around", By: 1}, contract.Send{To: others[node.Random.IntN(len(others))], Kind: kind, Body: ask})
+}
+
+// take accepts a list unless a higher epoch was seen; an older list of the same epoch changes nothing.
+func (node *Node) take(now time.Duration, message contract.Message, lease contract.Lease) {
+	held := node.lists[lease.Region][lease.Shard]
+	if lease.Interim {
+		node.takeInterim(held, lease)
+		return
+	}
+	if held == nil || lease.Epoch.Before(held.highest) || lease.Asked > now {
+		node.emit(contract.Count{Name: "lists_refused", By: 1})
+		return
+	}
+	if lease.Epoch == held.highest && (lease.Number < held.number || lease.Asked < held.asked) {
+		return
+	}
+	if lease.Same && (lease.Epoch != held.epoch || lease.Number != held.number) {
+		return
+	}
+	held.highest, held.epoch, held.number, held.asked, held.hint = lease.Epoch, lease.Epoch, lease.Number, lease.Asked, ""
+	node.confirmed(now, held, message, lease)
+	if lease.Same {
+		return
+	}
+	held.held = true
+	node.list(lease)
+}
+
+// takeInterim accepts what stands in for an owner's list, as long as this node has heard of no owner.
+func (node *Node) takeInterim(held *list, lease contract.Lease) {
+	if held == nil || held.held || held.highest != (contract.Epoch{}) || lease.Asked <= held.interim {
+		return
+	}
+	held.interim = lease.Asked
+	node.list(lease)
+}
+
+func (node *Node) list(lease contract.Lease) {
+	node.servers[lease.Region][lease.Shard] = lease.Servers
+	all := []contract.Candidate{}
+	for index := 0; index < len(node.lists[lease.Region]); index++ {
+		all = append(all, node.servers[lease.Region][index]...)
+	}
+	node.emit(Update{Listed{Region: lease.Region, Servers: all}},
+		contract.Say{What: "list", Detail: []any{"region", lease.Region, "epoch", lease.Epoch.Number, "shard", lease.Shard, "number", lease.Number, "servers", len(all)}})
+}
+
+// unconfirmedAfter is the age at which a list that is not confirmed is reported: half of the bound for withdrawing a server.
+func (node *Node) unconfirmedAfter() time.Duration { return node.Bounds.Withdraw() / 2 }
+
+// watchLists reports the age of the list that was confirmed longest ago, and each list that becomes overdue, with its owner as this node
+// sees it.
+func (node *Node) watchLists(now time.Duration) {
+	oldest := time.Duration(0)
+	for _, region := range manifest.SortedKeys(node.lists) {
+		for index := range len(node.lists[region]) {
+			held := node.lists[region][index]
+			if !held.held {
+				continue
+			}
+			age := now - held.asked
+			oldest = max(oldest, age)
+			if held.overdue || age < node.unconfirmedAfter() {
+				continue
+			}
+			held.overdue = true
+			owner := shard.First(node.Neighbours.Members(now), region, index)
+			node.emit(contract.Count{Name: "lists_unconfirmed", By: 1}, contract.Say{What: "list is not confirmed", Detail: []any{
+				"region", region, "shard", index, "number", held.number, "ageMs", age.Milliseconds(), "owner", owner, "hint", held.hint}})
+		}
+	}
+	node.emit(contract.Gauge{Name: "list_age_ms", Value: oldest.Milliseconds()})
+}
+
+// confirmed notes that an owner's answer stands for the list, and reports that of a list that was overdue.
+func (node *Node) confirmed(now time.Duration, held *list, message contract.Message, lease contract.Lease) {
+	if !held.overdue {
+		return
+	}
+	held.overdue = false
+	node.emit(contract.Say{What: "list is confirmed again", Detail: []any{
+		"region", lease.Region, "shard", lease.Shard, "number", lease.Number, "from", message.From, "tookMs", (now - lease.Asked).Milliseconds()}})
+}
