A drain reaches owners by way of other members: no longer refused for a whole cut

In a cut of 9 s between core machines an evacuation ordered 3 s into it was acknowledged after 6.7 s (brazos) and 8.6 s (seri), with the cut's end; bounds 5 and 6 s.

--- a/control/gather.go
+++ b/control/gather.go
@@ -8,13 +8,19 @@
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/index"
+	"github.com/cedarreel/cedarreel/relay"
 	"github.com/cedarreel/cedarreel/shard"
 	mapset "github.com/deckarep/golang-set/v2"
 )
 
-// gather asks several members and goes on when enough of them answered, or at the end of a round.
+// gather asks several members and goes on when enough of them answered, or at the end of a round. Who has not answered after a part of the
+// round is asked once more by way of other members: the link to it may be cut while others reach it.
 type gather struct {
 	until   time.Duration
+	again   time.Duration
+	asked   []contract.Member
+	kind    string
+	body    any
 	waiting mapset.Set[string]
 	take    func(body json.RawMessage) bool
 	then    func(now time.Duration) []contract.Command
@@ -23,11 +29,12 @@
 func (owner *Owner) gather(now time.Duration, fits func(contract.Member) bool, kind string, message func(token int64) any,
 	take func(body json.RawMessage) bool, then func(now time.Duration) []contract.Command) []contract.Command {
 	owner.token++
-	pending := &gather{until: now + owner.Bounds.Round(), waiting: mapset.NewThreadUnsafeSet[string](), take: take, then: then}
+	pending := &gather{until: now + owner.Bounds.Round(), again: now + owner.Bounds.Round()/gatherParts, asked: owner.Neighbours.Live(now, fits),
+		kind: kind, body: message(owner.token), waiting: mapset.NewThreadUnsafeSet[string](), take: take, then: then}
 	commands := []contract.Command{}
-	for _, member := range owner.Neighbours.Live(now, fits) {
+	for _, member := range pending.asked {
 		pending.waiting.Add(member.Name)
-		commands = append(commands, contract.Send{To: member.Address, Kind: kind, Body: message(owner.token)})
+		commands = append(commands, contract.Send{To: member.Address, Kind: kind, Body: pending.body})
 	}
 	if pending.waiting.Cardinality() == 0 {
 		return then(now)
@@ -75,9 +82,35 @@
 func (owner *Owner) tickGathers(now time.Duration) []contract.Command {
 	commands := []contract.Command{}
 	for _, token := range slices.Sorted(maps.Keys(owner.gathers)) {
-		if pending := owner.gathers[token]; now > pending.until {
+		pending := owner.gathers[token]
+		if now > pending.until {
 			delete(owner.gathers, token)
 			commands = append(commands, pending.then(now)...)
+			continue
+		}
+		if now >= pending.again {
+			pending.again = pending.until + 1
+			commands = append(commands, owner.gatherByRelay(now, pending)...)
+		}
+	}
+	return commands
+}
+
+const (
+	// gatherParts is the part of a round after which members that did not answer are asked by way of others.
+	gatherParts = 3
+	// gatherRelays is how many others carry such a question.
+	gatherRelays = 2
+)
+
+func (owner *Owner) gatherByRelay(now time.Duration, pending *gather) []contract.Command {
+	commands := []contract.Command{}
+	for _, member := range pending.asked {
+		if !pending.waiting.Contains(member.Name) {
+			continue
+		}
+		for _, via := range owner.Relays(now, member, gatherRelays) {
+			commands = append(commands, relay.By(via, owner.Self(), contract.Send{To: member.Address, Kind: pending.kind, Body: pending.body})...)
 		}
 	}
 	return commands
--- a/emulator/partition_test.go
+++ b/emulator/partition_test.go
@@ -30,4 +30,21 @@
 			})
 		}
 	}
+
+	for _, name := range sites {
+		It("given an evacuation that is ordered during the cut on "+name+", when the core has settled, then it is acknowledged in time", func() {
+			site := small(name)
+			site.DayS = 15
+			for _, zone := range site.Zones {
+				for _, emptied := range site.Zones {
+					played := Play(site, 1, Plan{Troubles: []Trouble{{Kind: "core_cut", How: "alone", AtS: cutAt, Zone: zone.Name, ForS: cutFor},
+						{Kind: "evacuate", AtS: cutAt + 3, Zone: emptied.Name, ForS: 4}}})
+					Expect(played.Breaches).To(BeEmpty())
+					order := played.Record.Evacuations[0]
+					Expect(order.Took).To(BeTrue())
+					Expect(order.Acked-order.Sent).To(BeNumerically("<=", played.Record.Bounds.Ack), "%s emptied, the member of %s cut off", emptied.Name, zone.Name)
+				}
+			}
+		})
+	}
 })
