--- a/cmd/cedarrig/main.go
+++ b/cmd/cedarrig/main.go
@@ -37,6 +37,7 @@
 	Minutes int     `long:"minutes" description:"how long a check of the core may take" default:"30"`
 	Plant   string  `long:"plant" description:"plant this fault in the core that is checked; 'list' names them"`
 	Play    int     `long:"play" description:"instead of processes, emulate so many seeded days of the site file that --site names"`
+	Soak    int     `long:"soak" description:"instead of processes, emulate so many seeded long days of overlapping series of troubles on the site file that --site names"`
 	Vs      string  `long:"vs" description:"with --play, compare with another setting of the product over the same seeds: gateway.repeatRatio=0.1"`
 	Oracle  bool    `long:"oracle" description:"with --play, tell all nodes at once of each cache that is lost, as nothing in the product can"`
 	Plot    string  `long:"plot" description:"file that takes the plot of a comparison" default:"target/vs.svg"`
@@ -85,6 +86,9 @@
 	if given.Play > 0 {
 		run = playDays
 	}
+	if given.Soak > 0 {
+		run = soakDays
+	}
 	if given.Explore > 0 || given.Plant != "" {
 		run = explore
 	}
--- a/cmd/cedarrig/play.go
+++ b/cmd/cedarrig/play.go
@@ -47,17 +47,19 @@
 			return false, eris.Errorf("no trouble %q; there are %s", given.Fault, strings.Join(emulator.Kinds(), " "))
 		}
 	}
-	first, clean := days(given, described, plan, "")
+	same := func(emulator.Site, uint64) emulator.Plan { return plan }
+	first, clean := days(given, described, same, "")
 	sumDays(first)
 	if given.Vs == "" {
 		return clean, nil
 	}
-	second, also := days(given, described, plan, given.Vs, emulator.WithChanges(changes...))
+	second, also := days(given, described, same, given.Vs, emulator.WithChanges(changes...))
 	compare(first, second, given.Vs)
 	return clean && also, drawBoxes(given, first, second)
 }
 
-func days(given arguments, described emulator.Site, plan emulator.Plan, setting string, options ...emulator.Option) ([]emulator.Figures, bool) {
+// days emulates seeded days side by side, each by the plan of its seed.
+func days(given arguments, described emulator.Site, plan func(emulator.Site, uint64) emulator.Plan, setting string, options ...emulator.Option) ([]emulator.Figures, bool) {
 	if given.Oracle {
 		options = append(options, emulator.WithOracle())
 	}
@@ -71,7 +73,8 @@
 		go func() {
 			defer group.Done()
 			for place := range places {
-				result := emulator.Play(described.Scaled(given.Rate, described.Length()), given.Seed+uint64(place), plan, options...)
+				site, seed := described.Scaled(given.Rate, described.Length()), given.Seed+uint64(place)
+				result := emulator.Play(site, seed, plan(site, seed), options...)
 				lock.Lock()
 				figures[place] = result.Figures
 				if given.Play == 1 {
@@ -102,6 +105,10 @@
 			fmt.Println("  ", breach)
 		}
 	}
+	if given.Soak > 0 {
+		fmt.Printf("  replay: cedarrig --soak 1 --seed %d --site %s --span %d --rate %v\n", result.Seed, given.Site, given.Span, given.Rate)
+		return false
+	}
 	fmt.Printf("  replay: cedarrig --play 1 --seed %d --site %s --faults %d --fault %q --rate %v\n", result.Seed, given.Site, given.Faults, given.Fault, given.Rate)
 	return false
 }
--- a/emulator/caller.go
+++ b/emulator/caller.go
@@ -109,7 +109,7 @@
 	visitor.asking, visitor.known = false, addresses
 	visitor.until = visitor.day.world.Now + visitor.holds
 	visitor.idle = slices.DeleteFunc(visitor.idle, func(one *kept) bool {
-		if slices.Contains(addresses, one.address) {
+		if visitor.day.stay || slices.Contains(addresses, one.address) {
 			return false
 		}
 		one.conn.close(near)
@@ -152,7 +152,7 @@
 	for visitor.keeps && !fresh && len(visitor.idle) > 0 {
 		last := visitor.idle[len(visitor.idle)-1]
 		visitor.idle = visitor.idle[:len(visitor.idle)-1]
-		if last.conn.live[near] && visitor.day.world.Now-last.used < callerIdle {
+		if last.conn.live[near] && (visitor.day.stay || visitor.day.world.Now-last.used < callerIdle) {
 			then(last.conn, last.address)
 			return
 		}
@@ -206,7 +206,7 @@
 		visitors := []*visitor{}
 		for index := range max(1, source.Callers) {
 			made := &visitor{day: day, name: source.Zone + name(index), zone: source.Zone, region: day.site.region(source.Zone),
-				random: day.world.source("visitor " + source.Zone + name(index)), failed: map[string]time.Duration{}, keeps: index%3 > 0, hasty: index%hastyOnes == 1}
+				random: day.world.source("visitor " + source.Zone + name(index)), failed: map[string]time.Duration{}, keeps: index%3 > 0 || day.stay, hasty: index%hastyOnes == 1}
 			made.holds = seconds(day.site.Bounds.LookupLifeS) / 5
 			if index%longHolders == 0 {
 				made.holds *= longHold
--- a/emulator/day.go
+++ b/emulator/day.go
@@ -47,6 +47,7 @@
 	again     int64
 	putBacks  int64
 	caches    caches
+	stay      bool
 }
 
 type shift struct {
@@ -263,6 +264,7 @@
 		until += seconds(site.Bounds.RecoverS) + closingTail
 	}
 	day.record.Traffic = rules.Span{From: lead, Until: until}
+	day.stay = plan.Stay
 	day.traffic(lead, until)
 	for _, trouble := range troubles {
 		day.schedule(trouble)
@@ -283,11 +285,13 @@
 	settleTime  = 9 * time.Second
 )
 
-// Plan is what happens in a day: so many drawn troubles, or given ones and a closing fault.
+// Plan is what happens in a day: so many drawn troubles, or given ones and a closing fault. With Stay callers use connections that are
+// open until the other end closes them, wherever a look-up sends them.
 type Plan struct {
 	Drawn    int
 	Troubles []Trouble
 	Closing  string
+	Stay     bool
 }
 
 // Result is a day as it was judged.
--- /dev/null
+++ b/stories/soak/soak_test.go
@@ -0,0 +1,36 @@
+// Package soak plays a few long days of overlapping series of troubles; cedarrig --soak plays more of them.
+package soak
+
+import (
+	"path/filepath"
+	"time"
+
+	"github.com/cedarreel/cedarreel/emulator"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	// part of the site's traffic that is played.
+	part   = 0.3
+	length = 100 * time.Second
+	// fewest is how many calls such a day has at least.
+	fewest = 5000
+)
+
+var _ = Describe("a long day of overlapping series", func() {
+	for _, name := range []string{"brazos", "seri"} {
+		for _, seed := range []uint64{1, 5, 6} {
+			It("breaks no rule on "+name, func() {
+				site, failure := emulator.LoadSite(filepath.Join("..", "..", "deploy", "emulated", name+".json"))
+				Expect(failure).NotTo(HaveOccurred())
+				site = site.Scaled(part, length)
+				played := emulator.Play(site, seed, emulator.Soak(site, seed))
+				Expect(len(played.Record.Tries)).To(BeNumerically(">", fewest))
+				Expect(len(played.Record.Leavings)).To(BeNumerically(">", 50), "servers that left")
+				Expect(len(played.Record.Versions)).To(BeNumerically(">", 100), "changes of the configuration")
+				Expect(played.Breaches).To(BeEmpty(), "seed %d", seed)
+			})
+		}
+	}
+})
