Signals are caught from a program's first lines on

A SIGHUP that came before a process listened ended it, and a SIGTERM ended it with a failure: the handlers were set after settings and disk had been read. A signal in the few milliseconds before main still ends the process; the platform starts it again.

--- a/serve/main.go
+++ b/serve/main.go
@@ -32,6 +32,7 @@
 
 // Main reads flags and settings and runs one of the two programs.
 func Main(program string, run func(env.Env, string) error) {
+	catchSignals()
 	var given arguments
 	parser := flags.NewParser(&given, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = program
@@ -72,6 +73,7 @@
 
 // MainWith runs one of the two programs where a platform tells it its place.
 func MainWith(program string, face Face, run func(Face) error) {
+	catchSignals()
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(heapGrowth)
 	}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -11,8 +11,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
@@ -76,10 +74,7 @@
 	}
 	process.server = &http.Server{Handler: boundedReading(process.Mux, process.Settings.Bounds.Return()), ReadHeaderTimeout: process.Settings.Bounds.Deliver(),
 		IdleTimeout: process.Settings.Bounds.Deadline(), MaxHeaderBytes: 1 << 16}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+	catchSignals()
 	go process.reread(hangups)
 	ended := make(chan error, 1)
 	go func() { ended <- process.server.Serve(listener) }()
@@ -87,7 +82,7 @@
 	_ = process.Logger.Log("what", "started", "address", address, "version", Version)
 	select {
 	case err = <-ended:
-	case <-signals:
+	case <-stops:
 		_ = process.Logger.Log("what", "stopping")
 		farewell()
 		patience, cancel := context.WithTimeout(context.Background(), process.Settings.Bounds.Deadline()/2)
