--- a/ledger/answers.go
+++ b/ledger/answers.go
@@ -34,7 +34,7 @@
 	defer ledger.lock.Unlock()
 	known := ledger.calls[scoped]
 	tried := known.attempts[index]
-	tried.ended, tried.outcome = true, reply.Outcome
+	tried.ended, tried.endedAt, tried.outcome = true, at, reply.Outcome
 	ledger.Figures.answered(known.class, reply, at-tried.sent)
 	if reply.Outcome == Silence && reply.Excused {
 		ledger.Figures.excuse("silence of a node that was frozen, killed or cut from its caller")
@@ -168,6 +168,34 @@
 	}
 }
 
+// Cut is a try that a server ran for a node and whose caller got no whole answer.
+type Cut struct {
+	Call        string
+	Node        string
+	Sent, Ended time.Duration
+}
+
+// Cuts gives the tries whose connections ended without a whole answer after the node they were sent to had passed them on.
+func (ledger *Ledger) Cuts() []Cut {
+	ledger.lock.Lock()
+	defer ledger.lock.Unlock()
+	cuts := []Cut{}
+	for _, known := range sortedCalls(ledger.calls) {
+		for _, tried := range known.attempts {
+			ran := slices.ContainsFunc(known.runs, func(begun *run) bool {
+				return strings.HasPrefix(begun.identity, tried.node+"-") && tried.sent <= begun.began && begun.began <= tried.endedAt
+			})
+			if tried.ended && tried.outcome == brokenOff && ran {
+				cuts = append(cuts, Cut{Call: known.scoped, Node: tried.node, Sent: tried.sent, Ended: tried.endedAt})
+			}
+		}
+	}
+	return cuts
+}
+
+// brokenOff is the outcome of a try whose connection ended before a whole answer came.
+const brokenOff = "broken"
+
 // Close judges what only the end shows.
 func (ledger *Ledger) Close(at time.Duration) {
 	ledger.lock.Lock()
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -59,6 +59,7 @@
 	node     string
 	away     bool
 	ended    bool
+	endedAt  time.Duration
 	outcome  string
 	deadline time.Duration
 	arrivals int64
--- a/rig/operate.go
+++ b/rig/operate.go
@@ -62,7 +62,7 @@
 
 // Gauge reads one figure of a node's metrics page.
 func (rig *Rig) Gauge(address, name string) (int64, bool) {
-	response, err := rig.client.Get("http://" + address + "/metrics")
+	response, err := rig.looker.Get("http://" + address + "/metrics")
 	if err != nil {
 		return 0, false
 	}
--- a/rig/play.go
+++ b/rig/play.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"sort"
+	"sync"
 	"syscall"
 	"time"
 
@@ -81,12 +82,12 @@
 	if err = rig.Start(); err != nil {
 		return false, err
 	}
-	if err = rig.Adopt(20 * time.Second); err != nil {
+	if err = rig.Adopt(adoptTime * time.Duration(max(1, len(rig.Nodes)/fewNodes))); err != nil {
 		return false, err
 	}
 	plan.Say(fmt.Sprintf("%s: the manifest is in force after %v; settings and logs in %s", plan.Site.Name, rig.now().Round(time.Millisecond), plan.Folder))
 	plan.Say("any node answers operators, for example " + rig.Nodes[0].Settings.Control)
-	if err = rig.Await("serving", rig.bounds.Return(), rig.serves); err != nil {
+	if err = rig.Await("serving", rig.bounds.Return()*time.Duration(max(1, len(rig.Nodes)/fewNodes)), rig.serves); err != nil {
 		return false, err
 	}
 	crowd := rig.NewCrowd(plan.Seed)
@@ -127,6 +128,32 @@
 
 const watchPeriod = 200 * time.Millisecond
 
+// look is what a node's metrics page said of the manifest in force, and when.
+type look struct {
+	revision int64
+	at       time.Duration
+}
+
+// looks reads the metrics pages of all nodes side by side; a node that does not answer is left out.
+func (rig *Rig) looks() map[string]look {
+	seen, lock, group := map[string]look{}, sync.Mutex{}, sync.WaitGroup{}
+	for _, node := range rig.Nodes {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			at := rig.now()
+			revision, there := rig.Gauge(node.Settings.Data, "manifest_revision")
+			if there && revision > 0 {
+				lock.Lock()
+				defer lock.Unlock()
+				seen[node.Machine.Name] = look{revision, at}
+			}
+		}()
+	}
+	group.Wait()
+	return seen
+}
+
 // watch notes which revision each node has in force, and since when a node that is not cut off has had a newer one.
 func (rig *Rig) watch(stop chan struct{}) {
 	behind := map[string]time.Duration{}
@@ -134,33 +161,35 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(watchPeriod):
+		case <-time.After(watchPeriod * time.Duration(max(1, len(rig.Nodes)/fewNodes))):
 		}
-		held, newest := map[string]int64{}, int64(0)
+		seen, newest := rig.looks(), int64(0)
 		for _, node := range rig.Nodes {
-			revision, there := rig.Gauge(node.Settings.Data, "manifest_revision")
-			if there && revision > 0 {
-				held[node.Machine.Name] = revision
-			}
 			if len(node.cut) == 0 {
-				newest = max(newest, revision)
+				newest = max(newest, seen[node.Machine.Name].revision)
 			}
 		}
 		for _, node := range rig.Nodes {
 			name := node.Machine.Name
-			revision, there := held[name]
+			one, there := seen[name]
 			since, known := behind[name]
 			switch {
-			case !there || len(node.cut) > 0 || revision >= newest:
+			case !there || len(node.cut) > 0 || one.revision >= newest:
 				delete(behind, name)
 			case !known:
-				behind[name] = rig.now()
+				behind[name] = one.at
 			}
 			if there && known {
-				rig.Ledger.Held(name+"-data", revision, rig.now(), rig.now()-since)
+				rig.Ledger.Held(name+"-data", one.revision, one.at, one.at-since)
 			} else if there {
-				rig.Ledger.Held(name+"-data", revision, rig.now(), 0)
+				rig.Ledger.Held(name+"-data", one.revision, one.at, 0)
 			}
 		}
 	}
 }
+
+// adoptTime is how long a fleet of few nodes may take from its start until it takes its first manifest.
+const adoptTime = 20 * time.Second
+
+// fewNodes is the size of a fleet that is looked at in each watchPeriod; larger ones are looked at less often.
+const fewNodes = 12
--- a/rig/rig.go
+++ b/rig/rig.go
@@ -8,8 +8,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -35,16 +35,20 @@
 	drawing  sync.Mutex
 	stalls   atomic.Int64
 	client   *http.Client
+	// looker reads metrics pages; a process that is frozen answers nothing.
+	looker *http.Client
 }
 
+const lookTime = time.Second
+
 // Node is one machine: a cedarcp and a cedardp with a settings file, a faults file and, on core machines, a data folder.
 type Node struct {
 	Machine  site.Machine
 	Settings env.Env
 	folder   string
 	bin      string
-	control  *exec.Cmd
-	data     *exec.Cmd
+	lock     sync.Mutex
+	programs []*program
 	cut      map[string]bool
 	disk     string
 	loss     int
@@ -57,7 +61,8 @@
 		return nil, err
 	}
 	rig := &Rig{Site: described, folder: folder, bin: bin, began: time.Now(), bounds: bounds, random: rand.New(rand.NewPCG(seed, 1)),
-		Ledger: ledger.New(ledger.Judging(bounds, read, len(described.Machines))), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+		Ledger: ledger.New(ledger.Judging(bounds, read, len(described.Machines))), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		looker: &http.Client{Timeout: lookTime, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}}
 	if rig.Platform, err = newPlatform(rig); err != nil {
 		return nil, err
 	}
@@ -175,63 +180,86 @@
 	if err := os.WriteFile(path, node.Settings.Text(), 0o600); err != nil {
 		return err
 	}
-	var err error
-	if node.control, err = node.start("cedarcp", path); err != nil {
-		return err
+	started := []*program{}
+	for _, name := range programNames {
+		program, err := node.start(name, path)
+		if err != nil {
+			return err
+		}
+		started = append(started, program)
 	}
-	node.data, err = node.start("cedardp", path)
-	return err
+	node.runs(started)
+	return nil
 }
 
-func (node *Node) start(program, path string) (*exec.Cmd, error) {
-	output, err := os.OpenFile(filepath.Join(node.folder, program+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return nil, err
-	}
-	defer output.Close()
-	command := exec.Command(filepath.Join(node.bin, program), "--env", path, "--faults", node.faultsPath())
-	command.Stdout, command.Stderr = output, output
-	return command, command.Start()
+// programNames are those that each machine runs.
+var programNames = []string{"cedarcp", "cedardp"}
+
+func (node *Node) runs(programs []*program) {
+	node.lock.Lock()
+	defer node.lock.Unlock()
+	node.programs = programs
 }
 
-func (node *Node) each(then func(*exec.Cmd)) {
-	for _, command := range []*exec.Cmd{node.control, node.data} {
-		if command != nil && command.Process != nil {
-			then(command)
-		}
+// each does something with the programs that were started last.
+func (node *Node) each(then func(*program)) {
+	node.lock.Lock()
+	programs := slices.Clone(node.programs)
+	node.lock.Unlock()
+	for _, program := range programs {
+		then(program)
 	}
 }
 
 // Kill ends both processes at once, without a farewell.
 func (node *Node) Kill() {
-	node.each(func(command *exec.Cmd) {
-		_ = command.Process.Kill()
-		_, _ = command.Process.Wait()
+	node.each(func(program *program) {
+		program.signal(syscall.SIGKILL)
+		<-program.ended
 	})
-	node.control, node.data = nil, nil
+	node.runs(nil)
 }
 
 // Stop asks both processes to end and tells whether both did so cleanly.
 func (node *Node) Stop() bool {
 	clean := true
-	node.each(func(command *exec.Cmd) { _ = command.Process.Signal(syscall.SIGTERM) })
-	node.each(func(command *exec.Cmd) {
-		state, err := command.Process.Wait()
-		clean = clean && err == nil && state.Success()
-	})
-	node.control, node.data = nil, nil
+	node.each(func(program *program) { program.signal(syscall.SIGTERM) })
+	node.each(func(program *program) { clean = program.clean() && clean })
+	node.runs(nil)
 	return clean
 }
 
+// Revive starts those programs again that ended by themselves, as a platform does, and gives them.
+func (node *Node) Revive() ([]*program, error) {
+	ended, kept := []*program{}, []*program{}
+	node.each(func(program *program) {
+		if program.over() {
+			ended = append(ended, program)
+		} else {
+			kept = append(kept, program)
+		}
+	})
+	for _, program := range ended {
+		started, err := node.start(program.name, filepath.Join(node.folder, "env.json"))
+		if err != nil {
+			return ended, err
+		}
+		kept = append(kept, started)
+	}
+	node.runs(kept)
+	return ended, nil
+}
+
 // wipe empties a core machine's data folder.
 func (node *Node) wipe() error { return os.RemoveAll(node.Settings.Folder) }
 
-func (node *Node) Freeze() {
-	node.each(func(command *exec.Cmd) { _ = command.Process.Signal(syscall.SIGSTOP) })
-}
+func (node *Node) Freeze() { node.signal(syscall.SIGSTOP) }
+
+func (node *Node) Wake() { node.signal(syscall.SIGCONT) }
 
-func (node *Node) Wake() {
-	node.each(func(command *exec.Cmd) { _ = command.Process.Signal(syscall.SIGCONT) })
+// signal sends a signal to both processes that were started last.
+func (node *Node) signal(signal syscall.Signal) {
+	node.each(func(program *program) { program.signal(signal) })
 }
 
 func (node *Node) Disk(state string) {
--- a/rig/rig_test.go
+++ b/rig/rig_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -241,3 +242,42 @@
 		Expect(node.Start()).To(Succeed())
 	})
 })
+
+var _ = Describe("signals that come while a program starts", func() {
+	// starting runs a program that has come to its first line and waits for its settings, which it reads from a pipe.
+	starting := func(name string) (*exec.Cmd, *os.File) {
+		GinkgoHelper()
+		pipe := filepath.Join(GinkgoT().TempDir(), "env.json")
+		Expect(syscall.Mkfifo(pipe, 0o600)).To(Succeed())
+		command := exec.Command(filepath.Join(bin, name), "--env", pipe)
+		Expect(command.Start()).To(Succeed())
+		DeferCleanup(func() { _ = command.Process.Kill() })
+		settings, failure := os.OpenFile(pipe, os.O_WRONLY, 0)
+		Expect(failure).NotTo(HaveOccurred())
+		return command, settings
+	}
+
+	for _, name := range programNames {
+		It("given "+name+", when SIGHUP and then SIGTERM come before it has its settings, then it starts, stops as ordered, and ends with 0", func() {
+			fresh, failure := played.newNode(site.Machine{Name: "m99", Zone: "klang-a", Region: "klang"})
+			Expect(failure).NotTo(HaveOccurred())
+			fresh.Settings.Seeds = played.seeds()
+			command, settings := starting(name)
+			Expect(command.Process.Signal(syscall.SIGHUP)).To(Succeed())
+			Expect(command.Process.Signal(syscall.SIGTERM)).To(Succeed())
+			_, failure = settings.Write(fresh.Settings.Text())
+			Expect(failure).NotTo(HaveOccurred())
+			Expect(settings.Close()).To(Succeed())
+			Expect(command.Wait()).To(Succeed())
+		})
+	}
+})
+
+var _ = It("a fleet bears a soak: signals, restarts, changes, departures and cuts in overlapping series", func() {
+	described, failure := site.Load("../deploy/seri")
+	Expect(failure).NotTo(HaveOccurred())
+	clean, failure := Play(Plan{Site: described, Bin: bin, Folder: GinkgoT().TempDir(), Span: 30 * time.Second, Rate: 0.5, Seed: 1, Story: "soak",
+		Say: func(text string) { GinkgoWriter.Println(text) }})
+	Expect(failure).NotTo(HaveOccurred())
+	Expect(clean).To(BeTrue())
+})
--- a/rig/stories.go
+++ b/rig/stories.go
@@ -44,6 +44,7 @@
 		"slow readers":    slowReaders,
 		"zones apart":     zonesApart,
 		"mixed":           mixed,
+		"soak":            soak,
 		"all":             everything,
 	}
 }
--- a/rig/troubles.go
+++ b/rig/troubles.go
@@ -99,16 +99,21 @@
 // readBack wants every accepted revision through any node.
 func (rig *Rig) readBack() error {
 	for place, revision := range rig.Ledger.AcceptedRevisions() {
-		if err := rig.Await(fmt.Sprintf("revision %d", revision), rig.bounds.Return(), func() bool {
-			status, _, _ := rig.Operate(rig.Nodes[place%len(rig.Nodes)].Settings.Control, http.MethodGet, fmt.Sprintf("/v1/manifest?revision=%d", revision), "", nil)
-			return status == http.StatusOK
-		}); err != nil {
+		if err := rig.readRevision(place, revision); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// readRevision wants an accepted revision through one of the nodes.
+func (rig *Rig) readRevision(place int, revision int64) error {
+	return rig.Await(fmt.Sprintf("revision %d", revision), rig.bounds.Return(), func() bool {
+		status, _, _ := rig.Operate(rig.Nodes[place%len(rig.Nodes)].Settings.Control, http.MethodGet, fmt.Sprintf("/v1/manifest?revision=%d", revision), "", nil)
+		return status == http.StatusOK
+	})
+}
+
 func lateReports(rig *Rig, plan Plan) error {
 	for _, server := range rig.servers {
 		server.Mode("late")
