--- a/index/checks.go
+++ b/index/checks.go
@@ -56,7 +56,7 @@
 	callsPerHalfLife = 2
 	// falseAlarms and overlooked are the error rates that bound the sequential test for a loss (Wald); a call that was read anew shows it
 	// with the chance missIfLost, and one that was not seems so with missIfKept.
-	falseAlarms = 0.01
+	falseAlarms = 0.001
 	overlooked  = 0.1
 	missIfLost  = 0.6
 	missIfKept  = 1.0 / 32
--- a/rig/program.go
+++ b/rig/program.go
@@ -57,3 +57,9 @@
 	<-program.ended
 	return program.command.ProcessState.Success()
 }
+
+// signalled tells whether a process that is over was ended by a signal rather than by itself.
+func (program *program) signalled() bool {
+	status, fine := program.command.ProcessState.Sys().(syscall.WaitStatus)
+	return fine && status.Signaled()
+}
