--- a/control/gather.go
+++ b/control/gather.go
@@ -8,7 +8,6 @@
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/index"
-	"github.com/cedarreel/cedarreel/relay"
 	"github.com/cedarreel/cedarreel/shard"
 	mapset "github.com/deckarep/golang-set/v2"
 )
@@ -96,12 +95,8 @@
 	return commands
 }
 
-const (
-	// gatherParts is the part of a round after which members that did not answer are asked by way of others.
-	gatherParts = 3
-	// gatherRelays is how many others carry such a question.
-	gatherRelays = 2
-)
+// gatherParts is the part of a round after which members that did not answer are asked by way of others.
+const gatherParts = 3
 
 func (owner *Owner) gatherByRelay(now time.Duration, pending *gather) []contract.Command {
 	commands := []contract.Command{}
@@ -109,9 +104,7 @@
 		if !pending.waiting.Contains(member.Name) {
 			continue
 		}
-		for _, via := range owner.Relays(now, member, gatherRelays) {
-			commands = append(commands, relay.By(via, owner.Self(), contract.Send{To: member.Address, Kind: pending.kind, Body: pending.body})...)
-		}
+		commands = append(commands, owner.ByRelay(now, member, contract.Send{To: member.Address, Kind: pending.kind, Body: pending.body}, "")...)
 	}
 	return commands
 }
--- a/data/job.go
+++ b/data/job.go
@@ -236,7 +236,7 @@
 	}
 	owner.tellTale(job, chosen, verdicts, lapsed)
 	owner.emit(Dispatch{Token: job.token, Attempt: job.tries, Identity: identity(owner.Self(), job, job.tries), Server: chosen,
-		Limit: job.deadline - now, Until: min(owner.licensed(now, chosen.Name), job.deadline)})
+		Limit: job.deadline - now, Until: min(owner.leasedUntil(now, chosen.Name), job.deadline)})
 	return true
 }
 
--- a/data/licence.go
+++ b/data/leases.go
@@ -7,7 +7,6 @@
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/manifest"
-	"github.com/cedarreel/cedarreel/relay"
 	"github.com/cedarreel/cedarreel/shard"
 )
 
@@ -50,9 +49,6 @@
 	}
 }
 
-// relaysAtOnce is how many members are asked at once to carry a question to an owner that does not answer.
-const relaysAtOnce = 3
-
 // askByRelay asks a shard's first owner by way of other members when it has been silent for a third of a lease: a cut link between the
 // two must not stop a shard. A relay that worked is used alone until the owner answers by itself, or falls silent on that way too.
 func (owner *Owner) askByRelay(now time.Duration, held *grant, first string, ask contract.LeaseRequest) {
@@ -61,14 +57,11 @@
 	if !there || !silent && held.via == "" {
 		return
 	}
-	relays := []string{held.via}
+	via := held.via
 	if silent {
-		relays = owner.Relays(now, target, relaysAtOnce)
-	}
-	for _, via := range relays {
-		owner.count("leases_relayed")
-		owner.emit(relay.By(via, owner.Self(), contract.Send{To: target.Address, Kind: shard.MessageAsk, Body: ask})...)
+		via = ""
 	}
+	owner.emit(owner.ByRelay(now, target, contract.Send{To: target.Address, Kind: shard.MessageAsk, Body: ask}, via)...)
 }
 
 func (owner *Owner) shards() int { return owner.Feed.Manifest().Regions[owner.Self().Region].Shards }
@@ -178,8 +171,8 @@
 	return held
 }
 
-// licensed tells until when a server may be sent what was picked for it.
-func (owner *Owner) licensed(now time.Duration, server string) time.Duration {
+// leasedUntil tells until when a server may be sent what was picked for it.
+func (owner *Owner) leasedUntil(now time.Duration, server string) time.Duration {
 	if held := owner.grantOf(now, server); held != nil {
 		return held.expires
 	}
@@ -194,88 +187,3 @@
 	sort.Ints(indexes)
 	return indexes
 }
-
-type affinity struct {
-	most   int
-	server map[string]string
-	order  []string
-}
-
-func newAffinity(most int) *affinity { return &affinity{most: most, server: map[string]string{}} }
-
-func (affinity *affinity) set(key, server string) {
-	if _, there := affinity.server[key]; !there {
-		affinity.order = append(affinity.order, key)
-		for len(affinity.order) > affinity.most {
-			delete(affinity.server, affinity.order[0])
-			affinity.order = affinity.order[1:]
-		}
-	}
-	affinity.server[key] = server
-}
-
-// leave moves every session and prefix off a withdrawn server: the next turn goes where it is picked.
-func (affinity *affinity) leave(server string) {
-	kept := affinity.order[:0]
-	for _, key := range affinity.order {
-		if affinity.server[key] == server {
-			delete(affinity.server, key)
-			continue
-		}
-		kept = append(kept, key)
-	}
-	affinity.order = kept
-}
-
-// Tale is why a call went where it went.
-type Tale struct {
-	Call     string        `json:"call"`
-	Caller   string        `json:"caller"`
-	Route    string        `json:"route"`
-	Node     string        `json:"node"`
-	Home     string        `json:"home"`
-	Revision int64         `json:"revision"`
-	Lists    []TaleList    `json:"lists"`
-	Attempts []TaleAttempt `json:"attempts"`
-	Outcome  string        `json:"outcome"`
-	Status   int           `json:"status,omitempty"`
-	Error    string        `json:"error,omitempty"`
-	TookMs   int64         `json:"tookMs"`
-	arrived  time.Duration
-}
-
-type TaleList struct {
-	Shard  int            `json:"shard"`
-	Epoch  contract.Epoch `json:"epoch"`
-	Number int64          `json:"number"`
-	Lapsed bool           `json:"lapsed"`
-}
-
-type TaleAttempt struct {
-	Server   string `json:"server"`
-	Verdicts any    `json:"candidates"`
-	Proof    string `json:"proof"`
-	Error    string `json:"error,omitempty"`
-}
-
-type tales struct {
-	most  int
-	known map[string][]*Tale
-	order []string
-}
-
-func newTales(most int) *tales { return &tales{most: most, known: map[string][]*Tale{}} }
-
-func (tales *tales) add(tale *Tale) {
-	tales.known[tale.Call] = append(tales.known[tale.Call], tale)
-	tales.order = append(tales.order, tale.Call)
-	for len(tales.order) > tales.most {
-		oldest := tales.order[0]
-		tales.order = tales.order[1:]
-		if tales.known[oldest] = tales.known[oldest][1:]; len(tales.known[oldest]) == 0 {
-			delete(tales.known, oldest)
-		}
-	}
-}
-
-func (tales *tales) find(key string) []*Tale { return tales.known[key] }
--- a/gateway/lists.go
+++ b/gateway/lists.go
@@ -6,7 +6,6 @@
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/manifest"
-	"github.com/cedarreel/cedarreel/relay"
 	"github.com/cedarreel/cedarreel/shard"
 )
 
@@ -119,13 +118,9 @@
 	}
 }
 
-const (
-	// relaysAtOnce is how many members are asked at once to carry a question to an owner that does not answer.
-	relaysAtOnce = 3
-	// silentAfter, in halves of the time between two questions, is the age of a list from which its owner counts as silent: the answer
-	// to the question before the last one is missing.
-	silentAfter = 3
-)
+// silentAfter, in halves of the time between two questions, is the age of a list from which its owner counts as silent: the answer to the
+// question before the last one is missing.
+const silentAfter = 3
 
 // askByRelay asks the owners by way of other members when no answer comes: membership may tell that an owner is alive while the link to
 // it is cut. A relay that worked is used alone until an owner answers directly, or falls silent on that way too.
@@ -135,15 +130,12 @@
 		return
 	}
 	held.relayed = now
+	via := held.via
+	if silent {
+		via = ""
+	}
 	for _, owner := range owners {
-		relays := []string{held.via}
-		if silent {
-			relays = node.Relays(now, owner, relaysAtOnce)
-		}
-		for _, via := range relays {
-			node.emit(contract.Count{Name: "lists_relayed", By: 1})
-			node.emit(relay.By(via, node.Self(), contract.Send{To: owner.Address, Kind: shard.MessageAsk, Body: ask})...)
-		}
+		node.emit(node.ByRelay(now, owner, contract.Send{To: owner.Address, Kind: shard.MessageAsk, Body: ask}, via)...)
 	}
 }
 
--- a/machine/machine.go
+++ b/machine/machine.go
@@ -83,6 +83,23 @@
 	return slices.ContainsFunc(node.Neighbours.Members(now), func(member contract.Member) bool { return member.Address == address })
 }
 
+// relaysAtOnce is how many members are asked at once to carry a message to one that does not answer.
+const relaysAtOnce = 3
+
+// ByRelay has other members carry a message to a target that does not answer: the relay that worked last, or several that are drawn when none
+// did or it fell silent too, which an empty via says.
+func (node *Node) ByRelay(now time.Duration, target contract.Member, send contract.Send, via string) []contract.Command {
+	relays := []string{via}
+	if via == "" {
+		relays = node.Relays(now, target, relaysAtOnce)
+	}
+	commands := []contract.Command{contract.Count{Name: "relays_asked", By: int64(len(relays))}}
+	for _, via := range relays {
+		commands = append(commands, relay.By(via, node.Self(), send)...)
+	}
+	return commands
+}
+
 // Relays draws the addresses of members that may reach a target which this node does not reach: one of the target's zone, where most
 // links to it are, and others of any zone. Those on the machine of either share its links and are left out.
 func (node *Node) Relays(now time.Duration, target contract.Member, most int) []string {
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -1,4 +1,4 @@
-// Package pick chooses a server for a call among those that the shards' owners licensed.
+// Package pick chooses a server for a call among those that the shards' owners granted a lease for.
 package pick
 
 import (
--- a/serve/dispatch.go
+++ b/serve/dispatch.go
@@ -31,13 +31,13 @@
 
 func (sending *sending) lapsed() bool { return sending.shell.Loop.Now() >= sending.until }
 
-// licensed is a link whose first byte leaves only under the lease.
-type licensed struct {
+// leasedLink is a link whose first byte leaves only under the lease.
+type leasedLink struct {
 	net.Conn
 	*sending
 }
 
-func (link licensed) Write(content []byte) (int, error) {
+func (link leasedLink) Write(content []byte) (int, error) {
 	if !link.sent.Load() && link.lapsed() {
 		return 0, eris.New("the lease lapsed before a byte was sent")
 	}
@@ -62,7 +62,7 @@
 			_ = made.Close()
 			return nil, eris.New("the lease lapsed before the link was made")
 		}
-		return licensed{made, sending}, nil
+		return leasedLink{made, sending}, nil
 	}
 	return &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
 }
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -86,7 +86,7 @@
 var _ = It("a link that was made in time sends nothing when its first byte comes late", func() {
 	here, there := net.Pipe()
 	shell := &dataShell{Process: &Process{Settings: env.New(), Loop: link.NewLoop(deaf{}, time.Hour, nil, log.NewNopLogger())}}
-	late := licensed{here, &sending{shell: shell, until: 0}}
+	late := leasedLink{here, &sending{shell: shell, until: 0}}
 	_, err := late.Write([]byte("call"))
 	Expect(err).To(HaveOccurred())
 	Expect(late.sent.Load()).To(BeFalse())
