A rig gives no port twice

With ports of a range of its own, a fleet of 200 processes drew 16 twice (cannot listen), and was never whole. Addresses given are remembered.

--- a/rig/rig.go
+++ b/rig/rig.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -37,6 +38,8 @@
 	client   *http.Client
 	// looker reads metrics pages; a process that is frozen answers nothing.
 	looker *http.Client
+	// given are the addresses that were given to nodes; one of a node that is not up is free to the kernel.
+	given map[string]bool
 }
 
 const lookTime = time.Second
@@ -62,7 +65,7 @@
 	}
 	rig := &Rig{Site: described, folder: folder, bin: bin, began: time.Now(), bounds: bounds, random: rand.New(rand.NewPCG(seed, 1)),
 		Ledger: ledger.New(ledger.Judging(bounds, read, len(described.Machines))), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
-		looker: &http.Client{Timeout: lookTime, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}}
+		given: map[string]bool{}, looker: &http.Client{Timeout: lookTime, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}}
 	if rig.Platform, err = newPlatform(rig); err != nil {
 		return nil, err
 	}
@@ -105,17 +108,22 @@
 
 // freeAddress finds a free port below those that the kernel gives to outgoing links, so that none is taken in between, and in a range of this
 // process's own, since another rig beside it would take the port of a node that is down.
-func freeAddress() (string, error) {
+func (rig *Rig) freeAddress() (string, error) {
 	var err error
 	for range portTries {
 		var listener net.Listener
 		listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+os.Getpid()%portRanges*portCount+rand.IntN(portCount)))
-		if err == nil {
-			defer listener.Close()
-			return listener.Addr().String(), nil
+		if err != nil {
+			continue
+		}
+		address := listener.Addr().String()
+		_ = listener.Close()
+		if !rig.given[address] {
+			rig.given[address] = true
+			return address, nil
 		}
 	}
-	return "", err
+	return "", errors.Join(err, errors.New("no port is free for another process"))
 }
 
 func (rig *Rig) place() error {
@@ -133,8 +141,8 @@
 }
 
 func (rig *Rig) newNode(machine site.Machine) (*Node, error) {
-	control, first := freeAddress()
-	data, second := freeAddress()
+	control, first := rig.freeAddress()
+	data, second := rig.freeAddress()
 	if first != nil {
 		return nil, first
 	}
