The emulator plays the search deployment and says why calls are late

Cause: the loss on the new deployment could not be told from outside: the emulator had no such site, drew shared parts of several levels independently of each other (1,636 prefixes where the site has 409), let calls come one by one, and read long contexts in linear time.

--- a/emulator/batch.go
+++ b/emulator/batch.go
@@ -33,7 +33,10 @@
 
 // reading is what a server knows of a request beyond the queue.
 type reading struct {
-	unread   int64
+	unread int64
+	// reread and fresh are what of the prompt was not kept when the request was let in: shared parts, and the rest.
+	reread   int64
+	fresh    int64
 	reserved int64
 	made     int64
 	sent     int
@@ -94,6 +97,8 @@
 	batch.used += need
 	state.reserved, state.unread = need, prompt.Input-held+state.made
 	state.ready = batch.server.day.world.Now + seconds(batch.engine.FirstMs/1000)
+	state.reread = max(0, prompt.Shared()-held)
+	state.fresh = state.unread - state.reread
 	batch.compare(job, held)
 	batch.count(job, held)
 	return true
@@ -213,19 +218,20 @@
 // step takes the time of one pass over all that runs.
 func (batch *batch) step() {
 	server, engine := batch.server, batch.engine
-	chunk, context, read := engine.Chunk, int64(0), int64(0)
+	chunk, context, read, pairs := engine.Chunk, int64(0), int64(0), 0.0
 	decoding := []*task{}
 	for _, job := range server.running {
 		context += job.request.prompt.Input + job.state.made
 		if job.state.unread > 0 {
 			part := min(chunk, job.state.unread)
+			pairs += float64(part) * (float64(job.request.prompt.Input+job.state.made-job.state.unread) + float64(part)/2)
 			job.state.unread, chunk, read = job.state.unread-part, chunk-part, read+part
 		}
 		if job.state.unread == 0 && job.state.ready <= server.day.world.Now {
 			decoding = append(decoding, job)
 		}
 	}
-	span := engine.StepMs + engine.PerRunningMs*float64(len(server.running)) + engine.ContextMsPerK*float64(context)/1000 + float64(read)/engine.TokensPerMs
+	span := engine.StepMs + engine.PerRunningMs*float64(len(server.running)) + engine.ContextMsPerK*float64(context)/1000 + float64(read)/engine.TokensPerMs + engine.PairsMsPerM*pairs/1e6
 	server.day.world.After(seconds(span*server.speed/1000), func() {
 		batch.awake = false
 		if !server.up {
@@ -258,6 +264,9 @@
 	}
 	state.made++
 	server, now := batch.server, batch.server.day.world.Now
+	if !job.arrival.Ran {
+		batch.explain(job)
+	}
 	server.began(job)
 	if state.sent == job.after && state.made == int64(job.after)*stride+1 {
 		server.reply(job, head{status: 200})
--- a/emulator/caller.go
+++ b/emulator/caller.go
@@ -229,8 +229,14 @@
 		if share := day.shifts[zone]; share.share > 0 && random.Float64() < share.share {
 			zone = share.to
 		}
-		day.visit(random, zone)
-		rate := source.PerS * day.swing(source, day.world.Now-from) * day.burst()
+		clump := 1
+		for source.Clump > 1 && random.Float64() < 1-1/source.Clump {
+			clump++
+		}
+		for range clump {
+			day.visit(random, zone)
+		}
+		rate := source.PerS / max(1, source.Clump) * day.swing(source, day.world.Now-from) * day.burst()
 		day.world.After(time.Duration(random.ExpFloat64()/rate*float64(time.Second)), next)
 	}
 	day.world.At(from+time.Duration(random.ExpFloat64()/source.PerS*float64(time.Second)), next)
@@ -271,10 +277,15 @@
 	return one
 }
 
+// prompt draws the kind of the last shared part; the parts before it are always the same ones.
 func (day *Day) prompt(class *Class, random *rand.Rand, pieces int) engine.Prompt {
 	prompt := engine.Prompt{Model: "m"}
+	kinds := make([]int, len(class.Parts))
+	for level, part := range class.Parts {
+		kinds[level] = random.IntN(part.Kinds)
+	}
 	for level, part := range class.Parts {
-		kind := random.IntN(part.Kinds)
+		kind := kinds[len(kinds)-1] % part.Kinds
 		id := class.Name + "-" + name(level) + "-" + name(kind)
 		drawn := day.world.source(id)
 		prompt.Parts = append(prompt.Parts, engine.Part{ID: id, Tokens: max(1, int64(part.Tokens.draw(drawn)))})
--- a/emulator/checks_test.go
+++ b/emulator/checks_test.go
@@ -21,12 +21,16 @@
 func checked(name, how string, seeds ...uint64) CacheFigures {
 	GinkgoHelper()
 	site, sum := controlEverywhere(given(name, 1, 34*time.Second)), CacheFigures{}
-	for _, seed := range seeds {
+	days, group := make([]Result, len(seeds)), sync.WaitGroup{}
+	for place, seed := range seeds {
 		plan := Plan{}
 		if how != "" {
 			plan.Troubles = site.Named("cache_lost/" + how)
 		}
-		played := Play(site, seed, plan)
+		group.Go(func() { days[place] = Play(site, seed, plan) })
+	}
+	group.Wait()
+	for _, played := range days {
 		Expect(played.Breaches).To(BeEmpty(), "no call is doubled or lost")
 		for class, figures := range played.Figures.Classes {
 			if site.class(class).Service != "model" {
@@ -61,7 +65,7 @@
 
 		for _, how := range []string{"several", "again", "small"} {
 			It("given "+how+" on "+name+", when what was noticed is held against what the servers kept, then much is found, most of it truly", func() {
-				sum := checked(name, how, 1, 2, 3)
+				sum := checked(name, how, 1, 2, 3, 4, 5, 6, 7, 8)
 				Expect(sum.Missed).To(BeNumerically(">", 0))
 				Expect(float64(sum.Found-sum.Falsely)).To(BeNumerically(">=", 0.35*float64(sum.Missed)), "recall")
 				Expect(float64(sum.Found-sum.Falsely)).To(BeNumerically(">=", 0.6*float64(sum.Found)), "precision")
--- a/emulator/exchange.go
+++ b/emulator/exchange.go
@@ -20,6 +20,9 @@
 	left   time.Duration
 	work   time.Duration
 	size   int64
+	// began is when the caller wanted it first, and figure how it fares; probes have none.
+	began  time.Duration
+	figure *Figure
 }
 
 // answer is what a caller gets before or in the place of a stream.
--- a/emulator/figures.go
+++ b/emulator/figures.go
@@ -17,6 +17,7 @@
 	First   time.Duration
 	Ended   time.Duration
 	Paused  bool
+	waits   waits
 }
 
 // ClassFigures sums the calls of a class: those served inside their aim, late, refused and failed.
@@ -31,11 +32,12 @@
 	Read, Again, Far              int64
 	Opened, PutBacks, Lists, Runs int64
 	Caches                        CacheFigures
+	Account                       Account
 }
 
 func (day *Day) sum() Figures {
 	sum := Figures{Classes: map[string]ClassFigures{}, Read: day.read, Again: day.again, Far: day.world.far, Opened: day.opened, PutBacks: day.putBacks,
-		Lists: day.list.Asked + day.list.Declined, Runs: day.runs, Caches: day.cacheFigures()}
+		Lists: day.list.Asked + day.list.Declined, Runs: day.runs, Caches: day.cacheFigures(), Account: day.account()}
 	firsts := map[string][]time.Duration{}
 	for _, one := range day.figures {
 		class := sum.Classes[one.Class]
@@ -74,6 +76,9 @@
 		values[name+" refused %"], values[name+" failed %"] = share(class.Refused), share(class.Failed)
 		values[name+" p50 ms"], values[name+" p99 ms"] = class.Median.Seconds()*1000, class.Slowest.Seconds()*1000
 	}
+	for name, value := range figures.Account.values() {
+		values[name] = value
+	}
 	for name, value := range figures.Caches.values() {
 		values[name] = value
 	}
@@ -89,6 +94,7 @@
 	}
 	fmt.Fprintf(&text, "tokens read %d, shared read again %d, bytes between regions %d, connections opened %d, put back %d, lists asked %d\n", figures.Read, figures.Again,
 		figures.Far, figures.Opened, figures.PutBacks, figures.Lists)
+	text.WriteString(figures.Account.text())
 	text.WriteString(figures.Caches.text())
 	return text.String()
 }
--- a/emulator/machine.go
+++ b/emulator/machine.go
@@ -68,6 +68,7 @@
 	for _, zone := range day.site.Zones {
 		settings.Zones[zone.Name] = zone.Region
 	}
+	settings.Founders = settings.Seeds
 	settings.Joins, settings.Wide = machine.founded, true
 	settings.CoreSize = min(2*int64(bounds.ToleratedMachines)+1, 9)
 	settings.Bounds.WithdrawMs, settings.Bounds.EvacuateMs, settings.Bounds.DeliverMs = bounds.DrainMs, bounds.EvacuateMs, bounds.PropagateMs
--- a/emulator/site.go
+++ b/emulator/site.go
@@ -61,11 +61,13 @@
 	PerRunningMs  float64 `json:"perRunningMs"`
 	ContextMsPerK float64 `json:"contextMsPerK"`
 	TokensPerMs   float64 `json:"tokensPerMs"`
-	FirstMs       float64 `json:"firstMs"`
-	Stride        int     `json:"stride"`
-	Chunk         int64   `json:"chunk"`
-	Tokens        int64   `json:"tokens"`
-	LateMs        float64 `json:"lateMs"`
+	// PairsMsPerM is the time for a million pairs of a token that is read and one that stands before it.
+	PairsMsPerM float64 `json:"pairsMsPerM,omitempty"`
+	FirstMs     float64 `json:"firstMs"`
+	Stride      int     `json:"stride"`
+	Chunk       int64   `json:"chunk"`
+	Tokens      int64   `json:"tokens"`
+	LateMs      float64 `json:"lateMs"`
 }
 
 type Spread struct {
@@ -108,6 +110,8 @@
 	Swing   float64 `json:"swing"`
 	PeriodS float64 `json:"periodS"`
 	Phase   float64 `json:"phase"`
+	// Clump is how many calls come at once, on average; 0 and 1 mean that each comes by itself.
+	Clump float64 `json:"clump,omitempty"`
 }
 
 type Bounds struct {
--- a/emulator/try.go
+++ b/emulator/try.go
@@ -71,7 +71,7 @@
 			one.end()
 		}
 	}
-	asked := &request{try: one.try, class: class, host: day.host(), path: "/" + one.route + "/x", prompt: one.prompt, left: left, work: one.work, size: class.Bytes}
+	asked := &request{try: one.try, class: class, host: day.host(), path: "/" + one.route + "/x", prompt: one.prompt, left: left, work: one.work, size: class.Bytes, began: one.began, figure: one.Figure}
 	opened.send(near, class.Bytes, func() { machine.data.serve(opened, asked, one) })
 	day.world.After(left, one.giveUp)
 	if one.try.Repeatable {
