Places by nearly all that prompts share, chosen by when they would be read

Cause: the anchor was the first part that ends in the later half of what is shared. A new prompt went to the server with the least work of the last 15 s, also when that was reading another one. Change: the anchor ends with nine tenths of what is shared; the owner takes the candidate that has read a prompt first, given what was placed there and whether it knows the prompt's root, within the bound of 1.25 times its part of the work. Tests: many prompts that come at one moment now go to all servers alike, so the test of first choices lets each be read; what stands before a lost part stays held.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -40,15 +40,33 @@
 	return sum
 }
 
-// Anchor names the part that decides where a prompt belongs: the first that ends in the later half of what is shared.
+const (
+	// anchorPart is the part of the shared tokens that ends with the anchor: reading the rest again costs less than a place of its own.
+	anchorPart = 0.9
+	// rootPart is the part of the shared tokens that ends with the root.
+	rootPart = 0.5
+)
+
+// Anchor names the part that decides where a prompt belongs: the first one with nearly all that is shared before its end.
 func (prompt Prompt) Anchor() uint64 {
-	shared, sum, keys := prompt.Shared(), int64(0), prompt.keys()
+	key, _ := prompt.keyAt(anchorPart)
+	return key
+}
+
+// Root names the part that prompts with other anchors have in common, and the tokens up to its end: the first one with half of what is
+// shared before its end. Where prompts share one part only, it is the anchor.
+func (prompt Prompt) Root() (key uint64, tokens int64) { return prompt.keyAt(rootPart) }
+
+// keyAt gives the key of the first part that ends at a share of the shared tokens or later, and the tokens up to its end, or 0 where
+// nothing is shared.
+func (prompt Prompt) keyAt(share float64) (key uint64, tokens int64) {
+	least, keys := share*float64(prompt.Shared()), prompt.keys()
 	for index := 0; index+1 < len(prompt.Parts); index++ {
-		if sum += prompt.Parts[index].Tokens; sum*2 >= shared {
-			return keys[index]
+		if tokens += prompt.Parts[index].Tokens; float64(tokens) >= least {
+			return keys[index], tokens
 		}
 	}
-	return 0
+	return 0, 0
 }
 
 // keys gives one key a part, each of them standing for all parts up to it.
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/cedarreel/cedarreel/engine"
 	"github.com/cedarreel/cedarreel/index"
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 )
@@ -35,6 +36,8 @@
 const (
 	mostPlaces = 1 << 12
 	mostAsks   = 2
+	// rootCandidates is how many servers the prompts of one root prefer, as a part of those that are offered.
+	rootCandidates = index.MostCandidates / 2
 )
 
 // places is what this node knows of the shared index of prompts.
@@ -87,6 +90,9 @@
 	}
 	work.asks++
 	ask := index.Ask{Key: work.key, Lost: name, Work: readTime(work.Prompt.Input).Milliseconds()}
+	if root, tokens := work.Prompt.Root(); root != work.key.Anchor {
+		ask.Root, ask.RootWork = root, readTime(tokens).Milliseconds()
+	}
 	for _, server := range traffic.candidates(now, open, work) {
 		ask.Candidates = append(ask.Candidates, server.Name)
 	}
@@ -103,8 +109,7 @@
 // anyway and is spared the way. Some of other regions follow, for an owner that knows the own ones to be busier. Within a region the order
 // is the same at all nodes.
 func (traffic *Traffic) candidates(now time.Duration, open []*server, work *job) []*server {
-	ordered := slices.Clone(traffic.apart(now, open, work))
-	slices.SortFunc(ordered, rendezvous(work.Prompt.Anchor()))
+	ordered := byRoot(traffic.apart(now, open, work), work.Prompt)
 	own, others := []*server{}, []*server{}
 	for _, server := range ordered {
 		if server.region == traffic.settings.Region {
@@ -117,6 +122,18 @@
 	return slices.Concat(own[:min(len(own), index.MostCandidates-away)], others[:away])
 }
 
+// byRoot orders servers for a prompt: the first ones are the same for all prompts of its root, which the owner of the index leaves only
+// when they have more than their part of the work; the others are in an order of the prompt's own.
+func byRoot(servers []*server, prompt engine.Prompt) []*server {
+	ordered := slices.Clone(servers)
+	root, _ := prompt.Root()
+	slices.SortFunc(ordered, rendezvous(root))
+	if root != prompt.Anchor() && len(ordered) > rootCandidates {
+		slices.SortFunc(ordered[rootCandidates:], rendezvous(prompt.Anchor()))
+	}
+	return ordered
+}
+
 // placed takes an answer. Who did not answer in time is asked nothing for a while; a refusal says something of its own call alone.
 func (traffic *Traffic) placed(now time.Duration, event Placed) {
 	if event.Place.Server != "" {
--- a/index/index.go
+++ b/index/index.go
@@ -2,6 +2,7 @@
 package index
 
 import (
+	"cmp"
 	"encoding/json"
 	"math"
 	"slices"
@@ -31,13 +32,22 @@
 }
 
 // Ask wants a prompt's place: one of the candidates, the preferred one first, if it has none yet, or if its place is Lost. Work is
-// the milliseconds that reading the prompt takes. With Known it is answered only from what is known there and changes nothing.
+// the milliseconds that reading the prompt takes. With Known it is answered only from what is known there and changes nothing. Root
+// stands for the leading parts that other prompts have too, 0 for none, RootWork is what of the Work reading these is.
 type Ask struct {
 	Key
 	Candidates []string `json:"candidates,omitempty"`
 	Lost       string   `json:"lost,omitempty"`
 	Work       int64    `json:"work,omitempty"`
 	Known      bool     `json:"known,omitempty"`
+	Root       uint64   `json:"root,omitempty"`
+	RootWork   int64    `json:"rootWork,omitempty"`
+}
+
+// rootAt tells that a server was given a prompt with a root.
+type rootAt struct {
+	Key
+	server string
 }
 
 // Use is one call that went to a prompt's place and waited so many milliseconds for its first piece. What that showed, and when it came,
@@ -79,6 +89,7 @@
 	rest     time.Duration
 	places   *lru.LRU[Key, entry]
 	loads    *lru.LRU[string, load]
+	roots    *lru.LRU[rootAt, struct{}]
 	checks   *lru.LRU[string, *checks]
 	pending  []pending
 	replication
@@ -102,17 +113,19 @@
 	return place.server
 }
 
-// load is the work given to a server, forgotten by half in a half-life.
+// load is the work given to a server, forgotten by half in a half-life. Until busy it reads the prompts that were placed there.
 type load struct {
 	work float64
 	at   time.Duration
 	lost time.Duration
+	busy time.Duration
 }
 
 // New makes an owner that forgets half of a server's work in halfLife; a place rests that long when it has moved, and a server is
 // believed lost for as long.
 func New(halfLife, rest time.Duration) *Owner {
 	return &Owner{halfLife: halfLife, rest: rest, places: bounded[Key, entry](mostPlaces), loads: bounded[string, load](mostServers),
+		roots:       bounded[rootAt, struct{}](mostPlaces),
 		checks:      bounded[string, *checks](mostServers),
 		replication: replication{changed: bounded[Key, struct{}](MostSaved)}}
 }
@@ -138,13 +151,27 @@
 
 func (owner *Owner) add(now time.Duration, server string, work int64) {
 	known, _ := owner.loads.Peek(server)
-	owner.loads.Add(server, load{owner.work(now, server) + float64(work), now, known.lost})
+	owner.loads.Add(server, load{owner.work(now, server) + float64(work), now, known.lost, known.busy})
+}
+
+// reads notes that a server is given a prompt to read, after those that it was given before.
+func (owner *Owner) reads(now time.Duration, server string, work int64) {
+	owner.add(now, server, work)
+	known, _ := owner.loads.Peek(server)
+	known.busy = max(now, known.busy) + time.Duration(work)*time.Millisecond
+	owner.loads.Add(server, known)
+}
+
+// backlog is how long a server is still busy with the prompts that it was given.
+func (owner *Owner) backlog(now time.Duration, server string) time.Duration {
+	known, _ := owner.loads.Peek(server)
+	return max(0, known.busy-now)
 }
 
 // lose notes a word that a server is lost; until it has rested, nothing is placed there.
 func (owner *Owner) lose(now time.Duration, server string) {
 	if server != "" {
-		owner.loads.Add(server, load{owner.work(now, server), now, now + owner.rest})
+		owner.loads.Add(server, load{work: owner.work(now, server), at: now, lost: now + owner.rest})
 	}
 }
 
@@ -177,9 +204,12 @@
 		owner.put(ask.Key, known)
 		return Place{Key: ask.Key, Server: known.server}, true
 	}
-	chosen := owner.choose(now, candidates, float64(max(0, ask.Work)))
+	chosen := owner.choose(now, candidates, ask)
 	owner.put(ask.Key, entry{server: chosen, moved: now, confirmed: true})
-	owner.add(now, chosen, max(0, ask.Work))
+	owner.reads(now, chosen, owner.unread(ask, chosen))
+	if ask.Root != 0 {
+		owner.roots.Add(ask.rootAt(chosen), struct{}{})
+	}
 	return Place{Key: ask.Key, Server: chosen}, true
 }
 
@@ -193,23 +223,45 @@
 	return Place{Key: ask.Key, Server: known.server}, true
 }
 
-// choose gives the first candidate, in their own order, that has not much more than its part of the work; a server that misses what it
-// should keep has a smaller part. Most prompts get their first choice, so an index that is lost is mostly found again (Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded Loads").
-func (owner *Owner) choose(now time.Duration, candidates []string, work float64) string {
-	sum, parts, least, lowest := work, 0.0, candidates[0], math.Inf(1)
+func (ask Ask) rootAt(server string) rootAt {
+	return rootAt{Key{Scope: ask.Scope, Anchor: ask.Root}, server}
+}
+
+// unread is the work of reading a prompt at a server: the root need not be read again where a prompt with it was placed.
+func (owner *Owner) unread(ask Ask, server string) int64 {
+	if ask.Root != 0 && owner.roots.Contains(ask.rootAt(server)) {
+		return max(0, ask.Work-ask.RootWork)
+	}
+	return max(0, ask.Work)
+}
+
+// choose gives the candidate that has read the prompt first, of those that have not much more than their part of the work, or else of all;
+// among equal ones the first in their own order. A server that misses what it should keep has a smaller part. An idle first choice is
+// mostly taken, so an index that is lost is mostly found again (Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded Loads").
+func (owner *Owner) choose(now time.Duration, candidates []string, ask Ask) string {
+	sum, parts := float64(max(0, ask.Work)), 0.0
 	for _, name := range candidates {
 		sum += owner.work(now, name)
 		parts += owner.part(name)
-		if full := (owner.work(now, name) + work) / owner.part(name); full < lowest {
-			least, lowest = name, full
-		}
 	}
-	for _, name := range candidates {
-		if owner.work(now, name)+work <= capacityFactor*sum*owner.part(name)/parts {
-			return name
+	fair := slices.DeleteFunc(slices.Clone(candidates), func(name string) bool {
+		return owner.work(now, name)+float64(owner.unread(ask, name)) > capacityFactor*sum*owner.part(name)/parts
+	})
+	done := func(name string) float64 {
+		unread := owner.unread(ask, name)
+		return (float64(owner.backlog(now, name).Milliseconds()) + float64(unread)) / owner.part(name)
+	}
+	full := func(name string) float64 {
+		return (owner.work(now, name) + float64(owner.unread(ask, name))) / owner.part(name)
+	}
+	if len(fair) == 0 {
+		least := slices.MinFunc(candidates, func(left, right string) int { return cmp.Compare(full(left), full(right)) })
+		if owner.backlog(now, least) == 0 {
+			return least
 		}
+		fair = candidates
 	}
-	return least
+	return slices.MinFunc(fair, func(left, right string) int { return cmp.Compare(done(left), done(right)) })
 }
 
 // put keeps a place that is new here or moved, to be told and saved.
--- a/index/index_test.go
+++ b/index/index_test.go
@@ -79,6 +79,7 @@
 		bench, counts := started(), map[string]int{}
 		for anchor := range uint64(400) {
 			counts[bench.placed(anchor, "", "a", "b", "c", "d").Server]++
+			bench.now += 100 * time.Millisecond
 		}
 		for _, name := range []string{"a", "b", "c", "d"} {
 			Expect(counts[name]).To(And(BeNumerically(">", 0), BeNumerically("<=", 126)), name)
@@ -87,6 +88,47 @@
 		Expect(counts["d"]).To(BeNumerically("<", counts["a"]))
 	})
 
+	It("given many prompts at one moment that all prefer one server, when they are placed, then all servers get the same, the preferred one first", func() {
+		bench, counts := started(), map[string]int{}
+		for anchor := range uint64(400) {
+			counts[bench.placed(anchor, "", "a", "b", "c", "d").Server]++
+			Expect(counts["a"]).To(BeNumerically("<=", anchor/4+1))
+		}
+		Expect(counts).To(Equal(map[string]int{"a": 100, "b": 100, "c": 100, "d": 100}))
+	})
+
+	It("given a server that reads a large prompt, when small ones come, then they go elsewhere until it has read", func() {
+		bench := started()
+		bench.Place(bench.now, Ask{Key: key(1), Candidates: []string{"a", "b"}, Work: 1000})
+		for anchor := range uint64(3) {
+			Expect(bench.placed(10+anchor, "", "a", "b").Server).To(Equal("b"))
+			bench.now += 200 * time.Millisecond
+		}
+	})
+
+	It("given prompts of several roots, when more of them are placed, then each goes where its root was read, until that server has more than its part", func() {
+		bench, counts := started(), map[string]int{}
+		ask := func(anchor, root uint64) string {
+			place, there := bench.Place(bench.now, Ask{Key: key(anchor), Candidates: []string{"a", "b", "c", "d"}, Work: 1000, Root: root, RootWork: 900})
+			Expect(there).To(BeTrue())
+			bench.now += time.Second
+			return place.Server
+		}
+		places := map[uint64]string{}
+		for root := range uint64(4) {
+			places[root] = ask(root, 1000+root)
+		}
+		for _, root := range []uint64{2, 0, 3, 1} {
+			Expect(ask(10+root, 1000+root)).To(Equal(places[root]))
+		}
+		for anchor := range uint64(200) {
+			counts[ask(100+anchor, 1000)]++
+		}
+		for name, count := range counts {
+			Expect(count).To(BeNumerically("<=", 125), name+" has more than its part of the prompts of a root that many share")
+		}
+	})
+
 	It("given work long ago, when its half-lives pass, then the first choice is taken again", func() {
 		bench := started()
 		ask := func(anchor uint64) string {
