All nodes know to which regions short prompts go

Cause: each node judged by its own calls whether a region takes short prompts beside long ones. One of 91 nodes sends a region less than one short call in two seconds, so most nodes took regions for free that were not: they placed long prompts on all servers there, sent short ones to servers that read long prompts, and divided regions differently.

--- a/contract/epoch.go
+++ b/contract/epoch.go
@@ -91,6 +91,9 @@
 	Brief bool `json:"brief,omitempty"`
 	// Tallies tells of servers where calls failed lately, and of those that the list calls suspected.
 	Tallies map[string]Tally `json:"tallies,omitempty"`
+	// Short tells, by service, that this node sent calls with short prompts to the region lately, and the least pause in milliseconds that
+	// these bear.
+	Short map[string]int64 `json:"short,omitempty"`
 	// Interim asks a control node that is not the owner for a list of what it sees itself, until the owner's comes.
 	Interim bool `json:"interim,omitempty"`
 }
@@ -108,6 +111,8 @@
 	Revision int64         `json:"revision,omitempty"`
 	Same     bool          `json:"same,omitempty"`
 	Shards   int           `json:"shards"`
+	// Short is LeaseRequest.Short of all nodes: a node of a large fleet sends too few calls to see by itself what goes to a region.
+	Short map[string]int64 `json:"short,omitempty"`
 	// Interim marks a list without an epoch, of a node that is not the owner: for who has none.
 	Interim bool `json:"interim,omitempty"`
 }
--- a/gateway/apart_test.go
+++ b/gateway/apart_test.go
@@ -208,3 +208,45 @@
 		}
 	})
 })
+
+var _ = Describe("where short prompts of other nodes go", func() {
+	It("given a node that sends no short prompts itself, when all nodes' are told, then their region is mixed, and free again once they are told no more", func() {
+		bench := twoRegions(12, 12, false)
+		west := bench.servers["w00"]
+		Expect(bench.mixed(bench.now, west)).To(BeFalse())
+		bench.Handle(bench.now, ShortCalls{Region: "west", Pauses: map[string]int64{"s": 400}})
+		Expect(bench.mixed(bench.now, west)).To(BeTrue())
+		Expect(bench.relieved(bench.now, "s")).To(BeFalse())
+		Expect(west.sizes.least()).To(Equal(400 * time.Millisecond))
+		Expect(west.lostBeside()).To(BeNumerically("~", 400*time.Millisecond/6, time.Millisecond))
+		bench.Handle(bench.now, ShortCalls{Region: "west"})
+		Expect(bench.mixed(bench.now, west)).To(BeFalse())
+		Expect(bench.relieved(bench.now, "s")).To(BeTrue())
+	})
+
+	It("given what other nodes send, when this node tells of its own calls, then only those are told, for as long as they are recent", func() {
+		bench := twoRegions(4, 4, false)
+		bench.Handle(bench.now, ShortCalls{Region: "west", Pauses: map[string]int64{"s": 400}})
+		Expect(bench.Short(bench.now, "west")).To(BeEmpty())
+		Expect(bench.Short(bench.now, "east")).To(Equal(map[string]int64{"s": 1}))
+		Expect(bench.Short(bench.now+bench.terms.RepeatWindow, "east")).To(BeEmpty())
+	})
+
+	It("given the first calls of a service, when nobody can know yet where short ones go, then all regions count as mixed for a moment", func() {
+		bench := twoRegions(4, 4, false)
+		bench.firstCalls = map[string]time.Duration{}
+		west := bench.servers["w00"]
+		Expect(bench.mixed(bench.now, west)).To(BeTrue())
+		bench.long("one")
+		Expect(bench.mixed(bench.now+bench.terms.Contact/acquaintedPart-1, west)).To(BeTrue())
+		Expect(bench.mixed(bench.now+bench.terms.Contact/acquaintedPart, west)).To(BeFalse())
+	})
+
+	It("given pauses of both, when the least is asked for, then neither hides the shorter one, and a call never leaves its region for it", func() {
+		for _, known := range []struct{ own, shared, least time.Duration }{{0, 0, 0}, {0, 5, 5}, {7, 0, 7}, {7, 5, 5}, {5, 7, 5}} {
+			Expect((&seen{pause: known.own, shared: known.shared}).least()).To(Equal(known.least))
+		}
+		Expect((&server{sizes: &seen{pause: time.Hour}}).lostBeside()).To(BeNumerically("<", farRegion))
+		Expect((&server{sizes: &seen{}}).lostBeside()).To(Equal(usualBeside))
+	})
+})
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -125,6 +125,13 @@
 	Servers []contract.Candidate
 }
 
+// ShortCalls brings what all nodes together see of calls with short prompts in a region: the least pause in milliseconds that they bear,
+// by service.
+type ShortCalls struct {
+	Region string
+	Pauses map[string]int64
+}
+
 // Fleet names the data nodes that share the limits; Self is this node.
 type Fleet struct {
 	Self  string
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -25,6 +25,9 @@
 	work.Prompt = event.Prompt.Hashed()
 	traffic.jobs[event.Token] = work
 	traffic.budget(work.service).called(now)
+	if _, there := traffic.firstCalls[work.service]; !there {
+		traffic.firstCalls[work.service] = now
+	}
 	return traffic.admit(now, work)
 }
 
--- a/gateway/lists_test.go
+++ b/gateway/lists_test.go
@@ -52,6 +52,22 @@
 	})
 })
 
+var _ = Describe("what all nodes send to a region", func() {
+	It("given an owner that tells of short calls, when its answers come, also those that the list is the same, then each change is handed on once", func() {
+		node := following()
+		node.take(contract.Tick{})
+		first := lease(2, 5, node.now, "a")
+		first.Short = map[string]int64{"s": 400}
+		region := first.Region
+		Expect(events[ShortCalls](node.take(message(shard.MessageLease, "owner-control", first)))).To(Equal([]ShortCalls{{Region: region, Pauses: first.Short}}))
+		same := lease(2, 5, node.now)
+		same.Same, same.Short = true, map[string]int64{"s": 400}
+		Expect(events[ShortCalls](node.take(message(shard.MessageLease, "owner-control", same)))).To(BeEmpty())
+		same.Short = nil
+		Expect(events[ShortCalls](node.take(message(shard.MessageLease, "owner-control", same)))).To(Equal([]ShortCalls{{Region: region}}))
+	})
+})
+
 var _ = Describe("an owner that does not answer", func() {
 	owner := contract.Member{Name: "owner-control", Boot: "b", Kind: contract.KindControl, Zone: "east-b", Region: "east", Address: "10.0.0.9:8166"}
 	// carried gives the relays that are asked to carry a question to the owner.
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -79,7 +79,7 @@
 			}
 			cost += readTime(unread+(rereadTimes-1)*again) + time.Duration(server.running())*perRunning
 			if !long && traffic.mixed(now, server) && server.forLong(relieved) {
-				cost += besideLong
+				cost += server.lostBeside()
 			}
 		}
 		if chosen == nil || cost < best {
--- a/gateway/sizes.go
+++ b/gateway/sizes.go
@@ -7,8 +7,11 @@
 )
 
 const (
-	// besideLong is what a short call expects to lose at a server that reads long prompts.
-	besideLong = 40 * time.Millisecond
+	// besideLong is what a short call expects to lose at a server that reads long prompts, as a part of the pause that it bears; usualBeside
+	// is that while the pause is not known. It never drives a call out of its region.
+	besideLong  = 1.0 / 6
+	usualBeside = 40 * time.Millisecond
+	mostBeside  = farRegion * 15 / 16
 	// leastApart is the part of all servers, one in so many, that must stand in regions without short prompts to take most long ones.
 	leastApart = 3
 	// fewestSplit is the least number of servers of a region that are split by the length of prompts.
@@ -22,11 +25,52 @@
 	pausePart = 0.5
 	// reliefPart is the part of the contact time, one in so many, for which it is remembered whether other regions take most long prompts.
 	reliefPart = 64
+	// acquaintedPart is the part of the contact time, one in so many, in which all nodes have told what they send where: two questions for
+	// lists and their answers.
+	acquaintedPart = 4
 )
 
 // seen is when calls with long and with short prompts last went to a service in a region from here, the least pause that the short ones
-// bear, 0 if that is not known, and when one that bears no more last went.
-type seen struct{ long, short, pause, strict time.Duration }
+// bear, 0 if that is not known, and when one that bears no more last went. Shared is the least pause that short ones of any node bear there,
+// 0 if none go.
+type seen struct{ long, short, pause, strict, shared time.Duration }
+
+// recent tells whether short prompts go to the region from here.
+func (seen *seen) recent(now, window time.Duration) bool {
+	return seen.short > 0 && now-seen.short < window
+}
+
+// least is the least pause that short prompts bear there, 0 if that is not known.
+func (seen *seen) least() time.Duration {
+	if seen.pause == 0 || seen.shared > 0 && seen.shared < seen.pause {
+		return seen.shared
+	}
+	return seen.pause
+}
+
+// Short gives the least pause in milliseconds that calls with short prompts bear which this node sent to a region lately, by service.
+func (traffic *Traffic) Short(now time.Duration, region string) map[string]int64 {
+	pauses := map[string]int64{}
+	for scope, seen := range traffic.sizes {
+		if scope.region == region && seen.recent(now, traffic.terms.RepeatWindow) {
+			pauses[scope.service] = max(1, seen.pause.Milliseconds())
+		}
+	}
+	return pauses
+}
+
+// shortCalls takes up where short prompts of all nodes go.
+func (traffic *Traffic) shortCalls(event ShortCalls) {
+	for scope, seen := range traffic.sizes {
+		if scope.region == event.Region {
+			seen.shared = 0
+		}
+	}
+	for service, pause := range event.Pauses {
+		traffic.seen(service, event.Region).shared = time.Duration(pause) * time.Millisecond
+	}
+	traffic.reliefs = map[string]relief{}
+}
 
 type scope struct{ service, region string }
 
@@ -62,14 +106,28 @@
 
 // disturbs tells whether reading a prompt takes more of a server than the short calls that go to its region bear.
 func disturbs(work *job, server *server) bool {
-	pause := server.sizes.pause
+	pause := server.sizes.least()
 	return pause > 0 && readTime(work.Prompt.Input) > time.Duration(pausePart*float64(pause))
 }
 
+// lostBeside is what a short call expects to lose at a server that reads long prompts.
+func (server *server) lostBeside() time.Duration {
+	if pause := server.sizes.least(); pause > 0 {
+		return min(mostBeside, time.Duration(besideLong*float64(pause)))
+	}
+	return usualBeside
+}
+
 // mixed tells whether short prompts go to the servers of a server's region beside long ones.
 func (traffic *Traffic) mixed(now time.Duration, server *server) bool {
-	last := server.sizes.short
-	return last > 0 && now-last < traffic.terms.RepeatWindow
+	return server.sizes.shared > 0 || server.sizes.recent(now, traffic.terms.RepeatWindow) || traffic.unacquainted(now, server.Pool)
+}
+
+// unacquainted tells that the first calls of a service came so lately that regions to which no short prompts go are not known yet: until
+// then they may go to all.
+func (traffic *Traffic) unacquainted(now time.Duration, service string) bool {
+	began, there := traffic.firstCalls[service]
+	return !there || now-began < traffic.terms.Contact/acquaintedPart
 }
 
 // spare tells whether a region has room for long prompts beside short ones, by what its servers told this node.
--- a/gateway/suite_test.go
+++ b/gateway/suite_test.go
@@ -92,6 +92,7 @@
 	token int64
 }
 
+// started is a node that has served for a while: what goes to which region is known.
 func started(change func(*manifest.Manifest), lists ...Listed) *bench {
 	made := &bench{Traffic: NewTraffic(settingsFor("node000"), seeded(7)), now: time.Second}
 	made.Handle(made.now, config(change))
@@ -102,6 +103,9 @@
 		made.Handle(made.now, list)
 	}
 	made.Handle(made.now, Fleet{Self: "node000-data", Names: []string{"node000-data"}})
+	for service := range made.read.Gateway.Services {
+		made.firstCalls[service] = made.now - made.terms.Contact
+	}
 	return made
 }
 
--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -117,6 +117,12 @@
 	return shell.traffic.Tallies(now, region)
 }
 
+func (shell *gatewayShell) Short(now time.Duration, region string) map[string]int64 {
+	shell.lock.Lock()
+	defer shell.lock.Unlock()
+	return shell.traffic.Short(now, region)
+}
+
 // Uses gives what was sent to places of the index since it was last asked for.
 func (shell *gatewayShell) Uses() []index.Use {
 	shell.lock.Lock()
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -116,6 +116,7 @@
 	aborted     map[string]int64
 	tallies     map[string]map[string]contract.Tally
 	conditions  map[string]*condition
+	short       shortCalls
 	nextJudge   time.Duration
 	past        []Retired
 }
