--- a/gateway/places_test.go
+++ b/gateway/places_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
@@ -238,6 +239,35 @@
 	})
 })
 
+var _ = Describe("prompts of one root", func() {
+	It("given prompts with two shared parts, when they are asked for, then each has a place of its own, its root is told, and the first candidates are the same", func() {
+		names := []string{}
+		for place := range 3 * index.MostCandidates {
+			names = append(names, fmt.Sprintf("s%02d", place))
+		}
+		bench := started(engines, eastList(names...))
+		bench.Handle(bench.now, Indexed{Known: true})
+		ask := func(branch string) index.Ask {
+			GinkgoHelper()
+			return askedFor(bench.asked("/stream/x", prompted(engine.Prompt{Model: "m", Input: 7000, Output: 9, Parts: []engine.Part{
+				{ID: "root", Tokens: 4000}, {ID: branch, Tokens: 2000}, {ID: "own", Tokens: 1000}}}))).Ask
+		}
+		first, second := ask("x"), ask("y")
+		Expect(first.Anchor).NotTo(Equal(second.Anchor))
+		Expect(first.Root).NotTo(BeZero())
+		Expect(first.Root).To(Equal(second.Root))
+		Expect(first.Work).To(Equal(bench.readTime("s", 7000).Milliseconds()))
+		Expect(first.RootWork).To(Equal(bench.readTime("s", 4000).Milliseconds()))
+		Expect(first.Candidates[:rootCandidates]).To(Equal(second.Candidates[:rootCandidates]))
+		Expect(first.Candidates).NotTo(Equal(second.Candidates))
+	})
+
+	It("given a prompt with one shared part, when it is asked for, then no root is told", func() {
+		bench := indexed(engines)
+		Expect(askedFor(bench.long("one")).Ask.Root).To(BeZero())
+	})
+})
+
 var _ = Describe("the scope of a place", func() {
 	It("given a route that is bound to its home, when its calls share a prompt with others, then they have a place of their own", func() {
 		bench := indexed(func(read *manifest.Manifest) {
