The rig's model servers have ports that the kernel gives to no link

Cause: stand-ins of model servers listened on a port of the kernel's choice, from the range that it also gives to outgoing links; one took it while the server was away. Nodes had ports of their own already. Ruled out: a second rig (the range of nodes is by process, and the port was above it). The test was seen failing (port 43801).

--- a/rig/model.go
+++ b/rig/model.go
@@ -40,7 +40,11 @@
 const lateReport = 2 * time.Second
 
 func newServer(rig *Rig, row site.Server) (*Server, error) {
-	server := &Server{Row: row, rig: rig, Address: "127.0.0.1:0"}
+	address, err := rig.freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	server := &Server{Row: row, rig: rig, Address: address}
 	return server, server.start()
 }
 
--- a/rig/rig_test.go
+++ b/rig/rig_test.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -273,6 +275,21 @@
 	}
 })
 
+var _ = It("a model server that is away keeps an address that the kernel gives to no link", func() {
+	described, failure := site.Load("../deploy/seri")
+	Expect(failure).NotTo(HaveOccurred())
+	played, failure := New(described, bin, GinkgoT().TempDir(), 1)
+	Expect(failure).NotTo(HaveOccurred())
+	for _, server := range played.Platform.servers {
+		_, port, failure := net.SplitHostPort(server.Address)
+		Expect(failure).NotTo(HaveOccurred())
+		number, failure := strconv.Atoi(port)
+		Expect(failure).NotTo(HaveOccurred())
+		Expect(number).To(And(BeNumerically(">=", firstPort), BeNumerically("<", firstPort+portRanges*portCount)), server.Row.Name)
+		server.Crash()
+	}
+})
+
 var _ = It("a fleet bears a soak: signals, restarts, changes, departures and cuts in overlapping series", func() {
 	described, failure := site.Load("../deploy/seri")
 	Expect(failure).NotTo(HaveOccurred())
