--- a/chain/catchup.go
+++ b/chain/catchup.go
@@ -58,6 +58,7 @@
 	}
 	owner.scrub = now + owner.bounds.Round()/2
 	count, first := owner.lacks()
+	owner.tellCatchUp(now, count)
 	if first == 0 {
 		owner.cursor = 0
 	}
@@ -70,6 +71,21 @@
 	}
 }
 
+// tellCatchUp says when this member begins to lack versions and when it lacks none any more.
+func (owner *Owner) tellCatchUp(now time.Duration, lacks int64) {
+	behind := lacks > 0
+	if behind == owner.behind {
+		return
+	}
+	owner.behind = behind
+	if behind {
+		owner.behindSince = now
+		owner.emit(contract.Say{What: "catching up", Detail: []any{"versions", lacks}})
+		return
+	}
+	owner.emit(contract.Say{What: "caught up", Detail: []any{"ms", (now - owner.behindSince).Milliseconds()}})
+}
+
 func (owner *Owner) fetch(fetch Fetch) {
 	history := History{Committed: owner.committed}
 	for revision := fetch.From; revision <= owner.committed && len(history.Versions) < batchSize; revision++ {
--- a/chain/chain.go
+++ b/chain/chain.go
@@ -126,23 +126,26 @@
 	writingSince time.Duration
 	token        int64
 
-	needed    time.Duration
-	retry     time.Duration
-	resend    time.Duration
-	resumed   time.Duration
-	scrub     time.Duration
-	cursor    int64
-	doubts    map[string]time.Duration
-	declared  map[string]bool
-	stuck     time.Duration
-	checks    map[int64]*check
-	seen      Seen
-	started   time.Duration
-	begun     bool
-	presented bool
-	out       []contract.Command
-	loop      []contract.Message
-	bootstrap bool
+	needed  time.Duration
+	retry   time.Duration
+	resend  time.Duration
+	resumed time.Duration
+	scrub   time.Duration
+	// behind tells that versions are missing here, since behindSince.
+	behind      bool
+	behindSince time.Duration
+	cursor      int64
+	doubts      map[string]time.Duration
+	declared    map[string]bool
+	stuck       time.Duration
+	checks      map[int64]*check
+	seen        Seen
+	started     time.Duration
+	begun       bool
+	presented   bool
+	out         []contract.Command
+	loop        []contract.Message
+	bootstrap   bool
 	// mayBootstrap is what the folder remembers of the first start.
 	mayBootstrap bool
 	founders     []string
--- a/control/control.go
+++ b/control/control.go
@@ -306,7 +306,8 @@
 
 func (owner *Owner) answerRead(ask contract.Ask, fine bool) []contract.Command {
 	if !fine {
-		return []contract.Command{contract.Refuse(ask.Token, 503, "the core cannot vouch for its view now", owner.Bounds.Round())}
+		return []contract.Command{contract.Count{Name: "reads_without_quorum", By: 1},
+			contract.Refuse(ask.Token, 503, "the core cannot vouch for its view now", owner.Bounds.Round())}
 	}
 	if ask.Verb == contract.VerbHistory {
 		return []contract.Command{contract.Answer{Token: ask.Token, Status: 200, Body: map[string]any{"revisions": owner.chain.History()}}}
--- a/link/operators.go
+++ b/link/operators.go
@@ -181,6 +181,10 @@
 		fail(err)
 		return
 	}
+	began := time.Now()
+	defer func() {
+		operators.loop.Do(contract.Took{What: "forward", Class: forward.Ask.Verb, Span: time.Since(began)})
+	}()
 	response, err := operators.client.Do(request)
 	if err != nil {
 		fail(err)
--- a/serve/operate.go
+++ b/serve/operate.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
 )
@@ -26,11 +27,24 @@
 			writeJSON(writer, http.StatusBadRequest, contract.Trouble{Error: failure.Error()})
 			return
 		}
+		began := time.Now()
 		code, after, body := shell.forward.Ask(request.Context(), ask)
+		answered := time.Now()
 		status, answer := order.Write(code, body)
 		if shell.face != nil && after > 0 {
 			shell.face.After(writer.Header(), after)
 		}
 		writeJSON(writer, status, answer)
+		shell.noteSlow(ask, status, len(body), answered.Sub(began), time.Since(answered))
 	}
 }
+
+// noteSlow says how long an operator's call took where that was longer than a round: waiting for the core's answer, and turning it into
+// the face's manner and sending it.
+func (shell *controlShell) noteSlow(ask contract.Ask, status, size int, waited, wrote time.Duration) {
+	if waited+wrote <= shell.Settings.Bounds.Round() {
+		return
+	}
+	shell.Loop.Count("orders_slow", 1)
+	_ = shell.Logger.Log("what", "operator answered slowly", "verb", ask.Verb, "status", status, "bytes", size, "waitedMs", waited.Milliseconds(), "wroteMs", wrote.Milliseconds())
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -59,6 +59,7 @@
 	sender := link.NewSender(self, settings.Bounds.Round(), process.Faults, process.stop)
 	process.Loop = link.NewLoop(owner, settings.Bounds.Tick(), sender, logger)
 	sender.Counting(process.Loop.Count)
+	sender.Saying(func(line contract.Say) { process.Loop.Do(line) })
 	process.forward = link.NewOperators(process.Loop, settings.Bounds.BodyBytes, settings.Bounds.Deliver()*2, process.Faults)
 	process.forward.Register(process.Mux)
 	process.Mux.Handle("POST "+link.Path, link.Receive(process.Loop))
