A version costs what its change costs: configurations are parts that versions share

Cause: every version was a whole configuration on every wire, in every file and in memory, and each proposal of a view carried the last eight of them. With configurations of 0.3 to 1.1 MB a proposal had 2 to 7.7 MB and took 0.2 to 1.1 s where a round has 0.5 s; heartbeats waited behind them, members took each other for gone, and the next proposals came on top: the core had no view that lasted, and answered no read of the configuration within the time for it.

Ruled out: the way of an answer to `describe` (bounds of bodies are 32 MB; answers wait for the quorum, not for encoding: 0 ms).

Change: package document holds a configuration as immutable parts by JSON Pointer with an additive digest; a version is a change of another one. Messages and files carry changes of what the reader holds, or the whole where it holds nothing; a file of a version is the change of the one before it until 256 of them or the size of the whole lie in a row. A manifest is read again where it changed. What does not fit the digest is never used and is asked for whole.

--- a/chain/agree.go
+++ b/chain/agree.go
@@ -28,11 +28,11 @@
 }
 
 type Prepare struct {
-	Ballot Ballot             `json:"ballot"`
-	Node   contract.CoreNode  `json:"node"`
-	Base   contract.View      `json:"base"`
-	Suffix []contract.Version `json:"suffix"`
-	Known  int64              `json:"known"`
+	Ballot Ballot            `json:"ballot"`
+	Node   contract.CoreNode `json:"node"`
+	Base   contract.View     `json:"base"`
+	Suffix []contract.Record `json:"suffix"`
+	Known  int64             `json:"known"`
 }
 
 type Promise struct {
@@ -160,7 +160,7 @@
 			suffix = append(suffix, version)
 		}
 	}
-	prepare := Prepare{Ballot: ballot, Node: owner.self, Base: owner.view, Suffix: contract.Fit(suffix, true), Known: owner.committed}
+	prepare := Prepare{Ballot: ballot, Node: owner.self, Base: owner.view, Suffix: owner.suffixRecords(suffix), Known: owner.committed}
 	targets := append(append([]contract.CoreNode{}, owner.view.Core...), owner.strangers()...)
 	owner.campaign.asked = len(targets)
 	for _, node := range targets {
@@ -169,6 +169,17 @@
 	owner.emit(contract.Count{Name: "view_campaigns", By: 1})
 }
 
+// suffixRecords gives the end of the log for members outside of the chain, in one message.
+func (owner *Owner) suffixRecords(suffix []contract.Version) []contract.Record {
+	for ; len(suffix) > 0; suffix = suffix[1:] {
+		base := owner.versions[owner.before(suffix[0].Place.Revision)]
+		if records := contract.Records(base, suffix, contract.RecordsMost); len(records) == len(suffix) {
+			return records
+		}
+	}
+	return nil
+}
+
 func (owner *Owner) prepare(now time.Duration, prepare Prepare) {
 	owner.adopt(now, prepare.Base)
 	if prepare.Base.Number < owner.view.Number {
@@ -201,7 +212,8 @@
 	if owner.holder() || len(prepare.Suffix) == 0 || prepare.Suffix[0].Place.Revision > owner.top+1 {
 		return nil
 	}
-	return prepare.Suffix
+	versions, _ := contract.OpenRecords(prepare.Suffix, owner.at)
+	return versions
 }
 
 func (owner *Owner) takeJoinLog(now time.Duration, number int64, suffix []contract.Version, known int64) {
--- a/chain/catchup.go
+++ b/chain/catchup.go
@@ -27,14 +27,18 @@
 	}
 }
 
+// Fetch asks a member for committed versions from a revision on. Base is a version that the asker holds, if any: the first version comes
+// as the change of that.
 type Fetch struct {
 	Node contract.CoreNode `json:"node"`
 	From int64             `json:"from"`
+	Base contract.Place    `json:"base"`
 }
 
+// History answers a Fetch.
 type History struct {
-	Versions  []contract.Version `json:"versions"`
-	Committed int64              `json:"committed"`
+	Records   []contract.Record `json:"records"`
+	Committed int64             `json:"committed"`
 }
 
 func (owner *Owner) lacks() (int64, int64) {
@@ -67,10 +71,18 @@
 	}
 	target, there := owner.view.Node(owner.view.Chain[owner.random.IntN(len(owner.view.Chain))])
 	if there && target.Identity() != owner.self.Identity() {
-		owner.send(target, MessageFetch, Fetch{Node: owner.self, From: first})
+		owner.send(target, MessageFetch, Fetch{Node: owner.self, From: first, Base: owner.baseFor(first)})
 	}
 }
 
+// baseFor gives the newest committed version that is held before a revision, or else the newest of all.
+func (owner *Owner) baseFor(revision int64) contract.Place {
+	if version, there := owner.versions[owner.before(revision)]; there && version.Place.Revision <= owner.committed {
+		return version.Place
+	}
+	return owner.versions[owner.committed].Place
+}
+
 // tellCatchUp says when this member begins to lack versions and when it lacks none any more.
 func (owner *Owner) tellCatchUp(now time.Duration, lacks int64) {
 	behind := lacks > 0
@@ -87,27 +99,32 @@
 }
 
 func (owner *Owner) fetch(fetch Fetch) {
-	history := History{Committed: owner.committed}
-	for revision := fetch.From; revision <= owner.committed && len(history.Versions) < batchSize; revision++ {
+	versions := []contract.Version{}
+	for revision := fetch.From; revision <= owner.committed && len(versions) < fetchSize; revision++ {
 		if version, there := owner.versions[revision]; there {
-			history.Versions = append(history.Versions, version)
+			versions = append(versions, version)
 		}
 	}
-	history.Versions = contract.Fit(history.Versions, false)
-	owner.send(fetch.Node, MessageHistory, history)
+	base, _ := owner.at(fetch.Base)
+	owner.send(fetch.Node, MessageHistory, History{Records: contract.Records(base, versions, contract.RecordsMost), Committed: owner.committed})
 }
 
+// history takes committed versions. What can't be put together here is asked for whole the next time.
 func (owner *Owner) history(now time.Duration, history History) {
+	versions, failure := contract.OpenRecords(history.Records, owner.at)
+	if failure != nil {
+		owner.emit(contract.Count{Name: "versions_unreadable", By: 1})
+	}
 	fresh := []contract.Version{}
-	for _, version := range history.Versions {
+	for _, version := range versions {
 		held, there := owner.versions[version.Place.Revision]
 		contradicts := there && (held.Place == version.Place || version.Place.Revision <= owner.committed)
-		if contract.Digest(version.Manifest) == version.Digest && !contradicts {
+		if !contradicts {
 			fresh = append(fresh, version)
 		}
 		owner.cursor = version.Place.Revision
 	}
-	if len(history.Versions) == 0 {
+	if len(versions) == 0 {
 		owner.cursor = 0
 	}
 	arrived := func(now time.Duration) {
@@ -126,6 +143,9 @@
 	}
 }
 
+// Base gives a version that is held, for whoever sends others to be read here as the changes of that.
+func (owner *Owner) Base() contract.Place { return owner.versions[owner.committed].Place }
+
 // Lacking gives the first committed revision that is missing here, or nothing.
 func (owner *Owner) Lacking() int64 {
 	cursor := owner.cursor
@@ -145,10 +165,10 @@
 }
 
 // Refill takes committed versions that other nodes kept.
-func (owner *Owner) Refill(now time.Duration, versions []contract.Version) []contract.Command {
+func (owner *Owner) Refill(now time.Duration, records []contract.Record) []contract.Command {
 	owner.out = nil
 	cursor := owner.cursor
-	owner.history(now, History{Versions: versions})
+	owner.history(now, History{Records: records})
 	owner.cursor = cursor
 	out := owner.out
 	owner.out = nil
--- a/chain/chain.go
+++ b/chain/chain.go
@@ -32,19 +32,31 @@
 	MessageFoundedHeld = "founded-held"
 	MessageHeartbeat   = "chain-heartbeat"
 	batchSize          = 32
+	// fetchSize is how many versions answer one Fetch.
+	fetchSize = 256
 )
 
 // Persist asks for a write to the data folder. Its parts are synced in this order: dropped versions are removed, then versions, the
 // member record and the commit mark are written. Persisted answers it once everything is synced.
 type Persist struct {
-	Token    int64
-	Versions []contract.Version
-	Member   *MemberRecord
-	Drop     []contract.Place
+	Token  int64
+	Writes []Write
+	Member *MemberRecord
+	Drop   []contract.Place
 	// Committed is the newest version that is known to be committed.
 	Committed *contract.Place
 }
 
+// Write is one version that is written to the data folder: as the change of another one that the folder holds, or whole.
+type Write struct {
+	Version contract.Version
+	// Base is the version whose change is written; without a place, the version is written whole.
+	Base contract.Version
+}
+
+// Record gives what is written.
+func (write Write) Record() contract.Record { return write.Version.RecordFrom(write.Base) }
+
 // Persisted ends a Persist; Failure tells why nothing of it may be relied on.
 type Persisted struct {
 	Token   int64
@@ -54,6 +66,8 @@
 // Recovered is what a core member found in its data folder when it started.
 type Recovered struct {
 	Versions []contract.Version
+	// Stored tells how each version lies in the folder.
+	Stored []Stored
 	// Member is the member's durable state; it has no ID when the folder is empty or its record was damaged.
 	Member MemberRecord
 	// Damaged names the files that were put aside, each with the reason.
@@ -62,6 +76,13 @@
 	Committed contract.Place
 }
 
+// Stored is one version in the data folder. Base is the version that it is written as a change of, and has no revision where it is whole.
+type Stored struct {
+	Place contract.Place
+	Base  contract.Place
+	Size  int
+}
+
 // Newest gives the newest version known to be committed, if the folder still has it.
 func (recovered Recovered) Newest() (contract.Version, bool) {
 	for _, version := range recovered.Versions {
@@ -99,6 +120,8 @@
 	// oldest is a revision below which nothing is kept.
 	oldest     int64
 	operations operations
+	// folder is what the data folder holds.
+	folder folder
 
 	promised Ballot
 	accepted *Proposal
@@ -156,7 +179,7 @@
 // of the process and differs from that of any other start.
 func New(self contract.CoreNode, start string, coreSize int, bounds env.Bounds, recovered Recovered, random *rand.Rand) *Owner {
 	owner := &Owner{bounds: bounds, coreSize: coreSize, self: self, start: start, random: random, fit: true, bootstrap: true,
-		versions: map[int64]contract.Version{}, operations: operations{}, salvaged: map[int64]contract.Version{}, doubts: map[string]time.Duration{},
+		versions: map[int64]contract.Version{}, operations: operations{}, folder: newFolder(recovered.Stored), salvaged: map[int64]contract.Version{}, doubts: map[string]time.Duration{},
 		declared: map[string]bool{}, checks: map[int64]*check{}, foundHeld: map[string]bool{}, contacts: map[string]contact{}, needed: -1, unfoundable: -1, stuck: -1}
 	owner.recover(recovered)
 	return owner
--- a/chain/persist.go
+++ b/chain/persist.go
@@ -26,6 +26,9 @@
 	drop     []contract.Place
 	mark     *contract.Place
 	after    func(now time.Duration)
+	// writes and removed are how versions and drop are carried out, once the job is under way.
+	writes  []Write
+	removed []contract.Place
 }
 
 // recover takes up what the data folder held. A folder without a member record makes a new member, whose versions are only salvage.
@@ -112,9 +115,10 @@
 	batch := owner.jobs
 	owner.jobs = nil
 	merged := merge(batch)
+	merged.writes, merged.removed = owner.folder.plan(merged.versions, merged.drop)
 	owner.token++
 	owner.writing, owner.writingSince = &merged, now
-	owner.emit(Persist{Token: owner.token, Versions: merged.versions, Member: owner.currentRecord(merged.record), Drop: merged.drop, Committed: merged.mark})
+	owner.emit(Persist{Token: owner.token, Writes: merged.writes, Member: owner.currentRecord(merged.record), Drop: merged.removed, Committed: merged.mark})
 }
 
 // merge makes one job of several. Since drops are carried out first, a version that a later job drops is not written at all.
@@ -160,6 +164,7 @@
 		return
 	}
 	owner.setFit(true, "")
+	owner.folder.done(work.writes, work.drop, work.removed)
 	work.after(now)
 	owner.startWrite(now)
 }
--- a/chain/write.go
+++ b/chain/write.go
@@ -5,14 +5,16 @@
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/document"
 )
 
 // Pass brings a head's versions down the chain, and tells how far the head is.
 type Pass struct {
-	From     contract.CoreNode  `json:"from"`
-	View     int64              `json:"view"`
-	Versions []contract.Version `json:"versions"`
-	// Previous is the place before the first version, or the newest one where there is none: the receiver's log must have it.
+	From    contract.CoreNode `json:"from"`
+	View    int64             `json:"view"`
+	Records []contract.Record `json:"records"`
+	// Previous is the place before the first version, or the newest one where there is none: the receiver's log must have it. The first
+	// record is the change of that version.
 	Previous  contract.Place `json:"previous"`
 	Committed int64          `json:"committed"`
 	Top       int64          `json:"top"`
@@ -58,15 +60,15 @@
 	return version, there && revision <= owner.committed
 }
 
-// Submit numbers a manifest at the head; it counts as accepted only with the Committed command that follows.
-func (owner *Owner) Submit(now time.Duration, operation string, content []byte) (contract.Version, []contract.Command) {
+// Submit numbers a change of the latest version at the head; it counts as accepted only with the Committed command that follows.
+func (owner *Owner) Submit(now time.Duration, operation string, change document.Change) (contract.Version, []contract.Command) {
 	owner.out = nil
+	latest, _ := owner.Latest()
 	highest := owner.assigned
 	for _, member := range owner.seen.Members {
 		highest = max(highest, member.Place.Revision)
 	}
-	version := contract.Version{Place: contract.Place{View: owner.view.Number, Revision: highest + 1}, Operation: operation,
-		Digest: contract.Digest(content), Manifest: content}
+	version := latest.Next(contract.Place{View: owner.view.Number, Revision: highest + 1}, operation, change)
 	owner.assigned = version.Place.Revision
 	owner.keep(version)
 	number := owner.view.Number
@@ -83,12 +85,14 @@
 
 // sheet is what the head passes down: versions, and how far it is itself.
 func (owner *Owner) sheet(versions []contract.Version) Pass {
-	pass := Pass{View: owner.view.Number, Versions: versions, Committed: owner.committed, Top: owner.top}
+	pass := Pass{View: owner.view.Number, Committed: owner.committed, Top: owner.top}
 	last := owner.top
 	if len(versions) > 0 {
 		last = owner.before(versions[0].Place.Revision)
 	}
-	pass.Previous = owner.versions[last].Place
+	previous := owner.versions[last]
+	pass.Previous = previous.Place
+	pass.Records = contract.Records(previous, versions, contract.RecordsMost)
 	return pass
 }
 
@@ -122,7 +126,12 @@
 		owner.emit(contract.Count{Name: "passes_early", By: 1})
 		return
 	}
-	fresh, fine := owner.fresh(pass.Versions)
+	passed, failure := contract.OpenRecords(pass.Records, owner.at)
+	if failure != nil {
+		owner.emit(contract.Count{Name: "versions_unreadable", By: 1}, contract.Say{What: "passed versions can't be read", Detail: []any{"error", failure}})
+		return
+	}
+	fresh, fine := owner.fresh(passed)
 	if !fine {
 		return
 	}
@@ -132,7 +141,7 @@
 			owner.discard(now, fresh)
 			return
 		}
-		owner.passed(pass, fresh)
+		owner.passed(pass, passed, fresh)
 	}
 	if len(fresh) == 0 && owner.writing == nil {
 		arrived(now)
@@ -141,6 +150,12 @@
 	owner.persist(now, job{versions: fresh, drop: owner.conflicts(fresh), after: arrived})
 }
 
+// at gives the version of a place, if the log has it.
+func (owner *Owner) at(place contract.Place) (contract.Version, bool) {
+	version, there := owner.versions[place.Revision]
+	return version, there && version.Place == place
+}
+
 // follows tells whether the log has the version before those that are passed.
 func (owner *Owner) follows(previous contract.Place) bool {
 	held, there := owner.versions[previous.Revision]
@@ -183,7 +198,7 @@
 }
 
 // passed takes up what was synced. A sealed member keeps it, since it may be the only one that has it, but tells nobody.
-func (owner *Owner) passed(pass Pass, fresh []contract.Version) {
+func (owner *Owner) passed(pass Pass, passed, fresh []contract.Version) {
 	for _, version := range fresh {
 		owner.install(version)
 	}
@@ -191,8 +206,8 @@
 		return
 	}
 	owner.verified = max(owner.verified, pass.Previous.Revision)
-	if count := len(pass.Versions); count > 0 {
-		owner.verified = max(owner.verified, pass.Versions[count-1].Place.Revision)
+	if count := len(passed); count > 0 {
+		owner.verified = max(owner.verified, passed[count-1].Place.Revision)
 	}
 	owner.settle(min(pass.Committed, owner.verified))
 	if !owner.IsTail() {
@@ -303,7 +318,7 @@
 			suffix = append(suffix, version)
 		}
 	}
-	owner.passOn(owner.sheet(contract.Fit(suffix, false)))
+	owner.passOn(owner.sheet(suffix))
 }
 
 // Row is one kept revision as the history tells it.
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -2,6 +2,7 @@
 package contract
 
 import (
+	"cmp"
 	"encoding/json"
 	"strings"
 	"time"
@@ -62,13 +63,6 @@
 	return place.Revision < other.Revision
 }
 
-type Version struct {
-	Place     Place           `json:"place"`
-	Operation string          `json:"operation"`
-	Digest    string          `json:"digest"`
-	Manifest  json.RawMessage `json:"manifest"`
-}
-
 // OperationOf names an operation in a version: the key that its sender chose, and the fingerprint of what was ordered under it.
 func OperationOf(key, fingerprint string) string { return key + "/" + fingerprint }
 
@@ -80,6 +74,14 @@
 	return operation
 }
 
+// Compare orders places by revision, then by view.
+func (place Place) Compare(other Place) int {
+	if order := cmp.Compare(place.Revision, other.Revision); order != 0 {
+		return order
+	}
+	return cmp.Compare(place.View, other.View)
+}
+
 type Tick struct{}
 
 // Message is what one member tells another.
--- a/contract/view.go
+++ b/contract/view.go
@@ -69,25 +69,8 @@
 
 func (view View) Majority() int { return len(view.Core)/2 + 1 }
 
-const messagesMost = 4 << 20
-
-// Fit cuts a list of versions to what one message may carry, but never to nothing: the first ones, or the newest.
-func Fit(versions []Version, newest bool) []Version {
-	size := 0
-	for count := range versions {
-		place := count
-		if newest {
-			place = len(versions) - 1 - count
-		}
-		if size += len(versions[place].Manifest); size > messagesMost && count > 0 {
-			if newest {
-				return versions[place+1:]
-			}
-			return versions[:place]
-		}
-	}
-	return versions
-}
+// RecordsMost is how many bytes of versions one message carries.
+const RecordsMost = 1 << 20
 
 func Digest(content []byte) string {
 	sum := sha256.Sum256(content)
--- a/control/control.go
+++ b/control/control.go
@@ -58,6 +58,8 @@
 	refusals map[int64]refusal
 	token    int64
 	refills  time.Duration
+	// newest is the newest version as it was last read.
+	newest newest
 }
 
 // New makes the owner; recovered is nil on a machine without a data folder.
@@ -146,7 +148,7 @@
 	if first == 0 || member.Name == owner.Self().Name {
 		return nil
 	}
-	return []contract.Command{contract.Send{To: member.Address, Kind: feed.MessageLack, Body: feed.Lack{From: first, Address: owner.Self().Address}}}
+	return []contract.Command{contract.Send{To: member.Address, Kind: feed.MessageLack, Body: feed.Lack{From: first, Address: owner.Self().Address, Base: owner.chain.Base()}}}
 }
 
 func (owner *Owner) refill(now time.Duration, message contract.Message) []contract.Command {
@@ -154,7 +156,7 @@
 	if message.Kind != feed.MessageKept || json.Unmarshal(message.Body, &kept) != nil {
 		return nil
 	}
-	return owner.chain.Refill(now, kept.Versions)
+	return owner.chain.Refill(now, kept.Records)
 }
 
 // absorb turns what the chain decided into news for the feed and answers for operators.
--- a/control/gateway.go
+++ b/control/gateway.go
@@ -7,32 +7,38 @@
 	"github.com/cedarreel/cedarreel/manifest"
 )
 
-// newest is the newest version as it is read once for a write.
+// newest is the newest version as it is read for writes.
 type newest struct {
-	there bool
-	tree  map[string]any
-	read  manifest.Manifest
-	// malformed tells why it is no tree at all, invalid why its tree is no manifest.
-	malformed, invalid error
+	contract.Version
+	read manifest.Manifest
+	// invalid tells why its content is no manifest.
+	invalid error
 }
 
 func readNewest(latest contract.Version) newest {
-	if latest.Place.Revision <= 0 {
-		return newest{}
-	}
-	read := newest{there: true}
-	if read.tree, read.malformed = manifest.Tree(latest.Manifest); read.malformed == nil {
-		read.read, read.invalid = manifest.FromTree(read.tree)
+	read := newest{Version: latest}
+	if read.there() {
+		read.read, read.invalid = manifest.FromDocument(latest.Document())
 	}
 	return read
 }
 
+func (newest newest) there() bool { return newest.Place.Revision > 0 }
+
+// readLatest gives the newest version as it is read; a version that this head has just made is not read again.
+func (owner *Owner) readLatest(latest contract.Version) newest {
+	if owner.newest.Place != latest.Place {
+		owner.newest = readNewest(latest)
+	}
+	return owner.newest
+}
+
 // overtaken tells why a change of the gateway's configuration no longer stands on the newest one.
 func overtaken(ask contract.Ask, latest newest) string {
 	if ask.Verb != contract.VerbReplace && ask.Verb != contract.VerbUpdate {
 		return ""
 	}
-	if latest.malformed != nil || latest.invalid != nil {
+	if latest.invalid != nil {
 		return "the newest manifest cannot be read"
 	}
 	if current := latest.read.Gateway.Revision; ask.Base != current {
@@ -51,8 +57,7 @@
 	if !there || owner.chain.Committed()-oldest.Place.Revision < owner.Bounds.History-1 {
 		return false
 	}
-	read := readNewest(oldest)
-	return read.malformed == nil && read.invalid == nil && ask.Base < read.read.Gateway.Revision
+	return ask.Base < manifest.GatewayRevision(oldest.Document())
 }
 
 // standing gives the newest version when a drain or an undrain asks for what already is so, and wants no version of its own.
@@ -64,7 +69,7 @@
 	if !fine || latest.Place.Revision == 0 || !owner.chain.Open() {
 		return contract.Version{}, false
 	}
-	read, failure := manifest.Read(latest.Manifest)
-	zone, there := read.Zones[ask.Subject]
-	return latest, failure == nil && there && zone.Drained == (ask.Verb == contract.VerbDrain)
+	read := owner.readLatest(latest)
+	zone, there := read.read.Zones[ask.Subject]
+	return latest, read.invalid == nil && there && zone.Drained == (ask.Verb == contract.VerbDrain)
 }
--- a/control/write.go
+++ b/control/write.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/document"
 	"github.com/cedarreel/cedarreel/manifest"
 	"github.com/cedarreel/cedarreel/shard"
 	"github.com/rotisserie/eris"
@@ -74,14 +75,14 @@
 	if (ask.Verb == contract.VerbPut || gateway) && !ask.HasBase {
 		return owner.refuse(ask, 400, "a whole manifest needs its base revision")
 	}
-	read := readNewest(latest)
+	read := owner.readLatest(latest)
 	if failure := overtaken(ask, read); failure != "" {
 		if owner.forgotten(ask) {
 			return owner.refuse(ask, 504, "this order builds on a version that is no longer kept: whether it was taken is not known")
 		}
 		return owner.refuseSurely(now, ask, latest, 409, failure)
 	}
-	content, drains, err := compose(ask, read)
+	change, next, drains, err := compose(ask, read)
 	if err != nil {
 		return owner.refuseSurely(now, ask, latest, 400, err.Error())
 	}
@@ -90,49 +91,69 @@
 			return owner.withdraw(now, ask, zone, drains[zone], withdrawn)
 		}
 	}
-	version, commands := owner.chain.Submit(now, operation, content)
+	version, commands := owner.chain.Submit(now, operation, change)
+	owner.newest = newest{Version: version, read: next}
 	owner.await(now, ask, version, operation)
 	return commands
 }
 
-// compose gives the next manifest and the zones it drains newly, with their regions and shards.
-func compose(ask contract.Ask, latest newest) ([]byte, map[string]zoneReach, error) {
-	patch, err := patchOf(ask)
+// compose gives the change that an order makes of the newest version, the manifest with it, and the zones it drains newly, with their
+// regions and shards.
+func compose(ask contract.Ask, latest newest) (document.Change, manifest.Manifest, map[string]zoneReach, error) {
+	change, err := changeOf(ask, latest)
 	if err != nil {
-		return nil, nil, err
+		return change, manifest.Manifest{}, nil, err
 	}
-	tree, former, items := patch, latest.read, ask.Verb == contract.VerbReplace || ask.Verb == contract.VerbUpdate
-	if latest.there {
-		if latest.malformed != nil {
-			return nil, nil, latest.malformed
-		}
-		switch {
-		case items:
-			tree = manifest.WithGateway(latest.tree, patch, ask.Verb == contract.VerbReplace)
-		case ask.Verb != contract.VerbPut:
-			tree = manifest.Merge(latest.tree, patch)
-		}
-	} else if items {
-		tree = manifest.WithGateway(patch, patch, ask.Verb == contract.VerbReplace)
+	former, content := latest.read, latest.Document().Apply(change)
+	next, err := manifest.Manifest{}, error(nil)
+	if latest.there() && latest.invalid == nil {
+		next, err = former.Next(content, change)
+	} else {
+		next, err = manifest.FromDocument(content)
 	}
-	next, err := manifest.FromTree(tree)
-	if err == nil && items && next.Gateway.Revision <= former.Gateway.Revision {
+	gateway := ask.Verb == contract.VerbReplace || ask.Verb == contract.VerbUpdate
+	if err == nil && gateway && next.Gateway.Revision <= former.Gateway.Revision {
 		err = eris.Errorf("gateway.revision: want more than %d, got %d", former.Gateway.Revision, next.Gateway.Revision)
 	}
 	if err != nil {
-		return nil, nil, err
+		return change, next, nil, err
 	}
+	drains, err := newDrains(former, next, latest.there())
+	return change, next, drains, err
+}
+
+// changeOf gives the change that an order makes of the newest version.
+func changeOf(ask contract.Ask, latest newest) (document.Change, error) {
+	patch, err := patchOf(ask)
+	if err != nil {
+		return document.Change{}, err
+	}
+	switch {
+	case ask.Verb == contract.VerbReplace || ask.Verb == contract.VerbUpdate:
+		return manifest.GatewayChange(latest.Document(), patch, ask.Verb == contract.VerbReplace || !latest.there())
+	case ask.Verb == contract.VerbPut || !latest.there():
+		whole, err := document.FromTree(patch)
+		if err != nil {
+			return document.Change{}, err
+		}
+		return document.Diff(latest.Document(), whole), nil
+	}
+	return latest.Document().MergePatch(patch)
+}
+
+// newDrains gives the zones that are drained in a manifest and were not in the one before.
+func newDrains(former, next manifest.Manifest, there bool) (map[string]zoneReach, error) {
 	drains := map[string]zoneReach{}
 	for name, zone := range next.Zones {
-		if old, there := former.Zones[name]; there && old.Region != zone.Region {
-			return nil, nil, eris.Errorf("zones.%s.region: a zone does not move from %s to %s; name another", name, old.Region, zone.Region)
+		old, known := former.Zones[name]
+		if known && old.Region != zone.Region {
+			return nil, eris.Errorf("zones.%s.region: a zone does not move from %s to %s; name another", name, old.Region, zone.Region)
 		}
-		if zone.Drained && !former.Zones[name].Drained && latest.there {
+		if zone.Drained && !old.Drained && there {
 			drains[name] = zoneReach{region: zone.Region, shards: former.Regions[zone.Region].Shards}
 		}
 	}
-	content, err := json.Marshal(tree)
-	return content, drains, err
+	return drains, nil
 }
 
 type zoneReach struct {
--- a/feed/compress.go
+++ b/feed/compress.go
@@ -16,20 +16,20 @@
 )
 
 func compress(version contract.Version) []byte {
-	content, failure := json.Marshal(version)
+	content, failure := json.Marshal(version.WholeRecord())
 	if failure != nil {
 		panic(failure)
 	}
 	return compression.Compress(content)
 }
 
-func decompress(content []byte) (contract.Version, error) {
-	version := contract.Version{}
+func decompress(content []byte) (contract.Record, error) {
+	record := contract.Record{}
 	reader, failure := compression.Decompress(bytes.NewReader(content), mostUnfolded)
 	if failure != nil {
-		return version, failure
+		return record, failure
 	}
 	defer reader.Close()
-	failure = json.NewDecoder(reader).Decode(&version)
-	return version, failure
+	failure = json.NewDecoder(reader).Decode(&record)
+	return record, failure
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/document"
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/manifest"
 )
@@ -30,23 +31,32 @@
 	Brief bool `json:"brief,omitempty"`
 }
 
-// Change carries the numbered versions from a place on, or only the newest ones when the asker is too far behind.
+// Change is what is new: versions and a view.
 type Change struct {
-	Versions []contract.Version `json:"versions,omitempty"`
-	// Packed stands for the newest version alone: a keeper packs it once for all that ask.
+	Versions []contract.Version
+	View     *contract.View
+}
+
+// Delivery carries the versions that follow the one that the asker holds, each as a change, or only the newest one as a change of that
+// where there are many; an asker whose version is not kept here gets the newest one whole.
+type Delivery struct {
+	Records []contract.Record `json:"records,omitempty"`
+	// Packed is the record of the newest version, whole: a keeper packs it once for all that ask.
 	Packed   []byte         `json:"packed,omitempty"`
 	PackedOf contract.Place `json:"packedOf,omitzero"`
 	View     *contract.View `json:"view,omitempty"`
 }
 
-// Lack asks for older versions that a core machine has lost; Kept hands them over.
+// Lack asks for older versions from a revision on; Kept hands them over. Base is a version that the asker holds: the first one comes as
+// the change of that.
 type Lack struct {
-	From    int64  `json:"from"`
-	Address string `json:"address"`
+	From    int64          `json:"from"`
+	Address string         `json:"address"`
+	Base    contract.Place `json:"base,omitzero"`
 }
 
 type Kept struct {
-	Versions []contract.Version `json:"versions"`
+	Records []contract.Record `json:"records"`
 }
 
 type Owner struct {
@@ -61,6 +71,8 @@
 	began   time.Duration
 	lacked  time.Duration
 	gained  bool
+	// wantsWhole holds after a version came that could not be put together: the next question is for a whole one.
+	wantsWhole bool
 	// packed is the newest version as it was packed for others, of the place packedOf.
 	packed   []byte
 	packedOf contract.Place
@@ -100,28 +112,45 @@
 	case MessageLack:
 		var lack Lack
 		if json.Unmarshal(message.Body, &lack) == nil {
-			return []contract.Command{contract.Send{To: lack.Address, Kind: MessageKept, Body: Kept{owner.from(lack.From, false)}}}
+			return []contract.Command{contract.Send{To: lack.Address, Kind: MessageKept, Body: owner.hand(lack)}}
 		}
 	case MessageKept:
 		var kept Kept
 		if json.Unmarshal(message.Body, &kept) == nil {
-			owner.regain(kept.Versions)
+			owner.regain(kept.Records)
 		}
 	case MessageChange:
-		var change Change
-		if json.Unmarshal(message.Body, &change) == nil {
-			if len(change.Packed) > 0 && change.PackedOf.Revision > owner.version.Place.Revision {
-				if version, failure := decompress(change.Packed); failure == nil {
-					change.Versions = append(change.Versions, version)
-				}
-			}
+		var delivery Delivery
+		if json.Unmarshal(message.Body, &delivery) == nil {
 			owner.told = now - owner.bounds.Gossip()
-			return owner.Take(change, neighbours)
+			return owner.receive(message, delivery, neighbours)
 		}
 	}
 	return nil
 }
 
+// receive opens what another node sent. Where that can't be put together here, the newest version is asked for whole.
+func (owner *Owner) receive(message contract.Message, delivery Delivery, neighbours []string) []contract.Command {
+	if len(delivery.Packed) > 0 && delivery.PackedOf.Revision > owner.version.Place.Revision {
+		if record, failure := decompress(delivery.Packed); failure == nil {
+			delivery.Records = append(delivery.Records, record)
+		}
+	}
+	versions, failure := contract.OpenRecords(delivery.Records, owner.at)
+	commands := owner.Take(Change{Versions: versions, View: delivery.View}, neighbours)
+	if failure != nil {
+		owner.wantsWhole = true
+		commands = append(commands, contract.Count{Name: "feed_refused", By: 1}, contract.Say{What: "versions not taken", Detail: []any{"from", message.From, "error", failure}})
+	}
+	return commands
+}
+
+// at gives a version that is kept, by its place.
+func (owner *Owner) at(place contract.Place) (contract.Version, bool) {
+	version, there := owner.kept[place.Revision]
+	return version, there && version.Place == place
+}
+
 // Catch asks two of the members that are seen to hold more, others each time: one of those that speak with this node, and
 // one of all, for links may be cut either way.
 func (owner *Owner) Catch(now time.Duration, members, near []contract.Member, random *rand.Rand) []contract.Command {
@@ -173,17 +202,18 @@
 		return nil
 	}
 	owner.lacked, owner.gained = now, false
-	lack := Lack{From: missing[random.IntN(len(missing))], Address: owner.address}
+	lack := Lack{From: missing[random.IntN(len(missing))], Address: owner.address, Base: owner.version.Place}
 	if random.IntN(2) == 0 {
 		lack.From = gaps[random.IntN(len(gaps))]
 	}
 	return []contract.Command{contract.Send{To: near[random.IntN(len(near))].Address, Kind: MessageLack, Body: lack}}
 }
 
-func (owner *Owner) regain(versions []contract.Version) {
+func (owner *Owner) regain(records []contract.Record) {
+	versions, _ := contract.OpenRecords(records, owner.at)
 	for _, version := range versions {
 		_, there := owner.kept[version.Place.Revision]
-		if !there && version.Place.Revision < owner.version.Place.Revision && contract.Digest(version.Manifest) == version.Digest {
+		if !there && version.Place.Revision < owner.version.Place.Revision {
 			owner.kept[version.Place.Revision], owner.gained = version, true
 		}
 	}
@@ -205,57 +235,93 @@
 }
 
 func (owner *Owner) ask(address string, brief bool) contract.Command {
-	return contract.Send{To: address, Kind: MessageAsk, Body: News{Place: owner.version.Place, View: owner.view.Number, From: owner.address, Brief: brief}}
+	news := owner.news()
+	news.Brief = brief
+	if owner.wantsWhole {
+		news.Place, owner.wantsWhole = contract.Place{}, false
+	}
+	return contract.Send{To: address, Kind: MessageAsk, Body: news}
 }
 
 func (owner *Owner) news() News {
 	return News{Place: owner.version.Place, View: owner.view.Number, From: owner.address}
 }
 
-// tell gives what the asker has not: a snapshot, the newest version alone, to one that has nothing yet and wants to serve.
+// tell gives what the asker has not: changes of the version that it holds, or the newest version whole where that one is not kept here.
 func (owner *Owner) tell(news News) []contract.Command {
-	change := Change{}
-	if news.Place.Revision > 0 {
-		change.Versions = owner.from(news.Place.Revision+1, true)
-	} else if owner.Known() {
-		change.Versions = []contract.Version{owner.version}
+	delivery := Delivery{}
+	if owner.Known() && news.Place.Revision < owner.version.Place.Revision {
+		base, there := owner.at(news.Place)
+		large := owner.version.Document().Size() >= compressFrom
+		switch {
+		case there:
+			delivery.Records = owner.since(base)
+		case large && news.Brief:
+			return []contract.Command{contract.Send{To: news.From, Kind: MessageNews, Body: owner.news()}}
+		case large:
+			delivery.Packed, delivery.PackedOf = owner.pack(), owner.version.Place
+		default:
+			delivery.Records = []contract.Record{owner.version.WholeRecord()}
+		}
 	}
 	if owner.view.Number > news.View {
 		view := owner.view
-		change.View = &view
+		delivery.View = &view
 	}
-	if len(change.Versions) == 0 && change.View == nil {
+	if len(delivery.Records) == 0 && len(delivery.Packed) == 0 && delivery.View == nil {
 		return nil
 	}
-	if len(change.Versions) == 1 && change.Versions[0].Place == owner.version.Place && len(owner.version.Manifest) >= compressFrom {
-		if owner.packedOf != owner.version.Place {
-			owner.packed, owner.packedOf = compress(owner.version), owner.version.Place
-		}
-		if news.Brief {
-			return []contract.Command{contract.Send{To: news.From, Kind: MessageNews, Body: owner.news()}}
+	return []contract.Command{contract.Send{To: news.From, Kind: MessageChange, Body: delivery}}
+}
+
+// since gives all versions after one, each as the change of the one before it, or only the newest one where they are many.
+func (owner *Owner) since(base contract.Version) []contract.Record {
+	versions := owner.from(base.Place.Revision + 1)
+	if len(versions) <= mostChanges {
+		if records := contract.Records(base, versions, contract.RecordsMost); len(records) == len(versions) {
+			return records
 		}
-		change.Versions, change.Packed, change.PackedOf = nil, owner.packed, owner.version.Place
 	}
-	return []contract.Command{contract.Send{To: news.From, Kind: MessageChange, Body: change}}
+	return []contract.Record{owner.version.RecordFrom(base)}
+}
+
+// pack gives the newest version as it is packed for others.
+func (owner *Owner) pack() []byte {
+	if owner.packedOf != owner.version.Place {
+		owner.packed, owner.packedOf = compress(owner.version), owner.version.Place
+	}
+	return owner.packed
+}
+
+// hand gives versions from a revision on.
+func (owner *Owner) hand(lack Lack) Kept {
+	versions := owner.from(lack.From)
+	base, _ := owner.at(lack.Base)
+	return Kept{Records: contract.Records(base, versions[:min(len(versions), mostChanges)], contract.RecordsMost)}
 }
 
-// from gives kept versions in order: the first ones from a place on, or the newest ones.
-func (owner *Owner) from(place int64, newest bool) []contract.Version {
-	revisions := []int64{}
-	for revision := range owner.kept {
-		if revision >= place {
-			revisions = append(revisions, revision)
+// from gives the kept versions from a revision on, in order.
+func (owner *Owner) from(revision int64) []contract.Version {
+	versions := []contract.Version{}
+	for _, version := range owner.kept {
+		if version.Place.Revision >= revision {
+			versions = append(versions, version)
 		}
 	}
-	slices.Sort(revisions)
-	if len(revisions) > mostChanges && newest {
-		revisions = revisions[len(revisions)-mostChanges:]
+	slices.SortFunc(versions, func(left, right contract.Version) int { return left.Place.Compare(right.Place) })
+	return versions
+}
+
+// readNext reads a newer version; what it has in common with the one in force is not read again.
+func (owner *Owner) readNext(version contract.Version) (manifest.Manifest, error) {
+	if !owner.Known() {
+		return manifest.FromDocument(version.Document())
 	}
-	versions := []contract.Version{}
-	for _, revision := range revisions[:min(len(revisions), mostChanges)] {
-		versions = append(versions, owner.kept[revision])
+	change := version.Change
+	if version.Base != owner.version.Place {
+		change = document.Diff(owner.version.Document(), version.Document())
 	}
-	return contract.Fit(versions, newest)
+	return owner.read.Next(version.Document(), change)
 }
 
 // Take adopts what is newer and passes the news on; a lower revision or view never replaces a higher one.
@@ -266,10 +332,6 @@
 		commands = append(commands, contract.Say{What: "view adopted", Detail: []any{"view", owner.view.Number}})
 	}
 	for _, version := range change.Versions {
-		if contract.Digest(version.Manifest) != version.Digest {
-			commands = append(commands, contract.Count{Name: "feed_refused", By: 1})
-			continue
-		}
 		if _, there := owner.kept[version.Place.Revision]; !there {
 			owner.kept[version.Place.Revision] = version
 		}
@@ -280,7 +342,7 @@
 		if version.Place.Revision <= owner.version.Place.Revision {
 			break
 		}
-		read, err := manifest.Read(version.Manifest)
+		read, err := owner.readNext(version)
 		if err != nil {
 			commands = append(commands, contract.Count{Name: "feed_refused", By: 1})
 			continue
--- a/fleet/operate.go
+++ b/fleet/operate.go
@@ -127,7 +127,7 @@
 func (fleet *Fleet) Manifest(machine *Machine) (manifest.Manifest, int64) {
 	answer := fleet.Operate(machine, contract.Ask{Verb: contract.VerbGet})
 	version, _ := answer.Body.(contract.Version)
-	read, _ := manifest.Read(version.Manifest)
+	read, _ := manifest.FromDocument(version.Document())
 	return read, version.Place.Revision
 }
 
--- a/fleet/readback.go
+++ b/fleet/readback.go
@@ -30,11 +30,11 @@
 		answer := fleet.Operate(live[int(revision)%len(live)], contract.Ask{Verb: contract.VerbGet, Revision: revision})
 		version, _ := answer.Body.(contract.Version)
 		digest := version.Digest
-		if answer.Status != 200 || contract.Digest(version.Manifest) != digest {
+		if answer.Status != 200 || version.Document().Digest() != digest {
 			digest = fmt.Sprintf("status %d", answer.Status)
 		}
 		fleet.Ledger.ReadBack(revision, digest, fleet.World.Now)
-		if tree, err := manifest.Tree(version.Manifest); err == nil && answer.Status == 200 {
+		if tree, err := manifest.Tree(version.Document().JSON()); err == nil && answer.Status == 200 {
 			trees[revision] = tree
 		}
 	}
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -13,7 +13,7 @@
 	if !traffic.Ready(now) {
 		return one(traffic.notYet(now, event.Token))
 	}
-	route, there := traffic.table.Find(event.Host, event.Path)
+	route, there := traffic.routes.Find(event.Host, event.Path)
 	if !there {
 		return one(Refuse{Token: event.Token, Status: 404, Reason: "no route"})
 	}
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -10,6 +10,7 @@
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/index"
 	"github.com/cedarreel/cedarreel/machine"
+	"github.com/cedarreel/cedarreel/manifest"
 	"github.com/cedarreel/cedarreel/shard"
 )
 
@@ -162,13 +163,13 @@
 
 // lookup gives the nodes of the caller's zone that serve, or those of its region, or all, when these are too few.
 func (node *Node) lookup(now time.Duration, ask Lookup) Addresses {
-	_, port := splitAddress(node.settings.Gateway.Traffic)
+	_, port := manifest.SplitAddress(node.settings.Gateway.Traffic)
 	zone, region, all := []string{}, []string{}, []string{}
 	for _, member := range node.Neighbours.Members(now) {
 		if member.Kind != contract.KindData || member.Place.Revision == 0 || member.Name == node.Self().Name && node.Neighbours.Left() {
 			continue
 		}
-		host, known := splitAddress(member.Address)
+		host, known := manifest.SplitAddress(member.Address)
 		if known == "" {
 			continue
 		}
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -16,7 +16,8 @@
 	terms    env.Gateway
 	random   *rand.Rand
 	read     manifest.Manifest
-	table    *Table
+	// routes are those in force, or nil while this node has no configuration.
+	routes   *manifest.Routes
 	servers  map[string]*server
 	services map[string][]*server
 	lists    map[string]bool
@@ -64,7 +65,7 @@
 
 // Ready tells whether this node can serve: it has a configuration and the lists of all regions, or some of them for a while.
 func (traffic *Traffic) Ready(now time.Duration) bool {
-	if traffic.table == nil || len(traffic.lists) == 0 {
+	if traffic.routes == nil || len(traffic.lists) == 0 {
 		return false
 	}
 	return len(traffic.lists) >= len(traffic.read.Regions) || now-traffic.began > traffic.terms.Contact/4
@@ -124,9 +125,9 @@
 
 func (traffic *Traffic) configured(now time.Duration, event Configured) {
 	former := traffic.read
-	traffic.read, traffic.table = event.Manifest, nil
-	if len(event.Manifest.Gateway.Routes) > 0 || event.Manifest.Gateway.Revision > 0 {
-		traffic.table = NewTable(event.Manifest.Gateway)
+	traffic.read, traffic.routes = event.Manifest, nil
+	if event.Manifest.Gateway.Routes.Len() > 0 || event.Manifest.Gateway.Revision > 0 {
+		traffic.routes = &traffic.read.Gateway.Routes
 	}
 	for _, server := range traffic.servers {
 		if former.Drained(server.Zone) && !event.Manifest.Drained(server.Zone) {
--- a/image/image.go
+++ b/image/image.go
@@ -12,6 +12,7 @@
 
 	"github.com/cedarreel/cedarreel/chain"
 	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/document"
 	"github.com/rotisserie/eris"
 )
 
@@ -76,8 +77,8 @@
 		names = append(names, name)
 		return failure
 	}
-	for _, version := range work.Versions {
-		if failure := write(nameOf(version.Place), version); failure != nil {
+	for _, one := range work.Writes {
+		if failure := write(nameOf(one.Version.Place), one.Record()); failure != nil {
 			return eris.Wrap(failure, "version not written")
 		}
 	}
@@ -113,14 +114,16 @@
 	return eris.Wrap(files.SyncFolder(), "folder not synced")
 }
 
-// Load reads what a folder holds. A file that doesn't match its digest or its name is put aside and named with the reason. The folder is
-// synced before anything in it is relied on: a process that was killed may have renamed files without syncing that.
+// Load reads what a folder holds. A file that doesn't match its digest or its name, or is the change of a version that isn't there, is put
+// aside and named with the reason. The folder is synced before anything in it is relied on: a process that was killed may have renamed
+// files without syncing that.
 func Load(files Files) (chain.Recovered, error) {
 	recovered := chain.Recovered{}
 	names, failure := files.List()
 	if failure != nil {
 		return recovered, eris.Wrap(failure, "folder not read")
 	}
+	// Names of versions are in the order of their revisions, so that a version comes after the one that it is a change of.
 	sort.Strings(names)
 	for _, name := range names {
 		if strings.HasSuffix(name, aside) {
@@ -157,17 +160,40 @@
 	case markName:
 		return unwrap(content, &recovered.Committed)
 	}
-	version := contract.Version{}
-	if failure = unwrap(content, &version); failure != nil {
+	return loadVersion(name, content, recovered)
+}
+
+func loadVersion(name string, content []byte, recovered *chain.Recovered) error {
+	record := contract.Record{}
+	if failure := unwrap(content, &record); failure != nil {
+		return failure
+	}
+	if nameOf(record.Place) != name {
+		return eris.New("version does not match its name")
+	}
+	if record.Whole() && contract.Digest(record.Manifest) == record.Digest {
+		record = formerRecord(record)
+	}
+	version, failure := record.Open(recovered.Versions)
+	if failure != nil {
 		return failure
 	}
-	if contract.Digest(version.Manifest) != version.Digest || nameOf(version.Place) != name {
-		return eris.New("version does not match its name or digest")
+	stored := chain.Stored{Place: record.Place, Size: record.Size()}
+	if record.Base != nil {
+		stored.Base = *record.Base
 	}
-	recovered.Versions = append(recovered.Versions, version)
+	recovered.Versions, recovered.Stored = append(recovered.Versions, version), append(recovered.Stored, stored)
 	return nil
 }
 
+// formerRecord gives a record of releases before 0.2, whose digest was that of the text, the digest of the content.
+func formerRecord(record contract.Record) contract.Record {
+	if content, failure := document.Parse(record.Manifest); failure == nil {
+		record.Digest = content.Digest()
+	}
+	return record
+}
+
 // Folder is a real folder on a disk.
 type Folder struct{ Path string }
 
--- a/manifest/gateway.go
+++ b/manifest/gateway.go
@@ -15,7 +15,7 @@
 // Gateway holds the routes of calls that pass through without being understood, under the operators' own revision number.
 type Gateway struct {
 	Revision int64
-	Routes   map[string]GatewayRoute
+	Routes   Routes
 	Services map[string]Service
 	Limits   Limits
 }
@@ -69,8 +69,9 @@
 	IdleTime    time.Duration
 }
 
+// gateway reads the section without its routes, which are read one by one.
 func (reader *Reader) gateway() Gateway {
-	read := Gateway{Routes: map[string]GatewayRoute{}, Services: map[string]Service{}}
+	read := Gateway{Services: map[string]Service{}}
 	if _, there := reader.at("gateway"); !there {
 		return read
 	}
@@ -80,16 +81,7 @@
 	for _, name := range under.Keys("services") {
 		read.Services[name] = under.Under("services." + name).service()
 	}
-	places := map[string]string{}
-	for _, name := range under.Keys("routes") {
-		one := under.Under("routes." + name)
-		route := one.gatewayRoute(name, read.Services)
-		if other, double := places[route.Host+" "+route.Prefix]; double {
-			one.Wrong("prefix", "route %q has the same host and prefix", other)
-		}
-		places[route.Host+" "+route.Prefix] = name
-		read.Routes[name] = route
-	}
+	under.Keys("routes")
 	read.Limits = Limits{HeaderBytes: under.Number("limits.headerBytes", 0, 0, mostWhole), BodyBytes: under.Number("limits.bodyBytes", 0, 0, mostWhole),
 		HeaderTime: under.span("limits.headerMs", 0, 0, mostWhole), IdleTime: under.span("limits.idleMs", 0, 0, mostWhole)}
 	return read
@@ -159,71 +151,3 @@
 	}
 	return shares
 }
-
-// WithGateway gives a tree with another gateway section: the whole one of the change, or the former one with the items of "upsert"
-// put in, each whole but in the place of the one that it replaces, and those that "remove" names taken out. The rest of a first
-// change is kept, later ones only add to it.
-func WithGateway(old, change map[string]any, whole bool) map[string]any {
-	tree := map[string]any{}
-	for key, value := range change {
-		tree[key] = value
-	}
-	for key, value := range old {
-		tree[key] = value
-	}
-	section, _ := change["gateway"].(map[string]any)
-	if whole {
-		tree["gateway"] = section
-		return tree
-	}
-	former, _ := old["gateway"].(map[string]any)
-	next := map[string]any{}
-	for key, value := range former {
-		next[key] = value
-	}
-	next["revision"] = section["revision"]
-	upsert, _ := section["upsert"].(map[string]any)
-	remove, _ := section["remove"].(map[string]any)
-	for _, kind := range []string{"routes", "services"} {
-		items := map[string]any{}
-		held, _ := former[kind].(map[string]any)
-		for name, item := range held {
-			items[name] = item
-		}
-		names, _ := remove[kind].([]any)
-		for _, name := range names {
-			if text, fine := name.(string); fine {
-				delete(items, text)
-			}
-		}
-		added, _ := upsert[kind].(map[string]any)
-		for name, item := range added {
-			items[name] = placed(item, items[name])
-		}
-		next[kind] = items
-	}
-	for key, value := range upsert {
-		if key != "routes" && key != "services" {
-			next[key] = value
-		}
-	}
-	tree["gateway"] = next
-	return tree
-}
-
-// placed gives an item with the place of the one that it replaces.
-func placed(item, former any) any {
-	held, _ := former.(map[string]any)
-	fresh, fine := item.(map[string]any)
-	place, there := held["place"]
-	if !fine || !there {
-		return item
-	}
-	moved := map[string]any{"place": place}
-	for key, value := range fresh {
-		if key != "place" {
-			moved[key] = value
-		}
-	}
-	return moved
-}
--- a/manifest/manifest.go
+++ b/manifest/manifest.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/cedarreel/cedarreel/document"
 )
 
 const (
@@ -55,6 +57,7 @@
 	Gateway      Gateway
 }
 
+// Read reads a whole manifest; see FromDocument.
 func Read(content []byte) (Manifest, error) {
 	tree, err := Tree(content)
 	if err != nil {
@@ -65,7 +68,15 @@
 
 // FromTree checks the whole tree and gives every error at once.
 func FromTree(tree map[string]any) (Manifest, error) {
-	reader := NewReader(tree)
+	content, failure := document.FromTree(tree)
+	if failure != nil {
+		return Manifest{}, failure
+	}
+	return FromDocument(content)
+}
+
+// readHead reads all but the gateway's routes.
+func (reader *Reader) readHead() Manifest {
 	reader.Only("", "regions", "zones", "pools", "routes", "homes", "retirement", "repeats", "gateway")
 	read := Manifest{Regions: map[string]Region{}, Zones: map[string]Zone{}, Pools: map[string]Pool{}, Routes: map[string]Route{}, Homes: map[string]string{}}
 	reader.Must("regions")
@@ -99,7 +110,7 @@
 	read.RepeatAtOnce = reader.Number("repeats.atOnce", 10, 0, 1000)
 	read.Retirement = reader.retirement()
 	read.Gateway = reader.gateway()
-	return read, reader.Err()
+	return read
 }
 
 func (reader *Reader) regionAt(path string, read Manifest) string {
