A head that lost its majority answers an order that it numbered within a round

Cause: such an order was answered after two thirds of the propagation bound, since heartbeats tell that contact is lost only after the time of a suspicion. Change: as long as somebody waits for a write, the head probes the other members four times a round; when no majority has answered what was sent half a round ago, the answer is unknown, with when to come back. A pause of its own process counts for nothing.

--- a/chain/chain.go
+++ b/chain/chain.go
@@ -31,6 +31,8 @@
 	MessageFoundedAsk  = "founded-ask"
 	MessageFoundedHeld = "founded-held"
 	MessageHeartbeat   = "chain-heartbeat"
+	MessageProbe       = "chain-probe"
+	MessageProbed      = "chain-probed"
 	batchSize          = 32
 	// fetchSize is how many versions answer one Fetch.
 	fetchSize = 256
@@ -140,6 +142,7 @@
 	contacts    map[string]contact
 	ticked      time.Duration
 	beaten      time.Duration
+	probes      probes
 	founding    *founding
 	unfoundable time.Duration
 
@@ -305,6 +308,12 @@
 		read(owner, message, func(held FoundedHeld) { owner.foundedHeld(now, held) })
 	case MessageHeartbeat:
 		read(owner, message, func(beat Heartbeat) { owner.heartbeat(now, beat) })
+	case MessageProbe:
+		read(owner, message, func(ask Probe) {
+			owner.send(ask.Node, MessageProbed, Probed{Nonce: ask.Nonce, Start: ask.Start, By: owner.self})
+		})
+	case MessageProbed:
+		read(owner, message, owner.probed)
 	case MessageResume:
 		read(owner, message, func(resume Resume) { owner.resume(resume) })
 	}
--- a/chain/reach.go
+++ b/chain/reach.go
@@ -31,6 +31,9 @@
 	if now-owner.ticked > owner.bounds.Freeze() {
 		owner.contacts = map[string]contact{}
 	}
+	if now-owner.ticked > owner.bounds.Round()/probeParts {
+		owner.ForgetContact()
+	}
 	owner.ticked = now
 	for _, node := range owner.view.Core {
 		if _, known := owner.contacts[node.Identity()]; !known {
--- a/control/stale_test.go
+++ b/control/stale_test.go
@@ -104,4 +104,35 @@
 		Expect(given).To(HaveLen(1))
 		Expect(given[0].Status).To(Equal(409))
 	})
+
+	It("answers an order that it numbered within a round, since no majority of the core answers it: unknown, and when to come back", func() {
+		owner := staleHead()
+		given := answers(owner, owner.Handle(2*time.Millisecond, order(contract.VerbReplace, 5, 6)), owner.Bounds.Round())
+		Expect(given).To(HaveLen(1))
+		Expect(given[0].Status).To(Equal(504))
+		Expect(given[0].Body.(contract.Accepted).Outcome).To(Equal("unknown"))
+		Expect(given[0].After).To(BeNumerically(">", 0))
+	})
+
+	It("waits for the chain as long as a majority of the core answers it", func() {
+		owner := staleHead()
+		commands := owner.Handle(2*time.Millisecond, order(contract.VerbReplace, 5, 6))
+		given := []contract.Answer{}
+		for now := 10 * time.Millisecond; now < owner.Bounds.Commit(); now += owner.Bounds.Tick() {
+			commands = append(commands, owner.Handle(now, contract.Tick{})...)
+			for len(commands) > 0 {
+				command := commands[0]
+				commands = commands[1:]
+				if answer, fine := command.(contract.Answer); fine {
+					given = append(given, answer)
+				}
+				if send, fine := command.(contract.Send); fine && send.Kind == chain.MessageProbe {
+					asked := send.Body.(chain.Probe)
+					body, _ := json.Marshal(chain.Probed{Nonce: asked.Nonce, Start: asked.Start, By: coreNodes()[1]})
+					commands = append(commands, owner.Handle(now+time.Millisecond, contract.Message{Kind: chain.MessageProbed, Body: body})...)
+				}
+			}
+		}
+		Expect(given).To(BeEmpty())
+	})
 })
--- a/control/write.go
+++ b/control/write.go
@@ -15,6 +15,9 @@
 	"github.com/rotisserie/eris"
 )
 
+// statusUnknown answers a write of which it is not known whether it will be committed.
+const statusUnknown = 504
+
 type write struct {
 	ask       contract.Ask
 	revision  int64
@@ -208,7 +211,7 @@
 
 // tickWrites answers the writes whose end is known or that waited too long; it costs no more after many writes than after few.
 func (owner *Owner) tickWrites(now time.Duration) []contract.Command {
-	commands := []contract.Command{}
+	commands := owner.tickContact(now)
 	for _, token := range slices.Sorted(maps.Keys(owner.writes)) {
 		pending := owner.writes[token]
 		status, accepted := owner.outcome(now, pending)
@@ -216,21 +219,38 @@
 			continue
 		}
 		delete(owner.writes, token)
-		commands = append(commands, contract.Count{Name: fmt.Sprintf("writes_answered_%d", status), By: 1},
-			contract.Answer{Token: pending.ask.Token, Status: status, Body: accepted})
+		answer := contract.Answer{Token: pending.ask.Token, Status: status, Body: accepted}
+		if status == statusUnknown {
+			answer.After = owner.Bounds.Round()
+		}
+		commands = append(commands, contract.Count{Name: fmt.Sprintf("writes_answered_%d", status), By: 1}, answer)
 	}
 	return append(commands, owner.tickRefusals(now)...)
 }
 
+// tickContact keeps asking whether a majority of the core is in reach, as long as somebody waits for a write to be committed.
+func (owner *Owner) tickContact(now time.Duration) []contract.Command {
+	if owner.chain == nil {
+		return nil
+	}
+	for _, pending := range owner.writes {
+		if !pending.committed {
+			return owner.chain.Contact(now)
+		}
+	}
+	owner.chain.ForgetContact()
+	return nil
+}
+
 // outcome gives the status of a write, or 0 while it is not known.
 func (owner *Owner) outcome(now time.Duration, pending *write) (int, contract.Accepted) {
 	accepted := contract.Accepted{Revision: pending.revision, Operation: pending.ask.Operation, View: owner.Feed.View().Number}
 	if !pending.committed {
-		if now-pending.began <= owner.Bounds.Commit() {
+		if now-pending.began <= owner.Bounds.Commit() && !owner.chain.OutOfContact(now) {
 			return 0, accepted
 		}
 		accepted.Outcome, accepted.Error = "unknown", "not yet acknowledged by the whole chain; ask by the operation key"
-		return 504, accepted
+		return statusUnknown, accepted
 	}
 	if pending.ask.Prompt {
 		accepted.Outcome = "committed"
--- a/document/document.go
+++ b/document/document.go
@@ -69,20 +69,21 @@
 	}
 }
 
-// Outside calls visit for each part that does not lie between two names, the first included and the second not. Those between cost
-// nothing.
-func (document *Document) Outside(first, after string, visit func(pointer, value string)) {
+// Without gives a document without the parts that lie between two names, the first included and the second not. Those between cost nothing.
+func (document *Document) Without(first, after string) *Document {
+	edit := editNew()
 	document.from("", func(pointer, value string) bool {
 		if pointer >= first {
 			return true
 		}
-		visit(pointer, value)
+		edit.set(pointer, value)
 		return false
 	})
 	document.from(after, func(pointer, value string) bool {
-		visit(pointer, value)
+		edit.set(pointer, value)
 		return false
 	})
+	return edit.done()
 }
 
 // Digest tells documents with different parts apart. It is a sum of the parts' hashes, so that a change costs only the hashes of what
--- a/document/document_test.go
+++ b/document/document_test.go
@@ -169,12 +169,10 @@
 	}
 }
 
-func TestOutsideLeavesOutWhatLiesBetween(t *testing.T) {
+func TestPartsBetweenTwoNamesAreLeftOut(t *testing.T) {
 	document := parsed(t, `{"a":{"x":{"1":1,"2":2},"y":{"1":1}},"b":1}`)
-	seen := []string{}
-	document.Outside("/a/x/", "/a/x0", func(pointer, _ string) { seen = append(seen, pointer) })
-	if want := []string{"/a", "/a/x", "/a/y", "/a/y/1", "/b"}; !reflect.DeepEqual(seen, want) {
-		t.Fatal(seen)
+	if left := string(document.Without("/a/x/", "/a/x0").JSON()); left != `{"a":{"x":{},"y":{"1":1}},"b":1}` {
+		t.Fatal(left)
 	}
 }
 
--- a/manifest/document.go
+++ b/manifest/document.go
@@ -90,9 +90,7 @@
 
 // headReader reads a document without its gateway's routes; what makes it no object shows as an error there.
 func headReader(content *document.Document) *Reader {
-	head := document.Change{}
-	content.Outside(routePrefix, afterRoutes, func(pointer, value string) { head.Put(pointer, value) })
-	tree, failure := Tree(document.Empty().Apply(head).JSON())
+	tree, failure := Tree(content.Without(routePrefix, afterRoutes).JSON())
 	reader := NewReader(tree)
 	if failure != nil {
 		reader.Wrong("", "%s", failure)
