Kept versions are bounded by bytes, and operations outlive the bodies of their versions

Cause: 256 versions of large configurations filled most of a core machine's disk; the window for orders that are sent again was that of the kept versions. Change: the log is a type of its own (chain/log.go) that keeps at most history versions and historyBytes bytes of changes (8 MB); the operations of the whole window stay, in a file of their own, and are handed to members that catch up. Control nodes keep 256 versions on the users' platform, other nodes 32 as before.

--- a/chain/catchup.go
+++ b/chain/catchup.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
@@ -37,15 +38,17 @@
 
 // History answers a Fetch.
 type History struct {
-	Records   []contract.Record `json:"records"`
-	Committed int64             `json:"committed"`
+	Records []contract.Record `json:"records"`
+	// Past are the operations from the revision on whose versions are no longer kept.
+	Past      []contract.PastOperation `json:"past,omitempty"`
+	Committed int64                    `json:"committed"`
 }
 
 func (owner *Owner) lacks() (int64, int64) {
 	count, first := int64(0), int64(0)
 	known := max(owner.committed, owner.seen.Held.Place.Revision)
 	for revision := max(1, known-owner.bounds.History+1); revision <= known; revision++ {
-		if _, there := owner.versions[revision]; !there || revision > owner.committed {
+		if !owner.knows(revision) || revision > owner.committed {
 			count++
 			if first == 0 && revision > owner.cursor {
 				first = revision
@@ -106,7 +109,8 @@
 		}
 	}
 	base, _ := owner.at(fetch.Base)
-	owner.send(fetch.Node, MessageHistory, History{Records: contract.Records(base, versions, contract.RecordsMost), Committed: owner.committed})
+	past := slices.DeleteFunc(owner.pastOperations(), func(one contract.PastOperation) bool { return one.Place.Revision < fetch.From })
+	owner.send(fetch.Node, MessageHistory, History{Records: contract.Records(base, versions, contract.RecordsMost), Past: past, Committed: owner.committed})
 }
 
 // history takes committed versions. What can't be put together here is asked for whole the next time.
@@ -134,11 +138,13 @@
 			}
 			owner.committed = max(owner.committed, version.Place.Revision)
 		}
+		owner.remember(history.Past)
+		owner.queuePast()
 		if count, _ := owner.lacks(); count > 0 && len(fresh) > 0 {
 			owner.scrub = now
 		}
 	}
-	if len(fresh) > 0 {
+	if len(fresh) > 0 || len(history.Past) > 0 {
 		owner.persist(now, job{versions: fresh, drop: owner.conflicts(fresh), after: arrived})
 	}
 }
--- a/chain/chain.go
+++ b/chain/chain.go
@@ -39,12 +39,14 @@
 )
 
 // Persist asks for a write to the data folder. Its parts are synced in this order: dropped versions are removed, then versions, the
-// member record and the commit mark are written. Persisted answers it once everything is synced.
+// member record, the past operations and the commit mark are written. Persisted answers it once everything is synced.
 type Persist struct {
 	Token  int64
 	Writes []Write
 	Member *MemberRecord
 	Drop   []contract.Place
+	// Past are all operations whose versions are no longer kept, if they changed.
+	Past *[]contract.PastOperation
 	// Committed is the newest version that is known to be committed.
 	Committed *contract.Place
 }
@@ -72,6 +74,8 @@
 	Stored []Stored
 	// Member is the member's durable state; it has no ID when the folder is empty or its record was damaged.
 	Member MemberRecord
+	// Past are the committed operations whose versions are no longer kept.
+	Past []contract.PastOperation
 	// Damaged names the files that were put aside, each with the reason.
 	Damaged []string
 	// Committed is the newest version that this folder knows to be committed.
@@ -106,22 +110,16 @@
 }
 
 type Owner struct {
-	bounds    env.Bounds
-	coreSize  int
-	self      contract.CoreNode
-	start     string
-	random    *rand.Rand
-	view      contract.View
-	versions  map[int64]contract.Version
-	top       int64
-	committed int64
-	assigned  int64
+	bounds   env.Bounds
+	coreSize int
+	self     contract.CoreNode
+	start    string
+	random   *rand.Rand
+	view     contract.View
+	log
 	// verified is how far this log is known to be that of the head of this view.
 	verified int64
 	salvaged map[int64]contract.Version
-	// oldest is a revision below which nothing is kept.
-	oldest     int64
-	operations operations
 	// folder is what the data folder holds.
 	folder folder
 
@@ -182,7 +180,7 @@
 // of the process and differs from that of any other start.
 func New(self contract.CoreNode, start string, coreSize int, bounds env.Bounds, recovered Recovered, random *rand.Rand) *Owner {
 	owner := &Owner{bounds: bounds, coreSize: coreSize, self: self, start: start, random: random, fit: true, bootstrap: true,
-		versions: map[int64]contract.Version{}, operations: operations{}, folder: newFolder(recovered.Stored), salvaged: map[int64]contract.Version{}, doubts: map[string]time.Duration{},
+		log: newLog(bounds.History, bounds.HistoryBytes), folder: newFolder(recovered.Stored), salvaged: map[int64]contract.Version{}, doubts: map[string]time.Duration{},
 		declared: map[string]bool{}, checks: map[int64]*check{}, foundHeld: map[string]bool{}, contacts: map[string]contact{}, needed: -1, unfoundable: -1, stuck: -1}
 	owner.recover(recovered)
 	return owner
--- a/chain/found.go
+++ b/chain/found.go
@@ -310,8 +310,8 @@
 		return
 	}
 	image := foundation.Image
-	former := owner.versions
-	owner.versions, owner.operations, owner.oldest, owner.top, owner.committed = map[int64]contract.Version{}, operations{}, 0, 0, 0
+	former, past := owner.versions, owner.pastOperations()
+	owner.log = newLog(owner.bounds.History, owner.bounds.HistoryBytes)
 	if image != nil {
 		for _, source := range []map[int64]contract.Version{owner.salvaged, former} {
 			for revision, version := range source {
@@ -322,6 +322,7 @@
 		}
 		owner.keep(*image)
 		owner.top, owner.committed = image.Place.Revision, image.Place.Revision
+		owner.remember(past)
 		owner.emit(Committed{Version: *image})
 		owner.settle(owner.committed)
 	}
--- /dev/null
+++ b/chain/log.go
@@ -0,0 +1,200 @@
+package chain
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cedarreel/cedarreel/contract"
+)
+
+// log holds a member's versions by revision. All up to committed are committed; those up to top were synced, those up to assigned were
+// numbered by this member as the head.
+//
+// It keeps the newest historyMost revisions, and of these no more than bytesMost bytes of changes. The operations of all of them are
+// kept, also of those whose versions are not: an order that is sent again finds what it did for as long.
+type log struct {
+	historyMost int64
+	bytesMost   int64
+
+	versions  map[int64]contract.Version
+	top       int64
+	committed int64
+	assigned  int64
+	// oldest is a revision below which no version is kept.
+	oldest int64
+	// bytes are those of all kept changes.
+	bytes int64
+	// operations finds what an operation made by its key. It holds the operations of all kept versions and those that are past.
+	operations map[string]contract.Place
+	// past are the committed operations whose versions are no longer kept, by revision.
+	past map[int64]contract.PastOperation
+	// pastChanged tells that the folder has to be told of them.
+	pastChanged bool
+}
+
+func newLog(historyMost, bytesMost int64) log {
+	return log{historyMost: historyMost, bytesMost: bytesMost, versions: map[int64]contract.Version{}, operations: map[string]contract.Place{}, past: map[int64]contract.PastOperation{}}
+}
+
+// Operation gives the version that an operation made, whether or not it is committed yet; without its content, where that is no longer kept.
+func (log *log) Operation(key string) (contract.Version, bool) {
+	place, there := log.operations[key]
+	if !there {
+		return contract.Version{}, false
+	}
+	if past, gone := log.past[place.Revision]; gone && past.Place == place {
+		return contract.Version{Place: place, Operation: past.Operation}, true
+	}
+	return log.at(place)
+}
+
+// OldestKept gives the oldest version that is kept.
+func (log *log) OldestKept() (contract.Version, bool) {
+	version, there := log.versions[log.oldest]
+	return version, there
+}
+
+// Remembers tells whether the operation of a committed revision is still known, so that one which is not found was never taken.
+func (log *log) Remembers(revision int64) bool { return revision > log.committed-log.historyMost }
+
+// RemembersAll tells whether the operations of all revisions there ever were are still known.
+func (log *log) RemembersAll() bool {
+	if !log.Remembers(1) {
+		return false
+	}
+	for revision := int64(1); revision < log.oldest; revision++ {
+		if !log.knows(revision) {
+			return false
+		}
+	}
+	return true
+}
+
+// at gives the version of a place, if the log has it.
+func (log *log) at(place contract.Place) (contract.Version, bool) {
+	version, there := log.versions[place.Revision]
+	return version, there && version.Place == place
+}
+
+// before gives the newest kept revision before another one, or 0.
+func (log *log) before(revision int64) int64 {
+	for previous := revision - 1; previous > 0 && previous > revision-log.historyMost; previous-- {
+		if _, there := log.versions[previous]; there {
+			return previous
+		}
+	}
+	return 0
+}
+
+// follows tells whether the log has the version before those that are passed.
+func (log *log) follows(previous contract.Place) bool {
+	_, there := log.at(previous)
+	return previous.Revision == 0 || there && previous.Revision <= log.top
+}
+
+// knows tells whether a revision is kept, or its operation is all that is left of it.
+func (log *log) knows(revision int64) bool {
+	_, kept := log.versions[revision]
+	_, past := log.past[revision]
+	return kept || past
+}
+
+// keep puts a version into the log.
+func (log *log) keep(version contract.Version) {
+	revision := version.Place.Revision
+	if former, there := log.versions[revision]; there {
+		log.forget(former)
+	}
+	delete(log.past, revision)
+	log.versions[revision] = version
+	log.bytes += version.Weight()
+	log.operations[contract.OperationKey(version.Operation)] = version.Place
+	if log.oldest == 0 || revision < log.oldest {
+		log.oldest = revision
+	}
+}
+
+// forget takes a version out of the log.
+func (log *log) forget(version contract.Version) {
+	delete(log.versions, version.Place.Revision)
+	log.bytes -= version.Weight()
+	log.forgetOperation(version.Operation, version.Place)
+}
+
+func (log *log) forgetOperation(operation string, place contract.Place) {
+	if key := contract.OperationKey(operation); log.operations[key] == place {
+		delete(log.operations, key)
+	}
+}
+
+// remember takes up operations whose versions are no longer kept, as the folder or another member has them.
+func (log *log) remember(operations []contract.PastOperation) {
+	for _, one := range operations {
+		revision := one.Place.Revision
+		if log.knows(revision) || !log.Remembers(revision) || revision > log.committed {
+			continue
+		}
+		log.past[revision] = one
+		log.operations[contract.OperationKey(one.Operation)] = one.Place
+		log.pastChanged = true
+	}
+}
+
+// pastOperations gives the operations whose versions are no longer kept, the oldest first.
+func (log *log) pastOperations() []contract.PastOperation {
+	operations := []contract.PastOperation{}
+	for _, revision := range slices.Sorted(maps.Keys(log.past)) {
+		operations = append(operations, log.past[revision])
+	}
+	return operations
+}
+
+// trim forgets the committed versions that are too old or too many bytes, but never the newest, and gives their places. Revisions may have
+// gaps, none larger than the window.
+func (log *log) trim() []contract.Place {
+	drop := []contract.Place{}
+	for ; log.oldest > 0 && log.oldest < log.committed && (!log.Remembers(log.oldest) || log.bytes > log.bytesMost); log.oldest++ {
+		version, there := log.versions[log.oldest]
+		if !there {
+			continue
+		}
+		drop = append(drop, version.Place)
+		log.forget(version)
+		if log.Remembers(log.oldest) {
+			log.past[log.oldest] = contract.PastOperation{Place: version.Place, Operation: version.Operation}
+			log.operations[contract.OperationKey(version.Operation)] = version.Place
+			log.pastChanged = true
+		}
+	}
+	for revision, one := range log.past {
+		if !log.Remembers(revision) {
+			delete(log.past, revision)
+			log.forgetOperation(one.Operation, one.Place)
+		}
+	}
+	return drop
+}
+
+// truncate takes all versions after a revision out of the log and gives their places.
+func (log *log) truncate(last int64) []contract.Place {
+	drop := []contract.Place{}
+	for revision, version := range log.versions {
+		if revision > last {
+			drop = append(drop, version.Place)
+			log.forget(version)
+		}
+	}
+	if log.top > last {
+		log.top = log.before(last + 1)
+	}
+	return drop
+}
+
+// Versions gives all kept versions, the oldest first.
+func (log *log) Versions() []contract.Version {
+	versions := []contract.Version{}
+	for _, revision := range slices.Sorted(maps.Keys(log.versions)) {
+		versions = append(versions, log.versions[revision])
+	}
+	return versions
+}
--- a/chain/persist.go
+++ b/chain/persist.go
@@ -23,6 +23,7 @@
 type job struct {
 	versions []contract.Version
 	record   bool
+	past     bool
 	drop     []contract.Place
 	mark     *contract.Place
 	after    func(now time.Duration)
@@ -54,6 +55,8 @@
 		return
 	}
 	owner.recoverLog(newest, recovered.Committed)
+	owner.remember(recovered.Past)
+	owner.pastChanged = false
 }
 
 // recoverLog takes up the log of a member of a view. One that was not in the chain keeps only what was committed: nobody counts on the
@@ -76,6 +79,14 @@
 	owner.queueDrop(drop)
 }
 
+// queuePast has the operations whose versions are no longer kept written with the next write, if they changed.
+func (owner *Owner) queuePast() {
+	if owner.pastChanged {
+		owner.pastChanged = false
+		owner.jobs = append(owner.jobs, job{past: true})
+	}
+}
+
 // queueDrop has versions removed from the folder with the next write.
 func (owner *Owner) queueDrop(places []contract.Place) {
 	if len(places) > 0 {
@@ -118,7 +129,7 @@
 	merged.writes, merged.removed = owner.folder.plan(merged.versions, merged.drop)
 	owner.token++
 	owner.writing, owner.writingSince = &merged, now
-	owner.emit(Persist{Token: owner.token, Writes: merged.writes, Member: owner.currentRecord(merged.record), Drop: merged.removed, Committed: merged.mark})
+	owner.emit(Persist{Token: owner.token, Writes: merged.writes, Member: owner.currentRecord(merged.record), Past: owner.currentPast(merged.past), Drop: merged.removed, Committed: merged.mark})
 }
 
 // merge makes one job of several. Since drops are carried out first, a version that a later job drops is not written at all.
@@ -135,6 +146,7 @@
 		merged.versions = append(merged.versions, work.versions...)
 		merged.drop = append(merged.drop, work.drop...)
 		merged.record = merged.record || work.record
+		merged.past = merged.past || work.past
 		if work.mark != nil {
 			merged.mark = work.mark
 		}
@@ -151,6 +163,14 @@
 		Accepted: owner.accepted, Founding: owner.foundAccepted}
 }
 
+func (owner *Owner) currentPast(wanted bool) *[]contract.PastOperation {
+	if !wanted {
+		return nil
+	}
+	past := owner.pastOperations()
+	return &past
+}
+
 func (owner *Owner) persisted(now time.Duration, event Persisted) {
 	if owner.writing == nil || event.Token != owner.token {
 		return
--- a/chain/write.go
+++ b/chain/write.go
@@ -1,7 +1,6 @@
 package chain
 
 import (
-	"sort"
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
@@ -107,15 +106,6 @@
 	}
 }
 
-func (owner *Owner) before(revision int64) int64 {
-	for previous := revision - 1; previous > 0 && previous > revision-owner.bounds.History; previous-- {
-		if _, there := owner.versions[previous]; there {
-			return previous
-		}
-	}
-	return 0
-}
-
 func (owner *Owner) pass(now time.Duration, pass Pass) {
 	rank := owner.rank()
 	if pass.View != owner.view.Number || owner.sealed || rank < 1 || owner.view.Chain[rank-1] != pass.From.Identity() {
@@ -150,18 +140,6 @@
 	owner.persist(now, job{versions: fresh, drop: owner.conflicts(fresh), after: arrived})
 }
 
-// at gives the version of a place, if the log has it.
-func (owner *Owner) at(place contract.Place) (contract.Version, bool) {
-	version, there := owner.versions[place.Revision]
-	return version, there && version.Place == place
-}
-
-// follows tells whether the log has the version before those that are passed.
-func (owner *Owner) follows(previous contract.Place) bool {
-	held, there := owner.versions[previous.Revision]
-	return previous.Revision == 0 || there && held.Place == previous && previous.Revision <= owner.top
-}
-
 // fresh gives the passed versions that the log lacks; one that contradicts a committed version spoils them all.
 func (owner *Owner) fresh(versions []contract.Version) ([]contract.Version, bool) {
 	fresh := []contract.Version{}
@@ -242,21 +220,6 @@
 	owner.assigned = max(owner.assigned, owner.top)
 }
 
-// truncate takes all versions after a revision out of the log and gives their places.
-func (owner *Owner) truncate(last int64) []contract.Place {
-	drop := []contract.Place{}
-	for revision, version := range owner.versions {
-		if revision > last {
-			drop = append(drop, version.Place)
-			owner.forget(version)
-		}
-	}
-	if owner.top > last {
-		owner.top = owner.before(last + 1)
-	}
-	return drop
-}
-
 // forsake drops what a new view leaves behind. A head drops what it numbered and passed on to nobody: it can never be committed any more,
 // and whoever asks for it by its key must not wait for it. A member that is in no chain drops all that was not committed.
 func (owner *Owner) forsake() {
@@ -297,6 +260,7 @@
 		owner.jobs = append(owner.jobs, job{mark: &version.Place})
 	}
 	owner.queueDrop(owner.trim())
+	owner.queuePast()
 }
 
 // retransmit passes the head's state and what is not yet acknowledged again, until the tail of this view has answered for it.
@@ -328,15 +292,6 @@
 	Digest    string         `json:"digest"`
 }
 
-func (owner *Owner) Versions() []contract.Version {
-	versions := []contract.Version{}
-	for _, version := range owner.versions {
-		versions = append(versions, version)
-	}
-	sort.Slice(versions, func(left, right int) bool { return versions[left].Place.Revision < versions[right].Place.Revision })
-	return versions
-}
-
 func (owner *Owner) History() []Row {
 	rows := []Row{}
 	for _, version := range owner.Versions() {
--- a/contract/version.go
+++ b/contract/version.go
@@ -31,6 +31,14 @@
 	return Version{Place: place, Operation: operation, Digest: content.Digest(), Content: content, Base: version.Place, Change: change}
 }
 
+// Weight is what a version adds to those that it shares its parts with, in bytes.
+func (version Version) Weight() int64 {
+	if version.Base.Revision > 0 {
+		return int64(version.Change.Size())
+	}
+	return int64(version.Document().Size())
+}
+
 // Document gives the content, which is empty where there is no version.
 func (version Version) Document() *document.Document {
 	if version.Content == nil {
@@ -39,6 +47,12 @@
 	return version.Content
 }
 
+// PastOperation is a committed operation whose version is no longer kept.
+type PastOperation struct {
+	Place     Place  `json:"place"`
+	Operation string `json:"operation"`
+}
+
 // Record is a version as it travels between nodes and lies on disk: whole, or as the change of a version that the reader must hold.
 type Record struct {
 	Place     Place            `json:"place"`
--- a/control/gateway.go
+++ b/control/gateway.go
@@ -54,7 +54,7 @@
 		return false
 	}
 	oldest, there := owner.chain.OldestKept()
-	if !there || owner.chain.Committed()-oldest.Place.Revision < owner.Bounds.History-1 {
+	if !there || owner.chain.RemembersAll() {
 		return false
 	}
 	return ask.Base < manifest.GatewayRevision(oldest.Document())
--- a/emulator/machine.go
+++ b/emulator/machine.go
@@ -72,7 +72,7 @@
 	settings.Joins, settings.Wide = machine.founded, true
 	settings.CoreSize = min(2*int64(bounds.ToleratedMachines)+1, 9)
 	settings.Bounds.WithdrawMs, settings.Bounds.EvacuateMs, settings.Bounds.DeliverMs = bounds.DrainMs, bounds.EvacuateMs, bounds.PropagateMs
-	settings.Bounds.ReturnMs, settings.Bounds.History, settings.Bounds.BodyBytes = int64(bounds.RecoverS*1000), 32, 32<<20
+	settings.Bounds.ReturnMs, settings.Bounds.BodyBytes = int64(bounds.RecoverS*1000), 32<<20
 	settings.Gateway = env.Gateway{Traffic: machine.address + ":" + trafficPort, Ready: machine.address + ":" + readyPort, Lookup: machine.address + ":" + lookupPort,
 		RepeatRatio: bounds.RetryRatio, RepeatWindow: seconds(bounds.RetryWindowS), RepeatAllowance: bounds.RetryAllowance,
 		Contact: milliseconds(bounds.ContactMs), Grace: seconds(bounds.GraceS), LookupLife: seconds(bounds.LookupLifeS) / 5}
@@ -98,6 +98,7 @@
 	if machine.controls() {
 		machine.control = newControlShell(machine, settings)
 	}
+	settings.Bounds.History = env.HistoryOfNodes
 	machine.data = newDataShell(machine, settings)
 	for _, process := range machine.processes() {
 		process.after(time.Duration(machine.day.world.random.Int64N(int64(settings.Bounds.Tick()))), func() { process.tick(settings.Bounds.Tick()) })
--- a/env/env.go
+++ b/env/env.go
@@ -24,9 +24,14 @@
 	ReportBytes int64
 	Calls       int64
 	Records     int64
-	History     int64
+	// History is how many versions of the configuration are kept, HistoryBytes how many bytes of changes of them.
+	History      int64
+	HistoryBytes int64
 }
 
+// HistoryOfNodes is how many versions are kept by a node that only follows the configuration, where a platform tells no other number.
+const HistoryOfNodes = 32
+
 type Env struct {
 	Name     string
 	Zone     string
@@ -51,7 +56,7 @@
 func DefaultBounds() Bounds {
 	return Bounds{
 		WithdrawMs: 4000, EvacuateMs: 5000, DeliverMs: 3000, ReturnMs: 12000, DeadlineMs: 60000,
-		BodyBytes: 1 << 20, ReplyBytes: 1 << 20, ReportBytes: 1 << 20, Calls: 2048, Records: 65536, History: 256,
+		BodyBytes: 1 << 20, ReplyBytes: 1 << 20, ReportBytes: 1 << 20, Calls: 2048, Records: 65536, History: 256, HistoryBytes: 8 << 20,
 	}
 }
 
@@ -142,6 +147,7 @@
 		{"deadlineMs", &bounds.DeadlineMs, 1000, 3600000}, {"bodyBytes", &bounds.BodyBytes, 1024, 64 << 20},
 		{"replyBytes", &bounds.ReplyBytes, 1024, 64 << 20}, {"reportBytes", &bounds.ReportBytes, 256, 1 << 20},
 		{"calls", &bounds.Calls, 1, 1 << 20}, {"records", &bounds.Records, 16, 1 << 24}, {"history", &bounds.History, 2, 4096},
+		{"historyBytes", &bounds.HistoryBytes, 1 << 10, 1 << 30},
 	}
 	names := []string{}
 	for _, field := range fields {
@@ -188,7 +194,7 @@
 		"coreSize": settings.CoreSize,
 		"bounds": map[string]any{"withdrawMs": bounds.WithdrawMs, "evacuateMs": bounds.EvacuateMs, "deliverMs": bounds.DeliverMs,
 			"returnMs": bounds.ReturnMs, "deadlineMs": bounds.DeadlineMs, "bodyBytes": bounds.BodyBytes, "replyBytes": bounds.ReplyBytes,
-			"reportBytes": bounds.ReportBytes, "calls": bounds.Calls, "records": bounds.Records, "history": bounds.History},
+			"reportBytes": bounds.ReportBytes, "calls": bounds.Calls, "records": bounds.Records, "history": bounds.History, "historyBytes": bounds.HistoryBytes},
 	}, "", "  ")
 	return content
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -66,11 +66,13 @@
 	read    manifest.Manifest
 	view    contract.View
 	kept    map[int64]contract.Version
-	asked   time.Duration
-	told    time.Duration
-	began   time.Duration
-	lacked  time.Duration
-	gained  bool
+	// keptFrom is a revision below which nothing is kept, since those above it are as many bytes of changes as may be kept.
+	keptFrom int64
+	asked    time.Duration
+	told     time.Duration
+	began    time.Duration
+	lacked   time.Duration
+	gained   bool
 	// wantsWhole holds after a version came that could not be put together: the next question is for a whole one.
 	wantsWhole bool
 	// packed is the newest version as it was packed for others, of the place packedOf.
@@ -190,7 +192,7 @@
 		return nil
 	}
 	newest, missing, gaps := owner.version.Place.Revision, []int64{}, []int64{}
-	for revision := max(1, newest-owner.bounds.History+1); revision < newest; revision++ {
+	for revision := max(1, newest-owner.bounds.History+1, owner.keptFrom); revision < newest; revision++ {
 		if _, there := owner.kept[revision]; !there {
 			if len(missing) == 0 || missing[len(missing)-1] != revision-1 {
 				gaps = append(gaps, revision)
@@ -213,7 +215,7 @@
 	versions, _ := contract.OpenRecords(records, owner.at)
 	for _, version := range versions {
 		_, there := owner.kept[version.Place.Revision]
-		if !there && version.Place.Revision < owner.version.Place.Revision {
+		if !there && version.Place.Revision < owner.version.Place.Revision && version.Place.Revision >= owner.keptFrom {
 			owner.kept[version.Place.Revision], owner.gained = version, true
 		}
 	}
@@ -324,6 +326,19 @@
 	return owner.read.Next(version.Document(), change)
 }
 
+// trim forgets the oldest versions when all that are kept are too many bytes of changes; the newest one always stays.
+func (owner *Owner) trim() {
+	bytes := int64(0)
+	versions := owner.from(0)
+	for place := len(versions) - 1; place >= 0; place-- {
+		bytes += versions[place].Weight()
+		if bytes > owner.bounds.HistoryBytes && place < len(versions)-1 {
+			owner.keptFrom = max(owner.keptFrom, versions[place+1].Place.Revision)
+			delete(owner.kept, versions[place].Place.Revision)
+		}
+	}
+}
+
 // Take adopts what is newer and passes the news on; a lower revision or view never replaces a higher one.
 func (owner *Owner) Take(change Change, neighbours []string) []contract.Command {
 	commands, moved, fresh := []contract.Command{}, false, []contract.Version{}
@@ -351,6 +366,7 @@
 			delete(owner.kept, revision+1-owner.bounds.History)
 		}
 		owner.version, owner.read, moved = version, read, true
+		owner.trim()
 		commands = append(commands, contract.Adopted{Version: version})
 		break
 	}
--- a/image/image.go
+++ b/image/image.go
@@ -30,6 +30,7 @@
 	prefix     = "manifest-"
 	memberName = "member.json"
 	markName   = "committed.json"
+	pastName   = "operations.json"
 	aside      = ".aside"
 	damaged    = ".damaged"
 )
@@ -89,6 +90,11 @@
 			return eris.Wrap(failure, "member record not written")
 		}
 	}
+	if work.Past != nil {
+		if failure := write(pastName, *work.Past); failure != nil {
+			return eris.Wrap(failure, "past operations not written")
+		}
+	}
 	if work.Committed != nil {
 		if failure := write(markName, *work.Committed); failure != nil {
 			return eris.Wrap(failure, "commit mark not written")
@@ -143,7 +149,7 @@
 
 func loadFile(files Files, name string, recovered *chain.Recovered) error {
 	isVersion := strings.HasPrefix(name, prefix) && strings.HasSuffix(name, ".json")
-	if !isVersion && name != memberName && name != markName {
+	if !isVersion && name != memberName && name != markName && name != pastName {
 		return nil
 	}
 	content, failure := files.Read(name)
@@ -157,6 +163,8 @@
 			recovered.Member = record
 		}
 		return failure
+	case pastName:
+		return unwrap(content, &recovered.Past)
 	case markName:
 		return unwrap(content, &recovered.Committed)
 	}
--- a/image/image_test.go
+++ b/image/image_test.go
@@ -95,6 +95,36 @@
 		Expect(recovered.Member.View.Number).To(Equal(int64(5)))
 	})
 
+	It("gives back the operations of versions that are gone, and changes of versions with what they are changes of", func() {
+		first := version(3, `{"a":{"b":{"c":1}}}`)
+		change := document.Change{}
+		change.Put("/a/b/c", "2")
+		next := first.Next(contract.Place{View: 1, Revision: 4}, "o/4", change)
+		past := []contract.PastOperation{{Place: contract.Place{View: 1, Revision: 1}, Operation: "o/1"}}
+		Expect(Save(folder, chain.Persist{Writes: []chain.Write{{Version: first}, {Version: next, Base: first}}, Past: &past})).To(Succeed())
+		recovered, failure := Load(folder)
+		Expect(failure).NotTo(HaveOccurred())
+		Expect(recovered.Past).To(Equal(past))
+		Expect(recovered.Versions[3].Digest).To(Equal(next.Digest))
+		Expect(recovered.Stored[3].Base).To(Equal(first.Place))
+		Expect(folder.Remove(nameOf(first.Place))).To(Succeed())
+		recovered, failure = Load(folder)
+		Expect(failure).NotTo(HaveOccurred())
+		Expect(recovered.Versions).To(HaveLen(2), "a change without its base is not used")
+		Expect(recovered.Damaged).To(HaveLen(1))
+	})
+
+	It("reads the whole versions of former releases, whose digest is that of the text", func() {
+		text := `{"a":7}`
+		former := contract.Record{Place: contract.Place{View: 1, Revision: 3}, Operation: "o/1", Digest: contract.Digest([]byte(text)), Manifest: json.RawMessage(text)}
+		content, failure := wrap(former)
+		Expect(failure).NotTo(HaveOccurred())
+		Expect(folder.WriteAside(nameOf(former.Place), content)).To(Succeed())
+		recovered, failure := Load(folder)
+		Expect(failure).NotTo(HaveOccurred())
+		Expect(texts(recovered.Versions[2:])).To(Equal(texts([]contract.Version{version(3, text)})))
+	})
+
 	It("drops old versions and what was written aside but never renamed", func() {
 		Expect(folder.WriteAside(nameOf(contract.Place{View: 1, Revision: 3})+aside, []byte("half"))).To(Succeed())
 		Expect(Save(folder, chain.Persist{Drop: []contract.Place{{View: 1, Revision: 1}, {View: 9, Revision: 9}}})).To(Succeed())
