--- a/call/call.go
+++ b/call/call.go
@@ -215,7 +215,7 @@
 	}
 }
 
-// Share gives the newest records for a fellow that forgot; replies stay where they are.
+// Share gives the newest records for a peer that forgot; replies stay where they are.
 func (table *Table) Share(now time.Duration, region string, all bool, most int) []Record {
 	records := []Record{}
 	for place := len(table.order) - 1; place >= 0 && len(records) < most; place-- {
@@ -229,7 +229,7 @@
 	return records
 }
 
-// Absorb takes what a fellow handed over; what is known here already stays.
+// Absorb takes what a peer handed over; what is known here already stays.
 func (table *Table) Absorb(now time.Duration, record Record) {
 	if _, there := table.entries[record.Scoped]; there || record.Life <= 0 || int64(len(table.entries)) >= table.most {
 		return
--- a/chain/found.go
+++ b/chain/found.go
@@ -35,7 +35,7 @@
 type founding struct {
 	ballot     Ballot
 	started    time.Duration
-	fellows    []contract.CoreNode
+	peers      []contract.CoreNode
 	tells      map[string]FoundTell
 	foundation *Foundation
 	votes      map[string]bool
@@ -88,31 +88,31 @@
 	return false
 }
 
-// foundFellows are those who all have to agree to a first view, or to one after the core was lost: then every machine of the old core
+// foundPeers are those who all have to agree to a first view, or to one after the core was lost: then every machine of the old core
 // must be there, as the member that it was or as its successor, or be declared gone. Others take the places of those.
-func (owner *Owner) foundFellows() []contract.CoreNode {
+func (owner *Owner) foundPeers() []contract.CoreNode {
 	if owner.view.Number == 0 {
 		return owner.founderNodes()
 	}
-	fellows := []contract.CoreNode{}
+	peers := []contract.CoreNode{}
 	for _, node := range owner.view.Core {
 		successor, replaced := owner.successor(node)
 		switch {
 		case owner.aliveCore(node):
-			fellows = append(fellows, node)
+			peers = append(peers, node)
 		case replaced:
-			fellows = append(fellows, successor)
+			peers = append(peers, successor)
 		case !owner.declared[node.Identity()]:
 			return nil
 		}
 	}
 	for _, node := range owner.strangers() {
-		if len(owner.declared) > 0 && len(fellows) < owner.coreSize && !slices.Contains(fellows, node) {
-			fellows = append(fellows, node)
+		if len(owner.declared) > 0 && len(peers) < owner.coreSize && !slices.Contains(peers, node) {
+			peers = append(peers, node)
 		}
 	}
-	sortByName(fellows)
-	return fellows
+	sortByName(peers)
+	return peers
 }
 
 // founderNodes are the members that bootstrap a blank fleet: those at the addresses that were told, or all that are seen.
@@ -161,18 +161,18 @@
 		return
 	}
 	owner.askFounded(now)
-	fellows := owner.foundFellows()
-	if owner.view.Number == 0 && (len(fellows) != owner.founderCount() || !owner.blankFleet()) {
+	peers := owner.foundPeers()
+	if owner.view.Number == 0 && (len(peers) != owner.founderCount() || !owner.blankFleet()) {
 		return
 	}
 	waited := now - owner.unfoundable
-	if len(fellows) < 2 || waited < owner.bounds.Round() || now-owner.started < owner.bounds.Lease() || now < owner.retry || fellows[0].Identity() != owner.self.Identity() {
+	if len(peers) < 2 || waited < owner.bounds.Round() || now-owner.started < owner.bounds.Lease() || now < owner.retry || peers[0].Identity() != owner.self.Identity() {
 		return
 	}
 	owner.foundPromised.Round++
 	ballot := Ballot{Number: owner.view.Number + 1, Round: owner.foundPromised.Round, Proposer: owner.proposer()}
-	owner.founding = &founding{ballot: ballot, started: now, fellows: fellows, tells: map[string]FoundTell{}, votes: map[string]bool{}}
-	for _, node := range fellows {
+	owner.founding = &founding{ballot: ballot, started: now, peers: peers, tells: map[string]FoundTell{}, votes: map[string]bool{}}
+	for _, node := range peers {
 		owner.send(node, MessageFoundAsk, FoundAsk{Ballot: ballot, Node: owner.self})
 	}
 	owner.emit(contract.Count{Name: "foundings_tried", By: 1})
@@ -214,18 +214,18 @@
 		owner.foundPromised.Round = max(owner.foundPromised.Round, tell.Refused.Round)
 		return
 	}
-	if !slices.Contains(founding.fellows, tell.Node) {
+	if !slices.Contains(founding.peers, tell.Node) {
 		return
 	}
 	founding.tells[tell.Node.Identity()] = tell
-	if len(founding.tells) < len(founding.fellows) {
+	if len(founding.tells) < len(founding.peers) {
 		return
 	}
 	foundation := Foundation{Ballot: founding.ballot, Node: owner.self, View: contract.View{Number: founding.ballot.Number}}
 	if owner.view.Number > 0 {
 		foundation.View.Number += foundingGap
 	}
-	for _, node := range founding.fellows {
+	for _, node := range founding.peers {
 		other := founding.tells[node.Identity()]
 		if owner.view.Number == 0 && !other.Blank {
 			return
@@ -239,21 +239,21 @@
 	foundation.View.Holders = foundation.View.Chain
 	for _, node := range owner.view.Core {
 		present := len(foundation.View.Core) >= owner.coreSize
-		for _, fellow := range founding.fellows {
-			present = present || fellow.Name == node.Name
+		for _, peer := range founding.peers {
+			present = present || peer.Name == node.Name
 		}
 		if !present {
 			foundation.View.Core = append(foundation.View.Core, node)
 		}
 	}
-	for _, node := range founding.fellows {
+	for _, node := range founding.peers {
 		accepted := founding.tells[node.Identity()].Accepted
 		if accepted != nil && accepted.Ballot.Number == founding.ballot.Number && sameCore(accepted.View, foundation.View) {
 			foundation.View, foundation.Image = accepted.View, accepted.Image
 		}
 	}
 	founding.foundation = &foundation
-	for _, node := range founding.fellows {
+	for _, node := range founding.peers {
 		owner.send(node, MessageFoundAccept, foundation)
 	}
 }
@@ -295,13 +295,13 @@
 		return
 	}
 	founding.votes[accepted.Node.Identity()] = true
-	if len(founding.votes) < len(founding.fellows) {
+	if len(founding.votes) < len(founding.peers) {
 		return
 	}
-	fellows, foundation := founding.fellows, *founding.foundation
+	peers, foundation := founding.peers, *founding.foundation
 	owner.founding = nil
 	owner.begin(now, foundation)
-	owner.sendOthers(fellows, MessageFoundBegin, foundation)
+	owner.sendOthers(peers, MessageFoundBegin, foundation)
 }
 
 // begin takes up a foundation: the image is in force again, with the older versions that this folder still has.
--- a/chain/reach.go
+++ b/chain/reach.go
@@ -10,7 +10,7 @@
 // Heartbeat goes from each member of the core to each other one. Heard names the members whose own heartbeats came lately, so that both
 // ends of a link know when it works one way only.
 //
-// Membership alone does not tell whether members reach each other: a member that is cut off from its fellows and not from other nodes is
+// Membership alone does not tell whether members reach each other: a member that is cut off from its peers and not from other nodes is
 // still told to be alive by those, while no version passes through it.
 type Heartbeat struct {
 	From  contract.CoreNode `json:"from"`
--- a/control/gather.go
+++ b/control/gather.go
@@ -154,18 +154,18 @@
 }
 
 func (owner *Owner) why(now time.Duration, ask contract.Ask) []contract.Command {
-	tales := []json.RawMessage{}
+	traces := []json.RawMessage{}
 	fits := func(member contract.Member) bool { return member.Kind == contract.KindData }
 	return owner.gather(now, fits, MessageWhyAsk, owner.statusMessage(ask.Subject), func(body json.RawMessage) bool {
 		var some []json.RawMessage
 		if json.Unmarshal(body, &some) == nil {
-			tales = append(tales, some...)
+			traces = append(traces, some...)
 		}
 		return false
 	}, func(time.Duration) []contract.Command {
-		if len(tales) == 0 {
+		if len(traces) == 0 {
 			return []contract.Command{contract.Refuse(ask.Token, 404, "no node remembers this call", 0)}
 		}
-		return []contract.Command{contract.Answer{Token: ask.Token, Status: 200, Body: map[string]any{"call": ask.Subject, "tales": tales}}}
+		return []contract.Command{contract.Answer{Token: ask.Token, Status: 200, Body: map[string]any{"call": ask.Subject, "traces": traces}}}
 	})
 }
--- a/control/stale_test.go
+++ b/control/stale_test.go
@@ -22,7 +22,7 @@
 	return nodes
 }
 
-// staleHead is the head of view 1, which holds a configuration of revision 5, hears its fellows and does not know what they decided since.
+// staleHead is the head of view 1, which holds a configuration of revision 5, hears its peers and does not know what they decided since.
 func staleHead() *Owner {
 	GinkgoHelper()
 	nodes := coreNodes()
--- a/data/data.go
+++ b/data/data.go
@@ -19,7 +19,7 @@
 
 const (
 	affinitySize = 8192
-	talesSize    = 4096
+	tracesSize   = 4096
 	replyMemory  = 32
 )
 
@@ -101,7 +101,7 @@
 	usages    map[string]pick.Usage
 	lingers   []linger
 	sessions  *affinity
-	tales     *tales
+	traces    *traces
 	turned    map[string]rest
 	finds     map[int64]*find
 	nextAsk   time.Duration
@@ -117,7 +117,7 @@
 	return &Owner{Node: machine.New(settings, contract.KindData, boot, random), settings: settings,
 		grants: map[int]*grant{}, jobs: map[int64]*job{}, finds: map[int64]*find{}, turned: map[string]rest{}, shared: map[string]string{}, lines: line.New(), usages: map[string]pick.Usage{},
 		table:    call.NewTable(bounds.Record(), bounds.Records, bounds.ReplyBytes*replyMemory),
-		sessions: newAffinity(affinitySize), tales: newTales(talesSize)}
+		sessions: newAffinity(affinitySize), traces: newTraces(tracesSize)}
 }
 
 func (owner *Owner) emit(commands ...contract.Command) { owner.out = append(owner.out, commands...) }
@@ -226,7 +226,7 @@
 		readMessage(owner, message, func(shared Shared) { owner.takeShare(now, message, shared) })
 	case control.MessageWhyAsk:
 		readMessage(owner, message, func(ask control.StatusAsk) {
-			body, _ := json.Marshal(owner.tales.find(ask.Call))
+			body, _ := json.Marshal(owner.traces.find(ask.Call))
 			owner.emit(contract.Send{To: ask.Address, Kind: control.MessageWhy, Body: control.Status{Token: ask.Token, Node: owner.Self().Name, Body: body}})
 		})
 	}
--- a/data/end.go
+++ b/data/end.go
@@ -70,8 +70,8 @@
 		return
 	}
 	owner.dropAttempt(now, job, event.Attempt, event.Proof == call.Whole || event.Proof.NeverRan())
-	if place := event.Attempt - 1; place < len(job.tale.Attempts) {
-		job.tale.Attempts[place].Proof, job.tale.Attempts[place].Error = string(event.Proof), event.Error
+	if place := event.Attempt - 1; place < len(job.trace.Attempts) {
+		job.trace.Attempts[place].Proof, job.trace.Attempts[place].Error = string(event.Proof), event.Error
 	}
 	owner.count("attempts_" + string(event.Proof))
 	if event.Proof == call.NotSent || event.Proof == call.Refused || event.Proof == call.Silent || event.Proof == call.Broken {
--- a/data/handover.go
+++ b/data/handover.go
@@ -13,7 +13,7 @@
 	shareBatch = 512
 )
 
-// Share asks for the records that a node that just started should have had: those of its region, and of a fellow all, since both
+// Share asks for the records that a node that just started should have had: those of its region, and of a peer all, since both
 // keep calls of other regions too.
 type Share struct {
 	Address string `json:"address"`
--- a/data/job.go
+++ b/data/job.go
@@ -51,7 +51,7 @@
 	tried     map[string]bool
 	hedged    bool
 	searched  bool
-	tale      *Tale
+	trace     *Trace
 	silent    bool
 }
 
@@ -64,8 +64,8 @@
 	home, fine := read.Home(asked.Caller, asked.Home, owner.Self().Region)
 	asked.Home = home
 	job := &job{token: event.Token, call: asked, arrived: now, tried: map[string]bool{}, attempts: map[int]*attempt{},
-		tale: &Tale{Call: asked.Key, Caller: asked.Caller, Route: asked.Route, Node: owner.Self().Name, Home: home, Revision: owner.Feed.Version().Place.Revision, arrived: now}}
-	owner.tales.add(job.tale)
+		trace: &Trace{Call: asked.Key, Caller: asked.Caller, Route: asked.Route, Node: owner.Self().Name, Home: home, Revision: owner.Feed.Version().Place.Revision, arrived: now}}
+	owner.traces.add(job.trace)
 	owner.count("calls")
 	if !owner.Feed.Known() || owner.stopping {
 		owner.refuse(now, job, 503, "this node does not serve now", owner.jitter(owner.Bounds.Round()))
@@ -120,7 +120,7 @@
 }
 
 func (owner *Owner) trouble(now time.Duration, job *job, status int, outcome call.Outcome, err string, after time.Duration) {
-	job.tale.Error = err
+	job.trace.Error = err
 	owner.count(fmt.Sprintf("answers_%d", status))
 	owner.finish(now, job, outcome, contract.Answer{Token: job.token, Status: status, After: after,
 		Body: contract.Trouble{Outcome: string(outcome), Error: err, RetryAfterMs: after.Milliseconds()}})
@@ -135,16 +135,16 @@
 		owner.dropAttempt(now, job, number, false)
 		owner.emit(Cancel{Token: job.token, Attempt: number})
 	}
-	owner.closeTale(now, job, outcome, answer)
+	owner.closeTrace(now, job, outcome, answer)
 	if answer != nil && !job.silent {
 		owner.emit(answer)
 	}
 }
 
-func (owner *Owner) closeTale(now time.Duration, job *job, outcome call.Outcome, answer contract.Command) {
-	job.tale.Outcome, job.tale.TookMs = string(outcome), (now - job.arrived).Milliseconds()
+func (owner *Owner) closeTrace(now time.Duration, job *job, outcome call.Outcome, answer contract.Command) {
+	job.trace.Outcome, job.trace.TookMs = string(outcome), (now - job.arrived).Milliseconds()
 	if given, fine := answer.(contract.Answer); fine {
-		job.tale.Status = given.Status
+		job.trace.Status = given.Status
 	}
 	owner.count("outcomes_" + string(outcome))
 	if outcome == call.Done {
@@ -234,7 +234,7 @@
 	if want.Prefix != "" {
 		owner.sessions.set("prefix/"+want.Prefix, chosen.Name)
 	}
-	owner.tellTale(job, chosen, verdicts, lapsed)
+	owner.fillTrace(job, chosen, verdicts, lapsed)
 	owner.emit(Dispatch{Token: job.token, Attempt: job.tries, Identity: identity(owner.Self(), job, job.tries), Server: chosen,
 		Limit: job.deadline - now, Until: min(owner.leasedUntil(now, chosen.Name), job.deadline)})
 	return true
@@ -246,19 +246,19 @@
 
 const mostVerdicts = 32
 
-func (owner *Owner) tellTale(job *job, chosen contract.Candidate, verdicts []pick.Verdict, lapsed []int) {
+func (owner *Owner) fillTrace(job *job, chosen contract.Candidate, verdicts []pick.Verdict, lapsed []int) {
 	if len(verdicts) > mostVerdicts {
 		verdicts = verdicts[:mostVerdicts]
 	}
-	job.tale.Attempts = append(job.tale.Attempts, TaleAttempt{Server: chosen.Name, Verdicts: verdicts})
-	job.tale.Lists = nil
+	job.trace.Attempts = append(job.trace.Attempts, TraceAttempt{Server: chosen.Name, Verdicts: verdicts})
+	job.trace.Lists = nil
 	for _, index := range owner.shardIndexes() {
 		held := owner.grants[index]
-		list := TaleList{Shard: index, Epoch: held.lease.Epoch, Number: held.lease.Number}
+		list := TraceList{Shard: index, Epoch: held.lease.Epoch, Number: held.lease.Number}
 		for _, other := range lapsed {
 			list.Lapsed = list.Lapsed || other == index
 		}
-		job.tale.Lists = append(job.tale.Lists, list)
+		job.trace.Lists = append(job.trace.Lists, list)
 	}
 }
 
--- a/data/keep.go
+++ b/data/keep.go
@@ -210,7 +210,7 @@
 		return
 	}
 	owner.count("repeats_met")
-	job.tale.Error = "met the record of " + record.Node + ": " + string(record.Outcome)
+	job.trace.Error = "met the record of " + record.Node + ": " + string(record.Outcome)
 	switch {
 	case record.Outcome == call.Done && record.Kept:
 		owner.finish(now, job, call.Done, contract.Answer{Token: job.token, Status: 200, Body: Reply{Pieces: record.Pieces}})
--- a/data/pass.go
+++ b/data/pass.go
@@ -66,7 +66,7 @@
 
 func (owner *Owner) away(now time.Duration, job *job, err string) {
 	after := owner.jitter(owner.Bounds.Round())
-	job.tale.Error = err
+	job.trace.Error = err
 	owner.count("answers_503")
 	owner.finish(now, job, call.NotRun, contract.Answer{Token: job.token, Status: 503, After: after, Body: contract.Trouble{Outcome: string(call.NotRun),
 		Error: err, Home: job.call.Home, RetryAfterMs: after.Milliseconds()}})
@@ -82,8 +82,8 @@
 		proof, outcome = string(call.NotSent), call.NotRun
 	}
 	owner.count("passed_on_" + map[bool]string{true: "answered", false: "unreached"}[event.Status > 0])
-	job.tale.Attempts = append(job.tale.Attempts, TaleAttempt{Server: "node " + event.Node, Proof: proof, Error: event.Error})
-	job.tale.Status = event.Status
+	job.trace.Attempts = append(job.trace.Attempts, TraceAttempt{Server: "node " + event.Node, Proof: proof, Error: event.Error})
+	job.trace.Status = event.Status
 	owner.finish(now, job, outcome, nil)
 }
 
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -78,7 +78,7 @@
 	{"freeze core", func(fleet *Fleet, span time.Duration) { fleet.FreezeFor(fleet.some(fleet.Cores(), 2), span/2) }},
 	{"cut from platform", narrow((*Fleet).fromPlatform)},
 	{"cut from a server", narrow((*Fleet).fromServer)},
-	{"cut from fellows", narrow((*Fleet).fromFellows)},
+	{"cut from peers", narrow((*Fleet).fromFellows)},
 	{"owner cut from a data node", narrow((*Fleet).ownerFromNode)},
 	{"drifting clocks", drifting},
 	{"shards change", reshard},
--- a/modelcheck/cluster.go
+++ b/modelcheck/cluster.go
@@ -70,6 +70,8 @@
 	steps   int
 	held    contract.Version
 	view    contract.View
+	// newsAlways has members hear of views and versions with every tick, for a search that draws nothing.
+	newsAlways bool
 }
 
 // New makes a cluster of members that start with empty disks.
@@ -243,7 +245,9 @@
 // seen is what a member's failure detector says; it errs as the walk wants it to.
 func (cluster *Cluster) seen(observer *member) chain.Seen {
 	seen := chain.Seen{}
-	if teller := cluster.members[cluster.random.IntN(len(cluster.members))]; teller.up() && !cluster.blocked[[2]string{teller.name, observer.name}] && cluster.random.IntN(newsOdds) == 0 {
+	if cluster.newsAlways {
+		seen.View, seen.Held = cluster.newsFor(observer)
+	} else if teller := cluster.members[cluster.random.IntN(len(cluster.members))]; teller.up() && !cluster.blocked[[2]string{teller.name, observer.name}] && cluster.random.IntN(newsOdds) == 0 {
 		seen.View = teller.owner.View()
 		seen.Held = cluster.held
 	}
@@ -259,6 +263,23 @@
 	return seen
 }
 
+// newsFor gives the newest view and version that a member in reach of another one has.
+func (cluster *Cluster) newsFor(observer *member) (contract.View, contract.Version) {
+	view, held := contract.View{}, contract.Version{}
+	for _, teller := range cluster.members {
+		if !teller.up() || cluster.blocked[[2]string{teller.name, observer.name}] {
+			continue
+		}
+		if teller.owner.View().Number > view.Number {
+			view = teller.owner.View()
+		}
+		if version, there := teller.owner.Version(teller.owner.Committed()); there && version.Place.Revision > held.Place.Revision {
+			held = version
+		}
+	}
+	return view, held
+}
+
 func (cluster *Cluster) row(member *member) contract.Member {
 	self := member.owner.Self()
 	return contract.Member{Name: member.name, CoreID: self.ID, Kind: contract.KindControl, Core: member.owner.Fit(), Address: member.name, View: member.owner.View().Number}
--- a/modelcheck/disk.go
+++ b/modelcheck/disk.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"github.com/cedarreel/cedarreel/virtual"
+	"github.com/cespare/xxhash/v2"
 )
 
 // errCrashed ends a write half way.
@@ -22,6 +24,17 @@
 	return &disk{Disk: virtual.NewDisk(nil, virtual.DiskOptions{LosesUnsynced: true}), budget: -1}
 }
 
+// listing gives the names of the files and what is in them.
+func (disk *disk) listing() string {
+	names, _ := disk.List()
+	text := ""
+	for _, name := range names {
+		content, _ := disk.Read(name)
+		text += fmt.Sprintln("file", name, xxhash.Sum64(content))
+	}
+	return text
+}
+
 func (disk *disk) spend() error {
 	if disk.budget == 0 {
 		return errCrashed
--- a/shard/ages.go
+++ b/shard/ages.go
@@ -13,7 +13,7 @@
 	MessageAgesTold = "ages-told"
 )
 
-// Ages is what a control node knows of servers that came back lately; one that has just started asks its fellows for it, or it
+// Ages is what a control node knows of servers that came back lately; one that has just started asks its peers for it, or it
 // would take a cold server that has already served a little for a warm one.
 type Ages struct {
 	Address string                   `json:"address,omitempty"`
@@ -72,7 +72,7 @@
 	}
 }
 
-// grow puts a server on the ramp that a fellow saw it begin.
+// grow puts a server on the ramp that a peer saw it begin.
 func (owner *Owner) grow(now time.Duration, name string) {
 	known := owner.servers[name]
 	from, there := owner.ages[ageKey(name, known.incarnation)]
--- a/shard/sight.go
+++ b/shard/sight.go
@@ -100,7 +100,7 @@
 	owner.shards = shards
 }
 
-// ReadTold is what a fellow read for an owner that could not.
+// ReadTold is what a peer read for an owner that could not.
 type ReadTold struct {
 	Server string          `json:"server"`
 	Asked  time.Duration   `json:"asked"`
@@ -108,15 +108,15 @@
 	Error  string          `json:"error,omitempty"`
 }
 
-// readAround asks a fellow of the region to read a report that this node could not read, in turn; it tells whether it could ask.
+// readAround asks a peer of the region to read a report that this node could not read, in turn; it tells whether it could ask.
 func (owner *Owner) readAround(now time.Duration, server string) bool {
-	fellows := []contract.Member{}
+	peers := []contract.Member{}
 	for _, member := range owner.seen.Members {
 		if member.Kind == contract.KindControl && member.Region == owner.self.Region && member.Name != owner.self.Name {
-			fellows = append(fellows, member)
+			peers = append(peers, member)
 		}
 	}
-	if len(fellows) == 0 {
+	if len(peers) == 0 {
 		return false
 	}
 	address := ""
@@ -128,7 +128,7 @@
 	known := owner.servers[server]
 	known.failures++
 	owner.turn++
-	owner.emit(contract.Count{Name: "reports_asked_around", By: 1}, contract.Send{To: fellows[owner.turn%len(fellows)].Address, Kind: MessageReadAsk,
+	owner.emit(contract.Count{Name: "reports_asked_around", By: 1}, contract.Send{To: peers[owner.turn%len(peers)].Address, Kind: MessageReadAsk,
 		Body: ReadReport{Server: server, Address: address, Back: owner.self.Address, Asked: now}})
 	return true
 }
--- a/stories/core/links_test.go
+++ b/stories/core/links_test.go
@@ -12,7 +12,7 @@
 )
 
 // Other nodes reach all members meanwhile, so that membership tells each of them to be alive.
-var _ = Describe("a member that is cut off from its fellows alone", func() {
+var _ = Describe("a member that is cut off from its peers alone", func() {
 	for rank := range 3 {
 		for _, bothWays := range []bool{true, false} {
 			It(fmt.Sprintf("does not hold up writes and reads for long (place %d in the chain, cut both ways: %v)", rank, bothWays), func() {
--- a/stories/sight/sight_test.go
+++ b/stories/sight/sight_test.go
@@ -51,13 +51,13 @@
 	ends := map[string]func(*fleet.Fleet, *fleet.Machine) []string{
 		"the platform":  func(_ *fleet.Fleet, owner *fleet.Machine) []string { return []string{"platform-" + owner.Region} },
 		"one data node": func(played *fleet.Fleet, owner *fleet.Machine) []string { return []string{other(played, owner).Name} },
-		"its fellows": func(played *fleet.Fleet, owner *fleet.Machine) []string {
+		"its peers": func(played *fleet.Fleet, owner *fleet.Machine) []string {
 			return fleet.Names(played.InRegion(owner.Region))
 		},
 		"everybody else": func(played *fleet.Fleet, _ *fleet.Machine) []string { return fleet.Names(played.Machines) },
 	}
 	for _, name := range told.Sites {
-		for _, end := range []string{"the platform", "one data node", "its fellows", "everybody else"} {
+		for _, end := range []string{"the platform", "one data node", "its peers", "everybody else"} {
 			It("in "+name+", cut from "+end+" either way or both, stops no shard of the others for long, and duties do not flap", func() {
 				for way := range 3 {
 					if name == told.Sites[1] && way != len(end)%3 {
--- a/stories/zones/ramp_test.go
+++ b/stories/zones/ramp_test.go
@@ -41,7 +41,7 @@
 			Expect(played.Ledger.Figures.ColdShare).To(BeNumerically(">", 0), "cold servers were judged")
 		})
 
-		It("is not flooded in "+name+" when a node that serves it is cut off from its fellows in the middle of its calls", func() {
+		It("is not flooded in "+name+" when a node that serves it is cut off from its peers in the middle of its calls", func() {
 			for seed := uint64(24); seed < 28; seed++ {
 				played := told.Given(name, seed)
 				played.Run(8 * time.Second)
