Relays go two hops where no member reaches both ends

Cause: a data node and an owner that each reach their own zone alone had no way to each other, while gossip told that the owner is alive. Change: an envelope names the relays ahead and those passed; once relays were tried in vain, two of three routes have two relays, the first of the own zone and the second of the target's. No message goes over more. Operators' gathers ask a second time within their round.

--- a/cmd/cedarrig/main.go
+++ b/cmd/cedarrig/main.go
@@ -34,6 +34,8 @@
 	Load     int     `long:"load" description:"instead of processes, play each scene of load in memory with so many seeds"`
 	Beside   int     `long:"beside" description:"days of a sweep played side by side" default:"8"`
 	Explore  int64   `long:"explore" description:"instead of processes, check the core in random walks of so many states"`
+	Depth    int     `long:"enumerate" description:"instead of processes, check the core in all traces of up to so many moves, each state once"`
+	Nodes    int     `long:"nodes" description:"instead of processes, check whole control nodes in so many walks of --span seconds"`
 	Members  []int   `long:"members" description:"members of the core that is checked, one size each time it is given" default:"3" default:"5" default:"6"`
 	Minutes  int     `long:"minutes" description:"how long a check of the core may take" default:"30"`
 	Plant    string  `long:"plant" description:"plant this fault in the core that is checked; 'list' names them"`
@@ -90,7 +92,12 @@
 	if given.Soak > 0 {
 		run = soakDays
 	}
-	if given.Explore > 0 || given.Plant != "" {
+	switch {
+	case given.Depth > 0:
+		run = enumerate
+	case given.Nodes > 0:
+		run = walkNodes
+	case given.Explore > 0 || given.Plant != "":
 		run = explore
 	}
 	clean, err := run(given)
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -90,7 +90,7 @@
 	From string          `json:"from"`
 	Boot string          `json:"boot"`
 	Body json.RawMessage `json:"body"`
-	// Via is the address of the relay that brought it, empty for one that came directly.
+	// Via is the route back by the relays that brought it, empty for one that came directly.
 	Via string `json:"-"`
 }
 
--- a/control/gather.go
+++ b/control/gather.go
@@ -17,6 +17,7 @@
 type gather struct {
 	until   time.Duration
 	again   time.Duration
+	tried   int
 	asked   []contract.Member
 	kind    string
 	body    any
@@ -88,7 +89,7 @@
 			continue
 		}
 		if now >= pending.again {
-			pending.again = pending.until + 1
+			pending.again = now + owner.Bounds.Round()/gatherParts
 			commands = append(commands, owner.gatherByRelay(now, pending)...)
 		}
 	}
@@ -104,8 +105,9 @@
 		if !pending.waiting.Contains(member.Name) {
 			continue
 		}
-		commands = append(commands, owner.ByRelay(now, member, contract.Send{To: member.Address, Kind: pending.kind, Body: pending.body}, "")...)
+		commands = append(commands, owner.ByRelay(now, member, contract.Send{To: member.Address, Kind: pending.kind, Body: pending.body}, "", pending.tried)...)
 	}
+	pending.tried++
 	return commands
 }
 
--- a/data/leases.go
+++ b/data/leases.go
@@ -17,8 +17,9 @@
 	asked   time.Duration
 	expires time.Duration
 	hint    string
-	// via is the relay that the owner's last answer came by, empty when it came directly.
-	via string
+	// via is the route that the owner's last answer came by, empty when it came directly; tried is how often relays were asked in vain.
+	via   string
+	tried int
 }
 
 func (owner *Owner) askLeases(now time.Duration) {
@@ -57,11 +58,12 @@
 	if !there || !silent && held.via == "" {
 		return
 	}
-	via := held.via
+	via, tried := held.via, held.tried
+	held.tried = 0
 	if silent {
-		via = ""
+		via, held.tried = "", tried+1
 	}
-	owner.emit(owner.ByRelay(now, target, contract.Send{To: target.Address, Kind: shard.MessageAsk, Body: ask}, via)...)
+	owner.emit(owner.ByRelay(now, target, contract.Send{To: target.Address, Kind: shard.MessageAsk, Body: ask}, via, tried)...)
 }
 
 func (owner *Owner) shards() int { return owner.Feed.Manifest().Regions[owner.Self().Region].Shards }
--- a/gateway/lists.go
+++ b/gateway/lists.go
@@ -21,10 +21,11 @@
 	held  bool
 	// interim is when the list was asked for that stands in until an owner's comes, 0 without one.
 	interim time.Duration
-	// via is the relay that the owner's last answer came by, empty when it came directly.
+	// via is the route that the owner's last answer came by, empty when it came directly.
 	via string
-	// relayed is when relays were asked last.
+	// relayed is when relays were asked last, tried how often they were in vain.
 	relayed time.Duration
+	tried   int
 	// overdue tells that the list was said to be unconfirmed for too long.
 	overdue bool
 }
@@ -131,12 +132,13 @@
 		return
 	}
 	held.relayed = now
-	via := held.via
+	via, tried := held.via, held.tried
+	held.tried = 0
 	if silent {
-		via = ""
+		via, held.tried = "", tried+1
 	}
 	for _, owner := range owners {
-		node.emit(node.ByRelay(now, owner, contract.Send{To: owner.Address, Kind: shard.MessageAsk, Body: ask}, via)...)
+		node.emit(node.ByRelay(now, owner, contract.Send{To: owner.Address, Kind: shard.MessageAsk, Body: ask}, via, tried)...)
 	}
 }
 
--- a/machine/machine.go
+++ b/machine/machine.go
@@ -86,20 +86,38 @@
 // relaysAtOnce is how many members are asked at once to carry a message to one that does not answer.
 const relaysAtOnce = 3
 
-// ByRelay has other members carry a message to a target that does not answer: the relay that worked last, or several that are drawn when none
-// did or it fell silent too, which an empty via says.
-func (node *Node) ByRelay(now time.Duration, target contract.Member, send contract.Send, via string) []contract.Command {
-	relays := []string{via}
-	if via == "" {
-		relays = node.Relays(now, target, relaysAtOnce)
+// ByRelay has other members carry a message to a target that does not answer: by the route that worked last, or by several that are drawn when
+// none did or it fell silent too, which an empty route says. As long as relays are tried in vain, single ones and pairs are drawn by turns.
+func (node *Node) ByRelay(now time.Duration, target contract.Member, send contract.Send, route string, tried int) []contract.Command {
+	routes := []string{route}
+	switch {
+	case route != "":
+	case tried%2 == 0:
+		routes = node.Relays(now, target, relaysAtOnce)
+	default:
+		routes = node.LongRoutes(now, target, relaysAtOnce)
 	}
-	commands := []contract.Command{contract.Count{Name: "relays_asked", By: int64(len(relays))}}
-	for _, via := range relays {
-		commands = append(commands, relay.By(via, node.Self(), send)...)
+	commands := []contract.Command{contract.Count{Name: "relays_asked", By: int64(len(routes))}}
+	for _, route := range routes {
+		commands = append(commands, relay.By(route, node.Self(), send)...)
 	}
 	return commands
 }
 
+// LongRoutes draws routes of two members: the first one over a member of this node's zone, which it likely reaches, and one of the target's
+// zone, which likely reaches that; the others over any.
+func (node *Node) LongRoutes(now time.Duration, target contract.Member, most int) []string {
+	routes := []string{}
+	begins := slices.DeleteFunc(node.Relays(now, node.Self(), most+1), func(address string) bool { return address == target.Address })
+	ends := node.Relays(now, target, most)
+	for place := range min(most, len(begins), len(ends)) {
+		if begins[place] != ends[place] {
+			routes = append(routes, relay.Route(begins[place], ends[place]))
+		}
+	}
+	return routes
+}
+
 // Relays draws the addresses of members that may reach a target which this node does not reach: one of the target's zone, where most
 // links to it are, and others of any zone. Those on the machine of either share its links and are left out.
 func (node *Node) Relays(now time.Duration, target contract.Member, most int) []string {
--- a/machine/relays_test.go
+++ b/machine/relays_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,9 +57,32 @@
 		Expect(node.Relays(time.Second+node.Bounds.Suspicion(), target, 3)).To(BeEmpty())
 	})
 
+	It("given members of both zones, when relays were tried in vain, then routes over two of them are drawn: one of the own zone, then one of the target's", func() {
+		node := met([2]string{"mate-data", "a"}, [2]string{"second-data", "a"}, [2]string{"near-data", "b"}, [2]string{"owner-control", "b"})
+		for range 20 {
+			drawn := node.LongRoutes(time.Second, target, 2)
+			Expect(drawn).NotTo(BeEmpty())
+			for _, route := range drawn {
+				Expect(strings.Split(route, ",")).To(HaveLen(2))
+			}
+			Expect(drawn[0]).To(Or(Equal("mate-data,near-data"), Equal("second-data,near-data")))
+		}
+		routes := func(tried int) []string {
+			asked := []string{}
+			for _, command := range node.ByRelay(time.Second, target, contract.Send{To: "owner-control", Kind: "question", Body: 1}, "", tried) {
+				if send, fine := command.(contract.Send); fine {
+					asked = append(asked, relay.Route(append([]string{send.To}, send.Body.(relay.Envelope).Ahead...)...))
+				}
+			}
+			return asked
+		}
+		Expect(routes(0)).NotTo(ContainElement(ContainSubstring(",")))
+		Expect(routes(1)).To(ContainElement(ContainSubstring(",")))
+	})
+
 	It("given an envelope, when it comes, then its message is handled as its sender's, and one for an unknown target is refused", func() {
 		node := met([2]string{"asker-data", "b"}, [2]string{"middle-data", "b"})
-		envelope := relay.Envelope{To: "self-data", Via: "middle-data", From: "asker-data", Address: "asker-data", Kind: "question", Body: json.RawMessage("1")}
+		envelope := relay.Envelope{To: "self-data", Passed: []string{"middle-data"}, From: "asker-data", Address: "asker-data", Kind: "question", Body: json.RawMessage("1")}
 		body, failure := json.Marshal(envelope)
 		Expect(failure).NotTo(HaveOccurred())
 		handled := []contract.Event{}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -1,10 +1,11 @@
-// Package relay carries a message to a member of the fleet by way of another member, for when the link between the two is cut while
-// others reach both. What is reached so is what membership tells of: gossip also travels by way of others, so that a member which is
+// Package relay carries a message to a member of the fleet by way of one or two other members, for when the link between the two is cut
+// while others reach them. What is reached so is what membership tells of: gossip also travels by way of others, so that a member which is
 // alive in everybody's eyes may be out of reach of some.
 package relay
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 
 	"github.com/cedarreel/cedarreel/contract"
@@ -15,13 +16,28 @@
 	MessageForward = kindPrefix + "forward"
 	MessageDeliver = kindPrefix + "deliver"
 	kindPrefix     = "relay-"
+	// hopsMost is how many relays carry one message.
+	hopsMost = 2
+	hopMark  = ","
 )
 
+// Route gives the way by some relays, the first one first, as it stands in a message.
+func Route(relays ...string) string { return strings.Join(relays, hopMark) }
+
+// back gives the route of the way back over relays that were passed.
+func back(passed []string) string {
+	returned := slices.Clone(passed)
+	slices.Reverse(returned)
+	return Route(returned...)
+}
+
 // Envelope is a message on its way by a relay. Addresses are those that members listen at for messages.
 type Envelope struct {
-	// To is the target's address, Via the relay's; the relay writes it down, for the answer goes back the same way.
-	To  string `json:"to"`
-	Via string `json:"via,omitempty"`
+	// To is the target's address. Ahead are the relays that are still to carry it, Passed those that have, each in order: a relay writes
+	// itself down, for the answer goes back the same way.
+	To     string   `json:"to"`
+	Ahead  []string `json:"ahead,omitempty"`
+	Passed []string `json:"passed,omitempty"`
 	// From, Boot and Address are the sender's.
 	From    string          `json:"from"`
 	Boot    string          `json:"boot"`
@@ -30,24 +46,34 @@
 	Body    json.RawMessage `json:"body"`
 }
 
-// By gives the message that has a relay carry another one; a body that cannot be written gives none.
-func By(via string, self contract.Member, send contract.Send) []contract.Command {
+// By gives the message that has the relays of a route carry another one; a body that cannot be written gives none.
+func By(route string, self contract.Member, send contract.Send) []contract.Command {
 	body, failure := json.Marshal(send.Body)
 	if failure != nil || isRelayed(send.Kind) {
 		return []contract.Command{contract.Count{Name: "relays_refused", By: 1}}
 	}
-	envelope := Envelope{To: send.To, From: self.Name, Boot: self.Boot, Address: self.Address, Kind: send.Kind, Body: body}
-	return []contract.Command{contract.Send{To: via, Kind: MessageForward, Body: envelope}}
+	relays := strings.Split(route, hopMark)
+	envelope := Envelope{To: send.To, Ahead: relays[1:], From: self.Name, Boot: self.Boot, Address: self.Address, Kind: send.Kind, Body: body}
+	return []contract.Command{contract.Send{To: relays[0], Kind: MessageForward, Body: envelope}}
 }
 
-// Forward passes an envelope on, once, and only to a member that is known here.
+// Forward passes an envelope on to the next relay or to its target, only to a member that is known here, and never over more relays than
+// hopsMost.
 func Forward(self contract.Member, message contract.Message, knows func(address string) bool) []contract.Command {
 	envelope, fine := read(message)
-	if !fine || !knows(envelope.To) {
+	if !fine || len(envelope.Passed)+1+len(envelope.Ahead) > hopsMost {
+		return []contract.Command{contract.Count{Name: "relays_refused", By: 1}}
+	}
+	next, kind := envelope.To, MessageDeliver
+	if len(envelope.Ahead) > 0 {
+		next, kind = envelope.Ahead[0], MessageForward
+		envelope.Ahead = envelope.Ahead[1:]
+	}
+	envelope.Passed = append(envelope.Passed, self.Address)
+	if !knows(next) {
 		return []contract.Command{contract.Count{Name: "relays_refused", By: 1}}
 	}
-	envelope.Via = self.Address
-	return []contract.Command{contract.Count{Name: "relays_forwarded", By: 1}, contract.Send{To: envelope.To, Kind: MessageDeliver, Body: envelope}}
+	return []contract.Command{contract.Count{Name: "relays_forwarded", By: 1}, contract.Send{To: next, Kind: kind, Body: envelope}}
 }
 
 // Open gives the message in a delivered envelope, and the envelope for the way back.
@@ -56,10 +82,10 @@
 	if !fine {
 		return contract.Message{}, Envelope{}, false
 	}
-	return contract.Message{Kind: envelope.Kind, From: envelope.From, Boot: envelope.Boot, Body: envelope.Body, Via: envelope.Via}, envelope, true
+	return contract.Message{Kind: envelope.Kind, From: envelope.From, Boot: envelope.Boot, Body: envelope.Body, Via: back(envelope.Passed)}, envelope, true
 }
 
-// Back sends those of the commands that answer an envelope's sender by way of its relay.
+// Back sends those of the commands that answer an envelope's sender by way of its relays.
 func Back(self contract.Member, envelope Envelope, commands []contract.Command) []contract.Command {
 	routed := make([]contract.Command, 0, len(commands))
 	for _, command := range commands {
@@ -68,7 +94,7 @@
 			routed = append(routed, command)
 			continue
 		}
-		routed = append(routed, By(envelope.Via, self, send)...)
+		routed = append(routed, By(back(envelope.Passed), self, send)...)
 	}
 	return routed
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -61,6 +61,33 @@
 		Expect(back).To(Equal(contract.Message{Kind: "answer", From: owner.Name, Boot: owner.Boot, Body: json.RawMessage("8"), Via: middle.Address}))
 	})
 
+	It("given two relays, when a question is sent by them, then it comes as its sender's, and the answer goes back over both", func() {
+		second := contract.Member{Name: "n-data", Boot: "b4", Address: "10.0.0.4:1"}
+		_, first := sent(asker, relay.By(relay.Route(middle.Address, second.Address), asker, question))
+		to, next := sent(middle, relay.Forward(middle, first, anybody))
+		Expect(to).To(Equal(second.Address))
+		to, last := sent(second, relay.Forward(second, next, anybody))
+		Expect(to).To(Equal(owner.Address))
+		opened, envelope, fine := relay.Open(last)
+		Expect(fine).To(BeTrue())
+		Expect(opened.Via).To(Equal(relay.Route(second.Address, middle.Address)))
+		to, returned := sent(owner, relay.Back(owner, envelope, []contract.Command{contract.Send{To: asker.Address, Kind: "answer", Body: 8}}))
+		Expect(to).To(Equal(second.Address))
+		to, returned = sent(second, relay.Forward(second, returned, anybody))
+		Expect(to).To(Equal(middle.Address))
+		to, returned = sent(middle, relay.Forward(middle, returned, anybody))
+		Expect(to).To(Equal(asker.Address))
+		answer, _, fine := relay.Open(returned)
+		Expect(fine).To(BeTrue())
+		Expect(answer.Via).To(Equal(relay.Route(middle.Address, second.Address)), "the way that the next question takes")
+	})
+
+	DescribeTable("given more relays than two, when one of them is asked to forward, then it refuses", func(ahead, passed []string) {
+		body, failure := json.Marshal(relay.Envelope{To: owner.Address, Ahead: ahead, Passed: passed, Address: asker.Address, Kind: "question", Body: json.RawMessage("1")})
+		Expect(failure).NotTo(HaveOccurred())
+		Expect(relay.Forward(middle, contract.Message{Kind: relay.MessageForward, Body: body}, anybody)).To(Equal([]contract.Command{contract.Count{Name: "relays_refused", By: 1}}))
+	}, Entry("ahead", []string{"x", "y"}, nil), Entry("passed", nil, []string{"x", "y"}), Entry("both", []string{"x"}, []string{"y"}))
+
 	It("given a target that the relay does not know, when it is asked to forward, then it refuses", func() {
 		_, first := sent(asker, relay.By(middle.Address, asker, question))
 		Expect(relay.Forward(middle, first, func(string) bool { return false })).To(Equal([]contract.Command{contract.Count{Name: "relays_refused", By: 1}}))
--- a/stories/sight/sight_test.go
+++ b/stories/sight/sight_test.go
@@ -47,6 +47,31 @@
 	}
 }
 
+var _ = Describe("a data node and an owner that each reach their own zone alone", func() {
+	// outside gives all machines but those of a zone.
+	outside := func(played *fleet.Fleet, zone string) []string {
+		return fleet.Names(played.Pick(func(machine *fleet.Machine) bool { return machine.Zone != zone }))
+	}
+	for _, name := range told.Sites {
+		It("in "+name+", are brought together by two relays, so that the node goes on to pick", func() {
+			const patience = 3 * time.Second
+			for seed := uint64(701); seed < 704; seed++ {
+				played := told.Given(name, seed)
+				owner := played.Owner(told.Home(played), 0)
+				asker := played.Pick(func(machine *fleet.Machine) bool { return machine.Region == owner.Region && machine.Zone != owner.Zone })[0]
+				played.Traffic(20*time.Second, 0.3)
+				played.Run(3 * time.Second)
+				ways(played, 2, []string{asker.Name}, outside(played, asker.Zone))
+				ways(played, 2, []string{owner.Name}, outside(played, owner.Zone))
+				without := played.Pick(func(machine *fleet.Machine) bool { return machine != asker })
+				Expect(gap(played, 12*time.Second, without...)).To(BeNumerically("<=", patience), "seed %d", seed)
+				Expect(owner.Control.Gauges["shards_owned"]).To(BeNumerically(">", 0), "the owner stays: others reach it")
+				played.World.Heal()
+			}
+		})
+	}
+})
+
 var _ = Describe("an owner that is half blind", func() {
 	ends := map[string]func(*fleet.Fleet, *fleet.Machine) []string{
 		"the platform":  func(_ *fleet.Fleet, owner *fleet.Machine) []string { return []string{"platform-" + owner.Region} },
