--- a/modelcheck/enumerate.go
+++ b/modelcheck/enumerate.go
@@ -133,6 +133,7 @@
 	cluster := New(enumerationSeed, search.Members, search.Fault)
 	cluster.newsAlways = true
 	cluster.settle()
+	cluster.pass()
 	result := reached{trace: trace, means: true}
 	for _, move := range trace {
 		result.means = cluster.Play(move)
