--- a/image/image.go
+++ b/image/image.go
@@ -194,7 +194,7 @@
 	return nil
 }
 
-// formerRecord gives a record of releases before 0.2, whose digest was that of the text, the digest of the content.
+// formerRecord gives a record of earlier releases, whose digest was that of the text, the digest of the content.
 func formerRecord(record contract.Record) contract.Record {
 	if content, failure := document.Parse(record.Manifest); failure == nil {
 		record.Digest = content.Digest()
