Sight: by whom and by which relays a list came, relays asked in vain, refused lists

Change: a list in force tells its sender and relays; a node that has no answer tells each round of relays with its epoch and the list's age; refused lists are told with both epochs. No logic changed. Gateway, shard and docs tests green.

--- a/gateway/lists.go
+++ b/gateway/lists.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
@@ -136,21 +137,32 @@
 	held.tried = 0
 	if silent {
 		via, held.tried = "", tried+1
+		node.emit(contract.Say{What: "list asked for by relays", Detail: []any{"region", ask.Region, "shard", ask.Shard, "number", held.number,
+			"epoch", held.highest, "ageMs", (now - held.asked).Milliseconds(), "tried", tried, "owners", names(owners)}})
 	}
 	for _, owner := range owners {
 		node.emit(node.ByRelay(now, owner, contract.Send{To: owner.Address, Kind: shard.MessageAsk, Body: ask}, via, tried)...)
 	}
 }
 
+// names gives the names of members in their order, split by commas.
+func names(members []contract.Member) string {
+	list := []string{}
+	for _, member := range members {
+		list = append(list, member.Name)
+	}
+	return strings.Join(list, ",")
+}
+
 // take accepts a list unless a higher epoch was seen; an older list of the same epoch changes nothing.
 func (node *Node) take(now time.Duration, message contract.Message, lease contract.Lease) {
 	held := node.lists[lease.Region][lease.Shard]
 	if lease.Interim {
-		node.takeInterim(held, lease)
+		node.takeInterim(held, message, lease)
 		return
 	}
 	if held == nil || lease.Epoch.Before(held.highest) || lease.Asked > now {
-		node.emit(contract.Count{Name: "lists_refused", By: 1})
+		node.refused(held, message, lease)
 		return
 	}
 	if lease.Epoch == held.highest && (lease.Number < held.number || lease.Asked < held.asked) {
@@ -172,26 +184,36 @@
 		return
 	}
 	held.held = true
-	node.list(lease)
+	node.list(message, lease)
+}
+
+// refused reports a list that was not accepted: one of a former owner, or of a shard that is not known.
+func (node *Node) refused(held *list, message contract.Message, lease contract.Lease) {
+	detail := []any{"region", lease.Region, "shard", lease.Shard, "from", message.From, "via", message.Via, "epoch", lease.Epoch}
+	if held != nil {
+		detail = append(detail, "highest", held.highest)
+	}
+	node.emit(contract.Count{Name: "lists_refused", By: 1}, contract.Say{What: "list refused", Detail: detail})
 }
 
 // takeInterim accepts what stands in for an owner's list, as long as this node has heard of no owner.
-func (node *Node) takeInterim(held *list, lease contract.Lease) {
+func (node *Node) takeInterim(held *list, message contract.Message, lease contract.Lease) {
 	if held == nil || held.held || held.highest != (contract.Epoch{}) || lease.Asked <= held.interim {
 		return
 	}
 	held.interim = lease.Asked
-	node.list(lease)
+	node.list(message, lease)
 }
 
-func (node *Node) list(lease contract.Lease) {
+// list puts a list of servers in force and reports by whom and by which relays it came.
+func (node *Node) list(message contract.Message, lease contract.Lease) {
 	node.servers[lease.Region][lease.Shard] = lease.Servers
 	all := []contract.Candidate{}
 	for index := 0; index < len(node.lists[lease.Region]); index++ {
 		all = append(all, node.servers[lease.Region][index]...)
 	}
 	node.emit(Update{Listed{Region: lease.Region, Servers: all}},
-		contract.Say{What: "list", Detail: []any{"region", lease.Region, "epoch", lease.Epoch.Number, "shard", lease.Shard, "number", lease.Number, "servers", len(all)}})
+		contract.Say{What: "list", Detail: []any{"region", lease.Region, "epoch", lease.Epoch.Number, "shard", lease.Shard, "number", lease.Number, "servers", len(all), "from", message.From, "via", message.Via}})
 }
 
 // unconfirmedAfter is the age at which a list that is not confirmed is reported: half of the bound for withdrawing a server.
