Tenants: keys checked and removed, tenants named to servers, changes by name kept

Cause: no part of the program knew keys, so they went along as headers and any key ran; a change by name dropped what the adapter had no name for, and was acknowledged. Ruled out: late feeds (nodes that had a version in force ran what it forbids). Change: manifest.Tenants by name and digest of key, 401 for unknown ones, regions of tenants, shared keys invalid; unknown parts of a change by name are merged, not dropped.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -9,7 +9,8 @@
 	"github.com/cedarreel/cedarreel/manifest"
 )
 
-// Arrive is one try of a caller. Left is how long it will wait; After is the last piece that it has of a stream it takes up.
+// Arrive is one try of a caller. Left is how long it will wait; After is the last piece that it has of a stream it takes up. Key is the
+// digest of the key that it shows, nil without one.
 type Arrive struct {
 	Token  int64
 	Host   string
@@ -18,15 +19,17 @@
 	Prompt engine.Prompt
 	After  string
 	Size   int64
+	Key    *manifest.KeyDigest
 }
 
 // Dispatch sends a call to a server. Left is what may still pass until the answer is whole; after Patience without a first byte the
 // gateway is asked what to do. Idle is the longest that a kept connection may have been unused. Presumed is how many tokens of the prompt
-// are believed to be kept at the server.
+// are believed to be kept at the server. Tenant is whose call it is, empty without one.
 type Dispatch struct {
 	Token     int64
 	Attempt   int
 	Server    contract.Candidate
+	Tenant    string
 	Left      time.Duration
 	Patience  time.Duration
 	Connect   time.Duration
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -13,16 +13,10 @@
 	if !traffic.Ready(now) {
 		return one(traffic.notYet(now, event.Token))
 	}
-	route, there := traffic.routes.Find(event.Host, event.Path)
-	if !there {
-		return one(Refuse{Token: event.Token, Status: 404, Reason: "no route"})
+	work, refused := traffic.newJob(now, event)
+	if refused != nil {
+		return one(*refused)
 	}
-	left := event.Left
-	if left <= 0 || left > route.Timeout {
-		left = route.Timeout
-	}
-	work := &job{Arrive: event, route: route, ends: now + left, service: traffic.draw(route), avoid: map[string]bool{}}
-	work.Prompt = event.Prompt.Hashed()
 	traffic.jobs[event.Token] = work
 	traffic.budget(work.service).called(now)
 	if _, there := traffic.firstCalls[work.service]; !there {
@@ -107,7 +101,7 @@
 	chosen.own++
 	chosen.since++
 	chosen.ramp.taken(now)
-	return Dispatch{Token: work.Token, Attempt: work.attempt, Server: chosen.Candidate, Left: work.ends - now, Patience: traffic.patience(now, work), Presumed: work.held,
+	return Dispatch{Token: work.Token, Attempt: work.attempt, Server: chosen.Candidate, Tenant: work.tenant, Left: work.ends - now, Patience: traffic.patience(now, work), Presumed: work.held,
 		Connect: traffic.connectTime(chosen), Idle: traffic.idle(work), Priority: traffic.priority(work),
 		Stream: work.route.Kind == manifest.KindStreaming, Resumable: work.route.Resumable}
 }
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -38,6 +38,7 @@
 type job struct {
 	Arrive
 	route     manifest.GatewayRoute
+	tenant    string
 	service   string
 	ends      time.Duration
 	attempt   int
--- a/manifest/document.go
+++ b/manifest/document.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	revisionPart = "/gateway/revision"
-	routesPart   = "/gateway/routes"
-	routePrefix  = routesPart + "/"
-	// afterRoutes is the least name that comes after those of all routes.
-	afterRoutes    = routesPart + "0"
+	revisionPart   = "/gateway/revision"
+	routePrefix    = "/gateway/routes/"
 	servicesPrefix = "/gateway/services/"
+	tenantPrefix   = "/gateway/tenants/"
+	// morePart is what the gateway section carries without knowing it.
+	morePart = "/gateway/more"
 )
 
 // FromDocument reads and checks a whole document and gives every error at once.
@@ -25,6 +25,10 @@
 		read.Gateway.Routes = reader.addRoute(read.Gateway, pointer, value)
 		return false
 	})
+	content.Under(tenantPrefix, func(pointer, value string) bool {
+		read.Gateway.Tenants = reader.addTenant(read.Gateway.Tenants, pointer, value)
+		return false
+	})
 	return read, reader.Err()
 }
 
@@ -37,7 +41,7 @@
 	case touched.head:
 		reader = headReader(content)
 		next = reader.readHead()
-		next.Gateway.Routes = read.Gateway.Routes
+		next.Gateway.Routes, next.Gateway.Tenants = read.Gateway.Routes, read.Gateway.Tenants
 	case touched.revision:
 		revision, _ := content.Part(revisionPart)
 		tree, failure := Tree([]byte(`{"revision":` + revision + `}`))
@@ -49,23 +53,37 @@
 		reader = &Reader{errs: reader.errs}
 	}
 	for _, pointer := range touched.routes {
-		next.Gateway.Routes = next.Gateway.Routes.Without(routeName(pointer))
+		next.Gateway.Routes = next.Gateway.Routes.Without(itemName(pointer, routePrefix))
 	}
 	for _, pointer := range touched.routes {
 		if value, there := content.Part(pointer); there {
 			next.Gateway.Routes = reader.addRoute(next.Gateway, pointer, value)
 		}
 	}
+	next.Gateway.Tenants = reader.nextTenants(next.Gateway.Tenants, content, touched.tenants)
 	if touched.services {
 		reader.checkServices(next.Gateway)
 	}
 	return next, reader.Err()
 }
 
-// touched is what a change touches: routes by their pointers, the gateway's revision, services, or anything else but routes.
+// nextTenants reads the tenants that a change touches. All of them go first, so that a key may move from one to another.
+func (reader *Reader) nextTenants(tenants Tenants, content *document.Document, pointers []string) Tenants {
+	for _, pointer := range pointers {
+		tenants = tenants.Without(itemName(pointer, tenantPrefix))
+	}
+	for _, pointer := range pointers {
+		if value, there := content.Part(pointer); there {
+			tenants = reader.addTenant(tenants, pointer, value)
+		}
+	}
+	return tenants
+}
+
+// touched is what a change touches: routes and tenants by their pointers, the gateway's revision, services, or anything else.
 type touched struct {
 	head, revision, services bool
-	routes                   []string
+	routes, tenants          []string
 }
 
 func touchedBy(change document.Change) touched {
@@ -74,6 +92,8 @@
 		switch {
 		case strings.HasPrefix(pointer, routePrefix):
 			found.routes = append(found.routes, pointer)
+		case strings.HasPrefix(pointer, tenantPrefix):
+			found.tenants = append(found.tenants, pointer)
 		case pointer == revisionPart:
 			found.revision = true
 		default:
@@ -84,13 +104,18 @@
 	return found
 }
 
-func routeName(pointer string) string {
-	return document.Unescape(strings.TrimPrefix(pointer, routePrefix))
+// itemName gives the name of a route or tenant whose part has a pointer under a prefix.
+func itemName(pointer, prefix string) string {
+	return document.Unescape(strings.TrimPrefix(pointer, prefix))
 }
 
-// headReader reads a document without its gateway's routes; what makes it no object shows as an error there.
+// afterAll gives the least name that comes after all that begin with a prefix, which ends with a slash.
+func afterAll(prefix string) string { return strings.TrimSuffix(prefix, "/") + "0" }
+
+// headReader reads a document without its gateway's routes and tenants; what makes it no object shows as an error there.
 func headReader(content *document.Document) *Reader {
-	tree, failure := Tree(content.Without(routePrefix, afterRoutes).JSON())
+	head := content.Without(routePrefix, afterAll(routePrefix)).Without(tenantPrefix, afterAll(tenantPrefix))
+	tree, failure := Tree(head.JSON())
 	reader := NewReader(tree)
 	if failure != nil {
 		reader.Wrong("", "%s", failure)
@@ -98,19 +123,28 @@
 	return reader
 }
 
-// addRoute reads one route and gives a gateway's routes with it.
-func (reader *Reader) addRoute(gateway Gateway, pointer, value string) Routes {
-	name := routeName(pointer)
-	under := &Reader{prefix: "gateway.routes." + name, errs: reader.errs}
+// item gives a reader of one route or tenant, or false where its part is no object.
+func (reader *Reader) item(kind, name, value string) (*Reader, bool) {
+	under := &Reader{prefix: "gateway." + kind + "." + name, errs: reader.errs}
 	if !validName(name) {
 		under.Wrong("", "%s", nameRule)
 	}
 	tree, failure := Tree([]byte(value))
 	if failure != nil {
 		under.Wrong("", "want an object")
-		return gateway.Routes
+		return nil, false
 	}
 	under.tree = tree
+	return under, true
+}
+
+// addRoute reads one route and gives a gateway's routes with it.
+func (reader *Reader) addRoute(gateway Gateway, pointer, value string) Routes {
+	name := itemName(pointer, routePrefix)
+	under, fine := reader.item("routes", name, value)
+	if !fine {
+		return gateway.Routes
+	}
 	route := under.gatewayRoute(name, gateway.Services)
 	if other, double := gateway.Routes.taken(route); double {
 		under.Wrong("prefix", "route %q has the same host and prefix", other)
@@ -119,6 +153,21 @@
 	return gateway.Routes.With(route)
 }
 
+// addTenant reads one tenant and gives tenants with it.
+func (reader *Reader) addTenant(tenants Tenants, pointer, value string) Tenants {
+	name := itemName(pointer, tenantPrefix)
+	under, fine := reader.item("tenants", name, value)
+	if !fine {
+		return tenants
+	}
+	tenant := under.tenant(name)
+	if other, shared := tenants.sharer(tenant); shared {
+		under.Wrong("keys", "tenant %q has the same key", other)
+		return tenants
+	}
+	return tenants.With(tenant)
+}
+
 // checkServices wants every service that a route names to be there.
 func (reader *Reader) checkServices(gateway Gateway) {
 	gateway.Routes.All(func(route GatewayRoute) bool {
@@ -173,6 +222,11 @@
 	return change, failure
 }
 
+const moreName = "more"
+
+// itemKinds are the kinds of named items of a gateway section.
+var itemKinds = []string{"routes", "services", "tenants"}
+
 func updateGateway(former *document.Document, section map[string]any) (document.Change, error) {
 	change := document.Change{}
 	replace := func(value any, names ...string) error {
@@ -185,10 +239,7 @@
 	}
 	upsert, _ := section["upsert"].(map[string]any)
 	remove, _ := section["remove"].(map[string]any)
-	for _, kind := range []string{"routes", "services"} {
-		if !former.Has(document.Pointer("gateway", kind)) {
-			change.Put(document.Pointer("gateway", kind), "{}")
-		}
+	for _, kind := range itemKinds {
 		names, _ := remove[kind].([]any)
 		removed := removeItems(former, kind, names)
 		rest := former.Apply(removed)
@@ -204,14 +255,18 @@
 		}
 	}
 	for name, value := range upsert {
-		if name == "routes" || name == "services" {
+		if slices.Contains(itemKinds, name) || name == moreName {
 			continue
 		}
 		if failure := replace(value, "gateway", name); failure != nil {
 			return change, failure
 		}
 	}
-	return change, nil
+	more, failure := nextMore(former, upsert[moreName], remove[moreName])
+	if failure == nil && more != nil {
+		failure = replace(more, "gateway", moreName)
+	}
+	return change, failure
 }
 
 // removeItems gives the change that takes named items of a kind out.
--- a/manifest/gateway.go
+++ b/manifest/gateway.go
@@ -17,10 +17,12 @@
 	Revision int64
 	Routes   Routes
 	Services map[string]Service
+	Tenants  Tenants
 	Limits   Limits
 }
 
-// GatewayRoute is found by host and longest path prefix; Regions, if any, are the only ones that may serve or hold its calls.
+// GatewayRoute is found by host and longest path prefix; Regions, if any, are the only ones that may serve or hold its calls. A public
+// route's calls need no tenant's key.
 type GatewayRoute struct {
 	Name      string
 	Host      string
@@ -33,6 +35,7 @@
 	Attempts  int64
 	Resumable bool
 	Affinity  bool
+	Public    bool
 	Split     []Share
 	Regions   []string
 }
@@ -69,19 +72,20 @@
 	IdleTime    time.Duration
 }
 
-// gateway reads the section without its routes, which are read one by one.
+// gateway reads the section without its routes and tenants, which are read one by one.
 func (reader *Reader) gateway() Gateway {
 	read := Gateway{Services: map[string]Service{}}
 	if _, there := reader.at("gateway"); !there {
 		return read
 	}
 	under := reader.Under("gateway")
-	under.Only("", "revision", "routes", "services", "limits", "more")
+	under.Only("", "revision", "routes", "services", "tenants", "limits", "more")
 	read.Revision = under.Number("revision", 0, 0, mostWhole)
 	for _, name := range under.Keys("services") {
 		read.Services[name] = under.Under("services." + name).service()
 	}
 	under.Keys("routes")
+	under.Keys("tenants")
 	read.Limits = Limits{HeaderBytes: under.Number("limits.headerBytes", 0, 0, mostWhole), BodyBytes: under.Number("limits.bodyBytes", 0, 0, mostWhole),
 		HeaderTime: under.span("limits.headerMs", 0, 0, mostWhole), IdleTime: under.span("limits.idleMs", 0, 0, mostWhole)}
 	return read
@@ -102,7 +106,7 @@
 	route := GatewayRoute{Name: name, Host: strings.ToLower(reader.Text("host", "")), Prefix: reader.Text("prefix", ""), Kind: reader.Text("kind", KindMutating),
 		Timeout: reader.span("timeoutMs", 0, 0, mostWhole), Aim: reader.span("aimMs", 0, 0, mostWhole), Gap: reader.span("gapMs", 0, 0, mostWhole),
 		Rank: reader.Number("rank", 0, 0, 1000), Attempts: reader.Number("attempts", 1, 0, 1000), Resumable: reader.Truth("resumable"),
-		Affinity: reader.Truth("affinity"), Regions: reader.Texts("regions")}
+		Affinity: reader.Truth("affinity"), Public: reader.Truth("public"), Regions: reader.Texts("regions")}
 	if route.Kind != KindReadOnly && route.Kind != KindMutating && route.Kind != KindStreaming {
 		reader.Wrong("kind", "want read_only, mutating or streaming, got %q", route.Kind)
 	}
--- a/manifest/next_test.go
+++ b/manifest/next_test.go
@@ -16,15 +16,44 @@
 	seriesLength = 30
 )
 
-// listed gives a manifest with its routes as a plain list, so that it can be compared.
-func listed(read manifest.Manifest) (manifest.Manifest, []manifest.GatewayRoute) {
-	routes := []manifest.GatewayRoute{}
+// items are what a manifest holds in persistent maps, as plain lists.
+type items struct {
+	routes  []manifest.GatewayRoute
+	tenants []manifest.Tenant
+	// holders are the tenants that hold the keys that are drawn, by key.
+	holders map[string]string
+}
+
+// listed gives a manifest and its routes and tenants as plain lists, so that it can be compared.
+func listed(read manifest.Manifest) (manifest.Manifest, items) {
+	found := items{holders: map[string]string{}}
 	read.Gateway.Routes.All(func(route manifest.GatewayRoute) bool {
-		routes = append(routes, route)
+		found.routes = append(found.routes, route)
+		return false
+	})
+	read.Gateway.Tenants.All(func(tenant manifest.Tenant) bool {
+		found.tenants = append(found.tenants, tenant)
 		return false
 	})
-	read.Gateway.Routes = manifest.Routes{}
-	return read, routes
+	for number := range drawnKeys {
+		key := fmt.Sprint("k", number)
+		if holder, held := read.Gateway.Tenants.Holder(manifest.DigestKey(key)); held {
+			found.holders[key] = holder.Name
+		}
+	}
+	read.Gateway.Routes, read.Gateway.Tenants = manifest.Routes{}, manifest.Tenants{}
+	return read, found
+}
+
+const drawnKeys = 8
+
+// drawnTenant shares a key with another one now and then.
+func drawnTenant(random *rand.Rand) map[string]any {
+	keys := []any{}
+	for range random.IntN(3) {
+		keys = append(keys, fmt.Sprint("k", random.IntN(drawnKeys)))
+	}
+	return map[string]any{"keys": keys}
 }
 
 func name(random *rand.Rand, kind string) string { return fmt.Sprint(kind, random.IntN(5)) }
@@ -53,11 +82,15 @@
 	if random.IntN(3) == 0 {
 		services[name(random, "s")] = map[string]any{"connections": json.Number(fmt.Sprint(random.IntN(9)))}
 	}
-	remove := map[string]any{"routes": []any{name(random, "r")}}
+	tenants := map[string]any{}
+	for range random.IntN(2) {
+		tenants[name(random, "t")] = drawnTenant(random)
+	}
+	remove := map[string]any{"routes": []any{name(random, "r")}, "tenants": []any{name(random, "t")}}
 	if random.IntN(6) == 0 {
 		remove["services"] = []any{name(random, "s")}
 	}
-	upsert := map[string]any{"routes": routes, "services": services}
+	upsert := map[string]any{"routes": routes, "services": services, "tenants": tenants}
 	if random.IntN(4) == 0 {
 		upsert["limits"] = map[string]any{"idleMs": json.Number(fmt.Sprint(random.IntN(9)))}
 	}
@@ -108,10 +141,10 @@
 				refused++
 				continue
 			}
-			wholeHead, wholeRoutes := listed(whole)
-			head, routes := listed(stepped)
-			if !reflect.DeepEqual(head, wholeHead) || !reflect.DeepEqual(routes, wholeRoutes) {
-				t.Fatalf("seed %d, step %d: %+v %+v, want %+v %+v", seed, step, head, routes, wholeHead, wholeRoutes)
+			wholeHead, wholeItems := listed(whole)
+			head, held := listed(stepped)
+			if !reflect.DeepEqual(head, wholeHead) || !reflect.DeepEqual(held, wholeItems) {
+				t.Fatalf("seed %d, step %d: %+v %+v, want %+v %+v", seed, step, head, held, wholeHead, wholeItems)
 			}
 			content, read = next, stepped
 			taken++
--- a/serve/tenants_test.go
+++ b/serve/tenants_test.go
@@ -34,7 +34,7 @@
 	return gateway.Configured{Manifest: read}
 }
 
-var _ = PDescribe("a caller's key", func() {
+var _ = Describe("a caller's key", func() {
 	tenanted := func(tenants ...string) *stage {
 		GinkgoHelper()
 		made := staged(1, fine)
