Notices: a second way by which a node learns that servers leave

Cause: on the far side of a cut between core machines a node had relays as its only way to the owner of its list, and went on by that list for as long as they brought nothing. Change: while a list is unconfirmed, control nodes that are not its owner are asked which servers their own listing shows as leaving; these are taken out.

--- a/contract/epoch.go
+++ b/contract/epoch.go
@@ -102,6 +102,16 @@
 	Observed
 	// Interim asks a control node that is not the owner for a list of what it sees itself, until the owner's comes.
 	Interim bool `json:"interim,omitempty"`
+	// Notices asks a control node that is not the owner which servers its own listing shows as leaving.
+	Notices bool `json:"notices,omitempty"`
+}
+
+// Notices names the servers of a shard that the listing of a control node shows as leaving, whoever owns the shard. A server that leaves
+// never comes back under its name, so that notices may be used in any order and beside any list.
+type Notices struct {
+	Region  string   `json:"region"`
+	Shard   int      `json:"shard,omitempty"`
+	Leaving []string `json:"leaving"`
 }
 
 type Lease struct {
--- a/emulator/partition_test.go
+++ b/emulator/partition_test.go
@@ -36,7 +36,7 @@
 	// a node had relays as its only way to the owner, and went on by its list for as long as they brought nothing. Evidence: the node was on the
 	// far side of the cut, and its list is the only thing that it picks by. Why relays brought nothing there is not known (docs/incidents).
 	for _, name := range sites {
-		PIt("given relays that carry nothing, when servers leave during the cut, then no machine in touch sends to them for too long", func() {
+		It("given relays that carry nothing, when servers leave during the cut, then no machine in touch sends to them for too long", func() {
 			site := small(name)
 			site.DayS = 15
 			for place, zone := range site.Zones {
--- a/gateway/lists.go
+++ b/gateway/lists.go
@@ -90,6 +90,9 @@
 		return
 	}
 	node.askByRelay(now, held, owners, ask)
+	if node.silent(now, held) {
+		node.askNotices(members, owners, ask)
+	}
 }
 
 // ownersOf gives who may own a shard: the first one in the agreed order, and whom a control node named instead of itself.
@@ -125,10 +128,14 @@
 // question before the last one is missing.
 const silentAfter = 3
 
+func (node *Node) silent(now time.Duration, held *list) bool {
+	return now-held.asked > silentAfter*node.askEvery()/2
+}
+
 // askByRelay asks the owners by way of other members when no answer comes: membership may tell that an owner is alive while the link to
 // it is cut. A relay that worked is used alone until an owner answers directly, or falls silent on that way too.
 func (node *Node) askByRelay(now time.Duration, held *list, owners []contract.Member, ask contract.LeaseRequest) {
-	silent := now-held.asked > silentAfter*node.askEvery()/2
+	silent := node.silent(now, held)
 	if !silent && held.via == "" || now-held.relayed < node.askEvery() {
 		return
 	}
@@ -207,13 +214,20 @@
 
 // list puts a list of servers in force and reports by whom and by which relays it came.
 func (node *Node) list(message contract.Message, lease contract.Lease) {
-	node.servers[lease.Region][lease.Shard] = lease.Servers
+	count := node.use(lease.Region, lease.Shard, lease.Servers)
+	node.emit(contract.Say{What: "list", Detail: []any{"region", lease.Region, "epoch", lease.Epoch.Number, "shard", lease.Shard, "number", lease.Number,
+		"servers", count, "from", message.From, "via", message.Via}})
+}
+
+// use puts servers of a shard in force and gives how many there are in its region.
+func (node *Node) use(region string, index int, servers []contract.Candidate) int {
+	node.servers[region][index] = servers
 	all := []contract.Candidate{}
-	for index := 0; index < len(node.lists[lease.Region]); index++ {
-		all = append(all, node.servers[lease.Region][index]...)
+	for index := 0; index < len(node.lists[region]); index++ {
+		all = append(all, node.servers[region][index]...)
 	}
-	node.emit(Update{Listed{Region: lease.Region, Servers: all}},
-		contract.Say{What: "list", Detail: []any{"region", lease.Region, "epoch", lease.Epoch.Number, "shard", lease.Shard, "number", lease.Number, "servers", len(all), "from", message.From, "via", message.Via}})
+	node.emit(Update{Listed{Region: region, Servers: all}})
+	return len(all)
 }
 
 // unconfirmedAfter is the age at which a list that is not confirmed is reported: half of the bound for withdrawing a server.
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -119,6 +119,11 @@
 		if json.Unmarshal(message.Body, &lease) == nil {
 			node.take(now, message, lease)
 		}
+	case shard.MessageNotices:
+		var told contract.Notices
+		if json.Unmarshal(message.Body, &told) == nil {
+			node.takeNotices(message, told)
+		}
 	case index.MessageMoved:
 		var moved index.Moved
 		if json.Unmarshal(message.Body, &moved) == nil {
--- a/shard/interim_test.go
+++ b/shard/interim_test.go
@@ -29,8 +29,9 @@
 		made.Handle(now, ListingRead{Began: now, Listing: contract.Listing{Servers: []contract.ServerRow{row("good", "zone"), cold, leaving, row("drained", "closed"), other}}})
 		return made
 	}
-	asks := func(node *reader, at time.Duration, interim bool) []contract.Send {
-		body, failure := json.Marshal(contract.LeaseRequest{Node: "data", Address: "data:1", Region: "east", Shards: 1, Asked: 7, Interim: interim})
+	send := func(node *reader, at time.Duration, ask contract.LeaseRequest) []contract.Send {
+		ask.Node, ask.Address, ask.Region, ask.Shards, ask.Asked = "data", "data:1", "east", 1, 7
+		body, failure := json.Marshal(ask)
 		Expect(failure).NotTo(HaveOccurred())
 		sent := []contract.Send{}
 		for _, command := range node.Handle(at, contract.Message{Kind: MessageAsk, From: "data", Body: body}) {
@@ -40,6 +41,21 @@
 		}
 		return sent
 	}
+	asks := func(node *reader, at time.Duration, interim bool) []contract.Send {
+		return send(node, at, contract.LeaseRequest{Interim: interim})
+	}
+
+	ginkgo.It("given who asks for notices, when the listing here is fresh, then it is told the owner, and who leaves by this listing", func() {
+		told := send(node(true), now, contract.LeaseRequest{Notices: true})
+		Expect(told).To(HaveLen(2))
+		Expect(told[0].Kind).To(Equal(MessageNotOwner))
+		Expect(told[1]).To(Equal(contract.Send{To: "data:1", Kind: MessageNotices, Body: contract.Notices{Region: "east", Leaving: []string{"leaving"}}}))
+	})
+
+	ginkgo.It("given an old listing, or an owner whose leases bind, when notices are asked for, then none are told", func() {
+		Expect(send(node(true), now+env.DefaultBounds().PlatformGrace(), contract.LeaseRequest{Notices: true})).To(HaveLen(1))
+		Expect(send(node(false), now, contract.LeaseRequest{Notices: true})).To(HaveLen(1))
+	})
 
 	ginkgo.It("given who has no list, when it asks, then it is told the owner, and what may take work as seen here, without an epoch", func() {
 		told := asks(node(true), now, true)
--- a/shard/list.go
+++ b/shard/list.go
@@ -90,6 +90,7 @@
 		owner.emit(contract.Send{To: ask.Address, Kind: MessageNotOwner,
 			Body: contract.NotOwner{Region: ask.Region, Shard: ask.Shard, Owner: owner.first(held.index)}})
 		owner.interim(now, held, ask)
+		owner.notices(now, held, ask)
 		return
 	}
 	owner.throwIndex(now, ask.Stale)
@@ -143,6 +144,23 @@
 	owner.emit(contract.Count{Name: "lists_interim", By: 1}, contract.Send{To: ask.Address, Kind: MessageLease, Body: lease})
 }
 
+// notices tells a node whose list nobody confirms which servers leave, by this node's own listing: a second way beside the owner, so that
+// a cut or a relay that fails keeps no node sending to them.
+func (owner *Owner) notices(now time.Duration, held *duty, ask contract.LeaseRequest) {
+	if !owner.prompt || !ask.Notices || !owner.fresh(now) {
+		return
+	}
+	told := contract.Notices{Region: ask.Region, Shard: ask.Shard}
+	for _, row := range owner.mine(held) {
+		if row.Leaving {
+			told.Leaving = append(told.Leaving, row.Name)
+		}
+	}
+	if len(told.Leaving) > 0 {
+		owner.emit(contract.Count{Name: "notices_told", By: 1}, contract.Send{To: ask.Address, Kind: MessageNotices, Body: told})
+	}
+}
+
 // share is this node's part of a cold server's ramp. What others were given and still hold, or still run, is taken off first,
 // so the parts never add up to more than the ramp. Below zero means no bound. Right after a take-over nothing is given: leases
 // of the former owner may still stand.
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -16,6 +16,7 @@
 	MessageAsk       = "lease-request"
 	MessageLease     = "lease"
 	MessageNotOwner  = "lease-not-owner"
+	MessageNotices   = "server-notices"
 	MessageReadAsk   = "report-ask"
 	MessageReadTold  = "report-told"
 	MessageWithdraw  = "zone-withdraw"
