Relays to a silent member as one type; the gateway's revision is read in one place

Cause: the choice between a route that worked and new relays stood in gateway and data alike, and the gateway's revision was read in two ways. Tests of machine, gateway, manifest, control, platform and the stories of sight are green.

--- a/data/leases.go
+++ b/data/leases.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/machine"
 	"github.com/cedarreel/cedarreel/manifest"
 	"github.com/cedarreel/cedarreel/shard"
 )
@@ -17,9 +18,7 @@
 	asked   time.Duration
 	expires time.Duration
 	hint    string
-	// via is the route that the owner's last answer came by, empty when it came directly; tried is how often relays were asked in vain.
-	via   string
-	tried int
+	detour  machine.Detour
 }
 
 func (owner *Owner) askLeases(now time.Duration) {
@@ -51,19 +50,16 @@
 }
 
 // askByRelay asks a shard's first owner by way of other members when it has been silent for a third of a lease: a cut link between the
-// two must not stop a shard. A relay that worked is used alone until the owner answers by itself, or falls silent on that way too.
+// two must not stop a shard.
 func (owner *Owner) askByRelay(now time.Duration, held *grant, first string, ask contract.LeaseRequest) {
 	silent := now-held.asked > owner.Bounds.Lease()/3
 	target, there := owner.Neighbours.Look(first)
-	if !there || !silent && held.via == "" {
+	if !there {
 		return
 	}
-	via, tried := held.via, held.tried
-	held.tried = 0
-	if silent {
-		via, held.tried = "", tried+1
+	if route, tried, needed := held.detour.Next(silent); needed {
+		owner.emit(owner.ByRelay(now, target, contract.Send{To: target.Address, Kind: shard.MessageAsk, Body: ask}, route, tried)...)
 	}
-	owner.emit(owner.ByRelay(now, target, contract.Send{To: target.Address, Kind: shard.MessageAsk, Body: ask}, via, tried)...)
 }
 
 func (owner *Owner) shards() int { return owner.Feed.Manifest().Regions[owner.Self().Region].Shards }
@@ -105,12 +101,9 @@
 		owner.turned = map[string]rest{}
 	}
 	former := held.lease.Withdraw
-	direct := held.via == "" && held.asked == lease.Asked
+	held.detour.Answered(message.Via, held.asked == lease.Asked)
 	held.highest, held.lease, held.asked, held.hint = lease.Epoch, lease, lease.Asked, ""
 	held.expires = lease.Asked + lease.Life
-	if !direct {
-		held.via = message.Via
-	}
 	for _, candidate := range lease.Servers {
 		usage := owner.usages[candidate.Name]
 		if usage.Report != candidate.Report {
--- a/gateway/lists.go
+++ b/gateway/lists.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/machine"
 	"github.com/cedarreel/cedarreel/manifest"
 	"github.com/cedarreel/cedarreel/shard"
 )
@@ -22,11 +23,9 @@
 	held  bool
 	// interim is when the list was asked for that stands in until an owner's comes, 0 without one.
 	interim time.Duration
-	// via is the route that the owner's last answer came by, empty when it came directly.
-	via string
-	// relayed is when relays were asked last, tried how often they were in vain.
+	detour  machine.Detour
+	// relayed is when relays were asked last.
 	relayed time.Duration
-	tried   int
 	// overdue tells that the list was said to be unconfirmed for too long.
 	overdue bool
 }
@@ -133,22 +132,22 @@
 }
 
 // askByRelay asks the owners by way of other members when no answer comes: membership may tell that an owner is alive while the link to
-// it is cut. A relay that worked is used alone until an owner answers directly, or falls silent on that way too.
+// it is cut.
 func (node *Node) askByRelay(now time.Duration, held *list, owners []contract.Member, ask contract.LeaseRequest) {
-	silent := node.silent(now, held)
-	if !silent && held.via == "" || now-held.relayed < node.askEvery() {
+	if now-held.relayed < node.askEvery() {
+		return
+	}
+	route, tried, needed := held.detour.Next(node.silent(now, held))
+	if !needed {
 		return
 	}
 	held.relayed = now
-	via, tried := held.via, held.tried
-	held.tried = 0
-	if silent {
-		via, held.tried = "", tried+1
+	if route == "" {
 		node.emit(contract.Say{What: "list asked for by relays", Detail: []any{"region", ask.Region, "shard", ask.Shard, "number", held.number,
 			"epoch", held.highest, "ageMs", (now - held.asked).Milliseconds(), "tried", tried, "owners", names(owners)}})
 	}
 	for _, owner := range owners {
-		node.emit(node.ByRelay(now, owner, contract.Send{To: owner.Address, Kind: shard.MessageAsk, Body: ask}, via, tried)...)
+		node.emit(node.ByRelay(now, owner, contract.Send{To: owner.Address, Kind: shard.MessageAsk, Body: ask}, route, tried)...)
 	}
 }
 
@@ -178,9 +177,7 @@
 	if lease.Same && (lease.Epoch != held.epoch || lease.Number != held.number) {
 		return
 	}
-	if held.via != "" || held.asked != lease.Asked {
-		held.via = message.Via
-	}
+	held.detour.Answered(message.Via, held.asked == lease.Asked)
 	held.highest, held.epoch, held.number, held.asked, held.hint = lease.Epoch, lease.Epoch, lease.Number, lease.Asked, ""
 	node.confirmed(now, held, message, lease)
 	if former := node.observed[lease.Region]; !maps.Equal(former.Short, lease.Short) || !maps.Equal(former.Read, lease.Read) {
--- a/manifest/document.go
+++ b/manifest/document.go
@@ -43,14 +43,7 @@
 		next = reader.readHead()
 		next.Gateway.Routes, next.Gateway.Tenants = read.Gateway.Routes, read.Gateway.Tenants
 	case touched.revision:
-		revision, _ := content.Part(revisionPart)
-		tree, failure := Tree([]byte(`{"revision":` + revision + `}`))
-		if failure != nil {
-			return Manifest{}, failure
-		}
-		reader = &Reader{tree: tree, prefix: "gateway", errs: &[]string{}}
-		next.Gateway.Revision = reader.Number("revision", 0, 0, mostWhole)
-		reader = &Reader{errs: reader.errs}
+		next.Gateway.Revision = reader.revision(content)
 	}
 	for _, pointer := range touched.routes {
 		next.Gateway.Routes = next.Gateway.Routes.Without(itemName(pointer, routePrefix))
@@ -180,19 +173,25 @@
 	})
 }
 
-// GatewayRevision gives the operators' own revision number of a document's gateway section, or 0.
-func GatewayRevision(content *document.Document) int64 {
+// revision reads the operators' own revision number of a document's gateway section, 0 without one.
+func (reader *Reader) revision(content *document.Document) int64 {
 	value, there := content.Part(revisionPart)
 	if !there {
 		return 0
 	}
+	under := &Reader{prefix: "gateway", errs: reader.errs}
 	tree, failure := Tree([]byte(`{"revision":` + value + `}`))
 	if failure != nil {
+		under.Wrong("revision", "%s", failure)
 		return 0
 	}
-	return NewReader(tree).Number("revision", 0, 0, mostWhole)
+	under.tree = tree
+	return under.Number("revision", 0, 0, mostWhole)
 }
 
+// GatewayRevision gives the operators' own revision number of a document's gateway section, or 0.
+func GatewayRevision(content *document.Document) int64 { return NewReader(nil).revision(content) }
+
 // GatewayChange gives the change that an operator's change of the gateway section makes of a document: the whole section of the order,
 // or the former one with the items of "upsert" put in, each whole but in the place of the one that it replaces, and those that "remove"
 // names taken out. The rest of a first order is kept, later ones only add to it.
