Tenants in the emulator and its rules; soaks whose keys come and go

Change: callers show keys, servers see the tenant, the operator adds, moves and takes keys by whole versions and by name, shared keys are among the invalid ones; rules of UNASKED, ROUTE and CONFIG for keys, each with a planted violation.

--- a/cmd/cedarrig/main.go
+++ b/cmd/cedarrig/main.go
@@ -41,6 +41,7 @@
 	Plant    string  `long:"plant" description:"plant this fault in the core that is checked; 'list' names them"`
 	Play     int     `long:"play" description:"instead of processes, emulate so many seeded days of the site file that --site names"`
 	Soak     int     `long:"soak" description:"instead of processes, emulate so many seeded long days of overlapping series of troubles on the site file that --site names"`
+	Tenants  int     `long:"tenants" description:"with --play and --soak, how many organisations the configuration names, whose keys come and go"`
 	Vs       string  `long:"vs" description:"with --play, compare with another setting of the product over the same seeds: gateway.repeatRatio=0.1"`
 	Oracle   bool    `long:"oracle" description:"with --play, tell all nodes at once of each cache that is lost, as nothing in the product can"`
 	Plot     string  `long:"plot" description:"file that takes the plot of a comparison" default:"target/vs.svg"`
--- a/cmd/cedarrig/play.go
+++ b/cmd/cedarrig/play.go
@@ -32,6 +32,7 @@
 	if failure != nil {
 		return false, failure
 	}
+	described.Tenants = given.Tenants
 	changes := []emulator.Change{}
 	if given.Vs != "" {
 		change, failure := emulator.ReadChange(given.Vs)
@@ -106,10 +107,10 @@
 		}
 	}
 	if given.Soak > 0 {
-		fmt.Printf("  replay: cedarrig --soak 1 --seed %d --site %s --span %d --rate %v\n", result.Seed, given.Site, given.Span, given.Rate)
+		fmt.Printf("  replay: cedarrig --soak 1 --seed %d --site %s --span %d --rate %v --tenants %d\n", result.Seed, given.Site, given.Span, given.Rate, given.Tenants)
 		return false
 	}
-	fmt.Printf("  replay: cedarrig --play 1 --seed %d --site %s --faults %d --fault %q --rate %v\n", result.Seed, given.Site, given.Faults, given.Fault, given.Rate)
+	fmt.Printf("  replay: cedarrig --play 1 --seed %d --site %s --faults %d --fault %q --rate %v --tenants %d\n", result.Seed, given.Site, given.Faults, given.Fault, given.Rate, given.Tenants)
 	return false
 }
 
--- a/cmd/cedarrig/soak.go
+++ b/cmd/cedarrig/soak.go
@@ -15,7 +15,7 @@
 	if failure != nil {
 		return false, failure
 	}
-	given.Play = given.Soak
+	given.Play, described.Tenants = given.Soak, given.Tenants
 	figures, clean := days(given, described.Scaled(1, time.Duration(given.Span)*time.Second), emulator.Soak, "")
 	sumDays(figures)
 	fmt.Printf("soak: %d days of %d s on %s from seed %d, broken: %v\n", given.Soak, given.Span, given.Site, given.Seed, !clean)
--- a/emulator/caller.go
+++ b/emulator/caller.go
@@ -15,6 +15,7 @@
 	name    string
 	zone    string
 	region  string
+	key     string
 	random  *rand.Rand
 	keeps   bool
 	hasty   bool
@@ -189,6 +190,7 @@
 	visitor  *visitor
 	class    *Class
 	route    string
+	key      string
 	prompt   engine.Prompt
 	work     time.Duration
 	pieces   int
@@ -207,6 +209,7 @@
 		for index := range max(1, source.Callers) {
 			made := &visitor{day: day, name: source.Zone + name(index), zone: source.Zone, region: day.site.region(source.Zone),
 				random: day.world.source("visitor " + source.Zone + name(index)), failed: map[string]time.Duration{}, keeps: index%3 > 0 || day.stay, hasty: index%hastyOnes == 1}
+			made.key = day.operator.heldKey(made.random.IntN)
 			made.holds = seconds(day.site.Bounds.LookupLifeS) / 5
 			if index%longHolders == 0 {
 				made.holds *= longHold
@@ -263,7 +266,7 @@
 // call makes one call of a class, with its prompt and its work.
 func (day *Day) call(visitor *visitor, class *Class, random *rand.Rand) *call {
 	day.calls++
-	one := &call{day: day, visitor: visitor, class: class, route: class.Name, began: day.world.Now, tries: class.Tries + 1,
+	one := &call{day: day, visitor: visitor, class: class, route: class.Name, key: visitor.key, began: day.world.Now, tries: class.Tries + 1,
 		ends: day.world.Now + seconds(class.DeadlineMs/1000), work: seconds(class.WorkMs.draw(random) / 1000)}
 	if visitor.hasty {
 		one.tries += hastyTries
@@ -303,5 +306,5 @@
 	day.tries++
 	return &rules.Try{Identity: "t" + name(int(day.tries)), Call: "", Class: class.Name, Route: call.route, Service: class.Service, Kind: class.Kind,
 		Zone: call.visitor.zone, Region: call.visitor.region, Repeatable: class.Kind == "read_only" || class.Resumable, Resumable: class.Resumable,
-		Stream: class.Kind == "streaming", Regions: class.Regions, Total: call.pieces, Deadline: call.ends, After: call.got}
+		Stream: class.Kind == "streaming", Regions: class.Regions, Total: call.pieces, Deadline: call.ends, After: call.got, Key: call.key}
 }
--- a/emulator/changes.go
+++ b/emulator/changes.go
@@ -64,12 +64,17 @@
 }
 
 func (day *Day) probe(machine *machine, route string) {
-	class := day.operator.plain()
 	for _, one := range day.site.Classes {
 		if one.Name == route {
 			return
 		}
 	}
+	day.probeWith(machine, route, day.operator.heldKey(day.chance.IntN))
+}
+
+// probeWith sends a request with a key straight to a machine, on any route.
+func (day *Day) probeWith(machine *machine, route, key string) {
+	class := day.operator.plain()
 	zone := day.site.Traffic[0].Zone
 	for _, source := range day.site.Traffic {
 		if source.Zone == machine.zone {
@@ -81,7 +86,7 @@
 	}
 	one := day.call(day.visitors[zone][0], &class, day.chance)
 	day.figures = day.figures[:len(day.figures)-1]
-	one.route, one.straight, one.tries = route, machine, 1
+	one.route, one.straight, one.tries, one.key = route, machine, 1, key
 	one.send(true)
 }
 
@@ -124,7 +129,11 @@
 			next := operator.copy()
 			route := operator.route("bad", operator.plain())
 			route["prefix"] = fmt.Sprintf("/bad-%d/", operator.highest)
-			switch day.chance.IntN(5) {
+			switch ways := 5 + min(1, len(next.tenants)/2); day.chance.IntN(ways) {
+			case 5:
+				if !operator.sharedKey(next) {
+					route["service"] = "nobody"
+				}
 			case 0:
 				route["service"] = "nobody"
 			case 1:
--- a/emulator/exchange.go
+++ b/emulator/exchange.go
@@ -7,6 +7,7 @@
 	"github.com/cedarreel/cedarreel/emulator/rules"
 	"github.com/cedarreel/cedarreel/engine"
 	"github.com/cedarreel/cedarreel/gateway"
+	"github.com/cedarreel/cedarreel/manifest"
 	"strconv"
 )
 
@@ -57,6 +58,7 @@
 type query struct {
 	request *request
 	target  string
+	tenant  string
 	left    time.Duration
 	after   int
 	urgency int
@@ -125,6 +127,10 @@
 		one := &exchange{shell: shell, conn: conn, request: request, back: back, token: shell.token, after: request.try.After}
 		shell.callers[conn] = one.left
 		arrive := gateway.Arrive{Token: one.token, Host: request.host, Path: request.path, Left: request.left, Prompt: request.prompt, Size: request.size}
+		if request.try.Key != "" {
+			digest := manifest.DigestKey(request.try.Key)
+			arrive.Key = &digest
+		}
 		if request.try.After > 0 {
 			arrive.After = strconv.Itoa(request.try.After)
 		}
@@ -268,7 +274,7 @@
 	}
 	one.upstream, one.touched = upstream, shell.now()
 	upstream.closed[near] = func() { guard(func() { one.lost("the server broke off") }) }
-	asked := &query{request: one.request, target: dispatch.Server.Name, left: dispatch.Left, after: one.after, urgency: dispatch.Priority, presumed: dispatch.Presumed, machine: shell.machine,
+	asked := &query{request: one.request, target: dispatch.Server.Name, tenant: dispatch.Tenant, left: dispatch.Left, after: one.after, urgency: dispatch.Priority, presumed: dispatch.Presumed, machine: shell.machine,
 		sent: shell.day.world.Now}
 	asked.head = func(head head) { guard(func() { one.head(head) }) }
 	asked.piece = func(piece rules.Piece) { guard(func() { one.piece(piece) }) }
--- a/emulator/operator.go
+++ b/emulator/operator.go
@@ -23,6 +23,8 @@
 	rests   bool
 	next    []func()
 	spare   int
+	// keys is how many keys of tenants were ever named.
+	keys    int
 	sent    map[int64]*stored
 	highest int64
 	onAck   []func(*machine)
@@ -33,6 +35,7 @@
 	*rules.Version
 	routes   map[string]any
 	services map[string]any
+	tenants  map[string]any
 	limits   map[string]any
 }
 
@@ -65,6 +68,7 @@
 	for range operator.day.site.Spare {
 		operator.addSpare(first)
 	}
+	first.tenants = operator.firstTenants()
 	operator.current = first
 	operator.busy = true
 	operator.day.world.At(firstSent, func() {
@@ -112,7 +116,8 @@
 }
 
 func (operator *operator) copy() *stored {
-	return &stored{Version: &rules.Version{}, routes: maps.Clone(operator.current.routes), services: operator.current.services, limits: operator.current.limits}
+	return &stored{Version: &rules.Version{}, routes: maps.Clone(operator.current.routes), services: operator.current.services,
+		tenants: maps.Clone(operator.current.tenants), limits: operator.current.limits}
 }
 
 // version numbers what is sent, on top of the current one.
@@ -127,15 +132,20 @@
 		known.Regions, _ = tree["regions"].([]string)
 		next.Routes[route] = known
 	}
+	next.Holders = holders(next.tenants)
 	section := map[string]any{"revision": next.Number}
 	if verb == contract.VerbReplace {
 		section["routes"], section["services"], section["limits"] = next.routes, next.services, next.limits
+		if len(next.tenants) > 0 {
+			section["tenants"] = next.tenants
+		}
 	} else {
 		items := map[string]any{}
 		for _, name := range upsert {
 			items[name] = next.routes[name]
 		}
 		section["upsert"], section["remove"] = map[string]any{"routes": items}, map[string]any{"routes": append([]string{}, remove...)}
+		operator.changeTenants(next, section)
 	}
 	tree := map[string]any{"gateway": section}
 	if verb == contract.VerbReplace {
@@ -207,7 +217,9 @@
 			return
 		}
 		nodes := operator.day.operable()
+		next := min(longestPause, pause*pauseGrows/pauseParts)
 		if len(nodes) == 0 {
+			world.After(pause, func() { send(next) })
 			return
 		}
 		node, given := nodes[operator.random.IntN(len(nodes))], false
@@ -220,7 +232,7 @@
 				over = true
 				return
 			}
-			world.After(pause, func() { send(min(longestPause, pause*pauseGrows/pauseParts)) })
+			world.After(pause, func() { send(next) })
 		}
 		world.After(answerTime, func() { end(contract.Answer{}) })
 		world.post(from, node.place(), func() {
@@ -324,7 +336,8 @@
 	number, _ := section["revision"].(float64)
 	read := rules.ReadBack{At: operator.day.world.Now, Number: int64(number)}
 	if meant := operator.sent[read.Number]; meant != nil {
-		read.Same = same(section["routes"], meant.routes) && same(section["services"], meant.services) && same(section["limits"], meant.limits)
+		read.Same = same(section["routes"], meant.routes) && same(section["services"], meant.services) && same(section["limits"], meant.limits) &&
+			(len(meant.tenants) == 0 || same(section["tenants"], meant.tenants))
 	}
 	operator.day.record.ReadBacks = append(operator.day.record.ReadBacks, read)
 }
--- a/emulator/rules/answers.go
+++ b/emulator/rules/answers.go
@@ -88,7 +88,7 @@
 func (judge *judge) allowed(try *Try) bool {
 	versions := judge.inForce(try.Sent, try.Ended)
 	for _, version := range versions {
-		if _, there := version.Routes[try.Route]; !there {
+		if _, there := version.Routes[try.Route]; !there || !holds(version, try.Key) {
 			return false
 		}
 	}
--- a/emulator/rules/record.go
+++ b/emulator/rules/record.go
@@ -61,6 +61,8 @@
 	Probe    bool
 	Deadline time.Duration
 	GivenUp  bool
+	// Key is what the caller showed, empty without one.
+	Key string
 }
 
 type Piece struct {
@@ -83,12 +85,14 @@
 	Target   string
 	Cold     bool
 	Changed  bool
-	After    int
-	Run      int64
-	Ran      bool
-	RanAt    time.Duration
-	NotRun   bool
-	Moved    bool
+	// Tenant is whose call the server was told that it is.
+	Tenant string
+	After  int
+	Run    int64
+	Ran    bool
+	RanAt  time.Duration
+	NotRun bool
+	Moved  bool
 	// Broke tells that the server broke off, Failed that it answered with a failure of its own.
 	Broke  bool
 	Failed bool
@@ -113,6 +117,8 @@
 	Invalid bool
 	Ended   time.Duration
 	Routes  map[string]Route
+	// Holders are the tenants by their keys; without any, calls need no key.
+	Holders map[string]string
 }
 
 // ReadBack is one answer to the operator's reading at the end.
@@ -189,7 +195,7 @@
 func Judge(record *Record) []Breach {
 	judge := newJudge(record)
 	for _, rule := range []func(){judge.mixed, judge.unasked, judge.twice, judge.refused, judge.denied, judge.route, judge.drain, judge.lost,
-		judge.handled, judge.reverted, judge.added, judge.accepted, judge.readBack, judge.budget, judge.order, judge.failback, judge.home, judge.evacuated,
+		judge.tenants, judge.handled, judge.reverted, judge.added, judge.accepted, judge.readBack, judge.budget, judge.order, judge.failback, judge.home, judge.evacuated,
 		judge.recovered, judge.acknowledged} {
 		rule()
 	}
--- a/emulator/rules/rules_test.go
+++ b/emulator/rules/rules_test.go
@@ -73,6 +73,16 @@
 	}
 }
 
+// showing has all callers of the day show a key, and all servers be told its tenant.
+func (record *Record) showing(key, tenant string) {
+	for _, try := range record.Tries {
+		try.Key = key
+	}
+	for _, run := range record.Arrivals {
+		run.Tenant = tenant
+	}
+}
+
 var moved = map[string]Route{"check": {Services: []string{"other"}}, "status": {Services: []string{"other"}}}
 
 var _ = Describe("the rules", func() {
@@ -92,6 +102,35 @@
 			record.Arrivals = append(record.Arrivals, &Arrival{Identity: "ghost", Service: "model", Server: "model-1", Ran: true, RanAt: 12 * second, Machine: "one"})
 		}),
 		Entry("a run with another content", "UNASKED", func(record *Record) { record.Arrivals[0].Changed = true }),
+		Entry("a run as another tenant's call", "UNASKED", func(record *Record) {
+			record.Versions[0].Holders = map[string]string{"key-1": "one", "key-2": "two"}
+			record.showing("key-1", "one")
+			record.Arrivals[0].Tenant = "two"
+		}),
+		Entry("a run without the tenant", "UNASKED", func(record *Record) {
+			record.Versions[0].Holders = map[string]string{"key-1": "one"}
+			record.showing("key-1", "one")
+			record.Arrivals[0].Tenant = ""
+		}),
+		Entry("a run with a key that nobody ever held", "ROUTE", func(record *Record) {
+			record.Versions[0].Holders = map[string]string{"key-1": "one"}
+			record.showing("key-1", "one")
+			record.Tries[0].Key = "key-9"
+		}),
+		Entry("a run with a key that was taken away", "CONFIG", func(record *Record) {
+			record.Versions[0].Holders = map[string]string{"key-1": "one", "key-2": "one"}
+			record.showing("key-1", "one")
+			record.version(2, 1, 20*second, record.Versions[0].Routes)
+			record.Versions[1].Holders = map[string]string{"key-1": "one"}
+			try, run := record.serve("taken", "check", "model", 30*second)
+			try.Key, run.Tenant = "key-2", "one"
+		}),
+		Entry("a key that is there and refused", "CONFIG", func(record *Record) {
+			record.Versions[0].Holders = map[string]string{"key-1": "one"}
+			record.showing("key-1", "one")
+			try, run := record.serve("turned-down", "check", "model", 30*second)
+			try.Key, try.Status, try.Sealed, try.AnswerOf, run.Ran = "key-1", 401, false, "", false
+		}),
 		Entry("two runs", "TWICE", func(record *Record) {
 			again := *record.Arrivals[0]
 			again.Server, again.Target = "model-2", "model-2"
--- a/emulator/server.go
+++ b/emulator/server.go
@@ -131,7 +131,7 @@
 	}
 	now, world := server.day.world.Now, server.day.world
 	arrival := &rules.Arrival{Identity: asked.request.try.Identity, Server: server.name, Service: server.service.Name, Zone: server.zone, Region: server.region,
-		Machine: asked.machine.name, Sent: asked.sent, At: now, Target: asked.target, Cold: server.cold() && server.service.ColdPerS > 0, After: asked.after}
+		Machine: asked.machine.name, Sent: asked.sent, At: now, Target: asked.target, Tenant: asked.tenant, Cold: server.cold() && server.service.ColdPerS > 0, After: asked.after}
 	server.day.record.Arrivals = append(server.day.record.Arrivals, arrival)
 	server.conns[conn] = now
 	server.runs += runUnit
--- a/emulator/site.go
+++ b/emulator/site.go
@@ -26,6 +26,8 @@
 	List     List      `json:"list"`
 	Spare    int       `json:"spareRoutes"`
 	Troubles []Trouble `json:"troubles"`
+	// Tenants is how many organisations the configuration names; without any, calls need no key.
+	Tenants int `json:"tenants,omitempty"`
 	// ControlOnCore tells that control processes run on core machines alone; otherwise each machine has one.
 	ControlOnCore bool `json:"controlOnCore,omitempty"`
 }
--- a/emulator/soak.go
+++ b/emulator/soak.go
@@ -34,6 +34,9 @@
 	}
 }
 
+// tenantSeries are the changes of keys on a site with tenants.
+var tenantSeries = series{kinds: []Trouble{{Kind: "revoke", Count: 2, GapS: 1}, {Kind: "tenant", GapS: 0.5}, {Kind: "revoke"}}, leastGapS: 3, mostGapS: 8}
+
 const (
 	// soakStart leaves the first seconds of the traffic alone.
 	soakStart = 2.0
@@ -47,7 +50,11 @@
 	random, length := rand.New(rand.NewPCG(seed, 11)), site.DayS
 	between := func(least, most float64) float64 { return least + random.Float64()*(most-least) }
 	plan := Plan{Stay: true, Troubles: []Trouble{{Kind: "config_storm", AtS: soakStart, ForS: length - soakStart, GapS: between(stormLeastS, stormMostS)}}}
-	for _, one := range soakSeries() {
+	all := soakSeries()
+	if site.Tenants > 0 {
+		all = append(all, tenantSeries)
+	}
+	for _, one := range all {
 		for at := soakStart + random.Float64()*one.mostGapS; at < length*9/10; at += between(one.leastGapS, one.mostGapS) {
 			trouble := one.kinds[random.IntN(len(one.kinds))]
 			trouble.AtS = at
--- a/emulator/troubles.go
+++ b/emulator/troubles.go
@@ -47,6 +47,8 @@
 		"config_storm":   {true, (*Day).storm},
 		"bad_config":     {true, (*Day).bad},
 		"evacuate":       {true, (*Day).evacuate},
+		"tenant":         {true, (*Day).keys},
+		"revoke":         {true, (*Day).keys},
 	}
 }
 
