--- a/stories/calls/calls_test.go
+++ b/stories/calls/calls_test.go
@@ -6,7 +6,7 @@
 	"github.com/cedarreel/cedarreel/call"
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/site"
-	"github.com/cedarreel/cedarreel/stories/told"
+	"github.com/cedarreel/cedarreel/stories/harness"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -19,11 +19,11 @@
 func slowly(kind *site.Caller) { kind.Pieces = 200 }
 
 var _ = Describe("a call runs at most once", func() {
-	for _, name := range told.Sites {
+	for _, name := range harness.Sites {
 		It("in "+name+", when its node dies in the middle and it is repeated at every other node", func() {
-			played := told.Given(name, 31)
-			nodes := played.InRegion(told.Home(played))
-			probe := played.Probe("short", told.Home(played)).With(slowly).Send(nodes[0])
+			played := harness.Given(name, 31)
+			nodes := played.InRegion(harness.Home(played))
+			probe := played.Probe("short", harness.Home(played)).With(slowly).Send(nodes[0])
 			Expect(played.Until(8*time.Second, func() bool { return len(played.Running()) == 1 })).To(BeTrue())
 			nodes[0].Kill()
 			Expect(probe.Outcome(time.Second)).To(Equal("broken"))
@@ -31,95 +31,95 @@
 				Expect(probe.Send(node).Outcome(5 * time.Second)).To(BeElementOf("running", "unknown"))
 			}
 			Expect(probe.Send(nodes[1]).Outcome(5 * time.Second)).To(Equal("unknown"))
-			told.NothingWrong(played)
+			harness.NothingWrong(played)
 		})
 	}
 
 	It("while it is sent to two nodes at the same moment by a careless caller", func() {
-		played := told.Given("brazos", 32)
-		nodes := played.InRegion(told.Home(played))
+		played := harness.Given("brazos", 32)
+		nodes := played.InRegion(harness.Home(played))
 		for index := range 40 {
-			probe := played.Probe("short", told.Home(played))
+			probe := played.Probe("short", harness.Home(played))
 			probe.Again(nodes[index%8])
 			probe.Again(nodes[(index+3)%8])
 			played.Run(300 * time.Millisecond)
 		}
-		told.NothingWrong(played)
-		Expect(told.Outcomes(played, "short")["done"]).To(BeNumerically(">", 20))
+		harness.NothingWrong(played)
+		Expect(harness.Outcomes(played, "short")["done"]).To(BeNumerically(">", 20))
 	})
 
 	It("and a repeat gets the finished reply as long as it is kept", func() {
-		played := told.Given("seri", 33)
-		nodes := played.InRegion(told.Home(played))
-		probe := played.Probe("short", told.Home(played)).Send(nodes[0])
+		played := harness.Given("seri", 33)
+		nodes := played.InRegion(harness.Home(played))
+		probe := played.Probe("short", harness.Home(played)).Send(nodes[0])
 		Expect(probe.Outcome(10 * time.Second)).To(Equal("done"))
 		Expect(probe.Send(nodes[5]).Outcome(5 * time.Second)).To(Equal("done"))
-		Expect(played.Look(nodes[6], "desk", probe.Key(), told.Home(played)).Body).To(HaveKeyWithValue("outcome", call.Done))
-		told.NothingWrong(played)
+		Expect(played.Look(nodes[6], "desk", probe.Key(), harness.Home(played)).Body).To(HaveKeyWithValue("outcome", call.Done))
+		harness.NothingWrong(played)
 	})
 
 	It("and a repeat is told unknown when all who could know have restarted", func() {
-		played := told.Given("brazos", 34)
-		nodes := played.InRegion(told.Home(played))
-		probe := played.Probe("short", told.Home(played)).With(slowly).Send(nodes[0])
+		played := harness.Given("brazos", 34)
+		nodes := played.InRegion(harness.Home(played))
+		probe := played.Probe("short", harness.Home(played)).With(slowly).Send(nodes[0])
 		played.Run(time.Second)
 		played.KillFor(nodes, 500*time.Millisecond)
 		played.Run(8 * time.Second)
 		Expect(probe.Send(nodes[2]).Outcome(5 * time.Second)).To(Equal("unknown"))
-		Expect(played.Probe("short", told.Home(played)).Send(nodes[3]).Outcome(10 * time.Second)).To(Equal("done"))
-		told.NothingWrong(played)
+		Expect(played.Probe("short", harness.Home(played)).Send(nodes[3]).Outcome(10 * time.Second)).To(Equal("done"))
+		harness.NothingWrong(played)
 	})
 
 	It("when its node is frozen at any moment of it and woken after it was repeated elsewhere", func() {
 		for moment := range 24 {
-			played := told.Given("brazos", 35)
-			nodes := played.InRegion(told.Home(played))
-			probe := played.Probe("short", told.Home(played)).Send(nodes[0])
+			played := harness.Given("brazos", 35)
+			nodes := played.InRegion(harness.Home(played))
+			probe := played.Probe("short", harness.Home(played)).Send(nodes[0])
 			played.Run(time.Duration(moment) * 400 * time.Microsecond)
 			played.FreezeFor(nodes[:1], 6*time.Second)
 			played.Run(3 * time.Second)
 			probe.Send(nodes[1])
 			played.Run(8 * time.Second)
-			told.NothingWrong(played)
+			harness.NothingWrong(played)
 		}
 	})
 })
 
 var _ = Describe("what a caller is told", func() {
 	It("is not run only when the call can never run: a line that is full, a server that refuses", func() {
-		played := told.Given("brazos", 41)
+		played := harness.Given("brazos", 41)
 		for _, server := range played.Servers {
 			if server.Kind == "model" {
 				server.Mode = "refuse"
 			}
 		}
-		probe := played.Probe("short", told.Home(played)).Send(played.InRegion(told.Home(played))[0])
+		probe := played.Probe("short", harness.Home(played)).Send(played.InRegion(harness.Home(played))[0])
 		Expect(probe.Outcome(30 * time.Second)).To(Equal("not_run"))
-		told.NothingWrong(played)
+		harness.NothingWrong(played)
 	})
 
 	It("is unknown, not a success, for a reply that is cut, truncated or another's", func() {
 		for _, mode := range []string{"cut", "truncate", "wrong"} {
-			played := told.Given("seri", 42)
+			played := harness.Given("seri", 42)
 			for _, server := range played.Servers {
 				server.Mode = mode
 			}
 			for _, class := range []string{"long", "short"} {
-				probe := played.Probe(class, told.Home(played)).Send(played.InRegion(told.Home(played))[0])
+				probe := played.Probe(class, harness.Home(played)).Send(played.InRegion(harness.Home(played))[0])
 				Expect(probe.Outcome(40*time.Second)).To(BeElementOf("unknown", "interrupted"), mode+" "+class)
 			}
-			told.NothingWrong(played)
+			harness.NothingWrong(played)
 		}
 	})
 
 	It("is its final answer at once, with when to come back, when it is given up on", func() {
-		played := told.Given("brazos", 43)
+		played := harness.Given("brazos", 43)
 		played.Traffic(15*time.Second, 12)
 		played.Run(15 * time.Second)
-		told.NothingWrong(played)
+		harness.NothingWrong(played)
 		refused, worst := 0, time.Duration(0)
 		for _, class := range []string{"long", "short", "lookup"} {
-			refused += told.Outcomes(played, class)["not_run"]
+			refused += harness.Outcomes(played, class)["not_run"]
 			worst = max(worst, played.Ledger.Figures.Classes[class].Refused)
 		}
 		Expect(refused).To(BeNumerically(">", 100))
@@ -128,25 +128,25 @@
 	})
 
 	It("is refused at its own home when its home is down, and never sent elsewhere", func() {
-		played := told.Given("seri", 44)
+		played := harness.Given("seri", 44)
 		away := played.Site.Regions()[1]
 		for _, server := range played.Servers {
-			if server.Region == told.Home(played) {
+			if server.Region == harness.Home(played) {
 				server.Crash()
 			}
 		}
-		here := played.Probe("short", told.Home(played)).Send(played.InRegion(told.Home(played))[0])
+		here := played.Probe("short", harness.Home(played)).Send(played.InRegion(harness.Home(played))[0])
 		Expect(here.Outcome(40 * time.Second)).To(Equal("not_run"))
-		there := played.Probe("short", told.Home(played)).Send(played.InRegion(away)[0])
+		there := played.Probe("short", harness.Home(played)).Send(played.InRegion(away)[0])
 		Expect(there.Outcome(40 * time.Second)).To(Equal("not_run"))
-		told.NothingWrong(played)
+		harness.NothingWrong(played)
 	})
 
 	DescribeTable("is the right status for bad input", func(status int, change func(*call.Call)) {
-		played := told.Given("brazos", 45)
-		asked := call.Call{Key: "k", Caller: "desk", Route: "replies", Home: told.Home(played), Digest: "d"}
+		played := harness.Given("brazos", 45)
+		asked := call.Call{Key: "k", Caller: "desk", Route: "replies", Home: harness.Home(played), Digest: "d"}
 		change(&asked)
-		answer := played.Arrive(played.InRegion(told.Home(played))[0], asked)
+		answer := played.Arrive(played.InRegion(harness.Home(played))[0], asked)
 		Expect(answer.Status).To(Equal(status))
 		Expect(trouble(answer).Outcome).To(Equal(string(call.NotRun)))
 	},
@@ -157,9 +157,9 @@
 	)
 
 	It("is a refusal when a key is used with another body", func() {
-		played := told.Given("brazos", 46)
-		nodes := played.InRegion(told.Home(played))
-		probe := played.Probe("short", told.Home(played)).Send(nodes[0])
+		played := harness.Given("brazos", 46)
+		nodes := played.InRegion(harness.Home(played))
+		probe := played.Probe("short", harness.Home(played)).Send(nodes[0])
 		Expect(probe.Outcome(10 * time.Second)).To(Equal("done"))
 		answer := played.Arrive(nodes[4], call.Call{Key: probe.Key(), Caller: "desk", Route: "replies", Digest: "another"})
 		Expect(answer.Status).To(Equal(422))
@@ -170,13 +170,13 @@
 
 var _ = Describe("why", func() {
 	It("tells from any node where a call went and why", func() {
-		played := told.Given("brazos", 51)
-		probe := played.Probe("short", told.Home(played)).Send(played.InRegion(told.Home(played))[0])
+		played := harness.Given("brazos", 51)
+		probe := played.Probe("short", harness.Home(played)).Send(played.InRegion(harness.Home(played))[0])
 		Expect(probe.Outcome(10 * time.Second)).To(Equal("done"))
 		for _, machine := range played.Machines {
 			answer := played.Operate(machine, contract.Ask{Verb: contract.VerbWhy, Subject: probe.Key()})
 			Expect(answer.Status).To(Equal(200))
-			told := string(told.Text(answer.Body))
+			told := string(harness.Text(answer.Body))
 			for _, word := range []string{"chosen: ", "epoch", "number", `"revision":1`, `"outcome":"done"`, `"proof":"whole"`} {
 				Expect(told).To(ContainSubstring(word))
 			}
@@ -186,11 +186,11 @@
 })
 
 var _ = It("a repeat on the heels of the reply gets it, even at a keeper that the end did not reach", func() {
-	played := told.Given("seri", 36)
-	nodes := played.InRegion(told.Home(played))
+	played := harness.Given("seri", 36)
+	nodes := played.InRegion(harness.Home(played))
 	for index := range 21 {
 		other := nodes[1+index%7]
-		probe := played.Probe("short", told.Home(played)).Send(nodes[0])
+		probe := played.Probe("short", harness.Home(played)).Send(nodes[0])
 		played.Run(300 * time.Millisecond)
 		played.World.Cut([]string{nodes[0].Name}, []string{other.Name})
 		Expect(probe.Outcome(10 * time.Second)).To(Equal("done"))
@@ -198,13 +198,13 @@
 		played.World.Heal()
 		played.Run(time.Second)
 	}
-	told.NothingWrong(played)
+	harness.NothingWrong(played)
 })
 
 var _ = Describe("repeats", func() {
-	for _, name := range told.Sites {
+	for _, name := range harness.Sites {
 		It("stay a small share in "+name+" while half of the servers of each kind turn calls away", func() {
-			played := told.Given(name, 131)
+			played := harness.Given(name, 131)
 			played.Run(10 * time.Second)
 			played.Traffic(25*time.Second, 0.6)
 			for place, server := range played.Servers {
@@ -213,7 +213,7 @@
 				}
 			}
 			played.Run(25 * time.Second)
-			told.NothingWrong(played)
+			harness.NothingWrong(played)
 			GinkgoWriter.Println(played.Ledger.Figures.Text())
 		})
 	}
--- a/stories/calls/fair_test.go
+++ b/stories/calls/fair_test.go
@@ -4,17 +4,17 @@
 	"time"
 
 	"github.com/cedarreel/cedarreel/fleet"
-	"github.com/cedarreel/cedarreel/stories/told"
+	"github.com/cedarreel/cedarreel/stories/harness"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
 var _ = Describe("a caller that sends far more than all others", func() {
-	for _, name := range told.Sites {
+	for _, name := range harness.Sites {
 		It("does not keep a small one of the same route from being served in "+name, func() {
-			played := told.Given(name, 381)
+			played := harness.Given(name, 381)
 			played.Run(8 * time.Second)
-			home := told.Home(played)
+			home := harness.Home(played)
 			nodes := played.InRegion(home)
 			small := []*fleet.Probe{}
 			for index := range 6000 {
@@ -35,7 +35,7 @@
 			}
 			Expect(ends["done"]).To(Equal(len(small)), "%v, slowest %v", ends, slowest)
 			Expect(slowest).To(BeNumerically("<", 8*time.Second))
-			told.NothingWrong(played)
+			harness.NothingWrong(played)
 		})
 	}
 })
--- a/stories/calls/suite_test.go
+++ b/stories/calls/suite_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"github.com/cedarreel/cedarreel/stories/told"
+	"github.com/cedarreel/cedarreel/stories/harness"
 )
 
-func TestStories(t *testing.T) { told.Run(t, "calls") }
+func TestStories(t *testing.T) { harness.Run(t, "calls") }
--- a/stories/core/chain_test.go
+++ b/stories/core/chain_test.go
@@ -6,16 +6,16 @@
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/fleet"
-	"github.com/cedarreel/cedarreel/stories/told"
+	"github.com/cedarreel/cedarreel/stories/harness"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
 var _ = Describe("the chain of configuration", func() {
-	for _, name := range told.Sites {
+	for _, name := range harness.Sites {
 		It("takes a storm of "+name+" without a change of view, and every revision reads back", func() {
-			played := told.Given(name, 103)
-			before := told.ChainView(played, played.Machines[3])
+			played := harness.Given(name, 103)
+			before := harness.ChainView(played, played.Machines[3])
 			for index := range 120 {
 				played.World.After(time.Duration(index)*20*time.Millisecond, func() {
 					played.Write(played.Machines[index%12], played.Patch(index), nil)
@@ -29,15 +29,15 @@
 				}
 			}
 			Expect(accepted).To(Equal(121))
-			Expect(told.ChainView(played, played.Machines[3]).Number).To(Equal(before.Number))
-			told.NothingWrong(played)
+			Expect(harness.ChainView(played, played.Machines[3]).Number).To(Equal(before.Number))
+			harness.NothingWrong(played)
 		})
 	}
 
-	for _, name := range told.Sites {
+	for _, name := range harness.Sites {
 		It("gets over a storm in "+name+" that a core machine's loss leaves half done, and answers reads again", func() {
 			for seed := uint64(104); seed < 107; seed++ {
-				played := told.Given(name, seed)
+				played := harness.Given(name, seed)
 				for index := range 120 {
 					played.World.After(time.Duration(index)*12*time.Millisecond, func() {
 						played.Write(played.Machines[index%12], played.Patch(index), nil)
@@ -45,18 +45,18 @@
 				}
 				played.World.After(200*time.Millisecond, func() { played.WipeAndReturn(played.Cores()[int(seed)%3], 2*time.Second) })
 				played.Run(12 * time.Second)
-				settled := told.ChainView(played, played.Machines[3])
+				settled := harness.ChainView(played, played.Machines[3])
 				Expect(settled.Chain).To(HaveLen(3))
 				played.Run(10 * time.Second)
-				Expect(told.ChainView(played, played.Machines[3]).Number).To(Equal(settled.Number), "the view rests")
-				told.NothingWrong(played)
+				Expect(harness.ChainView(played, played.Machines[3]).Number).To(Equal(settled.Number), "the view rests")
+				harness.NothingWrong(played)
 			}
 		})
 	}
 
 	It("takes a core machine back whose disk was full while the others wrote", func() {
 		for seed := uint64(107); seed < 111; seed++ {
-			played := told.Given("brazos", seed)
+			played := harness.Given("brazos", seed)
 			disk := played.Cores()[int(seed)%3].Disk
 			disk.Full = true
 			for index := range 8 {
@@ -65,26 +65,26 @@
 			played.Run(6 * time.Second)
 			disk.Full = false
 			played.Run(10 * time.Second)
-			Expect(told.ChainView(played, played.Machines[1]).Chain).To(HaveLen(3), "seed %d", seed)
-			told.NothingWrong(played)
+			Expect(harness.ChainView(played, played.Machines[1]).Chain).To(HaveLen(3), "seed %d", seed)
+			harness.NothingWrong(played)
 		}
 	})
 
 	It("gives a core machine that is back within a moment every accepted revision", func() {
-		played := told.Given("brazos", 103)
+		played := harness.Given("brazos", 103)
 		for index := range 5 {
-			Expect(told.Patched(played, played.Machines[index], index).Status).To(Equal(200))
+			Expect(harness.Patched(played, played.Machines[index], index).Status).To(Equal(200))
 		}
 		played.KillFor(played.Cores()[2:], 2*time.Second)
 		played.Run(10 * time.Second)
-		Expect(told.ChainView(played, played.Machines[1]).Chain).To(HaveLen(3))
-		told.NothingWrong(played)
+		Expect(harness.ChainView(played, played.Machines[1]).Chain).To(HaveLen(3))
+		harness.NothingWrong(played)
 	})
 
 	It("keeps what was acknowledged when every core machine restarts and their disks lost it", func() {
-		played := told.Given("seri", 9)
+		played := harness.Given("seri", 9)
 		for index := range 6 {
-			Expect(told.Patched(played, played.Machines[index], index).Status).To(Equal(200))
+			Expect(harness.Patched(played, played.Machines[index], index).Status).To(Equal(200))
 		}
 		_, newest := played.Manifest(played.Machines[2])
 		for _, machine := range played.Cores() {
@@ -94,16 +94,16 @@
 		played.Run(12 * time.Second)
 		_, after := played.Manifest(played.Machines[2])
 		Expect(after).To(Equal(newest))
-		Expect(told.Patched(played, played.Machines[2], 9).Accepted.Revision).To(BeNumerically(">", newest))
+		Expect(harness.Patched(played, played.Machines[2], 9).Accepted.Revision).To(BeNumerically(">", newest))
 	})
 
 	It("puts an empty machine at a new address in the place of a core machine, several times in a row", func() {
-		played := told.Given("seri", 4)
+		played := harness.Given("seri", 4)
 		for index := range 3 {
-			Expect(told.Patched(played, played.Machines[1], index).Status).To(BeElementOf(200, 202))
+			Expect(harness.Patched(played, played.Machines[1], index).Status).To(BeElementOf(200, 202))
 			fresh := played.Swap(played.Cores()[index])
 			Expect(played.Until(20*time.Second, func() bool {
-				view := told.ChainView(played, played.Machines[1])
+				view := harness.ChainView(played, played.Machines[1])
 				for _, identity := range view.Chain {
 					if len(view.Chain) == 3 && identity == fresh.Name+"-control#b1" {
 						return true
@@ -112,49 +112,49 @@
 				return false
 			})).To(BeTrue(), fmt.Sprint("swap ", index))
 		}
-		Expect(told.Patched(played, played.Machines[1], 9).Status).To(BeElementOf(200, 202))
-		told.NothingWrong(played)
+		Expect(harness.Patched(played, played.Machines[1], 9).Status).To(BeElementOf(200, 202))
+		harness.NothingWrong(played)
 	})
 
 	It("goes on with two core machines, refuses with one, and says that nothing was committed", func() {
-		played := told.Given("brazos", 5)
+		played := harness.Given("brazos", 5)
 		cores := played.Cores()
 		cores[0].Kill()
 		played.Run(5 * time.Second)
-		written := told.Patched(played, played.Machines[1], 1)
+		written := harness.Patched(played, played.Machines[1], 1)
 		Expect(written.Status).To(Equal(202))
 		Expect(written.Accepted.Lacking).To(ContainElement(cores[0].Name + "-control"))
 		cores[1].Kill()
 		played.Run(5 * time.Second)
-		refused := told.Patched(played, played.Machines[1], 2)
+		refused := harness.Patched(played, played.Machines[1], 2)
 		Expect(refused.Status).To(BeElementOf(503, 504))
 		cores[0].Start()
 		cores[1].Start()
 		played.Run(12 * time.Second)
-		Expect(told.Patched(played, played.Machines[1], 3).Status).To(Equal(200))
-		told.NothingWrong(played)
+		Expect(harness.Patched(played, played.Machines[1], 3).Status).To(Equal(200))
+		harness.NothingWrong(played)
 	})
 
 	It("does not let a woken old head acknowledge, nor a woken old tail answer", func() {
-		played := told.Given("brazos", 6)
+		played := harness.Given("brazos", 6)
 		cores := played.Cores()
-		old := told.ChainView(played, played.Machines[1])
+		old := harness.ChainView(played, played.Machines[1])
 		head, tail := played.Machine(old.Chain[0][:3]), played.Machine(old.Chain[2][:3])
 		played.FreezeFor([]*fleet.Machine{head, tail}, 100*time.Millisecond)
 		played.Run(time.Second)
 		head.Freeze()
 		played.Run(8 * time.Second)
-		Expect(told.Patched(played, played.Machines[1], 1).Status).To(BeElementOf(200, 202))
+		Expect(harness.Patched(played, played.Machines[1], 1).Status).To(BeElementOf(200, 202))
 		head.Wake()
 		late := played.Do(head, played.Patch(2))
 		Expect(late.Status).NotTo(BeZero())
 		played.Run(5 * time.Second)
 		Expect(cores).To(HaveLen(3))
-		told.NothingWrong(played)
+		harness.NothingWrong(played)
 	})
 
 	It("answers an operator who asks again with the same key as it did at first", func() {
-		played := told.Given("brazos", 7)
+		played := harness.Given("brazos", 7)
 		ask := played.Patch(1)
 		first, second := played.Do(played.Machines[1], ask), played.Do(played.Machines[9], ask)
 		Expect(second.Status).To(Equal(200))
@@ -164,58 +164,58 @@
 		Expect(played.Do(played.Machines[2], other).Status).To(Equal(422))
 		asked := played.Operate(played.Machines[7], contract.Ask{Verb: contract.VerbOperation, Subject: ask.Operation})
 		Expect(asked.Status).To(Equal(200))
-		told.NothingWrong(played)
+		harness.NothingWrong(played)
 	})
 
 	It("never founds a second core beside one that works", func() {
-		played := told.Given("brazos", 8)
+		played := harness.Given("brazos", 8)
 		machine := played.Cores()[1]
 		played.WipeAndReturn(machine, time.Second)
 		played.Run(10 * time.Second)
-		view := told.ChainView(played, played.Machines[2])
+		view := harness.ChainView(played, played.Machines[2])
 		Expect(view.Chain).To(HaveLen(3))
 		_, revision := played.Manifest(machine)
 		Expect(revision).To(Equal(int64(1)))
-		told.NothingWrong(played)
+		harness.NothingWrong(played)
 	})
 })
 
 var _ = Describe("repair of the core", func() {
 	It("hands back older revisions that every core disk has lost, from what other nodes kept", func() {
-		played := told.Given("brazos", 11)
+		played := harness.Given("brazos", 11)
 		for index := range 6 {
-			Expect(told.Patched(played, played.Machines[index], index).Status).To(Equal(200))
+			Expect(harness.Patched(played, played.Machines[index], index).Status).To(Equal(200))
 		}
 		for _, machine := range played.Cores() {
 			machine.Disk.Lies = 60
 		}
 		played.KillFor(played.Cores(), time.Second)
 		played.Run(15 * time.Second)
-		told.NothingWrong(played)
+		harness.NothingWrong(played)
 	})
 
 	It("founds anew when one core machine restarted and another was swapped in the same moment", func() {
-		played := told.Given("brazos", 12)
-		Expect(told.Patched(played, played.Machines[1], 1).Status).To(Equal(200))
+		played := harness.Given("brazos", 12)
+		Expect(harness.Patched(played, played.Machines[1], 1).Status).To(Equal(200))
 		cores := played.Cores()
 		played.KillFor(cores[:1], 5*time.Second)
 		played.Run(4900 * time.Millisecond)
 		played.Swap(cores[2])
 		played.Run(20 * time.Second)
-		Expect(told.ChainView(played, played.Machines[1]).Chain).To(HaveLen(3))
-		Expect(told.Patched(played, played.Machines[1], 2).Status).To(BeElementOf(200, 202))
-		told.NothingWrong(played)
+		Expect(harness.ChainView(played, played.Machines[1]).Chain).To(HaveLen(3))
+		Expect(harness.Patched(played, played.Machines[1], 2).Status).To(BeElementOf(200, 202))
+		harness.NothingWrong(played)
 	})
 })
 
 var _ = Describe("a core that lost more than one machine", func() {
 	It("goes on from a holder when a chain of one is wiped", func() {
-		played := told.Given("brazos", 13)
-		Expect(told.Patched(played, played.Machines[1], 1).Status).To(Equal(200))
+		played := harness.Given("brazos", 13)
+		Expect(harness.Patched(played, played.Machines[1], 1).Status).To(Equal(200))
 		cores := played.Cores()
 		played.CutFor([]string{cores[2].Name}, 13*time.Second, true)
 		played.Run(4 * time.Second)
-		Expect(told.Patched(played, played.Machines[1], 2).Status).To(Equal(202))
+		Expect(harness.Patched(played, played.Machines[1], 2).Status).To(Equal(202))
 		cores[0].Disk.Full = true
 		played.Write(played.Machines[1], played.Patch(3), nil)
 		played.Run(5 * time.Second)
@@ -223,13 +223,13 @@
 		played.Run(4 * time.Second)
 		cores[0].Disk.Full = false
 		played.Run(15 * time.Second)
-		Expect(told.ChainView(played, played.Machines[1]).Chain).To(HaveLen(3))
-		told.NothingWrong(played)
+		Expect(harness.ChainView(played, played.Machines[1]).Chain).To(HaveLen(3))
+		harness.NothingWrong(played)
 	})
 
 	It("that two swaps in one moment left without a majority waits for an operator's word, then founds", func() {
-		played := told.Given("seri", 14)
-		Expect(told.Patched(played, played.Machines[1], 1).Status).To(Equal(200))
+		played := harness.Given("seri", 14)
+		Expect(harness.Patched(played, played.Machines[1], 1).Status).To(Equal(200))
 		cores := played.Cores()
 		played.Swap(cores[0])
 		played.Swap(cores[1])
@@ -239,23 +239,23 @@
 		Expect(played.Operate(played.Machines[1], contract.Ask{Verb: contract.VerbGone, Subject: cores[0].Name}).Status).To(Equal(200))
 		Expect(played.Operate(played.Machines[1], contract.Ask{Verb: contract.VerbGone, Subject: cores[1].Name}).Status).To(Equal(200))
 		played.Run(15 * time.Second)
-		Expect(told.ChainView(played, played.Machines[1]).Chain).To(HaveLen(3))
-		Expect(told.Patched(played, played.Machines[1], 2).Status).To(BeElementOf(200, 202))
-		told.NothingWrong(played)
+		Expect(harness.ChainView(played, played.Machines[1]).Chain).To(HaveLen(3))
+		Expect(harness.Patched(played, played.Machines[1], 2).Status).To(BeElementOf(200, 202))
+		harness.NothingWrong(played)
 	})
 })
 
 var _ = It("a view that only the folders of killed machines know reaches the one that was cut off, and the core goes on", func() {
-	played := told.Given("brazos", 15)
-	Expect(told.Patched(played, played.Machines[1], 1).Status).To(Equal(200))
+	played := harness.Given("brazos", 15)
+	Expect(harness.Patched(played, played.Machines[1], 1).Status).To(Equal(200))
 	inside, outside := fleet.Names(played.InRegion("central")), fleet.Names(played.InRegion("coast"))
 	played.World.CutBoth(inside, outside)
 	played.Run(6 * time.Second)
-	Expect(told.ChainView(played, played.Machines[1]).Number).To(Equal(int64(2)))
+	Expect(harness.ChainView(played, played.Machines[1]).Number).To(Equal(int64(2)))
 	played.KillFor(played.InRegion("central"), 3*time.Second)
 	played.World.Heal()
 	played.Run(20 * time.Second)
-	Expect(told.ChainView(played, played.Machines[1]).Chain).To(HaveLen(3))
-	Expect(told.Patched(played, played.Machines[11], 2).Status).To(Equal(200))
-	told.NothingWrong(played)
+	Expect(harness.ChainView(played, played.Machines[1]).Chain).To(HaveLen(3))
+	Expect(harness.Patched(played, played.Machines[11], 2).Status).To(Equal(200))
+	harness.NothingWrong(played)
 })
--- a/stories/core/recovery_test.go
+++ b/stories/core/recovery_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/fleet"
-	"github.com/cedarreel/cedarreel/stories/told"
+	"github.com/cedarreel/cedarreel/stories/harness"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -20,9 +20,9 @@
 	GinkgoHelper()
 	reads, writes, views := []time.Duration{}, []time.Duration{}, []int64{}
 	for seed := uint64(370); seed < 370+recoverySeeds; seed++ {
-		played := told.Given("brazos", seed)
-		Expect(told.Patched(played, played.Machines[1], 1).Status).To(BeElementOf(200, 202))
-		before, began := told.ChainView(played, played.Machines[1]).Number, played.World.Now
+		played := harness.Given("brazos", seed)
+		Expect(harness.Patched(played, played.Machines[1], 1).Status).To(BeElementOf(200, 202))
+		before, began := harness.ChainView(played, played.Machines[1]).Number, played.World.Now
 		trouble(played)
 		played.Run(50 * time.Millisecond)
 		asker := played.Pick(func(machine *fleet.Machine) bool { return machine.Up() && !machine.Core })[0]
@@ -31,15 +31,15 @@
 		})).To(BeTrue(), "%s: read, seed %d", name, seed)
 		reads = append(reads, played.World.Now-began)
 		Expect(played.Until(30*time.Second, func() bool {
-			status := told.Patched(played, asker, 2).Status
+			status := harness.Patched(played, asker, 2).Status
 			return status == 200 || status == 202
 		})).To(BeTrue(), "%s: write, seed %d", name, seed)
 		writes = append(writes, played.World.Now-began)
 		played.Run(20 * time.Second)
-		view := told.ChainView(played, asker)
+		view := harness.ChainView(played, asker)
 		Expect(view.Chain).To(HaveLen(3), "%s: whole again, seed %d", name, seed)
 		views = append(views, view.Number-before)
-		told.NothingWrong(played)
+		harness.NothingWrong(played)
 	}
 	slices.Sort(reads)
 	slices.Sort(writes)
--- a/stories/core/worst_test.go
+++ b/stories/core/worst_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/fleet"
-	"github.com/cedarreel/cedarreel/stories/told"
+	"github.com/cedarreel/cedarreel/stories/harness"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -22,13 +22,13 @@
 	// apart cuts the head from all others and lets those change the configuration twice, for twenty seconds in all.
 	apart := func(seed uint64, bothWays bool) (played *fleet.Fleet, head *fleet.Machine, newest int64) {
 		GinkgoHelper()
-		played = told.Given("brazos", seed)
-		head = played.Machine(told.ChainView(played, played.Machines[1]).Chain[0][:3])
+		played = harness.Given("brazos", seed)
+		head = played.Machine(harness.ChainView(played, played.Machines[1]).Chain[0][:3])
 		played.CutFor([]string{head.Name}, 20*time.Second, bothWays)
 		played.Run(5 * time.Second)
 		others := played.Pick(func(machine *fleet.Machine) bool { return machine != head })
 		for number := range 2 {
-			written := told.Patched(played, others[number], number)
+			written := harness.Patched(played, others[number], number)
 			Expect(written.Status).To(BeElementOf(200, 202))
 			newest = written.Accepted.Revision
 		}
@@ -41,7 +41,7 @@
 			written := played.Do(head, based(played, 7, newest))
 			Expect(written.Status).To(BeElementOf(503, 504), "an order on top of revision %d", newest)
 			played.Run(20 * time.Second)
-			told.NothingWrong(played)
+			harness.NothingWrong(played)
 		})
 
 		It(fmt.Sprintf("does not hand out the configuration that it had, and says so at once (cut both ways: %v)", bothWays), func() {
@@ -50,14 +50,14 @@
 			Expect(played.Operate(head, contract.Ask{Verb: contract.VerbGet}).Status).To(BeElementOf(503, 504))
 			Expect(played.World.Now - asked).To(BeNumerically("<", 8*time.Second))
 			played.Run(20 * time.Second)
-			told.NothingWrong(played)
+			harness.NothingWrong(played)
 		})
 
 		It(fmt.Sprintf("does not confirm a drain that it believes to stand (cut both ways: %v)", bothWays), func() {
-			played := told.Given("brazos", 303)
+			played := harness.Given("brazos", 303)
 			zone := played.Site.Machines[0].Zone
 			Expect(played.Do(played.Machines[1], contract.Ask{Verb: contract.VerbDrain, Subject: zone}).Status).To(BeElementOf(200, 202))
-			head := played.Machine(told.ChainView(played, played.Machines[1]).Chain[0][:3])
+			head := played.Machine(harness.ChainView(played, played.Machines[1]).Chain[0][:3])
 			played.CutFor([]string{head.Name}, 20*time.Second, bothWays)
 			played.Run(5 * time.Second)
 			others := played.Pick(func(machine *fleet.Machine) bool { return machine != head })
@@ -65,7 +65,7 @@
 			drain := contract.Ask{Verb: contract.VerbDrain, Subject: zone, Operation: "again", Prompt: true}
 			Expect(played.Operate(head, drain).Status).To(BeElementOf(503, 504))
 			played.Run(20 * time.Second)
-			told.NothingWrong(played)
+			harness.NothingWrong(played)
 		})
 	}
 })
@@ -74,8 +74,8 @@
 	// woken freezes the head while the others change the configuration, and gives it the moment that it wakes.
 	woken := func(seed uint64, meanwhile func(*fleet.Fleet, *fleet.Machine) contract.Ask) contract.Answer {
 		GinkgoHelper()
-		played := told.Given("brazos", seed)
-		head := played.Machine(told.ChainView(played, played.Machines[1]).Chain[0][:3])
+		played := harness.Given("brazos", seed)
+		head := played.Machine(harness.ChainView(played, played.Machines[1]).Chain[0][:3])
 		played.FreezeFor([]*fleet.Machine{head}, 20*time.Second)
 		played.Run(5 * time.Second)
 		others := played.Pick(func(machine *fleet.Machine) bool { return machine != head })
@@ -84,14 +84,14 @@
 		head.Wake()
 		answer := played.Operate(head, ask)
 		played.Run(10 * time.Second)
-		told.NothingWrong(played)
+		harness.NothingWrong(played)
 		return answer
 	}
 
 	It("does not refuse an order that builds on what it has missed", func() {
 		for seed := uint64(310); seed < 314; seed++ {
 			answer := woken(seed, func(played *fleet.Fleet, other *fleet.Machine) contract.Ask {
-				written := told.Patched(played, other, 1)
+				written := harness.Patched(played, other, 1)
 				Expect(written.Status).To(BeElementOf(200, 202))
 				ask := based(played, 2, written.Accepted.Revision)
 				ask.Prompt = true
@@ -117,27 +117,27 @@
 	for step := range 8 {
 		span := time.Duration(step) * 400 * time.Millisecond
 		It(fmt.Sprintf("%v after a replacement started loses nothing, and the core serves again", span), func() {
-			played := told.Given("seri", uint64(320+step))
+			played := harness.Given("seri", uint64(320+step))
 			for number := range 3 {
-				Expect(told.Patched(played, played.Machines[1], number).Status).To(BeElementOf(200, 202))
+				Expect(harness.Patched(played, played.Machines[1], number).Status).To(BeElementOf(200, 202))
 			}
 			cores := played.Cores()
 			played.Swap(cores[0])
 			played.Run(span)
 			played.KillFor(cores[1:2], 2*time.Second)
 			played.Run(20 * time.Second)
-			Expect(told.ChainView(played, played.Machines[2]).Chain).To(HaveLen(3))
-			Expect(told.Patched(played, played.Machines[2], 9).Status).To(BeElementOf(200, 202))
-			told.NothingWrong(played)
+			Expect(harness.ChainView(played, played.Machines[2]).Chain).To(HaveLen(3))
+			Expect(harness.Patched(played, played.Machines[2], 9).Status).To(BeElementOf(200, 202))
+			harness.NothingWrong(played)
 		})
 	}
 })
 
 var _ = Describe("a member that missed hundreds of changes", func() {
 	It("catches up, is not in the chain before, and leads with nothing old", func() {
-		played := told.Given("brazos", 340)
+		played := harness.Given("brazos", 340)
 		member := played.Cores()[0]
-		identity := told.ChainView(played, played.Machines[1]).Chain[0]
+		identity := harness.ChainView(played, played.Machines[1]).Chain[0]
 		member.Kill()
 		played.Run(4 * time.Second)
 		for number := range 320 {
@@ -148,7 +148,7 @@
 		played.Run(22 * time.Second)
 		member.Start()
 		Expect(played.Until(10*time.Second, func() bool {
-			view := told.ChainView(played, played.Machines[1])
+			view := harness.ChainView(played, played.Machines[1])
 			return len(view.Chain) == 3 && view.Rank(identity) >= 0
 		})).To(BeTrue(), "the same member is back in the chain")
 		newest := int64(0)
@@ -161,38 +161,38 @@
 		played.Run(8 * time.Second)
 		_, after := played.Manifest(played.Machines[2])
 		Expect(after).To(Equal(newest))
-		told.NothingWrong(played)
+		harness.NothingWrong(played)
 	})
 })
 
 var _ = Describe("a core machine that restarts with its disk", func() {
 	It("is the same member, without a change of view when it is back at once", func() {
-		played := told.Given("brazos", 350)
-		before := told.ChainView(played, played.Machines[1])
+		played := harness.Given("brazos", 350)
+		before := harness.ChainView(played, played.Machines[1])
 		played.KillFor(played.Cores()[:1], 300*time.Millisecond)
 		played.Run(6 * time.Second)
-		Expect(told.ChainView(played, played.Machines[1])).To(Equal(before))
-		told.NothingWrong(played)
+		Expect(harness.ChainView(played, played.Machines[1])).To(Equal(before))
+		harness.NothingWrong(played)
 	})
 
 	It("counts when all of the core restarted, while one of them stays away", func() {
-		played := told.Given("brazos", 351)
-		Expect(told.Patched(played, played.Machines[1], 1).Status).To(BeElementOf(200, 202))
+		played := harness.Given("brazos", 351)
+		Expect(harness.Patched(played, played.Machines[1], 1).Status).To(BeElementOf(200, 202))
 		cores := played.Cores()
 		played.KillFor(cores[:1], 20*time.Second)
 		played.KillFor(cores[1:], time.Second)
 		Expect(played.Until(8*time.Second, func() bool {
 			return played.Operate(played.Machines[5], contract.Ask{Verb: contract.VerbGet}).Status == 200
 		})).To(BeTrue(), "two of three serve the configuration")
-		Expect(told.Patched(played, played.Machines[5], 2).Status).To(BeElementOf(200, 202))
+		Expect(harness.Patched(played, played.Machines[5], 2).Status).To(BeElementOf(200, 202))
 		played.Run(20 * time.Second)
-		told.NothingWrong(played)
+		harness.NothingWrong(played)
 	})
 })
 
 var _ = Describe("two operators under one number, with lost answers", func() {
 	It("sees one of them confirmed, however often both send again, in a later view too", func() {
-		played := told.Given("seri", 360)
+		played := harness.Given("seri", 360)
 		_, revision := played.Manifest(played.Machines[1])
 		orders := []contract.Ask{based(played, 1, revision), based(played, 2, revision)}
 		orders[1].Operation += "-other"
@@ -219,6 +219,6 @@
 		for _, revisions := range accepted {
 			Expect(revisions).To(HaveLen(1), "as one version")
 		}
-		told.NothingWrong(played)
+		harness.NothingWrong(played)
 	})
 })
--- a/stories/days/calm_test.go
+++ b/stories/days/calm_test.go
@@ -3,22 +3,22 @@
 import (
 	"time"
 
-	"github.com/cedarreel/cedarreel/stories/told"
+	"github.com/cedarreel/cedarreel/stories/harness"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
 var _ = Describe("a calm day", func() {
-	for _, name := range told.Sites {
+	for _, name := range harness.Sites {
 		It("serves every caller of "+name, func() {
-			played := told.Given(name, 1)
+			played := harness.Given(name, 1)
 			played.Traffic(30*time.Second, 1)
 			played.Run(30 * time.Second)
-			told.NothingWrong(played)
+			harness.NothingWrong(played)
 			GinkgoWriter.Println(played.Ledger.Figures.Text())
 			for _, class := range []string{"long", "short", "lookup"} {
-				Expect(told.Outcomes(played, class)).To(HaveKey("done"))
-				Expect(told.Outcomes(played, class)).To(HaveLen(1), "every call is done")
+				Expect(harness.Outcomes(played, class)).To(HaveKey("done"))
+				Expect(harness.Outcomes(played, class)).To(HaveLen(1), "every call is done")
 			}
 		})
 	}
--- a/stories/days/suite_test.go
+++ b/stories/days/suite_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"github.com/cedarreel/cedarreel/stories/told"
+	"github.com/cedarreel/cedarreel/stories/harness"
 )
 
-func TestStories(t *testing.T) { told.Run(t, "days") }
+func TestStories(t *testing.T) { harness.Run(t, "days") }
--- a/stories/told/told.go
+++ b/stories/harness/harness.go
@@ -1,6 +1,7 @@
-// Package told holds what the stories share. The stories tell, in given-when-then over the in-memory fleet, what must never
+// Package harness holds what the stories share: fleets of a site, orders of an operator and what is wanted at the end. The stories say, in
+// given-when-then over the in-memory fleet, what must never
 // happen and that it does not; they stand in packages of their own so that they run side by side.
-package told
+package harness
 
 import (
 	"encoding/json"
--- a/stories/zones/ramp_test.go
+++ b/stories/zones/ramp_test.go
@@ -4,54 +4,54 @@
 	"time"
 
 	"github.com/cedarreel/cedarreel/fleet"
-	"github.com/cedarreel/cedarreel/stories/told"
+	"github.com/cedarreel/cedarreel/stories/harness"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
 var _ = Describe("a server that comes back cold", func() {
-	for _, name := range told.Sites {
+	for _, name := range harness.Sites {
 		It("is not flooded in "+name+", by a crowd after a crash of half a pool", func() {
-			played := told.Given(name, 21)
+			played := harness.Given(name, 21)
 			played.Traffic(40*time.Second, 1.5)
 			played.Run(10 * time.Second)
-			pool := told.Pool(played, played.Servers[0].Pool)
+			pool := harness.Pool(played, played.Servers[0].Pool)
 			for _, server := range pool[:len(pool)/2] {
 				server.Crash()
 				played.World.After(5*time.Second, server.Replace)
 			}
 			played.Run(30 * time.Second)
-			told.NothingWrong(played)
+			harness.NothingWrong(played)
 			Expect(played.Ledger.Figures.ColdShare).To(BeNumerically(">", 0), "cold servers were judged")
 		})
 
 		It("is not flooded in "+name+" by callers who leave while it is still at their calls", func() {
-			played := told.Given(name, 23)
+			played := harness.Given(name, 23)
 			played.Run(8 * time.Second)
-			for _, server := range told.Pool(played, played.Servers[0].Pool) {
+			for _, server := range harness.Pool(played, played.Servers[0].Pool) {
 				server.Replace()
 			}
 			for index := range 600 {
 				played.World.After(time.Duration(index)*10*time.Millisecond, func() {
-					played.Hurried("long", told.Home(played), 60*time.Millisecond)
+					played.Hurried("long", harness.Home(played), 60*time.Millisecond)
 				})
 			}
 			played.Run(12 * time.Second)
-			told.NothingWrong(played)
+			harness.NothingWrong(played)
 			Expect(played.Ledger.Figures.ColdShare).To(BeNumerically(">", 0), "cold servers were judged")
 		})
 
 		It("is not flooded in "+name+" when a node that serves it is cut off from its peers in the middle of its calls", func() {
 			for seed := uint64(24); seed < 28; seed++ {
-				played := told.Given(name, seed)
+				played := harness.Given(name, seed)
 				played.Run(8 * time.Second)
-				for _, server := range told.Pool(played, played.Servers[0].Pool) {
+				for _, server := range harness.Pool(played, played.Servers[0].Pool) {
 					server.Replace()
 				}
-				nodes := played.InRegion(told.Home(played))
+				nodes := played.InRegion(harness.Home(played))
 				for index := range 900 {
 					played.World.After(time.Duration(index)*10*time.Millisecond, func() {
-						played.Probe("short", told.Home(played)).Send(nodes[index%len(nodes)])
+						played.Probe("short", harness.Home(played)).Send(nodes[index%len(nodes)])
 					})
 				}
 				for place, node := range nodes {
@@ -61,15 +61,15 @@
 				}
 				played.Run(12 * time.Second)
 				played.World.Heal()
-				told.NothingWrong(played)
+				harness.NothingWrong(played)
 			}
 		})
 
 		It("stays on its ramp in "+name+" when its shard changes owner in the middle", func() {
-			played := told.Given(name, 22)
+			played := harness.Given(name, 22)
 			played.Traffic(40*time.Second, 2)
 			played.Run(10 * time.Second)
-			for _, server := range told.Pool(played, played.Servers[0].Pool) {
+			for _, server := range harness.Pool(played, played.Servers[0].Pool) {
 				server.Crash()
 				played.World.After(2*time.Second, server.Replace)
 			}
@@ -80,7 +80,7 @@
 				played.World.After(10*time.Second, machine.Wake)
 			}
 			played.Run(25 * time.Second)
-			told.NothingWrong(played)
+			harness.NothingWrong(played)
 		})
 	}
 })
--- a/stories/zones/suite_test.go
+++ b/stories/zones/suite_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"github.com/cedarreel/cedarreel/stories/told"
+	"github.com/cedarreel/cedarreel/stories/harness"
 )
 
-func TestStories(t *testing.T) { told.Run(t, "zones") }
+func TestStories(t *testing.T) { harness.Run(t, "zones") }
