rig: a replaced model server listens again beside processes that start

A process that is being started holds copies of the rig's sockets until it runs its own program. Ruled out: another rig (none ran), two starts of one server (it is claimed). Shown by a trial: beside processes that start all the time 12,192 of 15,484 tries to listen again failed, without them none of 3,588. Change: the stand-in tries again for up to two seconds while its own address is in use. Test red before, green after.

--- a/rig/model.go
+++ b/rig/model.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cedarreel/cedarreel/ledger"
@@ -48,9 +50,25 @@
 	return server, server.start()
 }
 
+const (
+	listenFor   = 2 * time.Second
+	listenPause = 5 * time.Millisecond
+)
+
+// listenAgain listens at an address that was closed a moment ago. A process that the rig is just starting holds copies of all open sockets
+// until it has its own program, so that a closed one can stay in use for some milliseconds, longer on a busy machine.
+func listenAgain(address string) (net.Listener, error) {
+	for began := time.Now(); ; time.Sleep(listenPause) {
+		listener, failure := net.Listen("tcp", address)
+		if failure == nil || !errors.Is(failure, syscall.EADDRINUSE) || time.Since(began) > listenFor {
+			return listener, failure
+		}
+	}
+}
+
 // start brings the server up, cold and under a new incarnation, at its old address.
 func (server *Server) start() error {
-	listener, err := net.Listen("tcp", server.Address)
+	listener, err := listenAgain(server.Address)
 	if err != nil {
 		return err
 	}
--- a/rig/rig_test.go
+++ b/rig/rig_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -290,6 +291,38 @@
 	}
 })
 
+// What was seen: a soak on a busy machine ended with "address already in use" as a server was replaced. Cause: a process that is being started
+// holds copies of the rig's sockets until it runs its own program, so that a closed listener is still there when the server listens again.
+// Evidence: beside processes that start all the time 12,192 of 15,484 such tries failed, without them none of 3,588.
+var _ = It("a model server that is replaced listens again while processes start beside it", func() {
+	described, failure := site.Load("../deploy/seri")
+	Expect(failure).NotTo(HaveOccurred())
+	played, failure := New(described, bin, GinkgoT().TempDir(), 1)
+	Expect(failure).NotTo(HaveOccurred())
+	stop, group := make(chan struct{}), sync.WaitGroup{}
+	for range 4 {
+		group.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_ = exec.Command(filepath.Join(bin, "cedarctl"), "--help").Run()
+				}
+			}
+		})
+	}
+	server := played.Platform.servers[0]
+	for range 200 {
+		Expect(played.Platform.Replace(server)).To(Succeed())
+	}
+	close(stop)
+	group.Wait()
+	for _, server := range played.Platform.servers {
+		server.Crash()
+	}
+})
+
 var _ = It("a fleet bears a soak: signals, restarts, changes, departures and cuts in overlapping series", func() {
 	described, failure := site.Load("../deploy/seri")
 	Expect(failure).NotTo(HaveOccurred())
