--- a/contract/epoch.go
+++ b/contract/epoch.go
@@ -1,6 +1,9 @@
 package contract
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Epoch is one term of a node as the owner of a shard. Incarnation tells a restarted owner from its earlier run, whose list numbers mean
 // nothing to it; it does not take part in the order of epochs.
@@ -18,6 +21,11 @@
 	return epoch.Node < other.Node
 }
 
+// String returns the number, the owner and its incarnation, for logs.
+func (epoch Epoch) String() string {
+	return fmt.Sprintf("%d/%s/%s", epoch.Number, epoch.Node, epoch.Incarnation)
+}
+
 // ListedServer is a model server in the platform's listing.
 type ListedServer struct {
 	Name        string `json:"name"`
--- a/link/loop.go
+++ b/link/loop.go
@@ -129,7 +129,7 @@
 	case contract.ObserveDuration:
 		loop.metrics.observeDuration(command.Name, command.Class, command.Duration)
 	case contract.Log:
-		_ = loop.logger.Log(append([]any{"what", command.Message}, command.Attributes...)...)
+		_ = loop.logger.Log(append([]any{"what", command.Message}, loggableAttributes(command.Attributes)...)...)
 	case contract.Response:
 		loop.Answer(command)
 	default:
