serve: a stop tells how many calls are in flight, why its wait ended, and which calls it cuts

Logging only; what a stop does is unchanged. Lines: stop requested, wait ended (quiet or limit), process ends, each with time since the signal, calls in flight and the oldest; one line for each call that the end of the process cuts, and for each connection that ended before its answer: attempt, server, age, whether the answer had started, number of the request on its connection.

--- a/serve/exchange.go
+++ b/serve/exchange.go
@@ -27,6 +27,7 @@
 	attemptID     string
 	lastEventID   string
 	answerStarted bool
+	description   *runningCall
 	replyStatus   int
 	replyHeader   http.Header
 	replyBody     []byte
@@ -44,9 +45,11 @@
 		ended.Outcome, ended.AnswerStarted, ended.Reason = outcome, call.answerStarted, reason
 		if ctx.Err() != nil && outcome != gateway.OutcomeComplete {
 			ended.Outcome = gateway.OutcomeCallerLeft
+			call.logCallerLeft()
 		}
 		return process.nextCommand(ended)
 	}
+	process.running.update(func() { call.description.server = dispatch.Server.Name })
 	deadline := time.Now().Add(dispatch.Timeout)
 	conn, err := process.dial(ctx, dispatch)
 	if err != nil {
--- a/serve/export_test.go
+++ b/serve/export_test.go
@@ -19,7 +19,7 @@
 
 func NewTestGateway(settings env.Env, adapter Adapter) *TestGateway {
 	process := &gatewayProcess{Process: &Process{Settings: settings, Loop: link.NewLoop(idleMachine{}, time.Hour, nil, log.NewNopLogger())}, adapter: adapter,
-		traffic: gateway.NewRouter(settings, newRandom()), pool: upstream.NewPool(maxIdlePerServer, time.Minute)}
+		traffic: gateway.NewRouter(settings, newRandom()), pool: upstream.NewPool(maxIdlePerServer, time.Minute), running: newCallRegistry()}
 	process.limits.Store(&manifest.Limits{})
 	return &TestGateway{process}
 }
--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -42,6 +42,9 @@
 	draining   atomic.Bool
 	inFlight   atomic.Int64
 	lastCallAt atomic.Int64
+	running    *callRegistry
+	// callsSinceSignal counts the calls that arrived after the signal to stop.
+	callsSinceSignal atomic.Int64
 }
 
 // Gateway runs a data-plane node (cedardp) that proxies opaque calls in the protocol of an adapter, until a signal stops it.
@@ -51,7 +54,8 @@
 		return err
 	}
 	random := newRandom()
-	process := &gatewayProcess{adapter: adapter, traffic: gateway.NewRouter(settings, newRandom()), pool: upstream.NewPool(maxIdlePerServer, settings.Gateway.Contact*2)}
+	process := &gatewayProcess{adapter: adapter, traffic: gateway.NewRouter(settings, newRandom()), pool: upstream.NewPool(maxIdlePerServer, settings.Gateway.Contact*2),
+		running: newCallRegistry()}
 	process.limits.Store(&manifest.Limits{})
 	node := gateway.NewNode(settings, newBootID(), process, random)
 	process.Process = newProcess(settings, node.Self(), node, "")
@@ -67,7 +71,7 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "cannot listen")
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: settings.Bounds.Return(), IdleTimeout: settings.Bounds.Deadline(), ErrorLog: discardLog()}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: settings.Bounds.Return(), IdleTimeout: settings.Bounds.Deadline(), ErrorLog: discardLog(), ConnContext: process.connContext}
 		servers = append(servers, server)
 		go func() {
 			beforeServing()
@@ -187,6 +191,12 @@
 
 // drain first steers callers to other nodes, then waits for running calls to end, within the grace period.
 func (process *gatewayProcess) drain(traffic *http.Server) {
+	requestedAt := process.Loop.Now()
+	process.logStop("stop requested", requestedAt)
+	process.onExit = func() {
+		process.logStop("process ends", requestedAt)
+		process.logCutCalls(requestedAt)
+	}
 	process.draining.Store(true)
 	process.Loop.Post(gateway.Leave{})
 	grace, began := process.Settings.Gateway.Grace, time.Now()
@@ -195,9 +205,21 @@
 		sleep(grace / 80)
 		idleFor := process.Loop.Now() - time.Duration(process.lastCallAt.Load())
 		if time.Since(began) > process.Settings.Gateway.LookupLife*2 && process.inFlight.Load() == 0 && idleFor > process.Settings.Gateway.LookupLife {
+			process.logStop("wait ended: quiet", requestedAt)
 			return
 		}
 	}
+	process.logStop("wait ended: its limit", requestedAt)
+}
+
+// logStop logs a step of a stop that was asked for at a time, with the calls in flight.
+func (process *gatewayProcess) logStop(step string, requestedAt time.Duration) {
+	calls, oldestMs := process.running.snapshot(), int64(0)
+	if len(calls) > 0 {
+		oldestMs = (process.Loop.Now() - calls[0].readAt).Milliseconds()
+	}
+	process.Loop.Execute(contract.Log{Message: step, Attributes: []any{"msAfterSignal", (process.Loop.Now() - requestedAt).Milliseconds(), "callsInFlight", len(calls),
+		"oldestMs", oldestMs, "callsSinceSignal", process.callsSinceSignal.Load()}})
 }
 
 // checkReady serves the readiness check.
@@ -238,6 +260,7 @@
 	defer process.inFlight.Add(-1)
 	process.lastCallAt.Store(int64(process.Loop.Now()))
 	if process.draining.Load() {
+		process.callsSinceSignal.Add(1)
 		writer.Header().Set("Connection", "close")
 	}
 	arrivedAt := time.Now()
@@ -265,6 +288,8 @@
 		arrived.Timeout = max(time.Millisecond, arrived.Timeout-time.Since(arrivedAt))
 	}
 	call := &proxyCall{process: process, writer: writer, request: request, body: body, attemptID: attemptID, lastEventID: arrived.LastEventID}
+	call.description = process.describeCall(call)
+	defer process.running.add(call.description)()
 	command := process.nextCommand(arrived)
 	for command != nil {
 		switch next := command.(type) {
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -32,6 +32,7 @@
 		if completeBytes > 0 || errors.Is(err, io.EOF) && !call.answerStarted {
 			if !call.answerStarted {
 				call.answerStarted = true
+				call.process.running.update(func() { call.description.answerStarted = true })
 				call.setReplyHeader(response.Header, -1)
 				call.writer.WriteHeader(response.StatusCode)
 			}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -37,6 +37,8 @@
 	stop           chan struct{}
 	server         *http.Server
 	operators      *link.OperatorAPI
+	// onExit, if set, is called right before a stopped process ends.
+	onExit func()
 }
 
 // newBootID returns a random identifier of this process start.
@@ -96,6 +98,9 @@
 		defer cancel()
 		err = process.server.Shutdown(shutdownCtx)
 	}
+	if process.onExit != nil {
+		process.onExit()
+	}
 	close(process.stop)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, context.DeadlineExceeded) {
 		err = nil
