--- /dev/null
+++ b/rig/gateway_machine.go
@@ -0,0 +1,213 @@
+package rig
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cedarreel/cedarreel/platform"
+)
+
+// gatewayMachine is one machine: a data process and, on core machines, a control process. The platform restarts each process that ends.
+type gatewayMachine struct {
+	fleet   *gatewayFleet
+	name    string
+	zone    string
+	region  string
+	address string
+	folder  string
+	core    bool
+	lock    sync.Mutex
+	// running holds the current process of each role; a process that has ended stays until the next one starts.
+	running map[string]*program
+	// stops are the graceful stops of the data process, hangups the times of SIGHUP, troubles the kills and freezes.
+	stops    []*gatewayStop
+	hangups  []time.Duration
+	troubles []timeSpan
+}
+
+// gatewayStop is one SIGTERM of a machine. endedAt is when its data process had ended, killed whether it took a SIGKILL.
+type gatewayStop struct {
+	at      time.Duration
+	endedAt time.Duration
+	killed  bool
+}
+
+// Roles of processes, named as the programs.
+const (
+	dataRole    = "cedardp"
+	controlRole = "cedarcp"
+)
+
+func (machine *gatewayMachine) at(port int) string {
+	return fmt.Sprintf("%s:%d", machine.address, port)
+}
+
+func (machine *gatewayMachine) roles() []string {
+	if machine.core {
+		return []string{controlRole, dataRole}
+	}
+	return []string{dataRole}
+}
+
+// settings returns the settings file of a process in the platform's format.
+func (machine *gatewayMachine) settings(role string, first bool) string {
+	fleet, text := machine.fleet, &strings.Builder{}
+	write := func(format string, values ...any) { fmt.Fprintf(text, format+"\n", values...) }
+	quoted := []string{}
+	for _, seed := range fleet.coreAddresses() {
+		quoted = append(quoted, fmt.Sprintf("%q", seed))
+	}
+	write("nodeName = %q\nrole = %q\nmachineClass = \"edge\"", machine.name, role)
+	write("ipAddress = %q\nzone = %q\nregion = %q", machine.address, machine.zone, machine.region)
+	write("internalPorts = [%d,%d]\nseedNodes = [%s]", firstInnerPort, lastInnerPort, strings.Join(quoted, ","))
+	write("bootstrap = %v\nquorumMember = %v", first, machine.core && role == controlRole)
+	if machine.core && role == controlRole {
+		write("dataPath = %q", filepath.Join(machine.folder, "data"))
+	}
+	write("[zones]")
+	for _, zone := range gatewayZones {
+		write("%s = %q", zone.name, zone.region)
+	}
+	write("[bindAddresses]\nfrontend = %q\nreadiness = %q\ncontrolPlane = %q\nregistry = %q", machine.at(trafficPort), machine.at(readyPort), machine.at(controlPort), machine.at(lookupPort))
+	write("[faultTolerance]\nmachines = 1\nzones = 1\nregions = 0")
+	write("[bounds]\ncontactMs = %d\ndrainMs = %d\ngracePeriodS = %v\npropagationMs = %d\nevacuationMs = 5000\nrecoveryS = 12\nretryRatio = 0.2\nretryWindowS = 10\nretryAllowance = 64\nwarmupOverage = 1.5\nwarmupAllowance = 5\nttl_max_s = 5",
+		gatewayContact.Milliseconds(), gatewayDrain.Milliseconds(), gatewayGrace.Seconds(), gatewayPropagate.Milliseconds())
+	write("[cloudApi]\naddress = %q\nratePerS = 50.0\nassignments = []\nmaxLagMs = %d", fleet.platform.address, gatewayListLag.Milliseconds())
+	return text.String()
+}
+
+// startAll starts all processes of the machine.
+func (machine *gatewayMachine) startAll(first bool) error {
+	if err := os.MkdirAll(filepath.Join(machine.folder, "data"), 0o700); err != nil {
+		return err
+	}
+	for _, role := range machine.roles() {
+		if err := machine.startRole(role, first); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startRole starts the process of a role and supervises it: when it ends it is started again after a pause, as the platform does.
+func (machine *gatewayMachine) startRole(role string, first bool) error {
+	path := filepath.Join(machine.folder, role+".toml")
+	if err := os.WriteFile(path, []byte(machine.settings(role, first)), 0o600); err != nil {
+		return err
+	}
+	command := exec.Command(filepath.Join(machine.fleet.plan.Bin, role))
+	command.Env = append(os.Environ(), platform.SettingsFileVariable+"="+path)
+	started, err := launch(role, command, filepath.Join(machine.folder, role+".log"))
+	if err != nil {
+		return err
+	}
+	machine.lock.Lock()
+	if machine.running == nil {
+		machine.running = map[string]*program{}
+	}
+	machine.running[role] = started
+	machine.lock.Unlock()
+	go machine.supervise(role, started)
+	return nil
+}
+
+const (
+	leastRestartPause = 200 * time.Millisecond
+	mostRestartPause  = 800 * time.Millisecond
+)
+
+// supervise waits for the end of a process and starts the next one.
+func (machine *gatewayMachine) supervise(role string, ended *program) {
+	<-ended.ended
+	time.Sleep(machine.fleet.between(leastRestartPause, mostRestartPause))
+	fleet := machine.fleet
+	fleet.lock.Lock()
+	closing := fleet.closing
+	fleet.lock.Unlock()
+	if closing {
+		return
+	}
+	if err := machine.startRole(role, false); err != nil {
+		fleet.fail(err)
+	}
+}
+
+// process returns the current process of a role.
+func (machine *gatewayMachine) process(role string) *program {
+	machine.lock.Lock()
+	defer machine.lock.Unlock()
+	return machine.running[role]
+}
+
+// signal sends a signal to all processes of the machine.
+func (machine *gatewayMachine) signal(signal syscall.Signal) {
+	for _, role := range machine.roles() {
+		if process := machine.process(role); process != nil {
+			process.signal(signal)
+		}
+	}
+}
+
+// isRunning reports whether all processes run and have run for long enough to handle signals.
+func (machine *gatewayMachine) isRunning() bool {
+	for _, role := range machine.roles() {
+		process := machine.process(role)
+		if process == nil || process.hasEnded() || time.Since(process.startedAt) < signalHandlerSetupLimit {
+			return false
+		}
+	}
+	return true
+}
+
+// isReady asks the readiness check as the platform does.
+func (machine *gatewayMachine) isReady() bool {
+	response, err := machine.fleet.client.Get("http://" + machine.at(readyPort) + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// end kills all processes, waits for them and starts none again. The fleet has to be closing.
+func (machine *gatewayMachine) end() {
+	machine.signal(syscall.SIGCONT)
+	machine.signal(syscall.SIGKILL)
+	for _, role := range machine.roles() {
+		if process := machine.process(role); process != nil {
+			<-process.ended
+		}
+	}
+}
+
+// openTrouble records a kill or freeze that begins now and returns the function that ends it.
+func (machine *gatewayMachine) openTrouble() func() {
+	machine.lock.Lock()
+	defer machine.lock.Unlock()
+	index := len(machine.troubles)
+	machine.troubles = append(machine.troubles, timeSpan{node: machine.name, from: machine.fleet.now(), until: time.Hour})
+	return func() {
+		machine.lock.Lock()
+		defer machine.lock.Unlock()
+		machine.troubles[index].until = machine.fleet.now()
+	}
+}
+
+// logLines returns the lines of the data process's log that contain a text.
+func (machine *gatewayMachine) logLines(text string) []string {
+	content, _ := os.ReadFile(filepath.Join(machine.folder, dataRole+".log"))
+	lines := []string{}
+	for _, line := range strings.Split(string(content), "\n") {
+		if strings.Contains(line, text) {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/rig/gateway_operator.go
@@ -0,0 +1,109 @@
+package rig
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// gatewayOperator sends the configuration and changes of it.
+type gatewayOperator struct {
+	fleet    *gatewayFleet
+	lock     sync.Mutex
+	revision int64
+}
+
+// installLimit is how long the first configuration is sent until it is taken.
+const installLimit = 40 * time.Second
+
+// install sends the first configuration until it is taken.
+func (operator *gatewayOperator) install() error {
+	routes := []any{}
+	for _, kind := range callKinds {
+		routes = append(routes, operator.route(kind, kind.timeout))
+	}
+	services := []any{
+		map[string]any{"name": modelService, "healthCheckPath": "/healthz", "maxConnections": 330, "protocol": "h1", "tlsEnabled": false, "warmupS": 0, "warmupPerS": 0,
+			"runtime": map[string]any{"capacity": modelSlots, "cacheTokens": 318206, "stride": 5, "models": []any{map[string]any{"name": "m"}}}},
+		map[string]any{"name": syncService, "healthCheckPath": "/healthz", "maxConnections": 330, "protocol": "h1", "tlsEnabled": false, "warmupS": 0, "warmupPerS": 0},
+	}
+	body := map[string]any{"revision": 1, "routes": routes, "backends": services,
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
+	for began := time.Now(); time.Since(began) < installLimit; time.Sleep(pollInterval) {
+		if operator.send("/configuration/replace", 0, body) == http.StatusOK {
+			operator.revision = 1
+			return nil
+		}
+	}
+	return errors.New("the first configuration was not taken")
+}
+
+// route returns a route of the configuration.
+func (operator *gatewayOperator) route(kind callKind, timeout time.Duration) map[string]any {
+	route := map[string]any{"name": "r-" + kind.name, "hostname": gatewayHost, "pathPrefix": kind.prefix, "timeoutMs": timeout.Milliseconds(), "targetLatencyMs": 1000,
+		"priority": 0, "backend": modelService, "maxAttempts": 1, "sessionAffinity": kind.stream, "resumable": kind.repeatable && kind.stream, "tokenGapMs": 600, "allowedRegions": []any{}}
+	route["routeType"] = "streaming"
+	if kind.repeatable {
+		route["maxAttempts"] = 2
+	}
+	if !kind.stream {
+		route["routeType"], route["backend"], route["maxAttempts"], route["tokenGapMs"] = "read_only", syncService, 3, 0
+	}
+	return route
+}
+
+// change sends a change of the latency target of one route, on top of the newest revision that was acknowledged.
+func (operator *gatewayOperator) change() error {
+	operator.lock.Lock()
+	defer operator.lock.Unlock()
+	kind := callKinds[operator.fleet.below(len(callKinds))]
+	route := operator.route(kind, kind.timeout)
+	route["targetLatencyMs"] = 800 + operator.fleet.below(400)
+	next := operator.revision + 1 + int64(operator.fleet.below(3))
+	body := map[string]any{"revision": next, "upsert": map[string]any{"routes": []any{route}}, "remove": map[string]any{}}
+	for range maxChangeAttempts {
+		status := operator.send("/configuration/update", operator.revision, body)
+		operator.fleet.count(fmt.Sprintf("changes answered %d", status))
+		if status == http.StatusOK {
+			operator.revision = next
+			return nil
+		}
+		if status >= 400 && status < 500 && status != http.StatusTooManyRequests && status != http.StatusRequestTimeout {
+			return fmt.Errorf("a valid change on top of %d was answered %d", operator.revision, status)
+		}
+		time.Sleep(changeRetryPause)
+	}
+	return errors.New("a change was not acknowledged")
+}
+
+const (
+	maxChangeAttempts = 60
+	changeRetryPause  = 250 * time.Millisecond
+)
+
+// send sends one order to a random core machine and returns the status, 0 without an answer.
+func (operator *gatewayOperator) send(path string, base int64, body any) int {
+	fleet := operator.fleet
+	content, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	machine := fleet.machines[fleet.below(min(len(fleet.machines), len(gatewayZones)))]
+	request, err := http.NewRequest(http.MethodPost, "http://"+machine.at(controlPort)+path, bytes.NewReader(content))
+	if err != nil {
+		panic(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("X-Base-Revision", strconv.FormatInt(base, 10))
+	response, err := fleet.client.Do(request)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
--- /dev/null
+++ b/rig/gateway_server.go
@@ -0,0 +1,237 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// gatewayPlatform simulates the platform: the list of servers and the servers themselves.
+type gatewayPlatform struct {
+	fleet   *gatewayFleet
+	address string
+	lock    sync.Mutex
+	servers []*gatewayServer
+	started int
+	http    *http.Server
+}
+
+// Services of the fleet.
+const (
+	modelService = "model"
+	syncService  = "sync"
+)
+
+const (
+	modelServers = 9
+	syncServers  = 3
+	modelSlots   = 48
+	syncSlots    = 64
+)
+
+func newGatewayPlatform(fleet *gatewayFleet) (*gatewayPlatform, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	platform := &gatewayPlatform{fleet: fleet, address: listener.Addr().String()}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /instances", platform.list)
+	platform.http = &http.Server{Handler: mux}
+	go func() { _ = platform.http.Serve(listener) }()
+	for index := range modelServers {
+		if err := platform.add(modelService, gatewayZones[index%len(gatewayZones)].name); err != nil {
+			return nil, err
+		}
+	}
+	for index := range syncServers {
+		if err := platform.add(syncService, gatewayZones[index%len(gatewayZones)].name); err != nil {
+			return nil, err
+		}
+	}
+	return platform, nil
+}
+
+// close ends the platform and all servers.
+func (platform *gatewayPlatform) close() {
+	_ = platform.http.Close()
+	platform.lock.Lock()
+	defer platform.lock.Unlock()
+	for _, server := range platform.servers {
+		_ = server.http.Close()
+	}
+}
+
+// add starts a server of a service in a zone.
+func (platform *gatewayPlatform) add(service, zone string) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	platform.lock.Lock()
+	defer platform.lock.Unlock()
+	platform.started++
+	server := &gatewayServer{platform: platform, name: fmt.Sprintf("i-%04x", platform.started), service: service, zone: zone, address: listener.Addr().String(), slots: modelSlots}
+	if service == syncService {
+		server.slots = syncSlots
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /report", server.report)
+	mux.HandleFunc("GET /healthz", server.health)
+	mux.HandleFunc("/", server.serve)
+	server.http = &http.Server{Handler: mux}
+	go func() { _ = server.http.Serve(listener) }()
+	platform.servers = append(platform.servers, server)
+	return nil
+}
+
+// list answers with all servers on one page, leaving ones as draining. Ended ones are not listed.
+func (platform *gatewayPlatform) list(writer http.ResponseWriter, _ *http.Request) {
+	platform.lock.Lock()
+	rows := []any{}
+	for _, server := range platform.servers {
+		if server.ended {
+			continue
+		}
+		state := "ready"
+		if server.draining {
+			state = "draining"
+		}
+		rows = append(rows, map[string]any{"instanceId": server.name, "backend": server.service, "address": server.address, "zone": server.zone, "revision": "v1",
+			"capacity": server.slots, "lifecycleState": state, "warmupLeftMs": 0})
+	}
+	platform.lock.Unlock()
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(map[string]any{"instances": rows, "nextPageToken": nil})
+}
+
+// replace drains a random model server and starts another one in its place. The old one ends when the drain time is over and its calls are done.
+func (platform *gatewayPlatform) replace() error {
+	platform.lock.Lock()
+	candidates := []*gatewayServer{}
+	for _, server := range platform.servers {
+		if !server.draining && !server.ended && server.service == modelService {
+			candidates = append(candidates, server)
+		}
+	}
+	chosen := candidates[platform.fleet.below(len(candidates))]
+	platform.lock.Unlock()
+	if err := platform.add(chosen.service, chosen.zone); err != nil {
+		return err
+	}
+	time.Sleep(gatewayListLag)
+	platform.lock.Lock()
+	chosen.draining = true
+	platform.lock.Unlock()
+	time.Sleep(gatewayDrain + longestRoute)
+	platform.lock.Lock()
+	chosen.ended = true
+	platform.lock.Unlock()
+	return chosen.http.Close()
+}
+
+// gatewayServer simulates one model server or service.
+type gatewayServer struct {
+	platform *gatewayPlatform
+	name     string
+	service  string
+	zone     string
+	address  string
+	slots    int
+	http     *http.Server
+	lock     sync.Mutex
+	running  int
+	// draining and ended are guarded by the platform's lock.
+	draining bool
+	ended    bool
+}
+
+func (server *gatewayServer) report(writer http.ResponseWriter, _ *http.Request) {
+	server.lock.Lock()
+	active := server.running
+	server.lock.Unlock()
+	writer.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(writer, `{"phase":"combined","models":[{"name":"m","revision":1,"loras":[]}],"utilization":false,"sequence":1,"queued":0,"active":%d,"cacheUsed":0,"cacheCapacity":90000,"supportedModels":0}`, active)
+}
+
+func (server *gatewayServer) health(writer http.ResponseWriter, _ *http.Request) {
+	writer.Header().Set("X-Instance-Id", server.name)
+}
+
+// begin takes a slot for a call, if there is one.
+func (server *gatewayServer) begin() bool {
+	server.lock.Lock()
+	defer server.lock.Unlock()
+	if server.running >= server.slots {
+		return false
+	}
+	server.running++
+	return true
+}
+
+func (server *gatewayServer) finish() {
+	server.lock.Lock()
+	defer server.lock.Unlock()
+	server.running--
+}
+
+// serve runs a call: a stream of pieces, or one short answer.
+func (server *gatewayServer) serve(writer http.ResponseWriter, request *http.Request) {
+	_, _ = io.Copy(io.Discard, request.Body)
+	id, record, header := request.Header.Get("X-Attempt-Id"), server.platform.fleet.record, writer.Header()
+	if target := request.Header.Get("X-Target-Instance"); target != "" && target != server.name {
+		header.Set("X-Instance-Id", server.name)
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if !server.begin() {
+		header.Set("X-Not-Executed", "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer server.finish()
+	run := record.runStarted(id, server.name, server.platform.fleet.now())
+	header.Set("X-Attempt-Id", id)
+	header.Set("X-Server-Seal", "seal-"+id)
+	pieces, _ := strconv.Atoi(request.Header.Get(piecesHeader))
+	gap, _ := strconv.Atoi(request.Header.Get(gapHeader))
+	first, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	whole := server.answer(writer, request, pieces, first, time.Duration(gap)*time.Millisecond)
+	record.runEnded(run, whole, server.platform.fleet.now())
+}
+
+// answer writes the answer and reports whether its end was reached.
+func (server *gatewayServer) answer(writer http.ResponseWriter, request *http.Request, pieces, first int, gap time.Duration) bool {
+	if pieces == 0 {
+		if !sleepUnlessCancelled(request, gap) {
+			return false
+		}
+		_, err := io.WriteString(writer, strings.Repeat("x", shortAnswerBytes))
+		return err == nil
+	}
+	writer.Header().Set("Content-Type", "text/event-stream")
+	for number := first + 1; number <= pieces; number++ {
+		if !sleepUnlessCancelled(request, gap) {
+			return false
+		}
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: piece %d\n\n", number, number); err != nil {
+			return false
+		}
+		_ = http.NewResponseController(writer).Flush()
+	}
+	return true
+}
+
+const (
+	// piecesHeader and gapHeader tell a simulated server how many pieces to write and how many milliseconds to wait before each.
+	piecesHeader = "X-Pieces"
+	gapHeader    = "X-Gap-Ms"
+	// shortAnswerBytes is the length of an answer that is no stream.
+	shortAnswerBytes = 600
+)
--- a/rig/program.go
+++ b/rig/program.go
@@ -20,12 +20,17 @@
 
 // startProgram starts a program of a node with its settings file and appends its output to a log file.
 func (node *Node) startProgram(name, path string) (*program, error) {
-	output, err := os.OpenFile(filepath.Join(node.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	command := exec.Command(filepath.Join(node.nextBuildFolder(name), name), "--env", path, "--faults", node.faultsPath())
+	return launch(name, command, filepath.Join(node.folder, name+".log"))
+}
+
+// launch starts a command and appends its output to a log file.
+func launch(name string, command *exec.Cmd, logPath string) (*program, error) {
+	output, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
 	defer output.Close()
-	command := exec.Command(filepath.Join(node.nextBuildFolder(name), name), "--env", path, "--faults", node.faultsPath())
 	command.Stdout, command.Stderr = output, output
 	if err = command.Start(); err != nil {
 		return nil, err
--- a/serve/export_test.go
+++ b/serve/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"time"
 
@@ -61,3 +62,12 @@
 func (test *TestGateway) Idle() int { return test.process.pool.Idle() }
 
 const MaxReplyBytes = maxReplyBytes
+
+// Serve serves callers at a listener. It returns the functions that stop the gateway as a signal does, and that end it as the end of a process does.
+func (test *TestGateway) Serve(listener net.Listener, grace, lookupLife time.Duration) (stop, end func()) {
+	process := test.process
+	process.Settings.Gateway.Grace, process.Settings.Gateway.LookupLife = grace, lookupLife
+	server := &http.Server{Handler: test.Handler(), ConnContext: process.connContext}
+	go func() { _ = server.Serve(listener) }()
+	return func() { process.drain(server) }, func() { _ = server.Close() }
+}
