gateway, serve, emulator: one state machine decides a stop; what cannot finish is refused

Cause: a stop waited for 7/8 of the grace period and took on every call meanwhile, whatever its time, so callers that stay were cut at the end of the wait; after a quiet wait the traffic listener went on taking calls while the peers' server was shut down; SetKeepAlivesEnabled closed connections whose request had just been read, and that was passed on; the count of calls in flight fell before the answer was written. Change: gateway.shutdown, events in, commands out, run by serve and emulator. Leaving: all calls for three lifetimes of a look-up (a third of the grace at most), then those whose deadline lies before 29/32 of it, the others get 503 with a time to come back; every answer closes its connection. Closing, when quiet or at 29/32: all calls are refused first, then listener and waiting connections are closed. End, when the last answer is written (ConnState), or at 30/32. Then the peers' server, until 31/32 at most (30 s before, beyond SIGKILL). In its soaks a quarter of the callers stay with one machine.

--- a/emulator/caller.go
+++ b/emulator/caller.go
@@ -27,6 +27,9 @@
 	idle              []*idleConnection
 	avoidUntil        map[string]time.Duration
 	waiting           []func()
+	// stays says that the client uses one machine, stayAddress, until that is gone, whatever a look-up says.
+	stays       bool
+	stayAddress string
 }
 
 type idleConnection struct {
@@ -40,6 +43,7 @@
 	maxLookupNodes          = 3
 	longLifeEvery           = 4
 	aggressiveEvery         = 6
+	stayingEvery            = 4
 	aggressiveExtraAttempts = 3
 	longLifeFactor          = 3
 	avoidTime               = 2 * time.Second
@@ -137,6 +141,15 @@
 }
 
 func (client *client) chooseAddress() string {
+	if machine := client.day.machineAt(client.stayAddress); client.stays && machine != nil && !machine.removed {
+		return client.stayAddress
+	}
+	client.stayAddress = client.drawAddress()
+	return client.stayAddress
+}
+
+// drawAddress draws one of the addresses, preferably one that has not failed recently.
+func (client *client) drawAddress() string {
 	now := client.day.world.Now
 	open := slices.DeleteFunc(slices.Clone(client.addresses), func(address string) bool { return client.avoidUntil[address] > now })
 	if len(open) == 0 {
@@ -211,7 +224,8 @@
 		clients := []*client{}
 		for index := range max(1, source.Callers) {
 			created := &client{day: day, name: source.Zone + twoDigits(index), zone: source.Zone, region: day.site.region(source.Zone),
-				random: day.world.randomSource("visitor " + source.Zone + twoDigits(index)), avoidUntil: map[string]time.Duration{}, reusesConnections: index%3 > 0 || day.keepsConnections, aggressive: index%aggressiveEvery == 1}
+				random: day.world.randomSource("visitor " + source.Zone + twoDigits(index)), avoidUntil: map[string]time.Duration{}, reusesConnections: index%3 > 0 || day.keepsConnections, aggressive: index%aggressiveEvery == 1,
+				stays: day.keepsConnections && index%stayingEvery == 2}
 			created.key = day.operator.heldKey(created.random.IntN)
 			created.lookupLife = seconds(day.site.Bounds.LookupLifeS) / 5
 			if index%longLifeEvery == 0 {
--- a/emulator/data.go
+++ b/emulator/data.go
@@ -23,10 +23,8 @@
 	pending         map[int64]func(contract.Response)
 	clientConns     map[*conn]func()
 	serverConns     map[*conn]bool
-	activeExchanges int
 	leaving         bool
 	closedToClients bool
-	lastCallAt      time.Duration
 	listed          map[string]gateway.ServersListed
 }
 
@@ -108,27 +106,41 @@
 	data.handle(gateway.AskPlace{Token: token, Ask: asked.Ask})
 }
 
-const (
-	leaveChecks = 80
-	finalParts  = 8
-)
-
-// leave steers clients away first, then lets running calls finish within the grace period.
+// leave stops the process as the router decides, and calls then when its traffic has ended.
 func (data *dataProcess) leave(then func()) {
-	data.leaving = true
-	data.event(gateway.Leave{})
-	grace, life, began := data.settings.Gateway.Grace, data.settings.Gateway.LookupLife, data.now()
-	var look func()
-	look = func() {
-		passed := data.now() - began
-		quiet := data.now() - data.lastCallAt
-		if data.closedToClients = data.closedToClients || passed >= grace*(finalParts-1)/finalParts || passed > life*2 && data.activeExchanges == 0 && quiet > life; data.closedToClients && data.activeExchanges == 0 {
+	data.stopStep(gateway.StopRequested{}, then)
+}
+
+// stopStep carries out what the router decides about a stop, and ticks until the traffic has ended.
+func (data *dataProcess) stopStep(event contract.Event, then func()) {
+	for _, command := range data.traffic.Handle(data.now(), event) {
+		switch command := command.(type) {
+		case gateway.LeaveFleet:
+			data.leaving = true
+			data.event(gateway.Leave{})
+		case gateway.CloseToCallers:
+			data.closedToClients = true
+			data.closeIdleClients()
+		case gateway.EndTraffic:
 			then()
 			return
+		case contract.Log:
+			data.day.logEvent(data.machine.name+"-"+data.kind, command.Message, command.Attributes...)
+		default:
+			panic("a command of a stop that nobody carries out")
+		}
+	}
+	data.after(gateway.ShutdownTick(data.settings.Gateway), func() { data.stopStep(contract.Tick{}, then) })
+}
+
+// closeIdleClients closes the connections of clients that wait for a request.
+func (data *dataProcess) closeIdleClients() {
+	for _, conn := range data.connections() {
+		if clientLeft, found := data.clientConns[conn]; found && clientLeft == nil {
+			delete(data.clientConns, conn)
+			conn.close(acceptor)
 		}
-		data.after(grace/leaveChecks, look)
 	}
-	data.after(grace/leaveChecks, look)
 }
 
 // closeConnections closes every connection so that the other end is notified; dropConnections does so without notice.
--- a/emulator/exchange.go
+++ b/emulator/exchange.go
@@ -86,6 +86,7 @@
 	token          int64
 	lastPiece      int
 	answerStarted  bool
+	headCloses     bool
 	over           bool
 	generation     int
 	dispatch       gateway.Dispatch
@@ -122,8 +123,7 @@
 			return
 		}
 		data.token++
-		data.activeExchanges++
-		data.lastCallAt = data.now()
+		data.traffic.Handle(data.now(), gateway.CallBegan{})
 		request.attempt.ReadAt = data.day.world.Now
 		exchange := &exchange{process: data, conn: conn, request: request, receiver: back, token: data.token, lastPiece: request.attempt.ResumeAfter}
 		data.clientConns[conn] = exchange.clientLeft
@@ -171,7 +171,7 @@
 func (exchange *exchange) end() {
 	exchange.over = true
 	exchange.generation++
-	exchange.process.activeExchanges--
+	exchange.process.traffic.Handle(exchange.process.now(), gateway.CallFinished{})
 	if _, found := exchange.process.clientConns[exchange.conn]; found {
 		exchange.process.clientConns[exchange.conn] = nil
 	}
@@ -179,7 +179,8 @@
 
 func (exchange *exchange) answer(answer clientAnswer) {
 	exchange.end()
-	if answer.close = exchange.process.leaving; answer.close {
+	// The head of a stream that has started told already whether the connection is closed.
+	if answer.close = exchange.process.leaving && !exchange.answerStarted || exchange.headCloses; answer.close {
 		delete(exchange.process.clientConns, exchange.conn)
 	}
 	back := exchange.receiver
@@ -335,7 +336,7 @@
 func (exchange *exchange) piece(piece rules.Piece) {
 	exchange.lastActivity = exchange.process.now()
 	if !exchange.answerStarted {
-		exchange.answerStarted = true
+		exchange.answerStarted, exchange.headCloses = true, exchange.process.leaving
 		reply := clientAnswer{status: exchange.reply.status, sealed: exchange.reply.sealed, identity: exchange.reply.identity}
 		back := exchange.receiver
 		exchange.conn.send(acceptor, headBytes, func() { back.answered(reply) })
--- a/emulator/rules/answers.go
+++ b/emulator/rules/answers.go
@@ -236,15 +236,23 @@
 	})
 }
 
-// serverAtFault excuses a lost answer if the server broke off or failed, or was still working in the second half of the grace period
-// of a stop.
+const (
+	// A server excuses a lost answer if it was still at work in the last part of the grace period, of excusedGraceParts equal ones, on a request
+	// that was sent at most excusedSendTime after the stop began.
+	excusedGraceParts = 6
+	excusedSendTime   = 3 * time.Second
+)
+
+// serverAtFault excuses a lost answer if the server broke off or failed, or was still working at the end of the grace period of a stop on a
+// request that was sent early in it.
 func (checker *checker) serverAtFault(attempt *Attempt) bool {
 	for _, arrival := range checker.arrivals[attempt.Identity] {
 		if arrival.Interrupted || arrival.Failed {
 			return true
 		}
 		for _, stop := range checker.machines[attempt.Machine].Stops {
-			if arrival.ArrivedAt <= stop+checker.Bounds.Grace && arrival.Ended >= stop+checker.Bounds.Grace/2 {
+			late := stop + checker.Bounds.Grace*(excusedGraceParts-1)/excusedGraceParts
+			if attempt.Sent <= stop+excusedSendTime && arrival.ArrivedAt <= stop+checker.Bounds.Grace && arrival.Ended >= late {
 				return true
 			}
 		}
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -19,6 +19,9 @@
 	if refused != nil {
 		return commandList(*refused)
 	}
+	if router.shutdown.refuses(now, call.deadline) {
+		return commandList(router.refuseStopping(event.Token))
+	}
 	router.calls[event.Token] = call
 	router.retryBudgetOf(call.service).recordCall(now)
 	if _, found := router.firstCalls[call.service]; !found {
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -37,6 +37,7 @@
 	startedAt     time.Duration
 	started       bool
 	places        placeIndex
+	shutdown      shutdown
 }
 
 // callState is the state of one call, from its arrival until it is answered.
@@ -78,7 +79,8 @@
 // NewRouter returns a router without configuration; it refuses calls until it is Ready.
 func NewRouter(settings env.Env, random *rand.Rand) *Router {
 	return &Router{settings: settings, policy: settings.Gateway, random: random, servers: map[string]*serverState{}, serversByService: map[string][]*serverState{},
-		listedRegions: map[string]bool{}, calls: map[int64]*callState{}, retryBudgets: map[string]*retryBudget{}, promptSizes: map[serviceRegion]*sizeHistory{}, longPromptReliefs: map[string]longPromptRelief{}, firstCalls: map[string]time.Duration{}, readSpeeds: map[string]*readSpeed{}, sharesVersion: 1, places: newPlaceIndex()}
+		listedRegions: map[string]bool{}, calls: map[int64]*callState{}, retryBudgets: map[string]*retryBudget{}, promptSizes: map[serviceRegion]*sizeHistory{}, longPromptReliefs: map[string]longPromptRelief{}, firstCalls: map[string]time.Duration{}, readSpeeds: map[string]*readSpeed{}, sharesVersion: 1, places: newPlaceIndex(),
+		shutdown: shutdown{policy: settings.Gateway}}
 }
 
 // Ready reports whether this node can serve: it has a configuration and the lists of all regions; after a quarter of the contact time, the list of
@@ -139,6 +141,8 @@
 	case FleetChanged:
 		router.fleet = event
 		router.sharesVersion++
+	case StopRequested, CallBegan, CallFinished, contract.Tick:
+		return router.shutdown.handle(now, event)
 	}
 	return nil
 }
--- a/serve/exchange.go
+++ b/serve/exchange.go
@@ -185,6 +185,7 @@
 	if length >= 0 {
 		header.Set("Content-Length", strconv.Itoa(length))
 	}
+	call.process.markClosing(header)
 }
 
 // sendReply ends the call with the server's complete answer; a streamed one has been sent already.
@@ -203,6 +204,7 @@
 	if call.answerStarted || call.request.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
+	call.process.markClosing(call.writer.Header())
 	call.writer.WriteHeader(fail.Status)
 }
 
--- a/serve/export_test.go
+++ b/serve/export_test.go
@@ -57,17 +57,16 @@
 
 func (test *TestGateway) Counts() map[string]int64 { return test.process.Loop.Counts() }
 
-func (test *TestGateway) Running() int { return int(test.process.inFlight.Load()) }
+func (test *TestGateway) Running() int { return len(test.process.running.snapshot()) }
 
 func (test *TestGateway) Idle() int { return test.process.pool.Idle() }
 
 const MaxReplyBytes = maxReplyBytes
 
 // Serve serves callers at a listener. It returns the functions that stop the gateway as a signal does, and that end it as the end of a process does.
-func (test *TestGateway) Serve(listener net.Listener, grace, lookupLife time.Duration) (stop, end func()) {
+func (test *TestGateway) Serve(listener net.Listener) (stop, end func()) {
 	process := test.process
-	process.Settings.Gateway.Grace, process.Settings.Gateway.LookupLife = grace, lookupLife
-	server := &http.Server{Handler: test.Handler(), ConnContext: process.connContext}
+	server := process.trafficServer()
 	go func() { _ = server.Serve(listener) }()
-	return func() { process.drain(server) }, func() { _ = server.Close() }
+	return func() { process.stopTraffic(server) }, func() { _ = server.Close() }
 }
--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -33,18 +33,15 @@
 // loop runs, and traffic, which decides about calls under the lock and without waiting for the loop.
 type gatewayProcess struct {
 	*Process
-	adapter    Adapter
-	lock       sync.Mutex
-	traffic    *gateway.Router
-	pool       *upstream.Pool
-	token      atomic.Int64
-	limits     atomic.Pointer[manifest.Limits]
-	draining   atomic.Bool
-	inFlight   atomic.Int64
-	lastCallAt atomic.Int64
-	running    *callRegistry
-	// callsSinceSignal counts the calls that arrived after the signal to stop.
-	callsSinceSignal atomic.Int64
+	adapter Adapter
+	lock    sync.Mutex
+	traffic *gateway.Router
+	pool    *upstream.Pool
+	token   atomic.Int64
+	limits  atomic.Pointer[manifest.Limits]
+	// leaving says that the process stops, so that it is not ready and answers close their connections.
+	leaving atomic.Bool
+	running *callRegistry
 }
 
 // Gateway runs a data-plane node (cedardp) that proxies opaque calls in the protocol of an adapter, until a signal stops it.
@@ -65,32 +62,30 @@
 	checks, lookups := http.NewServeMux(), http.NewServeMux()
 	checks.HandleFunc("GET "+ready, process.checkReady)
 	lookups.HandleFunc("GET "+lookup, process.lookup)
-	servers := []*http.Server{}
-	listen := func(address string, handler http.Handler, beforeServing func()) (*http.Server, error) {
+	listen := func(address string, server *http.Server, beforeServing func()) error {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, eris.Wrap(err, "cannot listen")
+			return eris.Wrap(err, "cannot listen")
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: settings.Bounds.Return(), IdleTimeout: settings.Bounds.Deadline(), ErrorLog: discardLog(), ConnContext: process.connContext}
-		servers = append(servers, server)
+		server.ReadHeaderTimeout, server.IdleTimeout, server.ErrorLog = settings.Bounds.Return(), settings.Bounds.Deadline(), discardLog()
 		go func() {
 			beforeServing()
 			_ = server.Serve(listener)
 		}()
-		return server, nil
+		return nil
 	}
-	traffic, err := listen(settings.Gateway.Traffic, http.HandlerFunc(process.serveCall), process.awaitReady)
-	if err != nil {
+	traffic := process.trafficServer()
+	if err = listen(settings.Gateway.Traffic, traffic, process.awaitReady); err != nil {
 		return err
 	}
-	if _, err = listen(settings.Gateway.Ready, checks, func() {}); err != nil {
+	if err = listen(settings.Gateway.Ready, &http.Server{Handler: checks}, func() {}); err != nil {
 		return err
 	}
-	if _, err = listen(settings.Gateway.Lookup, lookups, func() {}); err != nil {
+	if err = listen(settings.Gateway.Lookup, &http.Server{Handler: lookups}, func() {}); err != nil {
 		return err
 	}
 	go process.closeIdleConns()
-	return process.run(settings.Data, func() { process.drain(traffic) })
+	return process.run(settings.Data, func() { process.stopTraffic(traffic) })
 }
 
 // handle passes an event to the traffic state machine.
@@ -189,45 +184,12 @@
 	}
 }
 
-// drain first steers callers to other nodes, then waits for running calls to end, within the grace period.
-func (process *gatewayProcess) drain(traffic *http.Server) {
-	requestedAt := process.Loop.Now()
-	process.logStop("stop requested", requestedAt)
-	process.onExit = func() {
-		process.logStop("process ends", requestedAt)
-		process.logCutCalls(requestedAt)
-	}
-	process.draining.Store(true)
-	process.Loop.Post(gateway.Leave{})
-	grace, began := process.Settings.Gateway.Grace, time.Now()
-	traffic.SetKeepAlivesEnabled(false)
-	for time.Since(began) < grace*7/8 {
-		sleep(grace / 80)
-		idleFor := process.Loop.Now() - time.Duration(process.lastCallAt.Load())
-		if time.Since(began) > process.Settings.Gateway.LookupLife*2 && process.inFlight.Load() == 0 && idleFor > process.Settings.Gateway.LookupLife {
-			process.logStop("wait ended: quiet", requestedAt)
-			return
-		}
-	}
-	process.logStop("wait ended: its limit", requestedAt)
-}
-
-// logStop logs a step of a stop that was asked for at a time, with the calls in flight.
-func (process *gatewayProcess) logStop(step string, requestedAt time.Duration) {
-	calls, oldestMs := process.running.snapshot(), int64(0)
-	if len(calls) > 0 {
-		oldestMs = (process.Loop.Now() - calls[0].readAt).Milliseconds()
-	}
-	process.Loop.Execute(contract.Log{Message: step, Attributes: []any{"msAfterSignal", (process.Loop.Now() - requestedAt).Milliseconds(), "callsInFlight", len(calls),
-		"oldestMs", oldestMs, "callsSinceSignal", process.callsSinceSignal.Load()}})
-}
-
 // checkReady serves the readiness check.
 func (process *gatewayProcess) checkReady(writer http.ResponseWriter, _ *http.Request) {
 	process.lock.Lock()
 	ready := process.traffic.Ready(process.Loop.Now())
 	process.lock.Unlock()
-	if !ready || process.draining.Load() {
+	if !ready || process.leaving.Load() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -256,13 +218,7 @@
 
 // serveCall serves one call: it reads the request completely and carries out the state machine's commands until the call is over.
 func (process *gatewayProcess) serveCall(writer http.ResponseWriter, request *http.Request) {
-	process.inFlight.Add(1)
-	defer process.inFlight.Add(-1)
-	process.lastCallAt.Store(int64(process.Loop.Now()))
-	if process.draining.Load() {
-		process.callsSinceSignal.Add(1)
-		writer.Header().Set("Connection", "close")
-	}
+	process.markClosing(writer.Header())
 	arrivedAt := time.Now()
 	limits := process.limits.Load()
 	if limits.HeaderBytes > 0 && headerSize(request) > limits.HeaderBytes {
@@ -340,6 +296,7 @@
 // refuse answers a call that did not run.
 func (process *gatewayProcess) refuse(writer http.ResponseWriter, refuse gateway.Refuse) {
 	process.Loop.Count("refused_"+strconv.Itoa(refuse.Status), 1)
+	process.markClosing(writer.Header())
 	if refuse.RetryAfter > 0 {
 		process.adapter.SetRetryAfter(writer.Header(), refuse.RetryAfter)
 	}
--- a/serve/inflight.go
+++ b/serve/inflight.go
@@ -102,7 +102,7 @@
 func (call *proxyCall) logCallerLeft() {
 	process := call.process
 	process.Loop.Count("callers_left", 1)
-	if !process.draining.Load() {
+	if !process.leaving.Load() {
 		return
 	}
 	process.Loop.Execute(contract.Log{Message: "connection ended before the answer", Attributes: []any{"attempt", call.attemptID, "server", call.description.server,
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -37,8 +37,6 @@
 	stop           chan struct{}
 	server         *http.Server
 	operators      *link.OperatorAPI
-	// onExit, if set, is called right before a stopped process ends.
-	onExit func()
 }
 
 // newBootID returns a random identifier of this process start.
@@ -92,15 +90,13 @@
 	select {
 	case err = <-serveErr:
 	case <-stopSignals:
+		stopBy := time.Now().Add(process.stopLimit())
 		_ = process.Logger.Log("what", "stopping")
 		beforeShutdown()
-		shutdownCtx, cancel := context.WithTimeout(context.Background(), process.Settings.Bounds.Deadline()/2)
+		shutdownCtx, cancel := context.WithDeadline(context.Background(), stopBy)
 		defer cancel()
 		err = process.server.Shutdown(shutdownCtx)
 	}
-	if process.onExit != nil {
-		process.onExit()
-	}
 	close(process.stop)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, context.DeadlineExceeded) {
 		err = nil
@@ -109,6 +105,17 @@
 	return err
 }
 
+// stopShare is the share of a platform's grace period that a process uses at most to stop.
+const stopShare = 31.0 / 32
+
+// stopLimit returns how long after the signal the process ends at the latest, even if peers' or operators' requests are still running.
+func (process *Process) stopLimit() time.Duration {
+	if grace := process.Settings.Gateway.Grace; grace > 0 {
+		return time.Duration(float64(grace) * stopShare)
+	}
+	return process.Settings.Bounds.Deadline() / 2
+}
+
 // reloadSeeds applies the seed addresses of changed settings after a SIGHUP. All other settings need a restart.
 func (process *Process) reloadSeeds(reloadSignals <-chan os.Signal) {
 	for {
--- a/serve/standin_test.go
+++ b/serve/standin_test.go
@@ -121,7 +121,7 @@
 // newFixture returns a fixture that cleanup ends. It can be used outside of a Ginkgo suite.
 func newFixture(contact time.Duration, servers int, cleanup func(func()), responders ...responder) *fixture {
 	settings := env.New(env.WithName("node"), env.WithZone("north-1"), env.WithRegion("north"))
-	settings.Gateway = env.Gateway{RepeatRatio: 0.2, RepeatWindow: 10 * time.Second, RepeatAllowance: 100, Contact: contact}
+	settings.Gateway = env.Gateway{RepeatRatio: 0.2, RepeatWindow: 10 * time.Second, RepeatAllowance: 100, Contact: contact, Grace: testGrace, LookupLife: testLookupLife}
 	created := &fixture{responders: responders, proxy: serve.NewTestGateway(settings, platform.Adapter{})}
 	listed := gateway.ServersListed{Region: "north"}
 	for position := range servers {
--- a/serve/stop_test.go
+++ b/serve/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -92,7 +93,7 @@
 
 func newStoppable(t *testing.T, script ...responder) *stoppable {
 	created := &stoppable{t: t, gate: newGate(t), fixture: newFixture(4*time.Second, 1, func(end func()) { t.Cleanup(end) }, script...)}
-	created.stop, created.end = created.proxy.Serve(created.gate, testGrace, testLookupLife)
+	created.stop, created.end = created.proxy.Serve(created.gate)
 	t.Cleanup(created.end)
 	return created
 }
@@ -146,19 +147,32 @@
 
 // TestStopPassesOnNothingThatItClosesOn guards against a stop that closes a connection whose next request has just been read, and passes that on.
 func TestStopPassesOnNothingThatItClosesOn(t *testing.T) {
-	stoppable := newStoppable(t, completeAnswer)
-	caller := stoppable.connect()
-	_ = caller.send("/write/first")
-	stoppable.expectWhole(caller)
-	stoppable.gate.hold(func(content []byte) bool { return strings.Contains(string(content), "/write/second") }, nil)
-	_ = caller.send("/write/second")
-	<-stoppable.gate.held
-	stopped := inBackground(stoppable.stop)
-	time.AfterFunc(testLookupLife/2, func() { close(stoppable.gate.released) })
-	status, whole, _ := caller.read()
-	<-stopped
-	if stoppable.wasAsked("/write/second") && (status != 200 || !whole) {
-		t.Fatalf("passed on, and the caller got status %d, whole %v", status, whole)
+	for name, afterTheStop := range map[string]bool{"read at the signal": false, "read as connections are closed": true} {
+		t.Run(name, func(t *testing.T) {
+			stoppable := newStoppable(t, completeAnswer)
+			caller := stoppable.connect()
+			_ = caller.send("/write/first")
+			stoppable.expectWhole(caller)
+			stoppable.gate.hold(func(content []byte) bool { return strings.Contains(string(content), "/write/second") }, nil)
+			_ = caller.send("/write/second")
+			<-stoppable.gate.held
+			stopped := inBackground(stoppable.stop)
+			release := func() { close(stoppable.gate.released) }
+			if afterTheStop {
+				go func() {
+					<-stopped
+					release()
+				}()
+			} else {
+				time.AfterFunc(testLookupLife/2, release)
+			}
+			status, whole, _ := caller.read()
+			<-stopped
+			<-stoppable.gate.released
+			if stoppable.wasAsked("/write/second") && (status != 200 || !whole) {
+				t.Fatalf("passed on, and the caller got status %d, whole %v", status, whole)
+			}
+		})
 	}
 }
 
@@ -211,20 +225,18 @@
 		stoppable.stop()
 		stoppable.end()
 	})
-	group, late := sync.WaitGroup{}, make(chan lateCall, 1000)
-	for range 4 {
-		group.Go(func() { stoppable.callUntil(stopped, signalled, late) })
+	group, late := sync.WaitGroup{}, [4][]lateCall{}
+	for index := range late {
+		group.Go(func() { late[index] = stoppable.callUntil(stopped, signalled) })
 	}
 	group.Wait()
-	close(late)
-	count := 0
-	for call := range late {
-		count++
+	all := slices.Concat(late[:]...)
+	for _, call := range all {
 		if call.asked && !call.answered {
 			t.Errorf("sent %v after the signal, passed on, and not answered whole", call.sentAfter)
 		}
 	}
-	if count == 0 {
+	if len(all) == 0 {
 		t.Fatal("no call came late")
 	}
 }
@@ -235,12 +247,12 @@
 	asked, answered bool
 }
 
-// callUntil sends one call after the other on new connections until the gateway has ended, and tells of those that are sent late in the stop.
-func (stoppable *stoppable) callUntil(ended <-chan bool, signalled time.Time, late chan<- lateCall) {
+// callUntil sends one call after the other on new connections until the gateway has ended. It returns those that were sent late in the stop.
+func (stoppable *stoppable) callUntil(ended <-chan bool, signalled time.Time) (late []lateCall) {
 	for {
 		select {
 		case <-ended:
-			return
+			return late
 		default:
 		}
 		conn, err := net.Dial("tcp", stoppable.gate.Addr().String())
@@ -252,7 +264,7 @@
 		status, whole, _ := caller.read()
 		_ = conn.Close()
 		if sentAfter > testGrace*3/8 {
-			late <- lateCall{sentAfter, stoppable.wasAsked(fmt.Sprintf("/stream/%d", sentAfter)), status == 200 && whole}
+			late = append(late, lateCall{sentAfter, stoppable.wasAsked(fmt.Sprintf("/stream/%d", sentAfter)), status == 200 && whole})
 		}
 	}
 }
