--- a/emulator/planted_test.go
+++ b/emulator/planted_test.go
@@ -45,6 +45,13 @@
 		Entry("further tries are not bounded", "BUDGET", Trouble{Kind: "answer_lost", Share: 1, X: 0.95, ForS: 8}, WithChanges(unbounded())),
 	)
 
+	It("is seen when a machine that stops takes calls that it can't finish, and only then", func() {
+		site := small("brazos").Scaled(4, 3*storyLength)
+		plan := Plan{KeepsConnections: true, Troubles: []Trouble{{Kind: "roll_term", AtS: 2, Share: 1, GapS: 1}, {Kind: "roll_term", AtS: 14, Share: 1, GapS: 1}}}
+		Expect(broken(Play(site, 2, plan, WithChanges(mustChange("gateway.grace=40s"))))).To(ContainElement("LOST"))
+		Expect(Play(site, 2, plan).Violations).To(BeEmpty())
+	})
+
 	It("is seen when cold servers are taken for warm ones, and only then", func() {
 		site := small("brazos").Scaled(4, storyLength)
 		site.Services = slices.Clone(site.Services)
@@ -67,8 +74,10 @@
 	})
 })
 
-func unbounded() Change {
-	change, failure := ReadChange("gateway.repeatRatio=100")
+func unbounded() Change { return mustChange("gateway.repeatRatio=100") }
+
+func mustChange(text string) Change {
+	change, failure := ReadChange(text)
 	if failure != nil {
 		panic(failure)
 	}
--- a/emulator/rules/rules_test.go
+++ b/emulator/rules/rules_test.go
@@ -158,6 +158,16 @@
 			attempt, arrival := record.addServed("cut", "check", "model", 20*second+second/2)
 			attempt.Status, attempt.Complete, attempt.Sealed, attempt.AnswerIdentity, attempt.Ended, arrival.Ended = 0, false, false, "", 21*second, 21*second
 		}),
+		Entry("a stop that interrupts a request which came late, its server at work", "LOST", func(record *Record) {
+			record.Machines[0].Stops = []time.Duration{20 * second}
+			attempt, arrival := record.addServed("cut", "check", "model", 24*second)
+			attempt.Status, attempt.Complete, attempt.Sealed, attempt.AnswerIdentity, attempt.Ended, arrival.Ended = 0, false, false, "", 27*second, 27*second
+		}),
+		Entry("a stop that interrupts an early request before the last part of the grace period", "LOST", func(record *Record) {
+			record.Machines[0].Stops = []time.Duration{20 * second}
+			attempt, arrival := record.addServed("cut", "check", "model", 21*second)
+			attempt.Status, attempt.Complete, attempt.Sealed, attempt.AnswerIdentity, attempt.Ended, arrival.Ended = 0, false, false, "", 26*second, 26*second
+		}),
 		Entry("configuration changes that interrupt requests", "LOST", func(record *Record) {
 			record.addVersion(2, 1, 30*second, record.Versions[0].Routes)
 			for index := range 3 {
