serve: a stop of a node with the built-in protocol outlasts its longest call

Test red before: 30 s for calls of 60 s. Platforms with a grace period are not touched (their limit is 31/32 of it).

--- a/serve/export_test.go
+++ b/serve/export_test.go
@@ -70,3 +70,6 @@
 	go func() { _ = server.Serve(listener) }()
 	return func() { process.stopTraffic(server) }, func() { _ = server.Close() }
 }
+
+// StopLimit returns how long a process with these settings may take to stop.
+func StopLimit(settings env.Env) time.Duration { return (&Process{Settings: settings}).stopLimit() }
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -108,12 +108,13 @@
 // stopShare is the share of a platform's grace period that a process uses at most to stop.
 const stopShare = 31.0 / 32
 
-// stopLimit returns how long after the signal the process ends at the latest, even if peers' or operators' requests are still running.
+// stopLimit returns how long after the signal the process ends at the latest, even if requests are still running. Without a grace period that
+// is after the longest call.
 func (process *Process) stopLimit() time.Duration {
 	if grace := process.Settings.Gateway.Grace; grace > 0 {
 		return time.Duration(float64(grace) * stopShare)
 	}
-	return process.Settings.Bounds.Deadline() / 2
+	return process.Settings.Bounds.Deadline() + process.Settings.Bounds.Round()
 }
 
 // reloadSeeds applies the seed addresses of changed settings after a SIGHUP. All other settings need a restart.
--- a/serve/stop_test.go
+++ b/serve/stop_test.go
@@ -11,6 +11,9 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/cedarreel/cedarreel/env"
+	"github.com/cedarreel/cedarreel/serve"
 )
 
 // Times of the gateways that are stopped in these tests.
@@ -278,3 +281,15 @@
 	}
 	return false
 }
+
+// TestStopOutlastsTheLongestCall guards against a stop of a node with the built-in protocol that ends while calls are left which it has taken.
+func TestStopOutlastsTheLongestCall(t *testing.T) {
+	settings := env.New()
+	if limit := serve.StopLimit(settings); limit < settings.Bounds.Deadline() {
+		t.Errorf("the stop ends after %v, a call may last %v", limit, settings.Bounds.Deadline())
+	}
+	settings.Gateway.Grace = testGrace
+	if limit := serve.StopLimit(settings); limit >= testGrace {
+		t.Errorf("the stop ends after %v of %v", limit, testGrace)
+	}
+}
