--- a/rig/troubles.go
+++ b/rig/troubles.go
@@ -17,7 +17,7 @@
 	for _, node := range rig.randomNodes(2) {
 		for _, other := range rig.Nodes {
 			if other != node {
-				node.cutAddresses[other.Settings.Control], node.cutAddresses[other.Settings.Data] = true, true
+				node.cutOff(other)
 			}
 		}
 	}
@@ -43,7 +43,9 @@
 // setLoss sets the message loss of all links.
 func (rig *Rig) setLoss(percent int) {
 	for _, node := range rig.Nodes {
+		node.faultsLock.Lock()
 		node.lossPercent = percent
+		node.faultsLock.Unlock()
 	}
 	rig.writeAllFaults()
 }
