--- a/emulator/calm_test.go
+++ b/emulator/calm_test.go
@@ -10,8 +10,8 @@
 var sites = []string{"brazos", "seri"}
 
 func given(name string, part float64, length time.Duration) Site {
-	site, failure := LoadSite("../deploy/emulated/" + name + ".json")
-	Expect(failure).NotTo(HaveOccurred())
+	site, err := LoadSite("../deploy/emulated/" + name + ".json")
+	Expect(err).NotTo(HaveOccurred())
 	return site.Scaled(part, length)
 }
 
--- a/emulator/change.go
+++ b/emulator/change.go
@@ -23,8 +23,8 @@
 		return Change{}, eris.Errorf("%q: want setting=value", text)
 	}
 	var probe env.Env
-	if failure := setField(&probe, path, value); failure != nil {
-		return Change{}, failure
+	if err := setField(&probe, path, value); err != nil {
+		return Change{}, err
 	}
 	return Change{text: text, apply: func(settings *env.Env) { _ = setField(settings, path, value) }}, nil
 }
@@ -41,9 +41,9 @@
 		}
 	}
 	if span, fine := target.Addr().Interface().(*time.Duration); fine {
-		read, failure := time.ParseDuration(value)
-		if failure != nil {
-			return eris.Wrap(failure, path)
+		read, err := time.ParseDuration(value)
+		if err != nil {
+			return eris.Wrap(err, path)
 		}
 		*span = read
 		return nil
--- a/emulator/control.go
+++ b/emulator/control.go
@@ -25,9 +25,9 @@
 func newControlProcess(machine *machine, settings env.Env) *controlProcess {
 	var recovered *chain.Recovered
 	if machine.disk != nil {
-		loaded, failure := image.Load(machine.disk)
-		if failure != nil {
-			panic(failure)
+		loaded, err := image.Load(machine.disk)
+		if err != nil {
+			panic(err)
 		}
 		recovered = &loaded
 	}
@@ -49,16 +49,16 @@
 	case chain.Persist:
 		process.machine.disk.Save(func() {
 			persisted := chain.Persisted{Token: command.Token}
-			if failure := image.Save(process.machine.disk, command); failure != nil {
-				persisted.Error = failure.Error()
+			if err := image.Save(process.machine.disk, command); err != nil {
+				persisted.Error = err.Error()
 			}
 			process.event(persisted)
 		})
 	case index.Persist:
 		process.machine.disk.Save(func() {
 			persisted := index.Persisted{}
-			if failure := image.SaveIndex(process.machine.disk, command.Snapshot); failure != nil {
-				persisted.Error = failure.Error()
+			if err := image.SaveIndex(process.machine.disk, command.Snapshot); err != nil {
+				persisted.Error = err.Error()
 			}
 			process.event(persisted)
 		})
@@ -196,9 +196,9 @@
 }
 
 func encodeJSON(value any) json.RawMessage {
-	text, failure := json.Marshal(value)
-	if failure != nil {
-		panic(failure)
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
 	}
 	return text
 }
--- a/emulator/day.go
+++ b/emulator/day.go
@@ -73,8 +73,8 @@
 func WithChanges(changes ...Change) Option { return func(day *Day) { day.changes = changes } }
 
 // withEventFilter plants a fault: events for the routers pass a filter, which may change or drop them.
-func withEventFilter(sieve func(*machine, *contract.Event) bool) Option {
-	return func(day *Day) { day.eventFilter = sieve }
+func withEventFilter(filter func(*machine, *contract.Event) bool) Option {
+	return func(day *Day) { day.eventFilter = filter }
 }
 
 // New makes a day that has not started.
@@ -136,9 +136,9 @@
 }
 
 func (day *Day) listening(address string) *process {
-	host, port, failure := net.SplitHostPort(address)
+	host, port, err := net.SplitHostPort(address)
 	machine := day.machineAt(host + ":")
-	if failure != nil || machine == nil || machine.data == nil || port == controlPort && machine.control == nil {
+	if err != nil || machine == nil || machine.data == nil || port == controlPort && machine.control == nil {
 		return nil
 	}
 	if port == controlPort {
--- a/emulator/mischief.go
+++ b/emulator/faults.go
@@ -42,11 +42,11 @@
 func (day *Day) crashServers(trouble Trouble) {
 	for _, server := range day.pickServers(trouble) {
 		if strings.Contains(trouble.How, "dark") {
-			light := day.world.isolate(server.name)
+			reconnect := day.world.isolate(server.name)
 			server.silent = true
 			day.world.After(trouble.duration(), func() {
 				server.silent = false
-				light()
+				reconnect()
 			})
 			continue
 		}
@@ -108,11 +108,11 @@
 			continue
 		}
 		if strings.Contains(trouble.How, "dark") {
-			light := day.world.isolate(server.name)
+			reconnect := day.world.isolate(server.name)
 			server.silent = true
 			day.world.After(trouble.duration(), func() {
 				server.silent, server.coldUntil = false, day.world.Now+seconds(server.service.ColdS)
-				light()
+				reconnect()
 			})
 			continue
 		}
@@ -127,10 +127,10 @@
 		return
 	}
 	machine.recordOutage(day.world.Now, day.world.Now+span)
-	light := func() {}
+	reconnect := func() {}
 	if power {
 		machine.powerLost()
-		light = day.world.isolate(machine.name)
+		reconnect = day.world.isolate(machine.name)
 	} else {
 		machine.kill()
 	}
@@ -139,7 +139,7 @@
 	}
 	boots := machine.boots
 	day.world.After(span, func() {
-		light()
+		reconnect()
 		if machine.boots == boots {
 			machine.start()
 		}
--- a/emulator/machine.go
+++ b/emulator/machine.go
@@ -176,12 +176,12 @@
 
 // kill ends both processes; the other ends of their connections are notified.
 func (machine *machine) kill() {
-	machine.end(func(shell *dataProcess) { shell.closeConnections() })
+	machine.end(func(data *dataProcess) { data.closeConnections() })
 }
 
 // powerLost ends both processes without notice and loses what was not synced to disk.
 func (machine *machine) powerLost() {
-	machine.end(func(shell *dataProcess) { shell.dropConnections() })
+	machine.end(func(data *dataProcess) { data.dropConnections() })
 	if machine.disk != nil {
 		machine.disk.LosePower()
 	}
--- a/emulator/planted_test.go
+++ b/emulator/planted_test.go
@@ -77,9 +77,9 @@
 func unbounded() Change { return mustChange("gateway.repeatRatio=100") }
 
 func mustChange(text string) Change {
-	change, failure := ReadChange(text)
-	if failure != nil {
-		panic(failure)
+	change, err := ReadChange(text)
+	if err != nil {
+		panic(err)
 	}
 	return change
 }
--- a/emulator/server_test.go
+++ b/emulator/server_test.go
@@ -200,10 +200,10 @@
 		bench := benched(unchanged)
 		one := bench.ask(bench.server.name, 20, -1, part("own", 10))
 		bench.run(100 * time.Millisecond)
-		light, came := bench.day.world.isolate(bench.server.name), len(one.pieces)
+		reconnect, came := bench.day.world.isolate(bench.server.name), len(one.pieces)
 		bench.run(time.Second)
 		Expect(one.pieces).To(HaveLen(came))
-		light()
+		reconnect()
 		bench.run(time.Second)
 		Expect(one.whole).To(BeTrue())
 		for index, piece := range one.pieces {
--- a/emulator/site.go
+++ b/emulator/site.go
@@ -179,9 +179,9 @@
 
 // LoadSite reads a site from a file.
 func LoadSite(path string) (Site, error) {
-	content, failure := os.ReadFile(path)
-	if failure != nil {
-		return Site{}, eris.Wrap(failure, "site")
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Site{}, eris.Wrap(err, "site")
 	}
 	return ReadSite(content)
 }
@@ -191,8 +191,8 @@
 	var read Site
 	decoder := json.NewDecoder(bytes.NewReader(content))
 	decoder.DisallowUnknownFields()
-	if failure := decoder.Decode(&read); failure != nil {
-		return Site{}, eris.Wrap(failure, "site")
+	if err := decoder.Decode(&read); err != nil {
+		return Site{}, eris.Wrap(err, "site")
 	}
 	if len(read.Zones) == 0 || len(read.Machines) == 0 || len(read.Services) == 0 || len(read.Classes) == 0 {
 		return Site{}, eris.New("site: zones, machines, services and classes are needed")
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -136,7 +136,7 @@
 }
 
 // isolate cuts all links of a location until the returned function is called.
-func (world *World) isolate(name string) (light func()) {
+func (world *World) isolate(name string) (reconnect func()) {
 	world.isolated[name]++
 	return func() {
 		world.isolated[name]--
