--- a/rig/gateway_soak.go
+++ b/rig/gateway_soak.go
@@ -227,27 +227,24 @@
 
 // killMachine kills all processes of a machine, which may be stopping.
 func (fleet *gatewayFleet) killMachine() {
-	machine := fleet.machines[fleet.below(len(fleet.machines))]
-	if machine.core {
-		return
-	}
-	fleet.count("kills")
-	endTrouble := machine.openTrouble()
-	machine.signal(syscall.SIGKILL)
-	time.Sleep(mostRestartPause)
-	endTrouble()
+	fleet.disturb("kills", mostRestartPause, syscall.SIGKILL)
 }
 
-// freezeMachine suspends a machine outside the core for up to three seconds; it may be stopping.
+// freezeMachine suspends a machine for up to three seconds; it may be stopping.
 func (fleet *gatewayFleet) freezeMachine() {
+	fleet.disturb("freezes", fleet.between(200*time.Millisecond, 3*time.Second), syscall.SIGSTOP)
+}
+
+// disturb sends a signal to a random machine outside the core, records a trouble of a duration, and lets the machine go on.
+func (fleet *gatewayFleet) disturb(event string, duration time.Duration, signal syscall.Signal) {
 	machine := fleet.machines[fleet.below(len(fleet.machines))]
 	if machine.core {
 		return
 	}
-	fleet.count("freezes")
+	fleet.count(event)
 	endTrouble := machine.openTrouble()
-	machine.signal(syscall.SIGSTOP)
-	time.Sleep(fleet.between(200*time.Millisecond, 3*time.Second))
+	machine.signal(signal)
+	time.Sleep(duration)
 	machine.signal(syscall.SIGCONT)
 	endTrouble()
 }
