--- a/rig/gateway_callers.go
+++ b/rig/gateway_callers.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cedarreel/cedarreel/platform"
 )
 
 // callKind is one kind of calls on a route.
@@ -39,7 +41,8 @@
 const (
 	gatewayHost = "calls.example"
 	// longestRoute is the longest timeout of a route.
-	longestRoute = 8 * time.Second
+	longestRoute   = 8 * time.Second
+	tokensPerPiece = 5
 )
 
 // gatewayCaller is one caller with its connections. A staying caller has one machine and goes back to it whatever the directory says; others
@@ -193,11 +196,12 @@
 
 func (caller *gatewayCaller) requestText(kind callKind, attempt *gatewayAttempt, gap time.Duration) string {
 	text := &strings.Builder{}
-	fmt.Fprintf(text, "POST %s%s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n", kind.prefix, attempt.ID, gatewayHost, attempt.ID, kind.timeout.Milliseconds())
-	fmt.Fprintf(text, "%s: %d\r\n%s: %d\r\nContent-Length: %d\r\n", piecesHeader, attempt.WantPieces, gapHeader, gap.Milliseconds(), kind.bodyBytes)
+	sent := platform.SentCall{ID: attempt.ID, Timeout: kind.timeout}
 	if kind.stream {
-		fmt.Fprintf(text, "X-Model: m\r\nX-Token-Usage: 400,%d\r\nX-Prompt-Prefix: 5c1e07a2:100,%x:300\r\n", attempt.WantPieces*5, caller.calls)
+		sent.InputTokens, sent.OutputTokens, sent.Prefix = 400, attempt.WantPieces*tokensPerPiece, fmt.Sprintf("5c1e07a2:100,%x:300", caller.calls)
 	}
+	fmt.Fprintf(text, "POST %s%s HTTP/1.1\r\nHost: %s\r\n%s", kind.prefix, attempt.ID, gatewayHost, sent.Lines())
+	fmt.Fprintf(text, "%s: %d\r\n%s: %d\r\nContent-Length: %d\r\n", piecesHeader, attempt.WantPieces, gapHeader, gap.Milliseconds(), kind.bodyBytes)
 	text.WriteString("\r\n" + strings.Repeat("b", kind.bodyBytes))
 	return text.String()
 }
@@ -210,7 +214,7 @@
 		return true
 	}
 	defer response.Body.Close()
-	attempt.Status, attempt.AnswerID = response.StatusCode, response.Header.Get("X-Attempt-Id")
+	attempt.Status, attempt.AnswerID = response.StatusCode, platform.AttemptID(response.Header)
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
 		attempt.RetryAfter = time.Duration(seconds * float64(time.Second))
 	}
@@ -286,7 +290,7 @@
 func (caller *gatewayCaller) askDirectory(machine *gatewayMachine) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), lookupLimit)
 	defer cancel()
-	address := fmt.Sprintf("http://%s/lookup?name=%s&region=%s&zone=%s", machine.at(lookupPort), gatewayHost, caller.region, caller.zone)
+	address := "http://" + machine.at(lookupPort) + platform.LookupQuery(gatewayHost, caller.region, caller.zone)
 	request, _ := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	response, err := caller.fleet.client.Do(request)
 	if err != nil {
--- a/rig/gateway_fleet.go
+++ b/rig/gateway_fleet.go
@@ -41,6 +41,7 @@
 	gatewayLossSlack  = 200 * time.Millisecond
 	gatewayListLag    = 400 * time.Millisecond
 	gatewayLookupLife = time.Second
+	gatewayMaxTTL     = 5 * time.Second
 )
 
 // gatewayZones are the zones of the fleet with their regions.
--- a/rig/gateway_machine.go
+++ b/rig/gateway_machine.go
@@ -56,31 +56,19 @@
 	return []string{dataRole}
 }
 
-// settings returns the settings file of a process in the platform's format.
-func (machine *gatewayMachine) settings(role string, first bool) string {
-	fleet, text := machine.fleet, &strings.Builder{}
-	write := func(format string, values ...any) { fmt.Fprintf(text, format+"\n", values...) }
-	quoted := []string{}
-	for _, seed := range fleet.coreAddresses() {
-		quoted = append(quoted, fmt.Sprintf("%q", seed))
-	}
-	write("nodeName = %q\nrole = %q\nmachineClass = \"edge\"", machine.name, role)
-	write("ipAddress = %q\nzone = %q\nregion = %q", machine.address, machine.zone, machine.region)
-	write("internalPorts = [%d,%d]\nseedNodes = [%s]", firstInnerPort, lastInnerPort, strings.Join(quoted, ","))
-	write("bootstrap = %v\nquorumMember = %v", first, machine.core && role == controlRole)
+// settings returns the settings of a process.
+func (machine *gatewayMachine) settings(role string, first bool) platform.ProcessSettings {
+	zones := map[string]string{}
+	for _, zone := range gatewayZones {
+		zones[zone.name] = zone.region
+	}
+	settings := platform.ProcessSettings{Name: machine.name, Role: role, Address: machine.address, Zone: machine.zone, Region: machine.region, Seeds: machine.fleet.coreAddresses(), First: first, Zones: zones,
+		Frontend: machine.at(trafficPort), Readiness: machine.at(readyPort), ControlPlane: machine.at(controlPort), Registry: machine.at(lookupPort), InnerPorts: [2]int{firstInnerPort, lastInnerPort},
+		Platform: machine.fleet.platform.address, ListLag: gatewayListLag, Contact: gatewayContact, Drain: gatewayDrain, Grace: gatewayGrace, Propagate: gatewayPropagate, MaxTTL: gatewayMaxTTL}
 	if machine.core && role == controlRole {
-		write("dataPath = %q", filepath.Join(machine.folder, "data"))
+		settings.Member, settings.DataPath = true, filepath.Join(machine.folder, "data")
 	}
-	write("[zones]")
-	for _, zone := range gatewayZones {
-		write("%s = %q", zone.name, zone.region)
-	}
-	write("[bindAddresses]\nfrontend = %q\nreadiness = %q\ncontrolPlane = %q\nregistry = %q", machine.at(trafficPort), machine.at(readyPort), machine.at(controlPort), machine.at(lookupPort))
-	write("[faultTolerance]\nmachines = 1\nzones = 1\nregions = 0")
-	write("[bounds]\ncontactMs = %d\ndrainMs = %d\ngracePeriodS = %v\npropagationMs = %d\nevacuationMs = 5000\nrecoveryS = 12\nretryRatio = 0.2\nretryWindowS = 10\nretryAllowance = 64\nwarmupOverage = 1.5\nwarmupAllowance = 5\nttl_max_s = 5",
-		gatewayContact.Milliseconds(), gatewayDrain.Milliseconds(), gatewayGrace.Seconds(), gatewayPropagate.Milliseconds())
-	write("[cloudApi]\naddress = %q\nratePerS = 50.0\nassignments = []\nmaxLagMs = %d", fleet.platform.address, gatewayListLag.Milliseconds())
-	return text.String()
+	return settings
 }
 
 // startAll starts all processes of the machine.
@@ -99,7 +87,7 @@
 // startRole starts the process of a role and supervises it: when it ends it is started again after a pause, as the platform does.
 func (machine *gatewayMachine) startRole(role string, first bool) error {
 	path := filepath.Join(machine.folder, role+".toml")
-	if err := os.WriteFile(path, []byte(machine.settings(role, first)), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(machine.settings(role, first).TOML()), 0o600); err != nil {
 		return err
 	}
 	command := exec.Command(filepath.Join(machine.fleet.plan.Bin, role))
@@ -168,7 +156,8 @@
 
 // isReady asks the readiness check as the platform does.
 func (machine *gatewayMachine) isReady() bool {
-	response, err := machine.fleet.client.Get("http://" + machine.at(readyPort) + "/readyz")
+	path, _ := platform.Adapter{}.Paths()
+	response, err := machine.fleet.client.Get("http://" + machine.at(readyPort) + path)
 	if err != nil {
 		return false
 	}
--- a/rig/gateway_operator.go
+++ b/rig/gateway_operator.go
@@ -6,9 +6,10 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
+
+	"github.com/cedarreel/cedarreel/platform"
 )
 
 // gatewayOperator sends the configuration and changes of it.
@@ -35,7 +36,7 @@
 	body := map[string]any{"revision": 1, "routes": routes, "backends": services,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
 	for began := time.Now(); time.Since(began) < installLimit; time.Sleep(pollInterval) {
-		if operator.send("/configuration/replace", 0, body) == http.StatusOK {
+		if operator.send(platform.ReplacePath, 0, body) == http.StatusOK {
 			operator.revision = 1
 			return nil
 		}
@@ -45,8 +46,8 @@
 
 // route returns a route of the configuration.
 func (operator *gatewayOperator) route(kind callKind, timeout time.Duration) map[string]any {
-	route := map[string]any{"name": "r-" + kind.name, "hostname": gatewayHost, "pathPrefix": kind.prefix, "timeoutMs": timeout.Milliseconds(), "targetLatencyMs": 1000,
-		"priority": 0, "backend": modelService, "maxAttempts": 1, "sessionAffinity": kind.stream, "resumable": kind.repeatable && kind.stream, "tokenGapMs": 600, "allowedRegions": []any{}}
+	route := platform.FormatRoute(gatewayHost, kind.prefix, map[string]any{"name": "r-" + kind.name, "timeoutMs": timeout.Milliseconds(), "targetLatencyMs": 1000,
+		"priority": 0, "backend": modelService, "maxAttempts": 1, "sessionAffinity": kind.stream, "resumable": kind.repeatable && kind.stream, "tokenGapMs": 600, "allowedRegions": []any{}})
 	route["routeType"] = "streaming"
 	if kind.repeatable {
 		route["maxAttempts"] = 2
@@ -67,7 +68,7 @@
 	next := operator.revision + 1 + int64(operator.fleet.below(3))
 	body := map[string]any{"revision": next, "upsert": map[string]any{"routes": []any{route}}, "remove": map[string]any{}}
 	for range maxChangeAttempts {
-		status := operator.send("/configuration/update", operator.revision, body)
+		status := operator.send(platform.UpdatePath, operator.revision, body)
 		operator.fleet.count(fmt.Sprintf("changes answered %d", status))
 		if status == http.StatusOK {
 			operator.revision = next
@@ -99,7 +100,7 @@
 		panic(err)
 	}
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("X-Base-Revision", strconv.FormatInt(base, 10))
+	platform.SetBaseRevision(request.Header, base)
 	response, err := fleet.client.Do(request)
 	if err != nil {
 		return 0
--- a/rig/gateway_server.go
+++ b/rig/gateway_server.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	wire "github.com/cedarreel/cedarreel/platform"
 )
 
 // gatewayPlatform simulates the platform: the list of servers and the servers themselves.
@@ -42,7 +44,7 @@
 	}
 	platform := &gatewayPlatform{fleet: fleet, address: listener.Addr().String()}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /instances", platform.list)
+	mux.HandleFunc("GET "+wire.InstancesPath, platform.list)
 	platform.http = &http.Server{Handler: mux}
 	go func() { _ = platform.http.Serve(listener) }()
 	for index := range modelServers {
@@ -94,21 +96,15 @@
 // list answers with all servers on one page, leaving ones as draining. Ended ones are not listed.
 func (platform *gatewayPlatform) list(writer http.ResponseWriter, _ *http.Request) {
 	platform.lock.Lock()
-	rows := []any{}
+	instances := []wire.Instance{}
 	for _, server := range platform.servers {
-		if server.ended {
-			continue
-		}
-		state := "ready"
-		if server.draining {
-			state = "draining"
+		if !server.ended {
+			instances = append(instances, wire.Instance{Name: server.name, Service: server.service, Address: server.address, Zone: server.zone, Slots: server.slots, Draining: server.draining})
 		}
-		rows = append(rows, map[string]any{"instanceId": server.name, "backend": server.service, "address": server.address, "zone": server.zone, "revision": "v1",
-			"capacity": server.slots, "lifecycleState": state, "warmupLeftMs": 0})
 	}
 	platform.lock.Unlock()
 	writer.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(writer).Encode(map[string]any{"instances": rows, "nextPageToken": nil})
+	_ = json.NewEncoder(writer).Encode(wire.FormatInstances(instances))
 }
 
 // replace drains a random model server and starts another one in its place. The old one ends when the drain time is over and its calls are done.
@@ -184,24 +180,23 @@
 // serve runs a call: a stream of pieces, or one short answer.
 func (server *gatewayServer) serve(writer http.ResponseWriter, request *http.Request) {
 	_, _ = io.Copy(io.Discard, request.Body)
-	id, record, header := request.Header.Get("X-Attempt-Id"), server.platform.fleet.record, writer.Header()
-	if target := request.Header.Get("X-Target-Instance"); target != "" && target != server.name {
+	id, record, header := wire.AttemptID(request.Header), server.platform.fleet.record, writer.Header()
+	if target := wire.TargetInstance(request.Header); target != "" && target != server.name {
 		header.Set("X-Instance-Id", server.name)
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if !server.begin() {
-		header.Set("X-Not-Executed", "1")
+		wire.MarkNotExecuted(header)
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer server.finish()
 	run := record.runStarted(id, server.name, server.platform.fleet.now())
-	header.Set("X-Attempt-Id", id)
-	header.Set("X-Server-Seal", "seal-"+id)
+	wire.SealAnswer(header, id)
 	pieces, _ := strconv.Atoi(request.Header.Get(piecesHeader))
 	gap, _ := strconv.Atoi(request.Header.Get(gapHeader))
-	first, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	first := wire.LastEventID(request.Header)
 	whole := server.answer(writer, request, pieces, first, time.Duration(gap)*time.Millisecond)
 	record.runEnded(run, whole, server.platform.fleet.now())
 }
