--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -177,6 +177,9 @@
 	return []string{dataRole}
 }
 
+// restartPause is the time after which the platform starts a process again that has ended.
+const restartPause = 500 * time.Millisecond
+
 // startRole starts a process and starts it again half a second after it ends.
 func (machine *machine) startRole(role string, first bool) error {
 	if err := os.MkdirAll(filepath.Join(machine.folder(), "data-"+role), 0o700); err != nil {
@@ -203,7 +206,7 @@
 	machine.lock.Unlock()
 	go func() {
 		_ = command.Wait()
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(restartPause)
 		if !machine.fleet.isClosing() {
 			machine.fleet.record.line("platform: process %s of %s ended (%v) and is started again", role, machine.name, command.ProcessState)
 			_ = machine.startRole(role, false)
@@ -230,7 +233,7 @@
 // startLimit bounds the time until the fleet is configured and ready.
 const startLimit = 30 * time.Second
 
-// start starts all processes for the first time, sends the first configuration and waits until all machines are ready.
+// start starts all processes for the first time.
 func (fleet *fleet) start() error {
 	for _, machine := range fleet.machines {
 		for _, role := range machine.roles() {
@@ -239,6 +242,11 @@
 			}
 		}
 	}
+	return nil
+}
+
+// configure sends the first configuration until it is taken and waits until all machines are ready.
+func (fleet *fleet) configure() error {
 	if err := fleet.operator.install(startLimit); err != nil {
 		return err
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,7 @@
 
 // scenarios are the cases by name. Each reports whether the rule was broken.
 var scenarios = map[string]func(fleet *fleet, trouble bool) (broken bool, err error){
+	"early-wipe":    earlyWipe,
 	"stale-undrain": staleUndrain,
 }
 
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -76,7 +76,7 @@
 		}
 		time.Sleep(250 * time.Millisecond)
 	}
-	return errors.New("the first configuration was not taken")
+	return errNotTaken
 }
 
 // Host and prefixes of the routes.
--- a/review/standin/staleundrain.go
+++ b/review/standin/staleundrain.go
@@ -23,6 +23,9 @@
 // to take the evacuation back goes to the machine that stands still, so it is sent again to another one.
 func staleUndrain(fleet *fleet, trouble bool) (bool, error) {
 	operator, record := fleet.operator, fleet.record
+	if err := fleet.configure(); err != nil {
+		return false, err
+	}
 	frozen := fleet.machineNamed("edge-klia-hall-1")
 	others := []*machine{fleet.machineNamed("edge-cyber-hall-1"), fleet.machineNamed("edge-bayan-hall-1")}
 	all := append([]*machine{frozen}, others...)
