--- a/review/standin/clients.go
+++ b/review/standin/clients.go
@@ -17,16 +17,26 @@
 	http     *http.Client
 	lock     sync.Mutex
 	sentTo   map[string]*machine
+	refused  []refusal
 	number   int
 	stopOnce sync.Once
 	stopped  chan struct{}
 	group    sync.WaitGroup
 }
 
+// refusal is a refused request that cannot be repeated.
+type refusal struct {
+	at      time.Duration
+	id      string
+	machine *machine
+	status  int
+}
+
 // Rates of the clients of one zone.
 const (
-	chatInterval   = 50 * time.Millisecond
-	statusInterval = 100 * time.Millisecond
+	chatInterval    = 20 * time.Millisecond
+	statusInterval  = 100 * time.Millisecond
+	verdictInterval = 50 * time.Millisecond
 )
 
 func newClients(fleet *fleet) *clients {
@@ -36,30 +46,34 @@
 
 // start starts the clients of all zones.
 func (clients *clients) start() {
+	clients.startRoute(chatPrefix, chatInterval)
+	clients.startRoute(statusPrefix, statusInterval)
+}
+
+// startVerdicts starts clients that send streams which cannot be repeated.
+func (clients *clients) startVerdicts() { clients.startRoute(verdictPrefix, verdictInterval) }
+
+// startRoute starts the clients of one route in all zones.
+func (clients *clients) startRoute(prefix string, interval time.Duration) {
 	for _, zone := range zones {
-		for _, route := range []struct {
-			prefix   string
-			interval time.Duration
-		}{{chatPrefix, chatInterval}, {statusPrefix, statusInterval}} {
-			clients.group.Add(1)
-			go func() {
-				defer clients.group.Done()
-				ticker := time.NewTicker(route.interval)
-				defer ticker.Stop()
-				for {
-					select {
-					case <-clients.stopped:
-						return
-					case <-ticker.C:
-						clients.group.Add(1)
-						go func() {
-							defer clients.group.Done()
-							clients.request(zone.name, zone.region, route.prefix)
-						}()
-					}
+		clients.group.Add(1)
+		go func() {
+			defer clients.group.Done()
+			ticker := time.NewTicker(interval)
+			defer ticker.Stop()
+			for {
+				select {
+				case <-clients.stopped:
+					return
+				case <-ticker.C:
+					clients.group.Add(1)
+					go func() {
+						defer clients.group.Done()
+						clients.request(zone.name, zone.region, prefix)
+					}()
 				}
-			}()
-		}
+			}
+		}()
 	}
 }
 
@@ -119,7 +133,7 @@
 	request.Host = routeHost
 	request.Header.Set("X-Attempt-Id", id)
 	request.Header.Set("X-Deadline-Ms", "4000")
-	if prefix == chatPrefix {
+	if prefix != statusPrefix {
 		request.Header.Set("X-Model", "m")
 		request.Header.Set("X-Token-Usage", "383,8")
 		request.Header.Set("X-Prompt-Prefix", fmt.Sprintf("5c1e07a2:55,%08x:37,%08x:291", 0x10000+number%50, 0x20000000+number))
@@ -131,6 +145,14 @@
 	}
 	defer response.Body.Close()
 	_, err = io.Copy(io.Discard, response.Body)
+	switch status := response.StatusCode; status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		if prefix == verdictPrefix {
+			clients.lock.Lock()
+			clients.refused = append(clients.refused, refusal{at: clients.fleet.record.now(), id: id, machine: to, status: status})
+			clients.lock.Unlock()
+		}
+	}
 	clients.fleet.record.line("client in %s: request %s at %s is answered %d, whole %v", zone, id, to.name, response.StatusCode, err == nil)
 }
 
@@ -140,3 +162,10 @@
 	defer clients.lock.Unlock()
 	return clients.sentTo[id]
 }
+
+// refusedVerdicts returns the refused requests that cannot be repeated.
+func (clients *clients) refusedVerdicts() []refusal {
+	clients.lock.Lock()
+	defer clients.lock.Unlock()
+	return clients.refused
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 var scenarios = map[string]func(fleet *fleet, trouble bool) (broken bool, err error){
 	"early-wipe":    earlyWipe,
 	"stale-undrain": staleUndrain,
+	"stray-answer":  strayAnswerCase,
 }
 
 func main() {
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -81,17 +81,20 @@
 
 // Host and prefixes of the routes.
 const (
-	routeHost    = "ficu95.example"
-	chatPrefix   = "/pufi791/"
-	statusPrefix = "/pule252/"
+	routeHost     = "ficu95.example"
+	chatPrefix    = "/pufi791/"
+	statusPrefix  = "/pule252/"
+	verdictPrefix = "/lohu930/"
 )
 
-// firstConfiguration returns a configuration with a resumable stream and a route that may be repeated.
+// firstConfiguration returns a configuration with a resumable stream, a stream that cannot be repeated, and a route that may be repeated.
 func firstConfiguration() map[string]any {
 	return map[string]any{"revision": 1,
 		"routes": []any{
 			map[string]any{"name": "r-73d3zji", "hostname": routeHost, "pathPrefix": chatPrefix, "routeType": "streaming", "timeoutMs": 4000, "targetLatencyMs": 800, "priority": 0,
 				"backend": modelService, "maxAttempts": 2, "sessionAffinity": true, "resumable": true, "tokenGapMs": 400, "allowedRegions": []any{}},
+			map[string]any{"name": "r-3hwrr6x", "hostname": routeHost, "pathPrefix": verdictPrefix, "routeType": "streaming", "timeoutMs": 8000, "targetLatencyMs": 1000, "priority": 1,
+				"backend": modelService, "maxAttempts": 1, "sessionAffinity": true, "resumable": false, "tokenGapMs": 400, "allowedRegions": []any{}},
 			map[string]any{"name": "r-8xk2p0q", "hostname": routeHost, "pathPrefix": statusPrefix, "routeType": "read_only", "timeoutMs": 8000, "targetLatencyMs": 500, "priority": 2,
 				"backend": statusService, "maxAttempts": 2, "sessionAffinity": false, "resumable": false, "tokenGapMs": 0, "allowedRegions": []any{}},
 		},
--- a/review/standin/servers.go
+++ b/review/standin/servers.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -37,6 +38,8 @@
 	http     *http.Server
 	lock     sync.Mutex
 	active   int
+	// garbled is the share of answers after which more bytes are sent.
+	garbled float64
 }
 
 // arrival is a request that reached a server.
@@ -87,7 +90,9 @@
 	mux.HandleFunc("GET /report", created.report)
 	mux.HandleFunc("GET /healthz", created.health)
 	mux.HandleFunc("/", created.serve)
-	created.http = &http.Server{Handler: mux}
+	created.http = &http.Server{Handler: mux, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, &connection{})
+	}}
 	go func() { _ = created.http.Serve(listener) }()
 	platform.servers = append(platform.servers, created)
 	return nil
@@ -142,6 +147,9 @@
 	server.active--
 }
 
+// eventCount is the number of events of a stream.
+const eventCount = 8
+
 // workTime is how long a server works on a status request, or on each event of a stream.
 const workTime = 20 * time.Millisecond
 
@@ -163,6 +171,10 @@
 	defer server.end()
 	at := record.line("server %s of %s in %s runs request %s", server.id, server.service, server.zone, id)
 	server.platform.addArrival(arrival{at: at, id: id, server: server})
+	if server.answerAfterStrayBytes(writer, request, id) {
+		return
+	}
+	defer server.drawStrayBytes(request)
 	header.Set("X-Server-Seal", "seal."+id)
 	if server.service == statusService {
 		time.Sleep(workTime)
@@ -170,7 +182,7 @@
 		return
 	}
 	header.Set("Content-Type", "text/event-stream")
-	for number := 1; number <= 8; number++ {
+	for number := 1; number <= eventCount; number++ {
 		time.Sleep(workTime)
 		if _, err := fmt.Fprintf(writer, "id: %d\ndata: piece %d of %s\n\n", number, number, id); err != nil {
 			return
@@ -185,6 +197,18 @@
 	platform.arrived = append(platform.arrived, arrival)
 }
 
+// runs reports whether a server ran a request.
+func (platform *platform) runs(id string) bool {
+	platform.lock.Lock()
+	defer platform.lock.Unlock()
+	for _, arrival := range platform.arrived {
+		if arrival.id == id {
+			return true
+		}
+	}
+	return false
+}
+
 // arrivals returns the requests that servers of a zone ran in a span of time.
 func (platform *platform) arrivals(zone string, from, until time.Duration) []arrival {
 	platform.lock.Lock()
