--- a/review/standin/clients.go
+++ b/review/standin/clients.go
@@ -91,7 +91,7 @@
 			if (candidate.zone == zone) != near {
 				continue
 			}
-			response, err := directory.Get(fmt.Sprintf("http://%s/lookup?name=%s&region=%s&zone=%s", candidate.at(portRegistry), routeHost, region, zone))
+			response, err := directory.Get(fmt.Sprintf("http://%s%s?name=%s&region=%s&zone=%s", candidate.at(portRegistry), names.LookupPath, routeHost, region, zone))
 			if err != nil {
 				continue
 			}
@@ -131,12 +131,12 @@
 		return
 	}
 	request.Host = routeHost
-	request.Header.Set("X-Attempt-Id", id)
-	request.Header.Set("X-Deadline-Ms", "4000")
+	request.Header.Set(names.AttemptID, id)
+	request.Header.Set(names.Deadline, "4000")
 	if prefix != statusPrefix {
-		request.Header.Set("X-Model", "m")
-		request.Header.Set("X-Token-Usage", "383,8")
-		request.Header.Set("X-Prompt-Prefix", fmt.Sprintf("5c1e07a2:55,%08x:37,%08x:291", 0x10000+number%50, 0x20000000+number))
+		request.Header.Set(names.Model, "m")
+		request.Header.Set(names.TokenUsage, "383,8")
+		request.Header.Set(names.PromptPrefix, fmt.Sprintf("5c1e07a2:55,%08x:37,%08x:291", 0x10000+number%50, 0x20000000+number))
 	}
 	response, err := clients.http.Do(request)
 	if err != nil {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -136,34 +136,29 @@
 	return nil
 }
 
+// settingsValues fill the settings file of a process.
+type settingsValues struct {
+	Name, Role, Serves, Address, Zone, Region, Seeds, DataPath, Frontend, Readiness, Control, Registry, Platform string
+	FirstPort, LastPort                                                                                          int
+	First, Core                                                                                                  bool
+}
+
 // settings returns the settings file of a process, with the figures of the site serilaluan-cedar.
-func (machine *machine) settings(role string, first bool) string {
-	seeds := []string{}
-	for _, core := range machine.fleet.core() {
+func (machine *machine) settings(role string, first bool) (string, error) {
+	seeds, fleet := []string{}, machine.fleet
+	for _, core := range fleet.core() {
 		seeds = append(seeds, fmt.Sprintf("%q", core.at(portControl)))
 	}
-	serving, cores := `["edge","registry"]`, 0.4
+	serves := `["edge","registry"]`
 	if role == controlRole {
-		serving = `["control_plane"]`
-	}
-	if machine.core {
-		cores = 0.72
-	}
-	internal := machine.fleet.ports[portInternal]
-	text := fmt.Sprintf("nodeName = %q\nrole = %q\nmachineClass = \"edge\"\nservingRoles = %s\nipAddress = %q\nzone = %q\nregion = %q\ninternalPorts = [%d,%d]\nseedNodes = [%s]\nbootstrap = %v\nquorumMember = %v\n",
-		machine.name, role, serving, machine.address, machine.zone, machine.region, internal, internal+internalPortCount-1, strings.Join(seeds, ","), first, machine.core)
-	if machine.core {
-		text += fmt.Sprintf("dataPath = %q\n", filepath.Join(machine.folder(), "data-"+role))
-	}
-	text += "discovery = \"platform_api\"\ningress = \"registry\"\nheartbeatMs = 1200\nguarantees = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"places\"]\n[zones]\n"
-	for _, zone := range zones {
-		text += fmt.Sprintf("%s = %q\n", zone.name, zone.region)
+		serves = `["control_plane"]`
 	}
-	text += fmt.Sprintf("[bindAddresses]\nfrontend = %q\nreadiness = %q\ncontrolPlane = %q\nregistry = %q\n", machine.at(portFrontend), machine.at(portReadiness), machine.at(portControl), machine.at(portRegistry))
-	text += fmt.Sprintf("[limits]\ncpuQuota = %v\ncpuCores = 1\nmemoryMb = 284\nmaxOpenFiles = 4100\nbandwidthMbps = 1000.0\ndiskMb = 64\n[faultTolerance]\nmachines = 1\nzones = 1\nregions = 0\n", cores)
-	text += "[bounds]\nseedDelayS = 3\naddressReuseS = 2\ncontactMs = 5000\nackTimeoutMs = 6000\nsyncS = 4\ndrainMs = 5000\ngracePeriodS = 8\nlossSlackMs = 200\npropagationMs = 3000\nrevertSlackMs = 250\nmaxSkewMs = 8000\nretryRatio = 0.2\nretryWindowS = 10\nretryAllowance = 64\nwarmupOverage = 1.5\nwarmupAllowance = 5\nevacuationMs = 5000\nrecoveryS = 12\npassTimeoutMs = 600\nttl_max_s = 5\n"
-	text += fmt.Sprintf("[cloudApi]\naddress = %q\nratePerS = 47.0\nassignments = []\nmaxLagMs = 800\n", machine.fleet.platform.address)
-	return text
+	text := &strings.Builder{}
+	err := settingsTemplate.Execute(text, settingsValues{Name: machine.name, Role: role, Serves: serves, Address: machine.address, Zone: machine.zone, Region: machine.region,
+		Seeds: strings.Join(seeds, ","), DataPath: filepath.Join(machine.folder(), "data-"+role), Frontend: machine.at(portFrontend), Readiness: machine.at(portReadiness),
+		Control: machine.at(portControl), Registry: machine.at(portRegistry), Platform: fleet.platform.address, FirstPort: fleet.ports[portInternal],
+		LastPort: fleet.ports[portInternal] + internalPortCount - 1, First: first, Core: machine.core})
+	return text.String(), err
 }
 
 func (machine *machine) folder() string {
@@ -185,8 +180,12 @@
 	if err := os.MkdirAll(filepath.Join(machine.folder(), "data-"+role), 0o700); err != nil {
 		return err
 	}
+	text, err := machine.settings(role, first)
+	if err != nil {
+		return err
+	}
 	path := filepath.Join(machine.folder(), role+".toml")
-	if err := os.WriteFile(path, []byte(machine.settings(role, first)), 0o600); err != nil {
+	if err = os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
 	output, err := os.OpenFile(filepath.Join(machine.folder(), role+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -195,7 +194,7 @@
 	}
 	defer output.Close()
 	command := exec.Command(filepath.Join(machine.fleet.programs, role))
-	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "CEDARREEL_NODE_FILE=" + path}
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), names.SettingsVariable + "=" + path}
 	command.Stdout, command.Stderr = output, output
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err = command.Start(); err != nil {
@@ -268,7 +267,7 @@
 // isReady asks the readiness address as the platform does.
 func (machine *machine) isReady() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Get("http://" + machine.at(portReadiness) + "/readyz")
+	response, err := client.Get("http://" + machine.at(portReadiness) + names.ReadyPath)
 	if err != nil {
 		return false
 	}
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -35,7 +35,7 @@
 	}
 	if body != nil {
 		request.Header.Set("Content-Type", "application/json")
-		request.Header.Set("X-Base-Revision", strconv.FormatInt(base, 10))
+		request.Header.Set(names.BaseRevision, strconv.FormatInt(base, 10))
 	}
 	operator.fleet.record.line("operator: %s %s is sent to %s", method, path, to.name)
 	response, err := operator.client.Do(request)
@@ -67,11 +67,11 @@
 
 // install sends the first configuration until it is taken.
 func (operator *operator) install(limit time.Duration) error {
-	body := firstConfiguration()
+	body := mustDecode[map[string]any](configurationFile)
 	machines := operator.fleet.core()
 	began := time.Now()
 	for try := 0; time.Since(began) < limit; try++ {
-		if status, _ := operator.send(machines[try%len(machines)], http.MethodPost, "/configuration/replace", 0, body); status == http.StatusOK {
+		if status, _ := operator.send(machines[try%len(machines)], http.MethodPost, names.ReplacePath, 0, body); status == http.StatusOK {
 			return nil
 		}
 		time.Sleep(250 * time.Millisecond)
@@ -79,29 +79,10 @@
 	return errNotTaken
 }
 
-// Host and prefixes of the routes.
+// Host and prefixes of the routes of the first configuration.
 const (
 	routeHost     = "ficu95.example"
 	chatPrefix    = "/pufi791/"
 	statusPrefix  = "/pule252/"
 	verdictPrefix = "/lohu930/"
 )
-
-// firstConfiguration returns a configuration with a resumable stream, a stream that cannot be repeated, and a route that may be repeated.
-func firstConfiguration() map[string]any {
-	return map[string]any{"revision": 1,
-		"routes": []any{
-			map[string]any{"name": "r-73d3zji", "hostname": routeHost, "pathPrefix": chatPrefix, "routeType": "streaming", "timeoutMs": 4000, "targetLatencyMs": 800, "priority": 0,
-				"backend": modelService, "maxAttempts": 2, "sessionAffinity": true, "resumable": true, "tokenGapMs": 400, "allowedRegions": []any{}},
-			map[string]any{"name": "r-3hwrr6x", "hostname": routeHost, "pathPrefix": verdictPrefix, "routeType": "streaming", "timeoutMs": 8000, "targetLatencyMs": 1000, "priority": 1,
-				"backend": modelService, "maxAttempts": 1, "sessionAffinity": true, "resumable": false, "tokenGapMs": 400, "allowedRegions": []any{}},
-			map[string]any{"name": "r-8xk2p0q", "hostname": routeHost, "pathPrefix": statusPrefix, "routeType": "read_only", "timeoutMs": 8000, "targetLatencyMs": 500, "priority": 2,
-				"backend": statusService, "maxAttempts": 2, "sessionAffinity": false, "resumable": false, "tokenGapMs": 0, "allowedRegions": []any{}},
-		},
-		"backends": []any{
-			map[string]any{"name": modelService, "healthCheckPath": "/healthz", "maxConnections": 390, "protocol": "h1", "tlsEnabled": false, "warmupS": 3.0, "warmupPerS": 45.0,
-				"runtime": map[string]any{"capacity": 64, "cacheTokens": 319818, "cacheTokenBytes": 163840, "bandwidthMbps": 1100000.0, "stride": 6, "models": []any{map[string]any{"name": "m"}}}},
-			map[string]any{"name": statusService, "healthCheckPath": "/healthz", "maxConnections": 130, "protocol": "h1", "tlsEnabled": false, "warmupS": 0.0, "warmupPerS": 0.0},
-		},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
-}
--- a/review/standin/servers.go
+++ b/review/standin/servers.go
@@ -62,7 +62,7 @@
 	}
 	created := &platform{record: record, address: listener.Addr().String()}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /instances", created.list)
+	mux.HandleFunc("GET "+names.InstancesPath, created.list)
 	created.http = &http.Server{Handler: mux}
 	go func() { _ = created.http.Serve(listener) }()
 	for _, zone := range zones {
@@ -103,8 +103,9 @@
 	platform.lock.Lock()
 	rows := []any{}
 	for _, server := range platform.servers {
-		rows = append(rows, map[string]any{"backend": server.service, "address": server.address, "zone": server.zone, "revision": "v1", "capacity": server.slots,
-			"lifecycleState": "ready", "warmupLeftMs": 0, "phase": "combined", "models": []any{map[string]any{"name": "m", "revision": 1, "loras": []any{}}}, "instanceId": server.id})
+		row := mustDecode[map[string]any](instanceFile)
+		row["instanceId"], row["backend"], row["address"], row["zone"], row["capacity"] = server.id, server.service, server.address, server.zone, server.slots
+		rows = append(rows, row)
 	}
 	platform.lock.Unlock()
 	writer.Header().Set("Content-Type", "application/json")
@@ -127,7 +128,7 @@
 }
 
 func (server *server) health(writer http.ResponseWriter, _ *http.Request) {
-	writer.Header().Set("X-Instance-Id", server.id)
+	writer.Header().Set(names.InstanceID, server.id)
 }
 
 // begin takes a slot, if one is free.
@@ -156,15 +157,15 @@
 // serve runs one request.
 func (server *server) serve(writer http.ResponseWriter, request *http.Request) {
 	_, _ = io.Copy(io.Discard, request.Body)
-	header, id, record := writer.Header(), request.Header.Get("X-Attempt-Id"), server.platform.record
-	header.Set("X-Attempt-Id", id)
-	if target := request.Header.Get("X-Target-Instance"); target != "" && target != server.id {
-		header.Set("X-Instance-Id", server.id)
+	header, id, record := writer.Header(), request.Header.Get(names.AttemptID), server.platform.record
+	header.Set(names.AttemptID, id)
+	if target := request.Header.Get(names.TargetInstance); target != "" && target != server.id {
+		header.Set(names.InstanceID, server.id)
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if !server.begin() {
-		header.Set("X-Not-Executed", "1")
+		header.Set(names.NotExecuted, "1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -175,7 +176,7 @@
 		return
 	}
 	defer server.drawStrayBytes(request)
-	header.Set("X-Server-Seal", "seal."+id)
+	header.Set(names.Seal, "seal."+id)
 	if server.service == statusService {
 		time.Sleep(workTime)
 		_, _ = io.WriteString(writer, "status of "+id)
--- a/review/standin/staleundrain.go
+++ b/review/standin/staleundrain.go
@@ -29,7 +29,7 @@
 	frozen := fleet.machineNamed("edge-klia-hall-1")
 	others := []*machine{fleet.machineNamed("edge-cyber-hall-1"), fleet.machineNamed("edge-bayan-hall-1")}
 	all := append([]*machine{frozen}, others...)
-	create, terminate := "/drain/"+evacuatedZone+"/create", "/drain/"+evacuatedZone+"/terminate"
+	create, terminate := names.DrainPath+evacuatedZone+"/create", names.DrainPath+evacuatedZone+"/terminate"
 	fleet.clients.start()
 	time.Sleep(contact)
 	if _, err := operator.order(others, create, orderLimit); err != nil {
--- a/review/standin/strayanswer.go
+++ b/review/standin/strayanswer.go
@@ -15,7 +15,7 @@
 type connectionKey struct{}
 
 // strayAnswer are the bytes that a server in trouble sends after a whole answer. They belong to no request.
-const strayAnswer = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+var strayAnswer = "HTTP/1.1 503 Service Unavailable\r\n" + names.NotExecuted + ": 1\r\nContent-Length: 0\r\n\r\n"
 
 // drawStrayBytes decides whether more bytes follow the answer to this request.
 func (server *server) drawStrayBytes(request *http.Request) {
@@ -42,7 +42,7 @@
 	record := server.platform.record
 	record.line("server %s sends more bytes after a whole answer, while it runs request %s", server.id, id)
 	_, _ = conn.Write([]byte(strayAnswer))
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: seal.%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n", id, id)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal.%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n", names.AttemptID, id, names.Seal, id)
 	if _, err = conn.Write([]byte(head)); err != nil {
 		return true
 	}
