--- a/review/standin/earlywipe.go
+++ b/review/standin/earlywipe.go
@@ -20,7 +20,7 @@
 
 // earlyWipe starts the system for the first time, and one core machine loses its disk a second later. The platform starts its processes again, with an
 // empty disk and bootstrap false. The rule is broken if the operator's first configuration is not acknowledged although all machines then run
-// undisturbed for over a minute.
+// undisturbed for over a minute, and no configuration comes when it is read back at the end.
 func earlyWipe(fleet *fleet, trouble bool) (bool, error) {
 	lost, record := fleet.machineNamed("edge-cyber-hall-1"), fleet.record
 	time.Sleep(wipeAfter)
@@ -42,12 +42,14 @@
 	if !errors.Is(err, errNotTaken) {
 		return false, err
 	}
+	read := fleet.operator.readBack(contact)
 	ready := 0
 	for _, machine := range fleet.machines {
 		if machine.isReady() {
 			ready++
 		}
 	}
-	record.line("Acks: no machine acknowledged the first configuration for %v; %d of %d machines are ready", firstConfigurationLimit, ready, len(fleet.machines))
-	return true, nil
+	record.line("CONFIG: read back at the end for %v, the configuration came: %v", contact, read)
+	record.line("CONFIG: no machine acknowledged the first configuration for %v; %d of %d machines are ready", firstConfigurationLimit, ready, len(fleet.machines))
+	return !read, nil
 }
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -79,6 +79,19 @@
 	return errNotTaken
 }
 
+// readBack asks the machines for the configuration in turn, for a time, and reports whether it came.
+func (operator *operator) readBack(limit time.Duration) bool {
+	machines := operator.fleet.core()
+	began := time.Now()
+	for try := 0; time.Since(began) < limit; try++ {
+		if status, _ := operator.send(machines[try%len(machines)], http.MethodGet, names.DescribePath, 0, nil); status == http.StatusOK {
+			return true
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+	return false
+}
+
 // Host and prefixes of the routes of the first configuration.
 const (
 	routeHost     = "ficu95.example"
--- a/review/standin/wire.go
+++ b/review/standin/wire.go
@@ -21,7 +21,7 @@
 // wireNames are headers, paths and the variable with the path of the settings file.
 type wireNames struct {
 	SettingsVariable, AttemptID, Deadline, Model, TokenUsage, PromptPrefix, Seal, NotExecuted, TargetInstance, InstanceID, BaseRevision string
-	InstancesPath, ReadyPath, LookupPath, ReplacePath, DrainPath                                                                        string
+	InstancesPath, ReadyPath, LookupPath, ReplacePath, DescribePath, DrainPath                                                          string
 }
 
 // names are the words that the stand-ins speak.
