Tests: crowds of clients that misbehave press on a machine's processes

The tests start the real processes of a small fleet on loopback addresses with 96 MB of memory, 600 descriptors (200 of them the platform's) and bodies of at most 1 MiB, let a crowd press on one port, and check that no process ends, that resident memory and unread bytes stay under the memory, descriptors under 400, and that ordinary requests are answered, while the crowd's connections are open and after they were closed. No times and no shares are checked.

--- /dev/null
+++ b/overload/overload_test.go
@@ -0,0 +1,147 @@
+// Package overload has the tests in which crowds of clients that misbehave press on the real processes of one machine. They check that no
+// process ends, that each stays within the memory and the descriptors of its settings, and that ordinary requests are answered afterwards.
+package overload
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/cedarreel/cedarreel/rig"
+	. "github.com/onsi/gomega"
+)
+
+// Limits of the machine's processes. They are lower than a real machine's so that a small crowd reaches them.
+const (
+	memoryMB  = 96
+	openFiles = 600
+	// reservedFiles are the descriptors of openFiles that a platform keeps for files outside the data folder.
+	reservedFiles = 200
+	bodyBytes     = 1 << 20
+	// documentBytes is the size of a document just below the bound of the operators' and the nodes' ports.
+	documentBytes = 32<<20 - 1024
+)
+
+const (
+	// answerLimit is how long an ordinary client asks again until it is served.
+	answerLimit  = 30 * time.Second
+	answerPause  = 200 * time.Millisecond
+	samplePeriod = 50 * time.Millisecond
+)
+
+// bin is the folder of the programs.
+var bin string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "overload")
+	if err != nil {
+		panic(err)
+	}
+	output, err := exec.Command("go", "build", "-o", folder, "../cmd/cedardp", "../cmd/cedarcp").CombinedOutput()
+	if err != nil {
+		panic(string(output))
+	}
+	bin = folder
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// group is a part of a crowd: so many clients that send the same to one port.
+type group struct {
+	port    rig.Port
+	clients int
+	send    script
+}
+
+// testCrowd presses on a machine and checks what has to hold, while the crowd's connections are still open and after they were closed.
+func testCrowd(t *testing.T, groups ...group) {
+	t.Helper()
+	expect := NewWithT(t)
+	machine, err := rig.StartSingleGateway(rig.GatewayPlan{Bin: bin, Folder: t.TempDir(), Seed: 1, Log: func(line string) { t.Log(line) },
+		Limits: rig.GatewayLimits{MemoryMB: memoryMB, OpenFiles: openFiles, BodyBytes: bodyBytes}})
+	expect.Expect(err).NotTo(HaveOccurred())
+	defer machine.Close()
+	usage := startSampler(machine)
+	defer usage.stop()
+	crowd := press(machine, groups)
+	expectServed(expect, machine, "while the crowd's connections are open")
+	crowd.leave()
+	expectServed(expect, machine, "after the crowd has left")
+	usage.stop()
+	for _, program := range []string{rig.DataProgram, rig.ControlProgram} {
+		peak := usage.peakOf(program)
+		t.Logf("%s: peak %d KB resident, %d KB with unread bytes, %d descriptors, ended %v", program, peak.residentKB, peak.totalKB, peak.descriptors, machine.HasEnded(program))
+		expect.Expect(machine.HasEnded(program)).To(BeFalse(), program+" ended")
+		expect.Expect(peak.residentKB).To(BeNumerically("<=", memoryMB<<10), program+": peak of resident memory in KB")
+		expect.Expect(peak.totalKB).To(BeNumerically("<=", memoryMB<<10), program+": peak of resident memory and unread bytes in KB")
+		expect.Expect(peak.descriptors).To(BeNumerically("<=", openFiles-reservedFiles), program+": peak of open descriptors")
+	}
+}
+
+// expectServed checks that an ordinary call and a question at every other port are answered.
+func expectServed(expect *WithT, machine *rig.SingleGateway, when string) {
+	expect.Eventually(machine.Call, answerLimit, answerPause).Should(Succeed(), "an ordinary call "+when)
+	expect.Eventually(machine.Check, answerLimit, answerPause).Should(Succeed(), "the other ports "+when)
+}
+
+// ports are the listening ports of a machine.
+var ports = map[string]rig.Port{"callers": rig.CallerPort, "readiness": rig.ReadinessPort, "directory": rig.DirectoryPort, "peers": rig.PeerPort, "control": rig.ControlPort}
+
+func testEachPort(t *testing.T, clients int, send script) {
+	for name, port := range ports {
+		t.Run(name, func(t *testing.T) { testCrowd(t, group{port, clients, send}) })
+	}
+}
+
+func TestHeadsOfShortLinesWithoutEnd(t *testing.T) { testEachPort(t, 60, endlessHead(shortLine)) }
+func TestHeadsOfOneLineWithoutEnd(t *testing.T)    { testEachPort(t, 150, endlessHead(noLineEnd)) }
+func TestConnectionsThatSendNothing(t *testing.T)  { testEachPort(t, 700, sendNothing) }
+
+func TestEmptyLinesBeforeARequest(t *testing.T) {
+	testCrowd(t, group{rig.CallerPort, 150, emptyLines})
+}
+
+func TestFullHeadsWithoutBodies(t *testing.T) {
+	testCrowd(t, group{rig.CallerPort, 300, fullHeadWithoutBody})
+}
+
+func TestBodiesThatStopBeforeTheirEnd(t *testing.T) {
+	t.Run("large chunks", func(t *testing.T) {
+		testCrowd(t, group{rig.CallerPort, 100, unfinishedChunks(bodyBytes-1, 64<<10-16)})
+	})
+	t.Run("chunks of one byte", func(t *testing.T) { testCrowd(t, group{rig.CallerPort, 80, unfinishedChunks(bodyBytes-1, 1)}) })
+	t.Run("with a length", func(t *testing.T) { testCrowd(t, group{rig.CallerPort, 120, unfinishedBody("/check/x", bodyBytes)}) })
+}
+
+func TestBodiesFarOverTheLimit(t *testing.T) {
+	t.Run("announced", func(t *testing.T) { testCrowd(t, group{rig.CallerPort, 120, announcedBody(4<<30, 8<<20)}) })
+	t.Run("in chunks", func(t *testing.T) { testCrowd(t, group{rig.CallerPort, 120, unfinishedChunks(8<<20, 64<<10)}) })
+}
+
+func TestSeveralCrowdsAtOnce(t *testing.T) {
+	testCrowd(t, group{rig.CallerPort, 40, unfinishedChunks(bodyBytes-1, 64<<10-16)}, group{rig.CallerPort, 40, unfinishedBody("/check/x", bodyBytes)},
+		group{rig.CallerPort, 30, endlessHead(shortLine)}, group{rig.DirectoryPort, 100, sendNothing}, group{rig.PeerPort, 20, endlessHead(shortLine)})
+}
+
+func TestDocumentsThatStopBeforeTheirEnd(t *testing.T) {
+	t.Run("orders", func(t *testing.T) {
+		testCrowd(t, group{rig.ControlPort, 6, unfinishedBody("/configuration/replace", documentBytes)})
+	})
+	for _, name := range []string{"peers", "control"} {
+		t.Run("messages to "+name, func(t *testing.T) { testCrowd(t, group{ports[name], 6, unfinishedBody("/link", documentBytes)}) })
+	}
+}
+
+func TestDocumentsThatExpand(t *testing.T) {
+	t.Run("orders of many values", func(t *testing.T) {
+		testCrowd(t, group{rig.ControlPort, 2, wholeBody("/configuration/replace", orderOfNumbers, "")})
+	})
+	for _, name := range []string{"peers", "control"} {
+		t.Run(fmt.Sprintf("compressed messages to %s", name), func(t *testing.T) {
+			testCrowd(t, group{ports[name], 8, wholeBody("/link", expandingMessage, "gzip")})
+		})
+	}
+}
--- a/rig/gateway_fleet.go
+++ b/rig/gateway_fleet.go
@@ -28,10 +28,20 @@
 	Stops int
 	// Seed determines the traffic and the signals.
 	Seed uint64
+	// Limits are what the platform grants each process and the configuration grants callers.
+	Limits GatewayLimits
 	// Log takes the lines of the run's output.
 	Log func(string)
 }
 
+// GatewayLimits are limits of a process and of its callers. Zero leaves a limit out of the settings, or as the configuration usually has it.
+type GatewayLimits struct {
+	// MemoryMB is the memory of a process in megabytes, OpenFiles the number of its descriptors.
+	MemoryMB, OpenFiles int
+	// BodyBytes bounds a caller's body.
+	BodyBytes int
+}
+
 // Times of the simulated platform.
 const (
 	gatewayGrace      = 8 * time.Second
--- a/rig/gateway_machine.go
+++ b/rig/gateway_machine.go
@@ -64,7 +64,8 @@
 	}
 	settings := platform.ProcessSettings{Name: machine.name, Role: role, Address: machine.address, Zone: machine.zone, Region: machine.region, Seeds: machine.fleet.coreAddresses(), First: first, Zones: zones,
 		Frontend: machine.at(trafficPort), Readiness: machine.at(readyPort), ControlPlane: machine.at(controlPort), Registry: machine.at(lookupPort), InnerPorts: [2]int{firstInnerPort, lastInnerPort},
-		Platform: machine.fleet.platform.address, ListLag: gatewayListLag, Contact: gatewayContact, Drain: gatewayDrain, Grace: gatewayGrace, Propagate: gatewayPropagate, MaxTTL: gatewayMaxTTL}
+		Platform: machine.fleet.platform.address, ListLag: gatewayListLag, Contact: gatewayContact, Drain: gatewayDrain, Grace: gatewayGrace, Propagate: gatewayPropagate, MaxTTL: gatewayMaxTTL,
+		MemoryMB: machine.fleet.plan.Limits.MemoryMB, MaxOpenFiles: machine.fleet.plan.Limits.OpenFiles}
 	if machine.core && role == controlRole {
 		settings.Member, settings.DataPath = true, filepath.Join(machine.folder, "data")
 	}
--- a/rig/gateway_operator.go
+++ b/rig/gateway_operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -19,6 +20,9 @@
 	revision int64
 }
 
+// usualBodyBytes bounds callers' bodies where the plan does not.
+const usualBodyBytes = 4 << 20
+
 // installLimit is how long the first configuration is sent until it is taken.
 const installLimit = 40 * time.Second
 
@@ -33,8 +37,9 @@
 			"runtime": map[string]any{"capacity": modelSlots, "cacheTokens": 318206, "stride": 5, "models": []any{map[string]any{"name": "m"}}}},
 		map[string]any{"name": syncService, "healthCheckPath": "/healthz", "maxConnections": 330, "protocol": "h1", "tlsEnabled": false, "warmupS": 0, "warmupPerS": 0},
 	}
+	maxBodyBytes := cmp.Or(operator.fleet.plan.Limits.BodyBytes, usualBodyBytes)
 	body := map[string]any{"revision": 1, "routes": routes, "backends": services,
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
 	for began := time.Now(); time.Since(began) < installLimit; time.Sleep(pollInterval) {
 		if operator.send(platform.ReplacePath, 0, body) == http.StatusOK {
 			operator.revision = 1
