Heads are admitted by what they cost once parsed, within the configuration's limits

Cause: net/http reads a head of up to 1 MiB before anything judges it, and a line costs many times its bytes once parsed; maxHeaderBytes was judged afterwards, headerTimeoutMs and idleTimeoutMs were read and used nowhere, and nobody read the settings' memoryMb. A crowd at the port of look-ups or readiness checks took the memory of the callers' port.

Change: package admission, a state machine without I/O, keeps what each connection holds, by class of port with a budget worked out from the process's memory. A head costs its bytes twice and 256 bytes a line while it arrives, and is ended with 431 beyond the configured limit, with 408 beyond the configured time from its first byte; idle connections are closed at the configured time. When a budget is short, those connections give way that hold much and make little progress; a request that runs is never ended. Each end is counted by reason in the metrics, and the log names the last client every five seconds at most. All listening ports of all programs are admitted; receive buffers have a bound of 64 KiB. The time for bodies at the port of nodes moves into the admission (12 s, as before).

Why it works: memory is asked for before net/http gets the bytes that need it, so the sum of all heads stays within the budget.

--- a/env/env.go
+++ b/env/env.go
@@ -67,8 +67,17 @@
 	// Zones is the region of each zone, on a platform that tells it to its processes.
 	Zones   map[string]string
 	Gateway Gateway
+	// MemoryBytes is the memory that the process may take, OpenFiles the number of descriptors that it may open.
+	MemoryBytes int64
+	OpenFiles   int64
 }
 
+// Defaults of what a process may take, for settings that do not say.
+const (
+	DefaultMemoryBytes = 1 << 30
+	DefaultOpenFiles   = 4096
+)
+
 // DefaultBounds returns the bounds that apply where the settings name no others.
 func DefaultBounds() Bounds {
 	return Bounds{
@@ -127,7 +136,7 @@
 
 // New returns default settings with options applied.
 func New(options ...Option) Env {
-	settings := Env{CoreSize: 3, Bounds: DefaultBounds()}
+	settings := Env{CoreSize: 3, Bounds: DefaultBounds(), MemoryBytes: DefaultMemoryBytes, OpenFiles: DefaultOpenFiles}
 	for _, option := range options {
 		option(&settings)
 	}
@@ -158,7 +167,7 @@
 	}
 	reader := manifest.NewReader(tree)
 	settings := New()
-	known := []string{"name", "zone", "region", "control", "data", "seeds", "folder", "platform", "coreSize", "bounds"}
+	known := []string{"name", "zone", "region", "control", "data", "seeds", "folder", "platform", "coreSize", "bounds", "memoryBytes", "openFiles"}
 	reader.AllowOnly("", known...)
 	settings.Name = reader.Text("name", "")
 	settings.Zone = reader.Text("zone", "")
@@ -168,6 +177,8 @@
 	settings.Folder = reader.Text("folder", "")
 	settings.Platform = reader.Text("platform", "")
 	settings.CoreSize = reader.Integer("coreSize", 3, 1, 9)
+	settings.MemoryBytes = reader.Integer("memoryBytes", DefaultMemoryBytes, 64<<20, 1<<40)
+	settings.OpenFiles = reader.Integer("openFiles", DefaultOpenFiles, 256, 1<<24)
 	settings.Seeds = reader.Texts("seeds")
 	settings.Bounds.parse(reader)
 	return settings, reader.Err()
@@ -231,7 +242,7 @@
 	content, _ := json.MarshalIndent(map[string]any{
 		"name": settings.Name, "zone": settings.Zone, "region": settings.Region, "control": settings.Control,
 		"data": settings.Data, "seeds": settings.Seeds, "folder": settings.Folder, "platform": settings.Platform,
-		"coreSize": settings.CoreSize,
+		"coreSize": settings.CoreSize, "memoryBytes": settings.MemoryBytes, "openFiles": settings.OpenFiles,
 		"bounds": map[string]any{"withdrawMs": bounds.WithdrawMs, "evacuateMs": bounds.EvacuateMs, "deliverMs": bounds.DeliverMs,
 			"returnMs": bounds.ReturnMs, "deadlineMs": bounds.DeadlineMs, "bodyBytes": bounds.BodyBytes, "replyBytes": bounds.ReplyBytes,
 			"reportBytes": bounds.ReportBytes, "calls": bounds.Calls, "records": bounds.Records, "history": bounds.History, "historyBytes": bounds.HistoryBytes},
--- a/serve/control.go
+++ b/serve/control.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 
+	"github.com/cedarreel/cedarreel/admission"
 	"github.com/cedarreel/cedarreel/chain"
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/control"
@@ -69,7 +70,7 @@
 		recovered, process.files = &loaded, folder
 	}
 	stateMachine := control.New(settings, bootID, recovered, newRandom())
-	process.Process = newProcess(settings, stateMachine.Self(), stateMachine, faultsPath)
+	process.Process = newProcess(settings, stateMachine.Self(), stateMachine, admission.SinglePortBudget(settings.MemoryBytes), faultsPath)
 	if recovered != nil {
 		snapshot, damaged := image.LoadIndex(process.files)
 		stateMachine.RestoreIndex(snapshot)
--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -4,20 +4,19 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cedarreel/cedarreel/admission"
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/gateway"
 	"github.com/cedarreel/cedarreel/index"
 	"github.com/cedarreel/cedarreel/manifest"
 	"github.com/cedarreel/cedarreel/upstream"
-	"github.com/rotisserie/eris"
 )
 
 const (
@@ -55,19 +54,18 @@
 		running: newCallRegistry()}
 	process.limits.Store(&manifest.Limits{})
 	node := gateway.NewNode(settings, newBootID(), process, random)
-	process.Process = newProcess(settings, node.Self(), node, "")
+	process.Process = newProcess(settings, node.Self(), node, admission.GatewayBudget(settings.MemoryBytes), "")
 	process.Loop.SetExecutor(process.execute)
 	process.ReloadSettings = func() (env.Env, error) { return adapter.Settings(contract.KindData) }
 	ready, lookup := adapter.Paths()
 	checks, lookups := http.NewServeMux(), http.NewServeMux()
 	checks.HandleFunc("GET "+ready, process.checkReady)
 	lookups.HandleFunc("GET "+lookup, process.lookup)
-	listen := func(address string, server *http.Server, beforeServing func()) error {
-		listener, err := net.Listen("tcp", address)
+	listen := func(address string, class admission.Class, server *http.Server, beforeServing func()) error {
+		listener, err := process.admitter.listen(address, class)
 		if err != nil {
-			return eris.Wrap(err, "cannot listen")
+			return err
 		}
-		server.ReadHeaderTimeout, server.IdleTimeout, server.ErrorLog = settings.Bounds.Return(), settings.Bounds.Deadline(), discardLog()
 		go func() {
 			beforeServing()
 			_ = server.Serve(listener)
@@ -75,13 +73,13 @@
 		return nil
 	}
 	traffic := process.trafficServer()
-	if err = listen(settings.Gateway.Traffic, traffic, process.awaitReady); err != nil {
+	if err = listen(settings.Gateway.Traffic, admission.Callers, traffic, process.awaitReady); err != nil {
 		return err
 	}
-	if err = listen(settings.Gateway.Ready, &http.Server{Handler: checks}, func() {}); err != nil {
+	if err = listen(settings.Gateway.Ready, admission.Readiness, setUpServer(&http.Server{Handler: admitRequests(checks)}), func() {}); err != nil {
 		return err
 	}
-	if err = listen(settings.Gateway.Lookup, &http.Server{Handler: lookups}, func() {}); err != nil {
+	if err = listen(settings.Gateway.Lookup, admission.Directory, setUpServer(&http.Server{Handler: admitRequests(lookups)}), func() {}); err != nil {
 		return err
 	}
 	go process.closeIdleConns()
@@ -148,6 +146,7 @@
 		limits := process.traffic.Limits()
 		process.lock.Unlock()
 		process.limits.Store(&limits)
+		process.admitter.handle(admission.LimitsChanged{Class: admission.Callers, Limits: callerLimits(process.Settings, limits)})
 	case contract.Forward:
 		go process.operators.Forward(command)
 	default:
@@ -220,6 +219,11 @@
 func (process *gatewayProcess) serveCall(writer http.ResponseWriter, request *http.Request) {
 	process.markClosing(writer.Header())
 	arrivedAt := time.Now()
+	arrived, attemptID := process.adapter.ReadCallHeaders(request)
+	if end := beginRequest(request, min(arrived.Timeout, process.Settings.Bounds.Deadline())); end != nil {
+		refuseClient(writer, end.Status)
+		return
+	}
 	limits := process.limits.Load()
 	if limits.HeaderBytes > 0 && headerSize(request) > limits.HeaderBytes {
 		writer.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
@@ -230,6 +234,9 @@
 		limit = limits.BodyBytes
 	}
 	body, err := readBody(writer, request, limit)
+	if err == nil {
+		err = requestRead(request)
+	}
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
@@ -238,7 +245,6 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
-	arrived, attemptID := process.adapter.ReadCallHeaders(request)
 	arrived.Token, arrived.Host, arrived.Path, arrived.Size = process.token.Add(1), request.Host, request.URL.EscapedPath(), int64(len(body))
 	if arrived.Timeout > 0 {
 		arrived.Timeout = max(time.Millisecond, arrived.Timeout-time.Since(arrivedAt))
--- a/serve/inflight.go
+++ b/serve/inflight.go
@@ -21,8 +21,8 @@
 type callerConnKey struct{}
 
 // connContext gives the requests of a connection access to its callerConn.
-func (process *gatewayProcess) connContext(ctx context.Context, _ net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, &callerConn{openedAt: process.Loop.Now()})
+func (process *gatewayProcess) connContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(withAdmittedConn(ctx, conn), callerConnKey{}, &callerConn{openedAt: process.Loop.Now()})
 }
 
 // runningCall describes a call in flight for the log. Times are on the loop's clock.
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -7,19 +7,17 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
-	"io"
 	random "math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"time"
 
+	"github.com/cedarreel/cedarreel/admission"
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/link"
 	"github.com/cedarreel/cedarreel/neighbour"
 	"github.com/go-kit/log"
-	"github.com/rotisserie/eris"
 )
 
 // Version is the version of all programs.
@@ -36,6 +34,7 @@
 	ReloadSettings func() (env.Env, error)
 	stop           chan struct{}
 	server         *http.Server
+	admitter       *admitter
 	operators      *link.OperatorAPI
 }
 
@@ -58,7 +57,7 @@
 }
 
 // newProcess sets up the loop, the links and the HTTP handlers of a node.
-func newProcess(settings env.Env, self contract.Member, stateMachine contract.StateMachine, faultsPath string) *Process {
+func newProcess(settings env.Env, self contract.Member, stateMachine contract.StateMachine, budget admission.Budget, faultsPath string) *Process {
 	logger := log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "node", self.Name, "time", log.DefaultTimestampUTC)
 	process := &Process{Settings: settings, Logger: logger, stop: make(chan struct{}), Mux: http.NewServeMux()}
 	process.Faults = link.NewFaults(faultsPath, process.stop)
@@ -66,6 +65,7 @@
 	process.Loop = link.NewLoop(stateMachine, settings.Bounds.Tick(), sender, logger)
 	sender.SetCounter(process.Loop.Count)
 	sender.SetLogger(func(line contract.Log) { process.Loop.Execute(line) })
+	process.admitter = newAdmitter(budget, settings, process.Loop)
 	process.operators = link.NewOperatorAPI(process.Loop, settings.Bounds.BodyBytes, settings.Bounds.Deliver()*2, process.Faults)
 	process.operators.Register(process.Mux)
 	process.Mux.Handle("POST "+link.Path, link.Receive(process.Loop))
@@ -75,12 +75,12 @@
 
 // run serves until a signal comes. It then calls beforeShutdown and shuts the HTTP server down.
 func (process *Process) run(address string, beforeShutdown func()) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := process.admitter.listen(address, admission.Peers)
 	if err != nil {
-		return eris.Wrap(err, "cannot listen")
+		return err
 	}
-	process.server = &http.Server{Handler: limitBodyTime(process.Mux, process.Settings.Bounds.Return()), ReadHeaderTimeout: process.Settings.Bounds.Deliver(),
-		IdleTimeout: process.Settings.Bounds.Deadline(), MaxHeaderBytes: 1 << 16}
+	process.server = setUpServer(&http.Server{Handler: admitRequests(process.Mux)})
+	go process.admitter.run(process.stop)
 	catchSignals()
 	go process.reloadSeeds(reloadSignals)
 	serveErr := make(chan error, 1)
@@ -138,30 +138,4 @@
 	}
 }
 
-// limitBodyTime bounds the time in which a request body must arrive.
-func limitBodyTime(next http.Handler, limit time.Duration) http.Handler {
-	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if request.Body != nil && request.Body != http.NoBody {
-			controller := http.NewResponseController(writer)
-			_ = controller.SetReadDeadline(time.Now().Add(limit))
-			request.Body = timedBody{request.Body, controller}
-		}
-		next.ServeHTTP(writer, request)
-	})
-}
-
-// timedBody is a request body that lifts the read deadline once it was read completely.
-type timedBody struct {
-	io.ReadCloser
-	control *http.ResponseController
-}
-
-func (body timedBody) Read(content []byte) (int, error) {
-	count, err := body.ReadCloser.Read(content)
-	if errors.Is(err, io.EOF) {
-		_ = body.control.SetReadDeadline(time.Time{})
-	}
-	return count, err
-}
-
 func sleep(duration time.Duration) { time.Sleep(duration) }
--- a/serve/stop.go
+++ b/serve/stop.go
@@ -25,6 +25,7 @@
 
 // stateChanged is the http.Server's ConnState hook.
 func (conns *callerConns) stateChanged(conn net.Conn, state http.ConnState) {
+	connStateChanged(conn, state)
 	conns.lock.Lock()
 	wasActive := conns.active[conn]
 	if state == http.StateActive {
@@ -43,7 +44,8 @@
 
 // trafficServer returns the HTTP server for callers.
 func (process *gatewayProcess) trafficServer() *http.Server {
-	return &http.Server{Handler: http.HandlerFunc(process.serveCall), ConnContext: process.connContext, ConnState: newCallerConns(process).stateChanged}
+	return &http.Server{Handler: http.HandlerFunc(process.serveCall), ConnContext: process.connContext, ConnState: newCallerConns(process).stateChanged,
+		ErrorLog: discardLog()}
 }
 
 // stopTraffic carries out what the router decides about a stop, and returns when the process may end.
