Open connections have a bound by class of port, and idle ones give way

Cause: nothing read the settings' maxOpenFiles; every listening port accepted whatever came.

When a class is full, a new connection takes the place of the one that has been idle or stalled for longest; it is closed itself if all others are at work.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -18,6 +18,7 @@
 
 const (
 	memoryBytes = 96 << 20
+	openFiles   = 400
 )
 
 var limits = Limits{HeadBytes: 16 << 10, HeadTime: 3 * time.Second, IdleTime: 15 * time.Second, BodyTime: 8 * time.Second}
@@ -29,7 +30,7 @@
 }
 
 func newHarness() *harness {
-	return &harness{state: New(GatewayBudget(memoryBytes), limits)}
+	return &harness{state: New(GatewayBudget(memoryBytes, openFiles), limits)}
 }
 
 // handle returns the connections that an event ends, by their identity.
@@ -59,6 +60,35 @@
 }
 
 var _ = Describe("connections", func() {
+	It("given all connections of a class in use, when another one comes, then the one that has been idle for longest is closed", func() {
+		harness := newHarness()
+		most := harness.state.budget.Connections[Callers]
+		for id := range ConnID(most) {
+			harness.begin(id)
+			harness.handle(RequestRead{Conn: id})
+			if id > 0 {
+				harness.handle(RequestEnded{Conn: id})
+			}
+			harness.now += 10 * time.Millisecond
+		}
+		harness.now += time.Second
+		ends := harness.handle(Opened{Conn: 1000, Class: Callers})
+		Expect(ends).To(Equal(map[ConnID]End{1: {Conn: 1, Class: Callers, Reason: ReasonConnections}}), "connection 0 runs a request")
+		Expect(harness.state.Open(Callers)).To(Equal(most))
+	})
+
+	It("given all connections of a class with running requests, when another one comes, then it is closed and other classes are not concerned", func() {
+		harness := newHarness()
+		most := ConnID(harness.state.budget.Connections[Callers])
+		for id := range most {
+			harness.begin(id)
+			harness.handle(RequestRead{Conn: id})
+		}
+		harness.now += time.Minute
+		Expect(harness.handle(Opened{Conn: most, Class: Callers})).To(HaveKeyWithValue(most, End{Conn: most, Class: Callers, Reason: ReasonConnections}))
+		Expect(harness.handle(Opened{Conn: most + 1, Class: Peers})).To(BeEmpty())
+	})
+
 	It("given an ended connection, when it goes on, then it is told so again until it is closed", func() {
 		harness := newHarness()
 		harness.begin(1)
@@ -235,7 +265,7 @@
 	}
 	for class := range classCount {
 		if open[class] != harness.state.Open(class) || held[class] != harness.state.Held(class) ||
-			held[class] > harness.state.budget.Memory[class] {
+			open[class] > harness.state.budget.Connections[class] || held[class] > harness.state.budget.Memory[class] {
 			Fail("the sums of " + class.String() + " are wrong or over the budget")
 		}
 	}
--- a/admission/state.go
+++ b/admission/state.go
@@ -129,8 +129,17 @@
 func (state *State) opened(now time.Duration, event Opened) []contract.Command {
 	conn := &connection{class: event.Class, remote: event.Remote, since: now, progress: connectionCost, progressAt: now}
 	state.connections[event.Conn] = conn
+	commands := []contract.Command{}
+	for state.open[event.Class] >= state.budget.Connections[event.Class] {
+		victim, ended := state.mostStalled(now, event.Class, event.Conn)
+		if ended == nil {
+			state.open[event.Class]++
+			return append(commands, state.end(event.Conn, conn, 0, ReasonConnections)...)
+		}
+		commands = append(commands, state.end(victim, ended, statusOf(ended.phase), ReasonConnections)...)
+	}
 	state.open[event.Class]++
-	return state.reserve(now, event.Conn, conn, connectionCost)
+	return append(commands, state.reserve(now, event.Conn, conn, connectionCost)...)
 }
 
 // received notes progress, and the memory that a head takes while it arrives.
--- a/serve/control.go
+++ b/serve/control.go
@@ -70,7 +70,7 @@
 		recovered, process.files = &loaded, folder
 	}
 	stateMachine := control.New(settings, bootID, recovered, newRandom())
-	process.Process = newProcess(settings, stateMachine.Self(), stateMachine, admission.SinglePortBudget(settings.MemoryBytes), faultsPath)
+	process.Process = newProcess(settings, stateMachine.Self(), stateMachine, admission.SinglePortBudget(settings.MemoryBytes, settings.OpenFiles), faultsPath)
 	if recovered != nil {
 		snapshot, damaged := image.LoadIndex(process.files)
 		stateMachine.RestoreIndex(snapshot)
--- a/serve/data.go
+++ b/serve/data.go
@@ -38,7 +38,7 @@
 // or is empty.
 func Data(settings env.Env, faultsPath string) error {
 	router := data.New(settings, newBootID(), newRandom())
-	process := &dataProcess{Process: newProcess(settings, router.Self(), router, admission.SinglePortBudget(settings.MemoryBytes), faultsPath), sessions: map[int64]*session{}, cancels: map[attemptKey]context.CancelFunc{}}
+	process := &dataProcess{Process: newProcess(settings, router.Self(), router, admission.SinglePortBudget(settings.MemoryBytes, settings.OpenFiles), faultsPath), sessions: map[int64]*session{}, cancels: map[attemptKey]context.CancelFunc{}}
 	noRedirects := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	process.client = &http.Client{Transport: process.transport(), CheckRedirect: noRedirects}
 	process.recallClient = &http.Client{Timeout: settings.Bounds.Round(), CheckRedirect: noRedirects}
--- a/serve/export_test.go
+++ b/serve/export_test.go
@@ -23,7 +23,7 @@
 	process := &gatewayProcess{Process: &Process{Settings: settings, Loop: link.NewLoop(idleMachine{}, time.Hour, nil, log.NewNopLogger())}, adapter: adapter,
 		traffic: gateway.NewRouter(settings, newRandom()), pool: upstream.NewPool(maxIdlePerServer, time.Minute), running: newCallRegistry()}
 	process.limits.Store(&manifest.Limits{})
-	process.admitter = newAdmitter(admission.GatewayBudget(settings.MemoryBytes), settings, process.Loop)
+	process.admitter = newAdmitter(admission.GatewayBudget(settings.MemoryBytes, settings.OpenFiles), settings, process.Loop)
 	return &TestGateway{process}
 }
 
--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -54,7 +54,7 @@
 		running: newCallRegistry()}
 	process.limits.Store(&manifest.Limits{})
 	node := gateway.NewNode(settings, newBootID(), process, random)
-	process.Process = newProcess(settings, node.Self(), node, admission.GatewayBudget(settings.MemoryBytes), "")
+	process.Process = newProcess(settings, node.Self(), node, admission.GatewayBudget(settings.MemoryBytes, settings.OpenFiles), "")
 	process.Loop.SetExecutor(process.execute)
 	process.ReloadSettings = func() (env.Env, error) { return adapter.Settings(contract.KindData) }
 	ready, lookup := adapter.Paths()
