Callers' bodies are read in parts whose memory is asked for first

Cause: a body was read whole before anything decided about the call: with a length into a buffer of the announced size at once, in chunks into a buffer that was copied as it grew, the old one still counting, and one over the limit up to the limit before its refusal. Nothing summed what all bodies of a process hold, and nothing bounded how long one may take. The body was copied once more to be sent.

Change: a body is a list of parts of at most 64 KiB; the memory of each is asked for before it is read, twice that of the first, which is copied behind the head. Parts are sent as they are. A body announced over the limit is refused with 413 at once, and a part of it is discarded so that the client gets the answer and no reset. Where memory is short, stalled bodies are ended with 503, which promises that nothing ran, and so are large ones that come late; a quarter of the memory is left to requests of up to 256 KiB. A body takes as long as the request's own deadline at most, 60 s without one.

Ruled out: a bound on the rate of bodies. A slow client is in nobody's way while there is memory, and gives way first when there is not.

--- a/serve/exchange.go
+++ b/serve/exchange.go
@@ -23,7 +23,7 @@
 	process       *gatewayProcess
 	writer        http.ResponseWriter
 	request       *http.Request
-	body          []byte
+	body          callBody
 	attemptID     string
 	lastEventID   string
 	answerStarted bool
@@ -64,7 +64,7 @@
 		}
 		return finish(gateway.OutcomeBroken, reason+": "+err.Error())
 	}
-	written, err := conn.Write(call.requestBytes(dispatch))
+	written, err := call.writeRequest(conn, dispatch)
 	if err != nil && written == 0 {
 		_ = conn.Close()
 		return finish(gateway.OutcomeNotSent, "nothing could be written")
@@ -155,20 +155,32 @@
 	return filtered
 }
 
-// requestBytes returns the call as it is sent to a server, with method, path and body as they came from the caller.
+// writeRequest sends the call to a server and returns the number of bytes that were written.
+func (call *proxyCall) writeRequest(conn *upstream.Conn, dispatch gateway.Dispatch) (int, error) {
+	written, err := conn.Write(call.requestBytes(dispatch))
+	for _, part := range call.body.rest() {
+		if err != nil {
+			break
+		}
+		_, err = conn.Write(part)
+	}
+	return written, err
+}
+
+// requestBytes returns the call as it is sent to a server, with method, path and the first part of the body as they came from the caller.
 func (call *proxyCall) requestBytes(dispatch gateway.Dispatch) []byte {
 	header := endToEndHeaders(call.request.Header)
 	header.Del("Content-Length")
 	header.Del("Expect")
 	call.process.adapter.SetServerHeaders(header, dispatch, call.lastEventID)
-	buffer := bytes.NewBuffer(make([]byte, 0, len(call.body)+1024))
+	buffer := bytes.NewBuffer(make([]byte, 0, len(call.body.first())+1024))
 	buffer.WriteString(call.request.Method + " " + call.request.RequestURI + " HTTP/1.1\r\nHost: " + call.request.Host + "\r\n")
 	_ = header.Write(buffer)
-	if len(call.body) > 0 || call.request.ContentLength != 0 || call.request.Method == http.MethodPost || call.request.Method == http.MethodPut {
-		buffer.WriteString("Content-Length: " + strconv.Itoa(len(call.body)) + "\r\n")
+	if call.body.size > 0 || call.request.ContentLength != 0 || call.request.Method == http.MethodPost || call.request.Method == http.MethodPut {
+		buffer.WriteString("Content-Length: " + strconv.FormatInt(call.body.size, 10) + "\r\n")
 	}
 	buffer.WriteString("\r\n")
-	buffer.Write(call.body)
+	buffer.Write(call.body.first())
 	return buffer.Bytes()
 }
 
--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -233,19 +232,20 @@
 	if limits.BodyBytes > 0 {
 		limit = limits.BodyBytes
 	}
-	body, err := readBody(writer, request, limit)
+	body, err := readCallBody(request, limit)
 	if err == nil {
 		err = requestRead(request)
 	}
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			writer.WriteHeader(http.StatusRequestEntityTooLarge)
-			return
-		}
+	var refused bodyRefused
+	switch {
+	case errors.As(err, &refused):
+		refuseClient(writer, refused.status)
+		discardBody(writer, request, limit)
+		return
+	case err != nil:
 		panic(http.ErrAbortHandler)
 	}
-	arrived.Token, arrived.Host, arrived.Path, arrived.Size = process.token.Add(1), request.Host, request.URL.EscapedPath(), int64(len(body))
+	arrived.Token, arrived.Host, arrived.Path, arrived.Size = process.token.Add(1), request.Host, request.URL.EscapedPath(), body.size
 	if arrived.Timeout > 0 {
 		arrived.Timeout = max(time.Millisecond, arrived.Timeout-time.Since(arrivedAt))
 	}
@@ -277,17 +277,6 @@
 	}
 }
 
-// readBody reads a request body of at most limit bytes.
-func readBody(writer http.ResponseWriter, request *http.Request, limit int64) ([]byte, error) {
-	reader := http.MaxBytesReader(writer, request.Body, limit)
-	if request.ContentLength >= 0 && request.ContentLength <= limit {
-		content := make([]byte, request.ContentLength)
-		_, err := io.ReadFull(reader, content)
-		return content, err
-	}
-	return io.ReadAll(reader)
-}
-
 // headerSize returns the approximate size of a request's head in bytes.
 func headerSize(request *http.Request) int64 {
 	size := int64(len(request.Method) + len(request.RequestURI) + len(request.Host) + 20)
