Orders and messages of nodes are admitted by what they cost once parsed and expanded

Cause: an order is read whole, up to 32 MiB, into a buffer that is copied as it grows, and a value of a JSON document costs many times its bytes once parsed: an order of 16 MiB of zeros alone took 414 MB. A compressed bundle of messages of some KB expands to 32 MiB. Nothing summed any of it.

Change: the bodies of all handlers behind a mux are documents: each part costs three times its bytes and 64 bytes a value, asked for before the handler gets it, and so does each expanded part of a compressed bundle. What no empty process could take is refused with 413, what does not fit now with 503, whatever the handler answers to the broken body.

--- a/link/compress.go
+++ b/link/compress.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"io"
 	"net/http"
 
@@ -26,11 +27,38 @@
 	return content, ""
 }
 
+// bodyMeterKey is the context key of a request's body meter.
+type bodyMeterKey struct{}
+
+// WithBodyMeter makes the handler of compressed bodies call a meter with each expanded part; an error of the meter ends the reading.
+func WithBodyMeter(ctx context.Context, meter func(expanded []byte) error) context.Context {
+	return context.WithValue(ctx, bodyMeterKey{}, meter)
+}
+
+// meteredBody is an expanded body whose parts are shown to a meter.
+type meteredBody struct {
+	io.ReadCloser
+	meter func(expanded []byte) error
+}
+
+// Read reads a part of the body, unless the meter refuses it.
+func (body meteredBody) Read(content []byte) (int, error) {
+	count, err := body.ReadCloser.Read(content)
+	if meterErr := body.meter(content[:count]); meterErr != nil {
+		return 0, meterErr
+	}
+	return count, err
+}
+
 // decompress returns a reader of a body that may be compressed. The expanded size is bounded; the caller closes the reader.
 func decompress(request *http.Request) (io.ReadCloser, error) {
 	body := io.LimitReader(request.Body, maxBodySize)
 	if request.Header.Get("Content-Encoding") != compression.Encoding {
 		return io.NopCloser(body), nil
 	}
-	return compression.Decompress(body, maxBodySize)
+	expanded, err := compression.Decompress(body, maxBodySize)
+	if meter, found := request.Context().Value(bodyMeterKey{}).(func([]byte) error); found && err == nil {
+		return meteredBody{expanded, meter}, nil
+	}
+	return expanded, err
 }
--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -75,10 +75,10 @@
 	if err = listen(settings.Gateway.Traffic, admission.Callers, traffic, process.awaitReady); err != nil {
 		return err
 	}
-	if err = listen(settings.Gateway.Ready, admission.Readiness, setUpServer(&http.Server{Handler: admitRequests(checks)}), func() {}); err != nil {
+	if err = listen(settings.Gateway.Ready, admission.Readiness, setUpServer(&http.Server{Handler: admitDocuments(checks)}), func() {}); err != nil {
 		return err
 	}
-	if err = listen(settings.Gateway.Lookup, admission.Directory, setUpServer(&http.Server{Handler: admitRequests(lookups)}), func() {}); err != nil {
+	if err = listen(settings.Gateway.Lookup, admission.Directory, setUpServer(&http.Server{Handler: admitDocuments(lookups)}), func() {}); err != nil {
 		return err
 	}
 	go process.closeIdleConns()
--- a/serve/request.go
+++ b/serve/request.go
@@ -57,14 +57,3 @@
 	}
 	writer.WriteHeader(status)
 }
-
-// admitRequests admits the requests of a handler once their heads were read.
-func admitRequests(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if end := beginRequest(request, 0); end != nil {
-			refuseClient(writer, end.Status)
-			return
-		}
-		next.ServeHTTP(writer, request)
-	})
-}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return err
 	}
-	process.server = setUpServer(&http.Server{Handler: admitRequests(process.Mux)})
+	process.server = setUpServer(&http.Server{Handler: admitDocuments(process.Mux)})
 	go process.admitter.run(process.stop)
 	catchSignals()
 	go process.reloadSeeds(reloadSignals)
