A soft memory limit of five eighths of the settings' memory

It is the second line behind the admission, which bounds what is live for clients to three eighths.

Change: debug.SetMemoryLimit from the settings' memory, unless GOMEMLIMIT says otherwise.

--- a/serve/main.go
+++ b/serve/main.go
@@ -73,6 +73,16 @@
 // time of garbage collection.
 const heapGrowthPercent = 40
 
+// softMemoryShare is the share of its memory from which on a process collects garbage more often. The program itself takes a part too.
+const softMemoryShare = 5.0 / 8
+
+// limitMemory sets the soft memory limit of the runtime, unless GOMEMLIMIT does.
+func limitMemory(bytes int64) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(float64(bytes) * softMemoryShare))
+	}
+}
+
 // MainWithAdapter runs a program that gets its settings from a platform through an adapter. It exits on errors.
 func MainWithAdapter(program string, adapter Adapter, run func(Adapter) error) {
 	catchSignals()
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -58,6 +58,7 @@
 
 // newProcess sets up the loop, the links and the HTTP handlers of a node.
 func newProcess(settings env.Env, self contract.Member, stateMachine contract.StateMachine, budget admission.Budget, faultsPath string) *Process {
+	limitMemory(settings.MemoryBytes)
 	logger := log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "node", self.Name, "time", log.DefaultTimestampUTC)
 	process := &Process{Settings: settings, Logger: logger, stop: make(chan struct{}), Mux: http.NewServeMux()}
 	process.Faults = link.NewFaults(faultsPath, process.stop)
