The emulator admits its clients by the product's admission; crowds are a trouble

Change: data processes of the emulator tell the admission of connections, heads and bodies, part by part as the product reads them, with the memory and the descriptors of a small site (284 MB, 3,900). Limits and parts of bodies move into the admission package.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -36,14 +36,6 @@
 	ReasonIdle        Reason = "idle"
 )
 
-// Limits bound what a client of a class may send, and how long it may take. BodyTime is for bodies whose request names no time.
-type Limits struct {
-	HeadBytes int64
-	HeadTime  time.Duration
-	IdleTime  time.Duration
-	BodyTime  time.Duration
-}
-
 // ConnID identifies a connection within a process.
 type ConnID int64
 
--- a/emulator/data.go
+++ b/emulator/data.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/cedarreel/cedarreel/admission"
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/gateway"
@@ -26,6 +27,11 @@
 	leaving         bool
 	closedToClients bool
 	listed          map[string]gateway.ServersListed
+	// admission is the machine's admission of clients, admitted the connections that it knows.
+	admission *admission.State
+	admitted  map[admission.ConnID]*conn
+	// arriving holds the connections whose opening or request the admission is being asked about.
+	arriving map[*conn]bool
 }
 
 func newDataProcess(machine *machine, settings env.Env) *dataProcess {
@@ -33,7 +39,10 @@
 		clientConns: map[*conn]func(){}, serverConns: map[*conn]bool{}, listed: map[string]gateway.ServersListed{}}
 	data.process = machine.process(contract.KindData, gateway.NewNode(settings, machine.boot(), data.traffic, machine.random()))
 	data.perform = data.execute
+	data.admission = admission.New(admission.GatewayBudget(settings.MemoryBytes, settings.OpenFiles), admission.DefaultLimits(settings))
+	data.admitted, data.arriving = map[admission.ConnID]*conn{}, map[*conn]bool{}
 	data.closeExpired()
+	data.tickAdmission()
 	return data
 }
 
@@ -48,6 +57,7 @@
 		if event := command.Event; data.day.eventFilter == nil || data.day.eventFilter(data.machine, &event) {
 			data.traffic.Handle(data.now(), event)
 		}
+		data.admit(admission.LimitsChanged{Class: admission.Callers, Limits: admission.CallerLimits(data.settings, data.traffic.Limits())})
 	case contract.Forward:
 		forwardRequest(data.process, command, func(answer contract.Response) { data.execute(answer) })
 	case contract.Response:
@@ -137,8 +147,7 @@
 func (data *dataProcess) closeIdleClients() {
 	for _, conn := range data.connections() {
 		if clientLeft, found := data.clientConns[conn]; found && clientLeft == nil {
-			delete(data.clientConns, conn)
-			conn.close(acceptor)
+			data.closeClient(conn)
 		}
 	}
 }
--- a/emulator/exchange.go
+++ b/emulator/exchange.go
@@ -1,8 +1,10 @@
 package emulator
 
 import (
+	"net/http"
 	"time"
 
+	"github.com/cedarreel/cedarreel/admission"
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/emulator/rules"
 	"github.com/cedarreel/cedarreel/engine"
@@ -104,10 +106,14 @@
 		return false
 	}
 	data.clientConns[conn] = nil
+	if !data.admitConn(conn) {
+		delete(data.clientConns, conn)
+		return false
+	}
 	conn.onClose[acceptor] = func() {
 		data.Run(func() {
 			left := data.clientConns[conn]
-			delete(data.clientConns, conn)
+			data.forgetClient(conn)
 			if left != nil {
 				left()
 			}
@@ -124,8 +130,15 @@
 		}
 		data.token++
 		data.traffic.Handle(data.now(), gateway.CallBegan{})
+		admitted := data.admitRequest(conn, request)
 		request.attempt.ReadAt = data.day.world.Now
 		exchange := &exchange{process: data, conn: conn, request: request, receiver: back, token: data.token, lastPiece: request.attempt.ResumeAfter}
+		if !admitted {
+			request.attempt.Reason = notAdmitted
+			exchange.headCloses = true
+			exchange.answer(clientAnswer{status: http.StatusServiceUnavailable, retryAfter: refusedRetryAfter, complete: true})
+			return
+		}
 		data.clientConns[conn] = exchange.clientLeft
 		arrive := gateway.CallArrived{Token: exchange.token, Host: request.host, Path: request.path, Timeout: request.timeout, Prompt: request.prompt, Size: request.size}
 		if request.attempt.Key != "" {
@@ -158,8 +171,7 @@
 		exchange.request.attempt.Reason = command.Reason
 		if exchange.answerStarted {
 			exchange.end()
-			exchange.conn.close(acceptor)
-			delete(exchange.process.clientConns, exchange.conn)
+			exchange.process.closeClient(exchange.conn)
 			return
 		}
 		exchange.answer(clientAnswer{status: command.Status, complete: true})
@@ -174,6 +186,7 @@
 	exchange.process.traffic.Handle(exchange.process.now(), gateway.CallFinished{})
 	if _, found := exchange.process.clientConns[exchange.conn]; found {
 		exchange.process.clientConns[exchange.conn] = nil
+		exchange.process.admit(admission.RequestEnded{Conn: admission.ConnID(exchange.conn.number)})
 	}
 }
 
@@ -181,7 +194,7 @@
 	exchange.end()
 	// The head of a stream that has started told already whether the connection is closed.
 	if answer.close = exchange.process.leaving && !exchange.answerStarted || exchange.headCloses; answer.close {
-		delete(exchange.process.clientConns, exchange.conn)
+		exchange.process.forgetClient(exchange.conn)
 	}
 	back := exchange.receiver
 	exchange.conn.send(acceptor, headBytes, func() { back.answered(answer) })
--- a/emulator/machine.go
+++ b/emulator/machine.go
@@ -53,6 +53,12 @@
 	lookupPort  = "7602"
 )
 
+// Memory and descriptors of a process of a machine.
+const (
+	processMemoryBytes = 284 << 20
+	processOpenFiles   = 3900
+)
+
 func (machine *machine) place() location {
 	return location{machine.name, machine.zone, machine.region, false}
 }
@@ -76,6 +82,7 @@
 	settings.Gateway = env.Gateway{Traffic: machine.address + ":" + trafficPort, Ready: machine.address + ":" + readyPort, Lookup: machine.address + ":" + lookupPort,
 		RepeatRatio: bounds.RetryRatio, RepeatWindow: seconds(bounds.RetryWindowS), RepeatAllowance: bounds.RetryAllowance,
 		Contact: milliseconds(bounds.ContactMs), Grace: seconds(bounds.GraceS), LookupLife: seconds(bounds.LookupLifeS) / 5}
+	settings.MemoryBytes, settings.OpenFiles = processMemoryBytes, processOpenFiles
 	for _, change := range day.changes {
 		change.apply(&settings)
 	}
--- a/emulator/troubles.go
+++ b/emulator/troubles.go
@@ -47,6 +47,7 @@
 		"config_storm":   {true, (*Day).stormConfigurations},
 		"bad_config":     {true, (*Day).sendInvalidConfigurations},
 		"evacuate":       {true, (*Day).drainZone},
+		"crowd":          {true, (*Day).beginCrowd},
 		"tenant":         {true, (*Day).changeTenantKeys},
 		"revoke":         {true, (*Day).changeTenantKeys},
 	}
--- a/emulator/troubles_test.go
+++ b/emulator/troubles_test.go
@@ -55,6 +55,7 @@
 	{Kind: "config_storm", ForS: 3, GapS: 0.4},
 	{Kind: "bad_config", Count: 2, GapS: 1},
 	{Kind: "evacuate", ForS: 7},
+	{Kind: "crowd", Share: 1, X: 3000, ForS: 6},
 }
 
 var _ = Describe("a trouble by itself", func() {
--- a/serve/admission.go
+++ b/serve/admission.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -14,7 +13,6 @@
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/link"
-	"github.com/cedarreel/cedarreel/manifest"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 )
@@ -26,8 +24,6 @@
 	receiveBuffer = 64 << 10
 	// refusalTimeout bounds the writing of an answer to a client whose head was not accepted.
 	refusalTimeout = time.Second
-	// maxHeadBytes bounds heads where the configuration does not.
-	maxHeadBytes = 64 << 10
 )
 
 // errEnded is the error of reads from a connection that the admission ended.
@@ -43,12 +39,7 @@
 }
 
 func newAdmitter(budget admission.Budget, settings env.Env, loop *link.Loop) *admitter {
-	return &admitter{state: admission.New(budget, defaultClientLimits(settings)), conns: map[admission.ConnID]*admittedConn{}, loop: loop}
-}
-
-// defaultClientLimits returns the limits of clients that the configuration says nothing about.
-func defaultClientLimits(settings env.Env) admission.Limits {
-	return admission.Limits{HeadBytes: maxHeadBytes, HeadTime: settings.Bounds.Return(), IdleTime: settings.Bounds.Deadline(), BodyTime: settings.Bounds.Return()}
+	return &admitter{state: admission.New(budget, admission.DefaultLimits(settings)), conns: map[admission.ConnID]*admittedConn{}, loop: loop}
 }
 
 // run checks times until stop is closed.
@@ -280,13 +271,3 @@
 	server.ConnContext, server.ConnState, server.ErrorLog = withAdmittedConn, connStateChanged, discardLog()
 	return server
 }
-
-// callerLimits returns the limits of callers: those of the configuration, and the defaults for what it does not say.
-func callerLimits(settings env.Env, configured manifest.Limits) admission.Limits {
-	limits := defaultClientLimits(settings)
-	limits.BodyTime = settings.Bounds.Deadline()
-	limits.HeadBytes = cmp.Or(configured.HeaderBytes, limits.HeadBytes)
-	limits.HeadTime = cmp.Or(configured.HeaderTimeout, limits.HeadTime)
-	limits.IdleTime = cmp.Or(configured.IdleTimeout, limits.IdleTime)
-	return limits
-}
--- a/serve/callbody.go
+++ b/serve/callbody.go
@@ -5,13 +5,8 @@
 	"io"
 	"net/http"
 	"time"
-)
 
-const (
-	// maxBodyPart bounds one part of a body in bytes. A body up to this size is one part, and goes to a server in one write with its head.
-	maxBodyPart = 64 << 10
-	// firstBodyPart is the size of the first part of a body of unknown length.
-	firstBodyPart = 4 << 10
+	"github.com/cedarreel/cedarreel/admission"
 )
 
 // callBody is the body of a call in parts, so that no copy is needed while it grows.
@@ -56,7 +51,7 @@
 		return body, nil
 	}
 	for {
-		part, err := readBodyPart(request, conn, nextPartSize(request, body, limit), len(body.parts) == 0)
+		part, err := readBodyPart(request, conn, admission.NextBodyPart(request.ContentLength, body.size, limit), len(body.parts) == 0)
 		body.size += int64(len(part))
 		if body.size > limit {
 			return body, bodyRefused{http.StatusRequestEntityTooLarge}
@@ -73,22 +68,9 @@
 	}
 }
 
-// nextPartSize returns the size of the next part. A body of unknown length may turn out to be one byte over the limit.
-func nextPartSize(request *http.Request, body callBody, limit int64) int64 {
-	if request.ContentLength > 0 {
-		return max(1, min(request.ContentLength-body.size, maxBodyPart))
-	}
-	return min(max(firstBodyPart, body.size), maxBodyPart, limit-body.size+1)
-}
-
 // readBodyPart reads the next bytes of a body up to a size. io.EOF says that the body is complete.
 func readBodyPart(request *http.Request, conn *admittedConn, size int64, isFirst bool) ([]byte, error) {
-	memory := size
-	if isFirst {
-		// The first part is copied behind the head when the call is sent.
-		memory *= 2
-	}
-	if end := conn.wants(memory); end != nil {
+	if end := conn.wants(admission.BodyPartMemory(size, isFirst)); end != nil {
 		return nil, bodyRefused{end.Status}
 	}
 	part, filled := make([]byte, size), 0
--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -145,7 +145,7 @@
 		limits := process.traffic.Limits()
 		process.lock.Unlock()
 		process.limits.Store(&limits)
-		process.admitter.handle(admission.LimitsChanged{Class: admission.Callers, Limits: callerLimits(process.Settings, limits)})
+		process.admitter.handle(admission.LimitsChanged{Class: admission.Callers, Limits: admission.CallerLimits(process.Settings, limits)})
 	case contract.Forward:
 		go process.operators.Forward(command)
 	default:
