Clients that take nothing of their answers give way to others and are closed in the end

What callers saw: clients that send requests and read no answer held their connections for as long as they liked; with the bound on open connections a crowd of them shut all others out of a port.

Cause: a write to a client that does not read blocks without a limit, and a request that runs is never ended.

Change: a write that moves nothing for a second tells the admission that the connection is stalled.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -33,6 +33,7 @@
 	ReasonHeadSize    Reason = "head_size"
 	ReasonHeadTime    Reason = "head_time"
 	ReasonBodyTime    Reason = "body_time"
+	ReasonAnswerTime  Reason = "answer_time"
 	ReasonIdle        Reason = "idle"
 )
 
@@ -67,6 +68,9 @@
 	}
 	// RequestRead says that the body was read completely, so that the request runs from now on.
 	RequestRead struct{ Conn ConnID }
+	// AnswerStalled says that the client does not take the answer, AnswerTaken that it goes on.
+	AnswerStalled struct{ Conn ConnID }
+	AnswerTaken   struct{ Conn ConnID }
 	// RequestEnded says that the answer was written. The connection waits for the next request.
 	RequestEnded struct{ Conn ConnID }
 	// Closed says that the connection was closed.
@@ -79,7 +83,8 @@
 )
 
 // End is the command to end a connection. Status is what a request that has begun is answered with; 0 closes the connection without an
-// answer. An event whose commands lack an End of its own connection is admitted. No request that runs is ever ended.
+// answer. An event whose commands lack an End of its own connection is admitted. A request that runs is ended only if
+// its client does not take the answer.
 type End struct {
 	Conn   ConnID
 	Class  Class
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -21,7 +21,7 @@
 	openFiles   = 400
 )
 
-var limits = Limits{HeadBytes: 16 << 10, HeadTime: 3 * time.Second, IdleTime: 15 * time.Second, BodyTime: 8 * time.Second}
+var limits = Limits{HeadBytes: 16 << 10, HeadTime: 3 * time.Second, IdleTime: 15 * time.Second, BodyTime: 8 * time.Second, AnswerTime: 20 * time.Second}
 
 // harness passes events to a state at a time that the test sets.
 type harness struct {
@@ -201,6 +201,29 @@
 		Expect(harness.handle(contract.Tick{})).To(BeEmpty())
 	})
 
+	It("given an answer that its client does not take, when its time is over, then it is closed, and before that it gives way to others", func() {
+		harness := newHarness()
+		harness.begin(1)
+		harness.handle(RequestRead{Conn: 1})
+		harness.handle(AnswerStalled{Conn: 1})
+		harness.now += limits.AnswerTime
+		Expect(harness.handle(contract.Tick{})).To(BeEmpty())
+		harness.handle(AnswerTaken{Conn: 1})
+		harness.now += time.Hour
+		Expect(harness.handle(contract.Tick{})).To(BeEmpty())
+		harness.handle(AnswerStalled{Conn: 1})
+		harness.now += limits.AnswerTime + time.Millisecond
+		Expect(harness.handle(contract.Tick{})).To(HaveKeyWithValue(ConnID(1), End{Conn: 1, Class: Callers, Reason: ReasonAnswerTime}))
+		harness.begin(2)
+		harness.handle(RequestRead{Conn: 2})
+		harness.handle(AnswerStalled{Conn: 2})
+		harness.now += 10 * time.Second
+		for id := ConnID(3); harness.state.Open(Callers) < harness.state.budget.Connections[Callers]; id++ {
+			harness.handle(Opened{Conn: id, Class: Callers})
+		}
+		Expect(harness.handle(Opened{Conn: 1000, Class: Callers})).To(HaveKey(ConnID(2)))
+	})
+
 	It("given changed limits, when a head is larger, then it is ended with 431", func() {
 		harness := newHarness()
 		harness.handle(LimitsChanged{Class: Callers, Limits: Limits{HeadBytes: 1 << 10}})
--- a/admission/state.go
+++ b/admission/state.go
@@ -36,10 +36,12 @@
 
 const (
 	// phaseWaiting: for the first byte of a request. phaseHead, phaseBody: for the rest of the head, of the body. phaseRunning: for the answer.
+	// phaseStalled: for the client to take the answer.
 	phaseWaiting phase = iota
 	phaseHead
 	phaseBody
 	phaseRunning
+	phaseStalled
 )
 
 // connection is the state of an open connection. held is the memory that it takes, ended is set once it was told to end.
@@ -98,6 +100,10 @@
 			conn.phase, conn.since = phaseRunning, now
 			return nil
 		})
+	case AnswerStalled:
+		return state.onConnection(event.Conn, func(conn *connection) []contract.Command { return conn.move(now, phaseRunning, phaseStalled) })
+	case AnswerTaken:
+		return state.onConnection(event.Conn, func(conn *connection) []contract.Command { return conn.move(now, phaseStalled, phaseRunning) })
 	case RequestEnded:
 		return state.onConnection(event.Conn, func(conn *connection) []contract.Command {
 			state.release(conn, conn.held-connectionCost)
@@ -114,6 +120,14 @@
 	return nil
 }
 
+// move changes the phase of a connection that is in another one.
+func (conn *connection) move(now time.Duration, from, to phase) []contract.Command {
+	if conn.phase == from {
+		conn.phase, conn.since = to, now
+	}
+	return nil
+}
+
 // onConnection handles the event of a connection. One that was ended before is told so again.
 func (state *State) onConnection(id ConnID, handle func(*connection) []contract.Command) []contract.Command {
 	conn, found := state.connections[id]
@@ -225,9 +239,10 @@
 	state.held[conn.class] -= bytes
 }
 
-// statusOf returns the status for a request that is ended for want of memory or descriptors. Where no request has begun there is none.
+// statusOf returns the status for a request that is ended for want of memory or descriptors. Where no request has begun, or its answer has, there
+// is none.
 func statusOf(phase phase) int {
-	if phase == phaseWaiting {
+	if phase == phaseWaiting || phase == phaseStalled {
 		return 0
 	}
 	return http.StatusServiceUnavailable
--- a/admission/tick.go
+++ b/admission/tick.go
@@ -25,6 +25,8 @@
 			commands = append(commands, state.end(id, conn, http.StatusRequestTimeout, ReasonHeadTime)...)
 		case conn.phase == phaseBody && exceeds(waited, conn.bodyTime):
 			commands = append(commands, state.end(id, conn, http.StatusRequestTimeout, ReasonBodyTime)...)
+		case conn.phase == phaseStalled && exceeds(waited, limits.AnswerTime):
+			commands = append(commands, state.end(id, conn, 0, ReasonAnswerTime)...)
 		}
 	}
 	return append(commands, state.summary(now)...)
--- a/overload/crowd_test.go
+++ b/overload/crowd_test.go
@@ -122,6 +122,16 @@
 	send(conn, head.String()+"\r\n")
 }
 
+// unreadAnswers sends whole requests, one after the other, and reads no answer.
+func unreadAnswers(conn net.Conn) {
+	const request = "GET /none HTTP/1.1\r\nHost: calls.example\r\n\r\n"
+	const pressTime = 3 * time.Second
+	block := strings.Repeat(request, blockBytes/len(request))
+	_ = conn.SetDeadline(time.Now().Add(pressTime))
+	for sent := 0; sent < endlessBytes && send(conn, block); sent += len(block) {
+	}
+}
+
 // unfinishedChunks sends a chunked body of a size without its last chunk.
 func unfinishedChunks(size, chunkSize int) script {
 	return func(conn net.Conn) {
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -121,6 +121,12 @@
 	t.Run("in chunks", func(t *testing.T) { testCrowd(t, group{rig.CallerPort, 120, unfinishedChunks(8<<20, 64<<10)}) })
 }
 
+func TestAnswersThatAreNotRead(t *testing.T) {
+	for name, port := range ports {
+		t.Run(name, func(t *testing.T) { testCrowd(t, group{port, 400, unreadAnswers}) })
+	}
+}
+
 func TestSeveralCrowdsAtOnce(t *testing.T) {
 	testCrowd(t, group{rig.CallerPort, 40, unfinishedChunks(bodyBytes-1, 64<<10-16)}, group{rig.CallerPort, 40, unfinishedBody("/check/x", bodyBytes)},
 		group{rig.CallerPort, 30, endlessHead(shortLine)}, group{rig.DirectoryPort, 100, sendNothing}, group{rig.PeerPort, 20, endlessHead(shortLine)})
--- a/serve/admission.go
+++ b/serve/admission.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,6 +27,8 @@
 	receiveBuffer = 64 << 10
 	// refusalTimeout bounds the writing of an answer to a client whose head was not accepted.
 	refusalTimeout = time.Second
+	// writeStall is how long a client may take nothing of an answer before it counts as stalled.
+	writeStall = time.Second
 )
 
 // errEnded is the error of reads from a connection that the admission ended.
@@ -141,6 +146,8 @@
 	// inRequest says that a head was read completely, so that a handler answers.
 	inRequest bool
 	closed    bool
+	// ownWriteDeadline says that a handler has set a deadline for its writes.
+	ownWriteDeadline atomic.Bool
 }
 
 // end notes that the connection has ended, and reports whether it had not before.
@@ -196,8 +203,8 @@
 	status, answers := conn.ended.Status, !conn.inRequest && conn.ended.Status != 0
 	conn.lock.Unlock()
 	if answers {
-		_ = conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
-		_, _ = conn.Write([]byte("HTTP/1.1 " + statusLine(status) + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
+		_ = conn.TCPConn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+		_, _ = conn.TCPConn.Write([]byte("HTTP/1.1 " + statusLine(status) + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
 	}
 	// net/http answers other errors of a read by itself.
 	return &net.OpError{Op: "read", Net: "tcp", Err: errEnded}
@@ -218,6 +225,36 @@
 	return conn.TCPConn.Close()
 }
 
+// SetWriteDeadline sets the deadline of writes, in place of the admission's own check for clients that take nothing.
+func (conn *admittedConn) SetWriteDeadline(deadline time.Time) error {
+	conn.ownWriteDeadline.Store(!deadline.IsZero())
+	return conn.TCPConn.SetWriteDeadline(deadline)
+}
+
+// Write writes to the client, and tells the admission while the client takes nothing.
+func (conn *admittedConn) Write(content []byte) (int, error) {
+	if conn.ownWriteDeadline.Load() {
+		return conn.TCPConn.Write(content)
+	}
+	written, stalled := 0, false
+	for {
+		_ = conn.TCPConn.SetWriteDeadline(time.Now().Add(writeStall))
+		count, err := conn.TCPConn.Write(content[written:])
+		written += count
+		if stalled && (count > 0 || err == nil) {
+			stalled = false
+			conn.admitter.handle(admission.AnswerTaken{Conn: conn.id})
+		}
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || conn.endedBy() != nil {
+			return written, err
+		}
+		if !stalled {
+			stalled = true
+			conn.admitter.handle(admission.AnswerStalled{Conn: conn.id})
+		}
+	}
+}
+
 // setInRequest notes whether a head was read completely.
 func (conn *admittedConn) setInRequest(inRequest bool) {
 	conn.lock.Lock()
