--- a/link/metrics.go
+++ b/link/metrics.go
@@ -17,6 +17,7 @@
 	{"answers_", "answers", "status", "refusals and errors returned to callers, by status"},
 	{"writes_refused_", "writes_refused", "status", "operators' writes that were refused, by status"},
 	{"writes_answered_", "writes_answered", "status", "operators' writes that were answered, by status"},
+	{"clients_ended_", "clients_ended", "reason", "connections and requests of clients that the admission ended, by reason"},
 	{"passed_on_", "passed_on", "end", "calls forwarded to their home region, by whether it was reached"},
 }
 
--- a/overload/crowd_test.go
+++ b/overload/crowd_test.go
@@ -76,6 +76,10 @@
 
 const headStart = "POST /check/x HTTP/1.1\r\nHost: calls.example\r\nX-Attempt-Id: a\r\nX-Deadline-Ms: 600000\r\n"
 
+// ordinaryHead begins a request that a server answers.
+const ordinaryHead = "POST /check/x HTTP/1.1\r\nHost: calls.example\r\nX-Attempt-Id: a\r\nX-Deadline-Ms: 7000\r\nX-Model: m\r\nX-Token-Usage: 400,40\r\n" +
+	"X-Prompt-Prefix: 5c1e07a2:100,1:300\r\nX-Pieces: 2\r\nX-Gap-Ms: 1\r\n"
+
 func sendNothing(net.Conn) {}
 
 // shortLine returns a short header with its own name; noLineEnd is part of a line.
@@ -132,6 +136,25 @@
 	}
 }
 
+// largestBody, largestChunks and largestSmallChunks send a whole request with the largest body, largestHead one with the largest head.
+func largestBody(conn net.Conn) bool {
+	return send(conn, ordinaryHead+"Content-Length: "+strconv.Itoa(bodyBytes)+"\r\n\r\n"+strings.Repeat("b", bodyBytes))
+}
+
+func largestChunks(conn net.Conn) bool {
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", blockBytes, strings.Repeat("b", blockBytes))
+	return send(conn, ordinaryHead+"Transfer-Encoding: chunked\r\n\r\n"+strings.Repeat(chunk, bodyBytes/blockBytes)+"0\r\n\r\n")
+}
+
+func largestSmallChunks(conn net.Conn) bool {
+	return send(conn, ordinaryHead+"Transfer-Encoding: chunked\r\n\r\n"+strings.Repeat("1\r\nb\r\n", bodyBytes)+"0\r\n\r\n")
+}
+
+func largestHead(conn net.Conn) bool {
+	const padding = 16384 - 512
+	return send(conn, ordinaryHead+"X-Padding: "+strings.Repeat("p", padding)+"\r\nContent-Length: 1\r\n\r\nb")
+}
+
 // unfinishedChunks sends a chunked body of a size without its last chunk.
 func unfinishedChunks(size, chunkSize int) script {
 	return func(conn net.Conn) {
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -3,7 +3,10 @@
 package overload
 
 import (
+	"bufio"
 	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"testing"
@@ -60,10 +63,7 @@
 func testCrowd(t *testing.T, groups ...group) {
 	t.Helper()
 	expect := NewWithT(t)
-	machine, err := rig.StartSingleGateway(rig.GatewayPlan{Bin: bin, Folder: t.TempDir(), Seed: 1, Log: func(line string) { t.Log(line) },
-		Limits: rig.GatewayLimits{MemoryMB: memoryMB, OpenFiles: openFiles, BodyBytes: bodyBytes}})
-	expect.Expect(err).NotTo(HaveOccurred())
-	defer machine.Close()
+	machine := startMachine(t)
 	usage := startSampler(machine)
 	defer usage.stop()
 	crowd := press(machine, groups)
@@ -81,6 +81,35 @@
 	}
 }
 
+// TestLargestRequestsAreServed checks that requests that just keep the limits are answered on a calm machine.
+func TestLargestRequestsAreServed(t *testing.T) {
+	for name, send := range map[string]func(net.Conn) bool{"a body with a length": largestBody, "a body in chunks": largestChunks, "a body in chunks of one byte": largestSmallChunks, "a head": largestHead} {
+		t.Run(name, func(t *testing.T) {
+			expect, machine := NewWithT(t), startMachine(t)
+			for range 3 {
+				conn, err := net.DialTimeout("tcp", machine.Address(rig.CallerPort), dialLimit)
+				expect.Expect(err).NotTo(HaveOccurred())
+				_ = conn.SetDeadline(time.Now().Add(answerLimit))
+				expect.Expect(send(conn)).To(BeTrue())
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				expect.Expect(err).NotTo(HaveOccurred())
+				expect.Expect(response.StatusCode).To(Equal(http.StatusOK))
+				_ = conn.Close()
+			}
+		})
+	}
+}
+
+// startMachine starts a machine with the limits of the tests.
+func startMachine(t *testing.T) *rig.SingleGateway {
+	t.Helper()
+	machine, err := rig.StartSingleGateway(rig.GatewayPlan{Bin: bin, Folder: t.TempDir(), Seed: 1, Log: func(line string) { t.Log(line) },
+		Limits: rig.GatewayLimits{MemoryMB: memoryMB, OpenFiles: openFiles, BodyBytes: bodyBytes}})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(machine.Close)
+	return machine
+}
+
 // expectServed checks that an ordinary call and a question at every other port are answered.
 func expectServed(expect *WithT, machine *rig.SingleGateway, when string) {
 	expect.Eventually(machine.Call, answerLimit, answerPause).Should(Succeed(), "an ordinary call "+when)
