--- a/overload/crowd_test.go
+++ b/overload/crowd_test.go
@@ -9,9 +9,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cedarreel/cedarreel/rig"
+	"golang.org/x/sys/unix"
 )
 
 // crowd holds the connections of clients that misbehave.
@@ -40,7 +42,7 @@
 			senders.Add(1)
 			go func() {
 				defer senders.Done()
-				pressing.run(machine.Address(part.port), part.send)
+				pressing.run(machine.Address(part.port), part)
 			}()
 		}
 	}
@@ -49,8 +51,15 @@
 }
 
 // run is one client: it connects and sends.
-func (pressing *crowd) run(address string, send script) {
-	conn, err := net.DialTimeout("tcp", address, dialLimit)
+func (pressing *crowd) run(address string, part group) {
+	dialer := net.Dialer{Timeout: dialLimit, Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(descriptor uintptr) {
+			if part.receiveBuffer > 0 {
+				_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, part.receiveBuffer)
+			}
+		})
+	}}
+	conn, err := dialer.Dial("tcp", address)
 	if err != nil {
 		return
 	}
@@ -58,7 +67,7 @@
 	pressing.conns = append(pressing.conns, conn)
 	pressing.lock.Unlock()
 	_ = conn.SetDeadline(time.Now().Add(sendLimit))
-	send(conn)
+	part.send(conn)
 }
 
 // leave closes the connections.
@@ -126,21 +135,31 @@
 	send(conn, head.String()+"\r\n")
 }
 
-// unreadAnswers sends whole requests, one after the other, and reads no answer.
+// unreadAnswers sends whole requests, one after the other, until the other end takes no more, and reads no answer.
 func unreadAnswers(conn net.Conn) {
-	const request = "GET /none HTTP/1.1\r\nHost: calls.example\r\n\r\n"
-	const pressTime = 3 * time.Second
+	const (
+		request    = "GET /none HTTP/1.1\r\nHost: calls.example\r\n\r\n"
+		blockedFor = 2 * time.Second
+	)
 	block := strings.Repeat(request, blockBytes/len(request))
-	_ = conn.SetDeadline(time.Now().Add(pressTime))
-	for sent := 0; sent < endlessBytes && send(conn, block); sent += len(block) {
+	for sent := 0; sent < endlessBytes; sent += len(block) {
+		_ = conn.SetDeadline(time.Now().Add(blockedFor))
+		if !send(conn, block) {
+			return
+		}
 	}
 }
 
 // largestBody, largestChunks and largestSmallChunks send a whole request with the largest body, largestHead one with the largest head.
-func largestBody(conn net.Conn) bool {
-	return send(conn, ordinaryHead+"Content-Length: "+strconv.Itoa(bodyBytes)+"\r\n\r\n"+strings.Repeat("b", bodyBytes))
+func largestBody(conn net.Conn) bool { return sendCall(conn, bodyBytes) }
+
+// sendCall sends a whole request with a body of a size.
+func sendCall(conn net.Conn, size int) bool {
+	return send(conn, ordinaryHead+"Content-Length: "+strconv.Itoa(size)+"\r\n\r\n"+strings.Repeat("b", size))
 }
 
+func wholeCall(size int) script { return func(conn net.Conn) { sendCall(conn, size) } }
+
 func largestChunks(conn net.Conn) bool {
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", blockBytes, strings.Repeat("b", blockBytes))
 	return send(conn, ordinaryHead+"Transfer-Encoding: chunked\r\n\r\n"+strings.Repeat(chunk, bodyBytes/blockBytes)+"0\r\n\r\n")
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -25,6 +25,8 @@
 	bodyBytes     = 1 << 20
 	// documentBytes is the size of a document just below the bound of the operators' and the nodes' ports.
 	documentBytes = 32<<20 - 1024
+	// smallReceiveBuffer lets answers that are not read block their writer soon, in bytes.
+	smallReceiveBuffer = 4 << 10
 )
 
 const (
@@ -52,11 +54,13 @@
 	os.Exit(code)
 }
 
-// group is a part of a crowd: so many clients that send the same to one port.
+// group is a part of a crowd: so many clients that send the same to one port. receiveBuffer is the size of their receive buffers in bytes, 0 for
+// the usual one.
 type group struct {
-	port    rig.Port
-	clients int
-	send    script
+	port          rig.Port
+	clients       int
+	send          script
+	receiveBuffer int
 }
 
 // testCrowd presses on a machine and checks what has to hold, while the crowd's connections are still open and after they were closed.
@@ -100,11 +104,40 @@
 	}
 }
 
+// The clients of a day, at least as many and with bodies at least as large as days of the bench bring to one process at once, and the limits of
+// the machines there.
+const (
+	dayClients   = 200
+	dayBodyBytes = 128 << 10
+	dayMemoryMB  = 284
+	dayOpenFiles = 4100
+)
+
+// TestClientsOfADayAreAdmitted checks that ordinary clients meet none of the limits, as many at once as a day brings.
+func TestClientsOfADayAreAdmitted(t *testing.T) {
+	expect, machine := NewWithT(t), startMachineWith(t, rig.GatewayLimits{MemoryMB: dayMemoryMB, OpenFiles: dayOpenFiles})
+	crowd := press(machine, []group{{port: rig.CallerPort, clients: dayClients, send: wholeCall(dayBodyBytes)}})
+	defer crowd.leave()
+	expect.Expect(crowd.conns).To(HaveLen(dayClients))
+	for _, conn := range crowd.conns {
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		expect.Expect(err).NotTo(HaveOccurred())
+		expect.Expect(response.StatusCode).To(Equal(http.StatusOK))
+	}
+	metrics, err := machine.DataMetrics()
+	expect.Expect(err).NotTo(HaveOccurred())
+	expect.Expect(metrics).NotTo(ContainSubstring("clients_ended"))
+}
+
 // startMachine starts a machine with the limits of the tests.
 func startMachine(t *testing.T) *rig.SingleGateway {
 	t.Helper()
-	machine, err := rig.StartSingleGateway(rig.GatewayPlan{Bin: bin, Folder: t.TempDir(), Seed: 1, Log: func(line string) { t.Log(line) },
-		Limits: rig.GatewayLimits{MemoryMB: memoryMB, OpenFiles: openFiles, BodyBytes: bodyBytes}})
+	return startMachineWith(t, rig.GatewayLimits{MemoryMB: memoryMB, OpenFiles: openFiles, BodyBytes: bodyBytes})
+}
+
+func startMachineWith(t *testing.T, limits rig.GatewayLimits) *rig.SingleGateway {
+	t.Helper()
+	machine, err := rig.StartSingleGateway(rig.GatewayPlan{Bin: bin, Folder: t.TempDir(), Seed: 1, Log: func(line string) { t.Log(line) }, Limits: limits})
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(machine.Close)
 	return machine
@@ -121,7 +154,7 @@
 
 func testEachPort(t *testing.T, clients int, send script) {
 	for name, port := range ports {
-		t.Run(name, func(t *testing.T) { testCrowd(t, group{port, clients, send}) })
+		t.Run(name, func(t *testing.T) { testCrowd(t, group{port: port, clients: clients, send: send}) })
 	}
 }
 
@@ -130,53 +163,65 @@
 func TestConnectionsThatSendNothing(t *testing.T)  { testEachPort(t, 700, sendNothing) }
 
 func TestEmptyLinesBeforeARequest(t *testing.T) {
-	testCrowd(t, group{rig.CallerPort, 150, emptyLines})
+	testCrowd(t, group{port: rig.CallerPort, clients: 150, send: emptyLines})
 }
 
 func TestFullHeadsWithoutBodies(t *testing.T) {
-	testCrowd(t, group{rig.CallerPort, 300, fullHeadWithoutBody})
+	testCrowd(t, group{port: rig.CallerPort, clients: 300, send: fullHeadWithoutBody})
 }
 
 func TestBodiesThatStopBeforeTheirEnd(t *testing.T) {
 	t.Run("large chunks", func(t *testing.T) {
-		testCrowd(t, group{rig.CallerPort, 100, unfinishedChunks(bodyBytes-1, 64<<10-16)})
+		testCrowd(t, group{port: rig.CallerPort, clients: 100, send: unfinishedChunks(bodyBytes-1, 64<<10-16)})
+	})
+	t.Run("chunks of one byte", func(t *testing.T) {
+		testCrowd(t, group{port: rig.CallerPort, clients: 80, send: unfinishedChunks(bodyBytes-1, 1)})
+	})
+	t.Run("with a length", func(t *testing.T) {
+		testCrowd(t, group{port: rig.CallerPort, clients: 120, send: unfinishedBody("/check/x", bodyBytes)})
 	})
-	t.Run("chunks of one byte", func(t *testing.T) { testCrowd(t, group{rig.CallerPort, 80, unfinishedChunks(bodyBytes-1, 1)}) })
-	t.Run("with a length", func(t *testing.T) { testCrowd(t, group{rig.CallerPort, 120, unfinishedBody("/check/x", bodyBytes)}) })
 }
 
 func TestBodiesFarOverTheLimit(t *testing.T) {
-	t.Run("announced", func(t *testing.T) { testCrowd(t, group{rig.CallerPort, 120, announcedBody(4<<30, 8<<20)}) })
-	t.Run("in chunks", func(t *testing.T) { testCrowd(t, group{rig.CallerPort, 120, unfinishedChunks(8<<20, 64<<10)}) })
+	t.Run("announced", func(t *testing.T) {
+		testCrowd(t, group{port: rig.CallerPort, clients: 120, send: announcedBody(4<<30, 8<<20)})
+	})
+	t.Run("in chunks", func(t *testing.T) {
+		testCrowd(t, group{port: rig.CallerPort, clients: 120, send: unfinishedChunks(8<<20, 64<<10)})
+	})
 }
 
 func TestAnswersThatAreNotRead(t *testing.T) {
 	for name, port := range ports {
-		t.Run(name, func(t *testing.T) { testCrowd(t, group{port, 400, unreadAnswers}) })
+		t.Run(name, func(t *testing.T) {
+			testCrowd(t, group{port: port, clients: 400, send: unreadAnswers, receiveBuffer: smallReceiveBuffer})
+		})
 	}
 }
 
 func TestSeveralCrowdsAtOnce(t *testing.T) {
-	testCrowd(t, group{rig.CallerPort, 40, unfinishedChunks(bodyBytes-1, 64<<10-16)}, group{rig.CallerPort, 40, unfinishedBody("/check/x", bodyBytes)},
-		group{rig.CallerPort, 30, endlessHead(shortLine)}, group{rig.DirectoryPort, 100, sendNothing}, group{rig.PeerPort, 20, endlessHead(shortLine)})
+	testCrowd(t, group{port: rig.CallerPort, clients: 40, send: unfinishedChunks(bodyBytes-1, 64<<10-16)}, group{port: rig.CallerPort, clients: 40, send: unfinishedBody("/check/x", bodyBytes)},
+		group{port: rig.CallerPort, clients: 30, send: endlessHead(shortLine)}, group{port: rig.DirectoryPort, clients: 100, send: sendNothing}, group{port: rig.PeerPort, clients: 20, send: endlessHead(shortLine)})
 }
 
 func TestDocumentsThatStopBeforeTheirEnd(t *testing.T) {
 	t.Run("orders", func(t *testing.T) {
-		testCrowd(t, group{rig.ControlPort, 6, unfinishedBody("/configuration/replace", documentBytes)})
+		testCrowd(t, group{port: rig.ControlPort, clients: 6, send: unfinishedBody("/configuration/replace", documentBytes)})
 	})
 	for _, name := range []string{"peers", "control"} {
-		t.Run("messages to "+name, func(t *testing.T) { testCrowd(t, group{ports[name], 6, unfinishedBody("/link", documentBytes)}) })
+		t.Run("messages to "+name, func(t *testing.T) {
+			testCrowd(t, group{port: ports[name], clients: 6, send: unfinishedBody("/link", documentBytes)})
+		})
 	}
 }
 
 func TestDocumentsThatExpand(t *testing.T) {
 	t.Run("orders of many values", func(t *testing.T) {
-		testCrowd(t, group{rig.ControlPort, 2, wholeBody("/configuration/replace", orderOfNumbers, "")})
+		testCrowd(t, group{port: rig.ControlPort, clients: 2, send: wholeBody("/configuration/replace", orderOfNumbers, "")})
 	})
 	for _, name := range []string{"peers", "control"} {
 		t.Run(fmt.Sprintf("compressed messages to %s", name), func(t *testing.T) {
-			testCrowd(t, group{ports[name], 8, wholeBody("/link", expandingMessage, "gzip")})
+			testCrowd(t, group{port: ports[name], clients: 8, send: wholeBody("/link", expandingMessage, "gzip")})
 		})
 	}
 }
--- a/rig/gateway_single.go
+++ b/rig/gateway_single.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 
 	"github.com/cedarreel/cedarreel/platform"
@@ -95,3 +96,14 @@
 	}
 	return errors.Join(errs...)
 }
+
+// DataMetrics returns the metrics of the data process as text.
+func (single *SingleGateway) DataMetrics() (string, error) {
+	response, err := single.fleet.client.Get("http://" + single.Address(PeerPort) + "/metrics")
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return string(content), err
+}
