--- a/cmd/cedarrig/gateways.go
+++ b/cmd/cedarrig/gateways.go
@@ -32,14 +32,15 @@
 		args.Bin = filepath.Dir(executable)
 	}
 	broken := []uint64{}
-	for seed := args.Seed; seed < args.Seed+uint64(args.GatewaySoaks); seed++ {
+	for seed := args.Seed; seed < args.Seed+uint64(args.GatewaySoaks+args.StartSoaks); seed++ {
 		folder, err := os.MkdirTemp(args.Folder, "cedarrig-gateways-")
 		if err != nil {
 			return false, err
 		}
 		fmt.Println("seed", seed, "folder", folder)
 		clean, err := rig.SoakGateways(rig.GatewayPlan{Bin: args.Bin, Folder: folder, Machines: machines, Span: time.Duration(args.Seconds) * time.Second, Seed: seed,
-			CallsPerSecond: gatewayCallsPerSecond * args.Rate, StayingCallers: stayingPerMachine * machines, Stops: max(1, machines/machinesPerStop), Log: func(text string) { fmt.Println(text) }})
+			CallsPerSecond: gatewayCallsPerSecond * args.Rate, StayingCallers: stayingPerMachine * machines, Stops: max(1, machines/machinesPerStop), StartTroubles: startTroubles(args, seed),
+			Log: func(text string) { fmt.Println(text) }})
 		if err != nil {
 			return false, fmt.Errorf("seed %d: %w", seed, err)
 		}
@@ -49,6 +50,14 @@
 		}
 		broken = append(broken, seed)
 	}
-	fmt.Printf("gateway soaks: %d seeds from %d, broken: %v\n", args.GatewaySoaks, args.Seed, broken)
+	fmt.Printf("gateway soaks: %d seeds from %d, broken: %v\n", args.GatewaySoaks+args.StartSoaks, args.Seed, broken)
 	return len(broken) == 0, nil
 }
+
+// startTroubles returns what disturbs the starts of a seed's soak, nil without --starts.
+func startTroubles(args arguments, seed uint64) *rig.StartTroubles {
+	if args.StartSoaks == 0 {
+		return nil
+	}
+	return rig.DrawStartTroubles(seed)
+}
--- a/rig/gateway_fleet.go
+++ b/rig/gateway_fleet.go
@@ -30,6 +30,8 @@
 	Seed uint64
 	// Limits are what the platform grants each process and the configuration grants callers.
 	Limits GatewayLimits
+	// StartTroubles disturb the starts of processes, nil for none.
+	StartTroubles *StartTroubles
 	// Log takes the lines of the run's output.
 	Log func(string)
 }
--- a/rig/gateway_machine.go
+++ b/rig/gateway_machine.go
@@ -30,6 +30,9 @@
 	stops    []*gatewayStop
 	hangups  []time.Duration
 	troubles []timeSpan
+	// troubledStarts disturb the next start of a role. losesDisk says that the data folder is emptied before the next start.
+	troubledStarts map[string]startTrouble
+	losesDisk      bool
 }
 
 // gatewayStop is one SIGTERM of a machine. endedAt is when its data process had ended, killed whether it took a SIGKILL.
@@ -87,13 +90,17 @@
 
 // startRole starts the process of a role and supervises it: when it ends it is started again after a pause, as the platform does.
 func (machine *gatewayMachine) startRole(role string, first bool) error {
-	path := filepath.Join(machine.folder, role+".toml")
-	if err := os.WriteFile(path, []byte(machine.settings(role, first).TOML()), 0o600); err != nil {
+	trouble := machine.takeStartTrouble(role)
+	if err := machine.prepareDisk(role); err != nil {
+		return err
+	}
+	path, err := machine.writeSettings(role, first, trouble.settingsLate)
+	if err != nil {
 		return err
 	}
 	command := exec.Command(filepath.Join(machine.fleet.plan.Bin, role))
 	command.Env = append(os.Environ(), platform.SettingsFileVariable+"="+path)
-	started, err := launch(role, command, filepath.Join(machine.folder, role+".log"))
+	started, err := machine.launch(role, command, trouble.readerLeaves)
 	if err != nil {
 		return err
 	}
@@ -123,6 +130,12 @@
 	if closing {
 		return
 	}
+	if !ended.told.Load() {
+		fleet.fail(fmt.Errorf("%s of %s ended by itself after %v, %v:\n    %s", role, machine.name, ended.lifetime.Round(time.Millisecond), ended.command.ProcessState, ended.lastLines()))
+	}
+	if fleet.plan.StartTroubles != nil {
+		fleet.troubleStart(machine, role)
+	}
 	if err := machine.startRole(role, false); err != nil {
 		fleet.fail(err)
 	}
--- a/rig/gateway_soak.go
+++ b/rig/gateway_soak.go
@@ -20,6 +20,8 @@
 	gatewayHangupPause = 400 * time.Millisecond
 	gatewayChangePause = 700 * time.Millisecond
 	gatewayLeavePause  = 5 * time.Second
+
+	gatewayRewritePause = 2 * time.Second
 	// settleTime is how long callers go on after the last signal, so that the last stops are seen to their end.
 	settleTime = 10 * time.Second
 	// callersEndLimit is how long the last calls and stops may take.
@@ -52,8 +54,13 @@
 
 // soak runs callers and series for the plan's span and checks the record.
 func (fleet *gatewayFleet) soak() (bool, error) {
-	if err := fleet.start(); err != nil {
-		return false, err
+	start := fleet.start
+	if fleet.plan.StartTroubles != nil {
+		start = fleet.startTroubled
+	}
+	if err := start(); err != nil {
+		fleet.fail(err)
+		return fleet.report(), nil
 	}
 	fleet.plan.Log(fmt.Sprintf("%d machines ready after %v", len(fleet.machines), fleet.now().Round(time.Millisecond)))
 	calling, endCalls := context.WithCancel(context.Background())
@@ -71,6 +78,9 @@
 	fleet.startSeries(signalling, gatewayHangupPause/scale, fleet.hangUp)
 	fleet.startSeries(signalling, gatewayChangePause, func() { fleet.failIf(fleet.operator.change()) })
 	fleet.startSeries(signalling, gatewayLeavePause, func() { fleet.inBackground(func() { fleet.failIf(fleet.platform.replace()) }) })
+	if fleet.plan.StartTroubles != nil {
+		fleet.startSeries(signalling, gatewayRewritePause, fleet.rewriteSettings)
+	}
 	<-signalling.Done()
 	time.Sleep(settleTime)
 	endCalls()
--- a/rig/program.go
+++ b/rig/program.go
@@ -1,9 +1,12 @@
 package rig
 
 import (
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -16,6 +19,9 @@
 	startedAt time.Time
 	lifetime  time.Duration
 	ended     chan struct{}
+	logPath   string
+	// told says that a signal was sent that ends the process.
+	told atomic.Bool
 }
 
 // startProgram starts a program of a node with its settings file and appends its output to a log file.
@@ -32,10 +38,35 @@
 	}
 	defer output.Close()
 	command.Stdout, command.Stderr = output, output
-	if err = command.Start(); err != nil {
+	return start(name, command, logPath)
+}
+
+// launchWithReader starts a command whose output goes to a log file through a pipe. The reader of the pipe goes away after a time.
+func launchWithReader(name string, command *exec.Cmd, logPath string, readFor time.Duration) (*program, error) {
+	output, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		return nil, err
+	}
+	defer writer.Close()
+	command.Stdout, command.Stderr = writer, writer
+	go func() {
+		defer output.Close()
+		_, _ = io.Copy(output, reader)
+	}()
+	time.AfterFunc(readFor, func() { _ = reader.Close() })
+	return start(name, command, logPath)
+}
+
+// start starts a command whose output is set up.
+func start(name string, command *exec.Cmd, logPath string) (*program, error) {
+	if err := command.Start(); err != nil {
 		return nil, err
 	}
-	started := &program{name: name, command: command, startedAt: time.Now(), ended: make(chan struct{})}
+	started := &program{name: name, command: command, startedAt: time.Now(), ended: make(chan struct{}), logPath: logPath}
 	go func() {
 		_ = command.Wait()
 		started.lifetime = time.Since(started.startedAt)
@@ -48,7 +79,22 @@
 func (program *program) pid() int { return program.command.Process.Pid }
 
 // signal sends a signal and ignores the error of a process that has ended.
-func (program *program) signal(signal syscall.Signal) { _ = program.command.Process.Signal(signal) }
+func (program *program) signal(signal syscall.Signal) {
+	if signal == syscall.SIGTERM || signal == syscall.SIGKILL {
+		program.told.Store(true)
+	}
+	_ = program.command.Process.Signal(signal)
+}
+
+// lastLines returns the end of the log, for a report.
+func (program *program) lastLines() string {
+	content, _ := os.ReadFile(program.logPath)
+	lines := strings.Split(strings.TrimSpace(string(content)), "\n")
+	return strings.Join(lines[max(0, len(lines)-reportedLines):], "\n    ")
+}
+
+// reportedLines is how many lines of a log a report quotes.
+const reportedLines = 3
 
 // hasEnded reports whether the process has ended.
 func (program *program) hasEnded() bool {
