Observability of starts: how the last life ended, what a member without a core waits for

A process with a data folder counts its starts and records the signal or error that ended it, and the runtime's report of a crash; the next life logs both. A member without a core logs the founders that it sees, whether it may found, and what it has accepted, whenever that changes.

--- a/chain/chain.go
+++ b/chain/chain.go
@@ -157,6 +157,7 @@
 	probes        probes
 	bootstrapping *bootstrapAttempt
 	coreLostSince time.Duration // -1 while the core is not lost
+	waiting       waitingFor    // as it was logged last
 
 	diskHealthy  bool
 	writeQueue   []persistJob
--- a/chain/found.go
+++ b/chain/found.go
@@ -174,6 +174,7 @@
 	}
 	replica.queryBootstrapVotes(now)
 	peers := replica.bootstrapPeers()
+	replica.logWaiting(peers)
 	if replica.view.Number == 0 && (len(peers) != replica.founderCount() || !replica.isBlankFleet()) {
 		return
 	}
@@ -190,6 +191,26 @@
 	replica.emit(contract.AddCounter{Name: "foundings_tried", Delta: 1})
 }
 
+// waitingFor describes what a member without a core waits for.
+type waitingFor struct {
+	view           int64
+	peers, of      int
+	mayBootstrap   bool
+	blankFleet     bool
+	acceptedBallot Ballot
+}
+
+// logWaiting logs what keeps this member from a bootstrap whenever that changes.
+func (replica *Replica) logWaiting(peers []contract.CoreNode) {
+	waiting := waitingFor{view: replica.view.Number, peers: len(peers), of: replica.founderCount(), mayBootstrap: replica.mayBootstrap, blankFleet: replica.isBlankFleet(), acceptedBallot: replica.bootstrapSynced}
+	if replica.waiting == waiting {
+		return
+	}
+	replica.waiting = waiting
+	replica.emit(contract.Log{Message: "no core", Attributes: []any{"view", waiting.view, "founders", waiting.peers, "of", waiting.of, "mayBootstrap", waiting.mayBootstrap,
+		"blankFleet", waiting.blankFleet, "accepted", waiting.acceptedBallot}})
+}
+
 // newestKnown returns the newest version that this member holds or was told of, or nil.
 func (replica *Replica) newestKnown() *contract.Version {
 	var newest *contract.Version
--- a/link/metrics.go
+++ b/link/metrics.go
@@ -64,6 +64,7 @@
 	"index_places_left":     "prompts reassigned after repeated cache misses",
 	"index_losses_noticed":  "servers found to have lost their whole cache",
 	"ring_full":             "events refused because the event queue was full",
+	"starts_on_folder":      "starts of this process on its data folder, this one included",
 }
 
 // metrics are a process's counters, gauges and histograms, exported in the Prometheus text format.
--- a/serve/control.go
+++ b/serve/control.go
@@ -57,9 +57,11 @@
 func runControl(settings env.Env, faultsPath string, adapter Adapter) error {
 	bootID := newBootID()
 	var recovered *chain.Recovered
+	var folder image.Folder
 	process := &controlProcess{adapter: adapter, writes: make(chan chain.Persist, diskQueueLength), readSlots: make(chan struct{}, maxConcurrentReads)}
 	if settings.Folder != "" {
-		folder, err := image.Open(settings.Folder)
+		var err error
+		folder, err = image.Open(settings.Folder)
 		if err != nil {
 			return err
 		}
@@ -72,6 +74,7 @@
 	stateMachine := control.New(settings, bootID, recovered, newRandom())
 	process.Process = newProcess(settings, stateMachine.Self(), stateMachine, admission.SinglePortBudget(settings.MemoryBytes, settings.OpenFiles), faultsPath)
 	if recovered != nil {
+		process.beginLife(folder)
 		snapshot, damaged := image.LoadIndex(process.files)
 		stateMachine.RestoreIndex(snapshot)
 		process.Loop.Count("index_snapshots_damaged", int64(damaged))
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -36,6 +36,8 @@
 	server         *http.Server
 	admitter       *admitter
 	operators      *link.OperatorAPI
+	// life records how this life of the process ends; nil without a data folder.
+	life *lifeRecorder
 }
 
 // newBootID returns a random identifier of this process start.
@@ -90,9 +92,11 @@
 	_ = process.Logger.Log("what", "started", "address", address, "version", Version)
 	select {
 	case err = <-serveErr:
-	case <-stopSignals:
+		process.endLife("serving failed: " + err.Error())
+	case signal := <-stopSignals:
 		stopBy := time.Now().Add(process.stopLimit())
-		_ = process.Logger.Log("what", "stopping")
+		_ = process.Logger.Log("what", "stopping", "signal", signal)
+		go process.endLife("signal: " + signal.String())
 		beforeShutdown()
 		shutdownCtx, cancel := context.WithDeadline(context.Background(), stopBy)
 		defer cancel()
