A process waits for an address in use instead of ending

Operators saw: the process exits 4 to 22 ms after its start, again and again; a core process that does so before the first view keeps the whole system from starting. Cause: the first error of listen was returned up to main. What fails at a start often passes (a connection of another program has the port, the former process still closes), so the start waits for it, says so once in the log, and ends cleanly at a signal. The gateway opens all its ports before it joins the fleet or accepts on any.

--- a/rig/gateway_fleet.go
+++ b/rig/gateway_fleet.go
@@ -18,7 +18,7 @@
 	Folder string
 	// Machines is the number of machines, spread over the zones. The first of each zone is a core machine and runs a control process too.
 	Machines int
-	// Span is how long traffic and signals go on.
+	// Span is how long traffic and signals go on. Without one the soak ends when all machines are ready.
 	Span time.Duration
 	// CallsPerSecond is the rate of the callers that follow the directory, all together.
 	CallsPerSecond float64
--- a/rig/gateway_soak.go
+++ b/rig/gateway_soak.go
@@ -62,6 +62,9 @@
 		fleet.fail(err)
 		return fleet.report(), nil
 	}
+	if fleet.plan.Span == 0 {
+		return fleet.report(), nil
+	}
 	fleet.plan.Log(fmt.Sprintf("%d machines ready after %v", len(fleet.machines), fleet.now().Round(time.Millisecond)))
 	calling, endCalls := context.WithCancel(context.Background())
 	defer endCalls()
--- a/serve/control.go
+++ b/serve/control.go
@@ -93,7 +93,7 @@
 			process.Mux.HandleFunc(endpoint.Pattern, process.operatorHandler(endpoint))
 		}
 	}
-	return process.run(settings.Control, func() {
+	return process.listenAndRun(settings.Control, func() {
 		process.Loop.Post(control.Leave{})
 		sleep(settings.Bounds.GossipInterval())
 	})
--- a/serve/data.go
+++ b/serve/data.go
@@ -47,7 +47,7 @@
 	process.Mux.Handle("POST /v1/chat/completions", kithttp.NewServer(process.serveCall(), process.decodeCall, encodeCall, options...))
 	process.Mux.Handle("GET /v1/lookups/{route}/{key}", kithttp.NewServer(process.serveCall(), process.decodeLookup, encodeCall, options...))
 	process.Mux.Handle("GET /v1/calls/{key}", kithttp.NewServer(process.query(), decodeOutcomeQuery, encodeAnswer, options...))
-	return process.run(settings.Data, func() { process.Loop.Post(data.Shutdown{}) })
+	return process.listenAndRun(settings.Data, func() { process.Loop.Post(data.Shutdown{}) })
 }
 
 // execute carries out a command of the state machine. It reports whether it knows the command.
--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -60,29 +61,42 @@
 	checks, lookups := http.NewServeMux(), http.NewServeMux()
 	checks.HandleFunc("GET "+ready, process.checkReady)
 	lookups.HandleFunc("GET "+lookup, process.lookup)
-	listen := func(address string, class admission.Class, server *http.Server, beforeServing func()) error {
-		listener, err := process.admitter.listen(address, class)
-		if err != nil {
-			return err
-		}
-		go func() {
-			beforeServing()
-			_ = server.Serve(listener)
-		}()
-		return nil
+	peers, err := process.listen(settings.Data, admission.Peers)
+	if err != nil {
+		return err
 	}
 	traffic := process.trafficServer()
-	if err = listen(settings.Gateway.Traffic, admission.Callers, traffic, process.awaitReady); err != nil {
-		return err
+	ports := []gatewayPort{
+		{address: settings.Gateway.Ready, class: admission.Readiness, server: setUpServer(&http.Server{Handler: admitDocuments(checks)})},
+		{address: settings.Gateway.Lookup, class: admission.Directory, server: setUpServer(&http.Server{Handler: admitDocuments(lookups)})},
+		{address: settings.Gateway.Traffic, class: admission.Callers, server: traffic, beforeServing: process.awaitReady},
 	}
-	if err = listen(settings.Gateway.Ready, admission.Readiness, setUpServer(&http.Server{Handler: admitDocuments(checks)}), func() {}); err != nil {
-		return err
+	for index := range ports {
+		if ports[index].listener, err = process.listen(ports[index].address, ports[index].class); err != nil {
+			return err
+		}
 	}
-	if err = listen(settings.Gateway.Lookup, admission.Directory, setUpServer(&http.Server{Handler: admitDocuments(lookups)}), func() {}); err != nil {
-		return err
+	for _, port := range ports {
+		go port.serve()
 	}
 	go process.closeIdleConns()
-	return process.run(settings.Data, func() { process.stopTraffic(traffic) })
+	return process.run(peers, func() { process.stopTraffic(traffic) })
+}
+
+// gatewayPort is a listening port of a gateway. beforeServing, if set, delays the accepting of connections.
+type gatewayPort struct {
+	address       string
+	class         admission.Class
+	server        *http.Server
+	listener      net.Listener
+	beforeServing func()
+}
+
+func (port gatewayPort) serve() {
+	if port.beforeServing != nil {
+		port.beforeServing()
+	}
+	_ = port.server.Serve(port.listener)
 }
 
 // handle passes an event to the traffic state machine.
--- a/serve/main.go
+++ b/serve/main.go
@@ -64,7 +64,12 @@
 	if given.Check {
 		return
 	}
-	if err = run(settings, given.Faults); err != nil {
+	exitOnError(program, run(settings, given.Faults))
+}
+
+// exitOnError ends the process if it failed. A stop before the start was complete is no failure.
+func exitOnError(program string, err error) {
+	if err != nil && !errors.Is(err, errStopped) {
 		exit(exitFailed, program+": "+err.Error())
 	}
 }
@@ -89,9 +94,7 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(heapGrowthPercent)
 	}
-	if err := run(adapter); err != nil {
-		exit(exitFailed, program+": "+err.Error())
-	}
+	exitOnError(program, run(adapter))
 }
 
 // exit prints an error and ends the process.
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"errors"
 	random "math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -61,7 +62,7 @@
 // newProcess sets up the loop, the links and the HTTP handlers of a node.
 func newProcess(settings env.Env, self contract.Member, stateMachine contract.StateMachine, budget admission.Budget, faultsPath string) *Process {
 	limitMemory(settings.MemoryBytes)
-	logger := log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "node", self.Name, "time", log.DefaultTimestampUTC)
+	logger := newLogger(self.Name)
 	process := &Process{Settings: settings, Logger: logger, stop: make(chan struct{}), Mux: http.NewServeMux()}
 	process.Faults = link.NewFaults(faultsPath, process.stop)
 	sender := link.NewSender(self, settings.Bounds.Round(), process.Faults, process.stop)
@@ -76,12 +77,23 @@
 	return process
 }
 
-// run serves until a signal comes. It then calls beforeShutdown and shuts the HTTP server down.
-func (process *Process) run(address string, beforeShutdown func()) error {
-	listener, err := process.admitter.listen(address, admission.Peers)
+// listen opens a listening socket. It waits while the address is in use or not there yet.
+func (process *Process) listen(address string, class admission.Class) (net.Listener, error) {
+	return retryStart(process.Logger, "address "+address, isPassing, func() (net.Listener, error) { return process.admitter.listen(address, class) })
+}
+
+// listenAndRun opens the listening socket of the peers' port and runs the process.
+func (process *Process) listenAndRun(address string, beforeShutdown func()) error {
+	listener, err := process.listen(address, admission.Peers)
 	if err != nil {
 		return err
 	}
+	return process.run(listener, beforeShutdown)
+}
+
+// run serves until a signal comes. It then calls beforeShutdown and shuts the HTTP server down.
+func (process *Process) run(listener net.Listener, beforeShutdown func()) error {
+	var err error
 	process.server = setUpServer(&http.Server{Handler: admitDocuments(process.Mux)})
 	go process.admitter.run(process.stop)
 	catchSignals()
@@ -89,7 +101,7 @@
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- process.server.Serve(listener) }()
 	go process.Loop.Run(process.stop)
-	_ = process.Logger.Log("what", "started", "address", address, "version", Version)
+	_ = process.Logger.Log("what", "started", "address", listener.Addr(), "version", Version)
 	select {
 	case err = <-serveErr:
 		process.endLife("serving failed: " + err.Error())
--- /dev/null
+++ b/starts/starts_test.go
@@ -0,0 +1,49 @@
+// Package starts has the tests in which fleets of real processes start under troubles of their machines that pass. They check that no process
+// ends by itself and that the system takes its first configuration.
+package starts
+
+import (
+	"os"
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/cedarreel/cedarreel/rig"
+	. "github.com/onsi/gomega"
+)
+
+// bin is the folder of the programs.
+var bin string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "starts")
+	if err != nil {
+		panic(err)
+	}
+	output, err := exec.Command("go", "build", "-o", folder, "../cmd/cedardp", "../cmd/cedarcp").CombinedOutput()
+	if err != nil {
+		panic(string(output))
+	}
+	bin = folder
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+const (
+	machines       = 6
+	callsPerSecond = 20
+)
+
+// startFleet starts a fleet under troubles and plays it for a span. Without a span it ends when all machines are ready.
+func startFleet(t *testing.T, seed uint64, troubles rig.StartTroubles, span time.Duration) {
+	t.Helper()
+	clean, err := rig.SoakGateways(rig.GatewayPlan{Bin: bin, Folder: t.TempDir(), Machines: machines, Span: span, CallsPerSecond: callsPerSecond, StayingCallers: machines,
+		Stops: 2, Seed: seed, StartTroubles: &troubles, Log: func(line string) { t.Log(line) }})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	NewWithT(t).Expect(clean).To(BeTrue(), "the soak reports a breach, a process that ended by itself, or a fleet that is not ready")
+}
+
+func TestAnAddressInUseEndsNoProcess(t *testing.T) {
+	startFleet(t, 1, rig.StartTroubles{AddressesInUse: 100}, 0)
+}
