A process outlives the reader of its output

Callers saw: connections cut at the next line that a process logs once the reader of its standard error is gone; the process ends by SIGPIPE. Cause: Go's runtime ends a process at a write to a broken pipe on descriptor 1 or 2 unless SIGPIPE is caught or ignored; catchSignals left it alone. Ignored now: the write fails and the line is lost.

--- a/serve/signals.go
+++ b/serve/signals.go
@@ -13,8 +13,10 @@
 	reloadSignals = make(chan os.Signal, 1)
 )
 
-// catchSignals treats SIGTERM and SIGINT as requests to stop, and SIGHUP as a request to reload the settings.
+// catchSignals treats SIGTERM and SIGINT as requests to stop, and SIGHUP as a request to reload the settings. SIGPIPE is ignored, since by default
+// the runtime ends a process whose standard output or error has no reader left.
 func catchSignals() {
+	signal.Ignore(syscall.SIGPIPE)
 	signal.Notify(stopSignals, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
 }
--- a/starts/starts_test.go
+++ b/starts/starts_test.go
@@ -33,6 +33,8 @@
 const (
 	machines       = 6
 	callsPerSecond = 20
+	// readersSpan is long enough for each reader to have left and for a line of the log to follow.
+	readersSpan = 6 * time.Second
 )
 
 // startFleet starts a fleet under troubles and plays it for a span. Without a span it ends when all machines are ready.
@@ -47,3 +49,7 @@
 func TestAnAddressInUseEndsNoProcess(t *testing.T) {
 	startFleet(t, 1, rig.StartTroubles{AddressesInUse: 100}, 0)
 }
+
+func TestAReaderOfTheOutputThatLeavesEndsNoProcess(t *testing.T) {
+	startFleet(t, 3, rig.StartTroubles{LeavingReaders: 100}, readersSpan)
+}
