An error of accept neither ends a process nor leaves a port deaf

Peers and operators see: the process exits (its own port) or never answers again (callers', readiness and directory ports). Cause: net/http ends Serve at any error of accept but EMFILE, ENFILE and time-outs; on Linux accept also returns errors of the connection or of a machine short of memory (ENOBUFS, ENOMEM, ENETDOWN and others). The listener now counts them and goes on until it is closed. TestErrorsOfAcceptDoNotEndServing: before, Serve ended and the client was refused; green now. Not seen on real machines by us.

--- a/link/metrics.go
+++ b/link/metrics.go
@@ -63,6 +63,7 @@
 	"index_mismatches":      "calls that found their prompt not cached on the assigned server",
 	"index_places_left":     "prompts reassigned after repeated cache misses",
 	"index_losses_noticed":  "servers found to have lost their whole cache",
+	"accepts_failed":        "failed calls of accept, after each of which the process goes on accepting",
 	"ring_full":             "events refused because the event queue was full",
 	"starts_on_folder":      "starts of this process on its data folder, this one included",
 }
--- a/serve/admission.go
+++ b/serve/admission.go
@@ -27,6 +27,8 @@
 	receiveBuffer = 64 << 10
 	// refusalTimeout bounds the writing of an answer to a client whose head was not accepted.
 	refusalTimeout = time.Second
+	// acceptRetryPause is the time before the next try after accept has failed.
+	acceptRetryPause = 10 * time.Millisecond
 	// writeStall is how long a client may take nothing of an answer before it counts as stalled.
 	writeStall = time.Second
 )
@@ -110,13 +112,19 @@
 	class    admission.Class
 }
 
-// Accept returns the next connection that is admitted, and closes those that are not.
+// Accept returns the next connection that is admitted, and closes those that are not. It fails only once the listener is closed: other errors are
+// those of a connection that is gone, or of a machine that lacks a resource for now.
 func (listener *admittedListener) Accept() (net.Conn, error) {
 	for {
 		accepted, err := listener.Listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return nil, err
 		}
+		if err != nil {
+			listener.admitter.loop.Count("accepts_failed", 1)
+			time.Sleep(acceptRetryPause)
+			continue
+		}
 		conn := listener.admitter.open(accepted.(*net.TCPConn), listener.class)
 		if conn.endedBy() == nil {
 			return conn, nil
--- a/serve/export_test.go
+++ b/serve/export_test.go
@@ -75,3 +75,10 @@
 
 // StopLimit returns how long a process with these settings may take to stop.
 func StopLimit(settings env.Env) time.Duration { return (&Process{Settings: settings}).stopLimit() }
+
+// Admit admits the connections of a listener as those of peers.
+func Admit(listener net.Listener) net.Listener {
+	settings := env.New()
+	loop := link.NewLoop(idleMachine{}, time.Hour, nil, log.NewNopLogger())
+	return newAdmitter(admission.SinglePortBudget(settings.MemoryBytes, settings.OpenFiles), settings, loop).wrap(listener, admission.Peers)
+}
