A process waits for settings that are whole, at its start and after a SIGHUP

Operators saw: a process that read its settings file while that was empty lived on for good with all defaults, on random ports, serving nobody; after a SIGHUP such a file took all seeds away until the next one. Cause: an empty or cut TOML file parses, and nothing of the platform's settings was required.

--- a/env/env.go
+++ b/env/env.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sort"
 	"strings"
 	"time"
 
@@ -236,6 +237,46 @@
 	return nil
 }
 
+// ValidateProcess returns an error that lists what the settings of one process lack, which a platform wrote, or nil. control says that it is a
+// control process. A file that is still being written lacks some of it.
+func (settings Env) ValidateProcess(control bool) error {
+	problems := []string{}
+	for _, field := range [][2]string{{"name", settings.Name}, {"zone", settings.Zone}, {"region", settings.Region}} {
+		if field[1] == "" {
+			problems = append(problems, field[0]+": is missing")
+		}
+	}
+	addresses := map[string]string{"internal address": settings.Data, "address of callers": settings.Gateway.Traffic, "address of the readiness check": settings.Gateway.Ready,
+		"address of the directory": settings.Gateway.Lookup}
+	if control {
+		addresses = map[string]string{"internal address": settings.Data, "control address": settings.Control}
+	}
+	for _, name := range manifest.SortedKeys(addresses) {
+		if !isAddress(addresses[name]) {
+			problems = append(problems, fmt.Sprintf("%s: %q is not an IP number and port", name, addresses[name]))
+		}
+	}
+	if len(settings.Seeds) == 0 {
+		problems = append(problems, "seeds: there are none")
+	}
+	for name, duration := range map[string]time.Duration{"tick": settings.Bounds.Tick(), "lease": settings.Bounds.LeaseRenewal(), "poll": settings.Bounds.PlatformPoll(), "contact": settings.Gateway.Contact} {
+		if duration <= 0 {
+			problems = append(problems, name+": the bounds leave no time for it")
+		}
+	}
+	if len(problems) > 0 {
+		sort.Strings(problems)
+		return eris.New("settings: " + strings.Join(problems, "; "))
+	}
+	return nil
+}
+
+// isAddress reports whether text is an IP number and a port.
+func isAddress(text string) bool {
+	host, port, err := net.SplitHostPort(text)
+	return err == nil && net.ParseIP(host) != nil && port != "" && port != "0"
+}
+
 // JSON writes the settings in the form that Parse reads.
 func (settings Env) JSON() []byte {
 	bounds := settings.Bounds
--- a/env/env_test.go
+++ b/env/env_test.go
@@ -53,6 +53,20 @@
 		Entry("key given twice", `{"name":"a","name":"b"}`, "key given twice"),
 	)
 
+	It("of a platform's process are not whole without a seed, an address, or time for the periods", func() {
+		whole := New(WithName("m"), WithZone("z"), WithRegion("r"), WithData("10.0.0.1:7720"), WithSeeds([]string{"10.0.0.1:8166"}))
+		whole.Gateway = Gateway{Traffic: "10.0.0.1:8161", Ready: "10.0.0.1:8167", Lookup: "10.0.0.1:8164", Contact: time.Second}
+		Expect(whole.ValidateProcess(false)).To(Succeed())
+		Expect(whole.ValidateProcess(true)).To(MatchError(ContainSubstring("control address")))
+		Expect(New().ValidateProcess(false)).To(MatchError(And(ContainSubstring("seeds: there are none"), ContainSubstring("name: is missing"))))
+		for _, change := range []func(*Env){func(settings *Env) { settings.Seeds = nil }, func(settings *Env) { settings.Data = ":0" }, func(settings *Env) { settings.Data = "10.0.0.1:0" },
+			func(settings *Env) { settings.Gateway.Ready = "" }, func(settings *Env) { settings.Gateway.Contact = 0 }, func(settings *Env) { settings.Bounds.DeliverMs = 0 }} {
+			settings := whole
+			change(&settings)
+			Expect(settings.ValidateProcess(false)).NotTo(Succeed())
+		}
+	})
+
 	It("keep the sum of the periods of a withdrawal below its bound", func() {
 		bounds := DefaultBounds()
 		cut := bounds.PlatformPoll() + bounds.PlatformPoll() + bounds.LeaseRenewal() + bounds.Lease()
--- a/serve/control.go
+++ b/serve/control.go
@@ -47,7 +47,7 @@
 
 // ControlWithAdapter runs a control-plane node that reaches its platform and its operators through an adapter.
 func ControlWithAdapter(adapter Adapter) error {
-	settings, err := adapter.Settings(contract.KindControl)
+	settings, err := awaitSettings(adapter, contract.KindControl)
 	if err != nil {
 		return err
 	}
@@ -88,7 +88,7 @@
 	process.Loop.SetExecutor(process.execute)
 	go process.writeLoop()
 	if adapter != nil {
-		process.ReloadSettings = func() (env.Env, error) { return adapter.Settings(contract.KindControl) }
+		process.ReloadSettings = func() (env.Env, error) { return readSettings(adapter, contract.KindControl) }
 		for _, endpoint := range adapter.OperatorEndpoints() {
 			process.Mux.HandleFunc(endpoint.Pattern, process.operatorHandler(endpoint))
 		}
--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -45,7 +45,7 @@
 
 // Gateway runs a data-plane node (cedardp) that proxies opaque calls in the protocol of an adapter, until a signal stops it.
 func Gateway(adapter Adapter) error {
-	settings, err := adapter.Settings(contract.KindData)
+	settings, err := awaitSettings(adapter, contract.KindData)
 	if err != nil {
 		return err
 	}
@@ -56,7 +56,7 @@
 	node := gateway.NewNode(settings, newBootID(), process, random)
 	process.Process = newProcess(settings, node.Self(), node, admission.GatewayBudget(settings.MemoryBytes, settings.OpenFiles), "")
 	process.Loop.SetExecutor(process.execute)
-	process.ReloadSettings = func() (env.Env, error) { return adapter.Settings(contract.KindData) }
+	process.ReloadSettings = func() (env.Env, error) { return readSettings(adapter, contract.KindData) }
 	ready, lookup := adapter.Paths()
 	checks, lookups := http.NewServeMux(), http.NewServeMux()
 	checks.HandleFunc("GET "+ready, process.checkReady)
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -144,10 +144,9 @@
 			if process.ReloadSettings == nil {
 				continue
 			}
-			settings, err := process.ReloadSettings()
-			if err != nil {
-				_ = process.Logger.Log("what", "settings not reloaded", "why", err.Error())
-				continue
+			settings, whole := process.reloadSettings()
+			if !whole {
+				return
 			}
 			process.Loop.Post(neighbour.Seeds{Addresses: settings.Seeds})
 			_ = process.Logger.Log("what", "settings reloaded", "seeds", len(settings.Seeds))
--- /dev/null
+++ b/serve/settings.go
@@ -0,0 +1,58 @@
+package serve
+
+import (
+	"errors"
+	"reflect"
+	"time"
+
+	"github.com/cedarreel/cedarreel/contract"
+	"github.com/cedarreel/cedarreel/env"
+)
+
+// settingsSettleTime is the time between the two reads of settings that have to agree, since their file may be written meanwhile.
+const settingsSettleTime = 10 * time.Millisecond
+
+var errSettingsChange = errors.New("settings change while they are read")
+
+// readSettings reads settings that are whole from a platform's file.
+func readSettings(adapter Adapter, kind string) (env.Env, error) {
+	settings, err := adapter.Settings(kind)
+	if err != nil {
+		return settings, err
+	}
+	time.Sleep(settingsSettleTime)
+	again, err := adapter.Settings(kind)
+	if err != nil {
+		return again, err
+	}
+	if !reflect.DeepEqual(settings, again) {
+		return again, errSettingsChange
+	}
+	return again, again.ValidateProcess(kind == contract.KindControl)
+}
+
+// awaitSettings reads the settings of a process that starts, and waits until they are whole.
+func awaitSettings(adapter Adapter, kind string) (env.Env, error) {
+	retryAlways := func(error) bool { return true }
+	return retryStart(newLogger(""), "settings", retryAlways, func() (env.Env, error) { return readSettings(adapter, kind) })
+}
+
+// reloadSettings reads the settings again after a SIGHUP, and tries again while they are not whole, until the process stops.
+func (process *Process) reloadSettings() (env.Env, bool) {
+	reason := ""
+	for {
+		settings, err := process.ReloadSettings()
+		if err == nil {
+			return settings, true
+		}
+		if err.Error() != reason {
+			reason = err.Error()
+			_ = process.Logger.Log("what", "settings not reloaded", "why", reason)
+		}
+		select {
+		case <-process.stop:
+			return settings, false
+		case <-time.After(startRetryPause):
+		}
+	}
+}
--- a/starts/starts_test.go
+++ b/starts/starts_test.go
@@ -53,3 +53,7 @@
 func TestAReaderOfTheOutputThatLeavesEndsNoProcess(t *testing.T) {
 	startFleet(t, 3, rig.StartTroubles{LeavingReaders: 100}, readersSpan)
 }
+
+func TestSettingsThatAreEmptyAtFirstAreAwaited(t *testing.T) {
+	startFleet(t, 2, rig.StartTroubles{LateSettings: 100}, 0)
+}
