A majority of the founders founds the first view; one that lost its first life joins

Operators saw: all processes live, no configuration is ever taken, when one of three core processes ends before it has written to its folder, or loses its disk before the first view, and comes back with bootstrap = false. Cause: the founding wanted the promise and the vote of every founder in its first life. Where founders are set, a majority of them now decides by single-decree Paxos: promises are synced before they are told, the value of the highest accepted ballot is proposed again, votes learned after a restart are for one ballot, and a founder without the folder of its first start has no vote and joins. Founders are those of the first start. A core process writes its first record before it listens. A single founder founds.

--- a/chain/chain.go
+++ b/chain/chain.go
@@ -156,8 +156,10 @@
 	lastHeartbeat time.Duration
 	probes        probes
 	bootstrapping *bootstrapAttempt
-	coreLostSince time.Duration // -1 while the core is not lost
-	waiting       waitingFor    // as it was logged last
+	// bootstrapsGivenUp counts attempts of this member that took too long.
+	bootstrapsGivenUp int
+	coreLostSince     time.Duration // -1 while the core is not lost
+	waiting           waitingFor    // as it was logged last
 
 	diskHealthy  bool
 	writeQueue   []persistJob
@@ -187,10 +189,13 @@
 	commands      []contract.Command // output of the current event
 	selfMessages  []contract.Message // messages to this member, handled at the end of the event
 	mayBootstrap  bool
+	recorded      bool // the folder had a member record at the start
 	// recordedMayBootstrap is mayBootstrap as recorded in the folder by the first start.
 	recordedMayBootstrap bool
-	founders             []string
-	markedCommit         contract.Position // the committed position last written to the folder
+	// founders are those that were set. recordedFounders are those of the first start, which hold as long as this member has no view.
+	founders         []string
+	recordedFounders []string
+	markedCommit     contract.Position // the committed position last written to the folder
 }
 
 // New returns the state machine of a member. The member keeps the identity recorded in its data folder; self supplies one for a new folder.
@@ -203,16 +208,6 @@
 	return replica
 }
 
-// SetFounders sets the addresses of the core machines that bootstrap a blank fleet. Other machines join the view that these agree on, until
-// the core has its intended size.
-func (replica *Replica) SetFounders(addresses []string) { replica.founders = addresses }
-
-// AllowBootstrap sets whether this start may bootstrap a blank fleet. A member that was allowed to at its first start stays allowed until it
-// has a view. A member that replaces another one or has lost its disk must not be allowed to: it only joins.
-func (replica *Replica) AllowBootstrap(may bool) {
-	replica.mayBootstrap = may || replica.recordedMayBootstrap
-}
-
 // Self returns this member with the identity of its data folder.
 func (replica *Replica) Self() contract.CoreNode { return replica.self }
 
@@ -322,9 +317,9 @@
 	case MessageViewCheckReply:
 		decodeMessage(replica, message, func(reply ViewCheck) { replica.handleViewCheckReply(reply) })
 	case MessageBootstrapPrepare:
-		decodeMessage(replica, message, func(request BootstrapPrepare) { replica.handleBootstrapPrepare(request) })
+		decodeMessage(replica, message, func(request BootstrapPrepare) { replica.handleBootstrapPrepare(now, request) })
 	case MessageBootstrapPromise:
-		decodeMessage(replica, message, func(promise BootstrapPromise) { replica.handleBootstrapPromise(now, promise) })
+		decodeMessage(replica, message, func(promise BootstrapPromise) { replica.handleBootstrapPromise(promise) })
 	case MessageBootstrapAccept:
 		decodeMessage(replica, message, func(proposal BootstrapProposal) { replica.handleBootstrapAccept(now, proposal) })
 	case MessageBootstrapCommit:
--- a/chain/found.go
+++ b/chain/found.go
@@ -166,24 +166,20 @@
 		replica.coreLostSince = now
 	}
 	if replica.bootstrapping != nil {
-		if now-replica.bootstrapping.started > replica.bounds.Round()*2 {
-			replica.bootstrapping = nil
-			replica.retryAt = now + time.Duration(replica.random.Int64N(int64(replica.bounds.Round())))
-		}
+		replica.advanceBootstrap(now)
 		return
 	}
 	replica.queryBootstrapVotes(now)
 	peers := replica.bootstrapPeers()
 	replica.logWaiting(peers)
-	if replica.view.Number == 0 && (len(peers) != replica.founderCount() || !replica.isBlankFleet()) {
-		return
+	mayStart := replica.mayRebuild
+	if replica.foundsByMajority() {
+		mayStart = replica.mayFound
 	}
-	waited := now - replica.coreLostSince
-	if len(peers) < 2 || waited < replica.bounds.Round() || now-replica.startedAt < replica.bounds.Lease() || now < replica.retryAt || peers[0].Identity() != replica.self.Identity() {
+	if now < replica.retryAt || !mayStart(now, peers) {
 		return
 	}
-	replica.bootstrapPromised.Round++
-	ballot := Ballot{Number: replica.view.Number + 1, Round: replica.bootstrapPromised.Round, Proposer: replica.proposer()}
+	ballot := Ballot{Number: replica.view.Number + 1, Round: replica.bootstrapPromised.Round + 1, Proposer: replica.proposer()}
 	replica.bootstrapping = &bootstrapAttempt{ballot: ballot, started: now, peers: peers, promises: map[string]BootstrapPromise{}, votes: map[string]bool{}}
 	for _, node := range peers {
 		replica.send(node, MessageBootstrapPrepare, BootstrapPrepare{Ballot: ballot, Node: replica.self})
@@ -191,24 +187,24 @@
 	replica.emit(contract.AddCounter{Name: "foundings_tried", Delta: 1})
 }
 
-// waitingFor describes what a member without a core waits for.
-type waitingFor struct {
-	view           int64
-	peers, of      int
-	mayBootstrap   bool
-	blankFleet     bool
-	acceptedBallot Ballot
+// mayRebuild reports whether this member is the one that starts an attempt to which all peers have to agree.
+func (replica *Replica) mayRebuild(now time.Duration, peers []contract.CoreNode) bool {
+	if replica.view.Number == 0 && (len(peers) != replica.founderCount() || !replica.isBlankFleet()) {
+		return false
+	}
+	return len(peers) >= 2 && now-replica.coreLostSince >= replica.bounds.Round() && now-replica.startedAt >= replica.bounds.Lease() && peers[0].Identity() == replica.self.Identity()
 }
 
-// logWaiting logs what keeps this member from a bootstrap whenever that changes.
-func (replica *Replica) logWaiting(peers []contract.CoreNode) {
-	waiting := waitingFor{view: replica.view.Number, peers: len(peers), of: replica.founderCount(), mayBootstrap: replica.mayBootstrap, blankFleet: replica.isBlankFleet(), acceptedBallot: replica.bootstrapSynced}
-	if replica.waiting == waiting {
-		return
+// advanceBootstrap proposes a view once enough peers have promised, and gives up an attempt that takes too long.
+func (replica *Replica) advanceBootstrap(now time.Duration) {
+	attempt := replica.bootstrapping
+	if age := now - attempt.started; age > replica.bootstrapLimit() {
+		replica.bootstrapping = nil
+		replica.bootstrapsGivenUp++
+		replica.retryAt = now + time.Duration(replica.random.Int64N(int64(replica.bounds.Round())))
+	} else if attempt.proposal == nil && age > replica.bounds.Round() && len(attempt.promises) >= replica.bootstrapQuorum(attempt) {
+		replica.proposeBootstrap()
 	}
-	replica.waiting = waiting
-	replica.emit(contract.Log{Message: "no core", Attributes: []any{"view", waiting.view, "founders", waiting.peers, "of", waiting.of, "mayBootstrap", waiting.mayBootstrap,
-		"blankFleet", waiting.blankFleet, "accepted", waiting.acceptedBallot}})
 }
 
 // newestKnown returns the newest version that this member holds or was told of, or nil.
@@ -229,19 +225,24 @@
 	return newest
 }
 
-func (replica *Replica) handleBootstrapPrepare(request BootstrapPrepare) {
+func (replica *Replica) handleBootstrapPrepare(now time.Duration, request BootstrapPrepare) {
 	promise := BootstrapPromise{Ballot: request.Ballot, Node: replica.self, View: replica.view.Number, Blank: replica.isBlankFleet(), Newest: replica.newestKnown(), Accepted: replica.bootstrapAccepted}
-	if !replica.coreLost() || request.Ballot.Number != replica.view.Number+1 || request.Ballot.Before(replica.bootstrapPromised) {
+	amnesiac := replica.foundsByMajority() && !promise.Blank
+	if amnesiac || !replica.coreLost() || request.Ballot.Number != replica.view.Number+1 || request.Ballot.Before(replica.bootstrapPromised) {
 		promise.RejectedBy = replica.bootstrapPromised
-	} else {
-		replica.bootstrapPromised, replica.sealed, promise.Granted = request.Ballot, replica.view.Number > 0, replica.diskHealthy
+		replica.send(request.Node, MessageBootstrapPromise, promise)
+		return
+	}
+	replica.bootstrapPromised, replica.sealed, promise.Granted = request.Ballot, replica.view.Number > 0, replica.diskHealthy
+	if !replica.foundsByMajority() {
+		replica.send(request.Node, MessageBootstrapPromise, promise)
+		return
 	}
-	replica.send(request.Node, MessageBootstrapPromise, promise)
+	replica.persist(now, persistJob{record: true, onSynced: func(time.Duration) { replica.send(request.Node, MessageBootstrapPromise, promise) }})
 }
 
-// handleBootstrapPromise collects promises. Once all peers have promised, it proposes a view with the newest snapshot, or the view that a peer
-// has already accepted for the same core.
-func (replica *Replica) handleBootstrapPromise(now time.Duration, promise BootstrapPromise) {
+// handleBootstrapPromise collects promises, and proposes a view once all peers have promised.
+func (replica *Replica) handleBootstrapPromise(promise BootstrapPromise) {
 	attempt := replica.bootstrapping
 	if attempt == nil || attempt.ballot != promise.Ballot || attempt.proposal != nil {
 		return
@@ -254,25 +255,45 @@
 		return
 	}
 	attempt.promises[promise.Node.Identity()] = promise
-	if len(attempt.promises) < len(attempt.peers) {
-		return
+	if len(attempt.promises) == len(attempt.peers) {
+		replica.proposeBootstrap()
 	}
+}
+
+// proposeBootstrap proposes a view of the peers that have promised, with the newest snapshot, or the view that peers have accepted before.
+func (replica *Replica) proposeBootstrap() {
+	attempt := replica.bootstrapping
 	proposal := BootstrapProposal{Ballot: attempt.ballot, Node: replica.self, View: contract.View{Number: attempt.ballot.Number}}
 	if replica.view.Number > 0 {
 		proposal.View.Number += rebuiltViewGap
 	}
 	for _, node := range attempt.peers {
-		other := attempt.promises[node.Identity()]
-		if replica.view.Number == 0 && !other.Blank {
+		promise, promised := attempt.promises[node.Identity()]
+		if !promised {
+			continue
+		}
+		if replica.view.Number == 0 && !promise.Blank {
 			return
 		}
-		if other.Newest != nil && (proposal.Snapshot == nil || proposal.Snapshot.Position.Before(other.Newest.Position)) {
-			proposal.Snapshot = other.Newest
+		if promise.Newest != nil && (proposal.Snapshot == nil || proposal.Snapshot.Position.Before(promise.Newest.Position)) {
+			proposal.Snapshot = promise.Newest
 		}
 		proposal.View.Core = append(proposal.View.Core, node)
 		proposal.View.Chain = append(proposal.View.Chain, node.Identity())
 	}
 	proposal.View.Holders = proposal.View.Chain
+	replica.keepAbsentMembers(attempt, &proposal)
+	if accepted := replica.proposalToRepeat(attempt, proposal); accepted != nil {
+		proposal.View, proposal.Snapshot = accepted.View, accepted.Snapshot
+	}
+	attempt.proposal = &proposal
+	for _, node := range attempt.peers {
+		replica.send(node, MessageBootstrapAccept, proposal)
+	}
+}
+
+// keepAbsentMembers adds members of the old core that are not among the peers, up to the intended size.
+func (replica *Replica) keepAbsentMembers(attempt *bootstrapAttempt, proposal *BootstrapProposal) {
 	for _, node := range replica.view.Core {
 		alive := len(proposal.View.Core) >= replica.coreSize
 		for _, peer := range attempt.peers {
@@ -282,16 +303,6 @@
 			proposal.View.Core = append(proposal.View.Core, node)
 		}
 	}
-	for _, node := range attempt.peers {
-		accepted := attempt.promises[node.Identity()].Accepted
-		if accepted != nil && accepted.Ballot.Number == attempt.ballot.Number && sameCore(accepted.View, proposal.View) {
-			proposal.View, proposal.Snapshot = accepted.View, accepted.Snapshot
-		}
-	}
-	attempt.proposal = &proposal
-	for _, node := range attempt.peers {
-		replica.send(node, MessageBootstrapAccept, proposal)
-	}
 }
 
 // rebuiltViewGap is added to the number of a view that replaces a lost core, so that it exceeds those that the lost core may have decided.
@@ -311,10 +322,10 @@
 
 // handleBootstrapAccept accepts a proposal and tells the proposer once the proposal and its snapshot are synced.
 func (replica *Replica) handleBootstrapAccept(now time.Duration, proposal BootstrapProposal) {
-	if !replica.coreLost() || proposal.Ballot.Number != replica.view.Number+1 || proposal.Ballot.Before(replica.bootstrapPromised) {
+	if !replica.coreLost() || proposal.Ballot.Number != replica.view.Number+1 || proposal.Ballot.Before(replica.bootstrapPromised) || replica.foundsByMajority() && !replica.mayBootstrap {
 		return
 	}
-	replica.bootstrapPromised, replica.bootstrapAccepted = proposal.Ballot, &proposal
+	replica.bootstrapPromised, replica.bootstrapAccepted, replica.bootstrapVotes = proposal.Ballot, &proposal, map[string]bool{}
 	job := persistJob{record: true}
 	if proposal.Snapshot != nil {
 		job.versions = []contract.Version{*proposal.Snapshot}
@@ -326,14 +337,14 @@
 	replica.persist(now, job)
 }
 
-// handleBootstrapAccepted counts votes. The view is decided once all peers have accepted it.
+// handleBootstrapAccepted counts votes. The view is decided once all who have to agree have accepted it.
 func (replica *Replica) handleBootstrapAccepted(now time.Duration, accepted Accepted) {
 	attempt := replica.bootstrapping
 	if attempt == nil || attempt.proposal == nil || attempt.ballot != accepted.Ballot {
 		return
 	}
 	attempt.votes[accepted.Node.Identity()] = true
-	if len(attempt.votes) < len(attempt.peers) {
+	if len(attempt.votes) < replica.bootstrapQuorum(attempt) {
 		return
 	}
 	peers, proposal := attempt.peers, *attempt.proposal
--- a/chain/found_test.go
+++ b/chain/found_test.go
@@ -25,12 +25,13 @@
 }
 
 // runCore runs core machines that see each other for a span of time, and returns them and the values of the counters.
-func runCore(mayBootstrap []bool, recovered []Recovered, span time.Duration) ([]*Replica, map[string]int64) {
+func runCore(mayBootstrap []bool, recovered []Recovered, span time.Duration, founders ...string) ([]*Replica, map[string]int64) {
 	bounds, replicas, members, counts := env.DefaultBounds(), []*Replica{}, []contract.Member{}, map[string]int64{}
 	for index := range mayBootstrap {
 		self := contract.CoreNode{Name: fmt.Sprintf("m%d-control", index), ID: "boot", Address: fmt.Sprint("address", index)}
 		replica := New(self, "start", len(mayBootstrap), bounds, recovered[index], rand.New(rand.NewPCG(uint64(index), 1)))
 		replica.AllowBootstrap(mayBootstrap[index])
+		replica.SetFounders(founders)
 		replicas = append(replicas, replica)
 		members = append(members, contract.Member{Name: self.Name, Boot: self.ID, CoreID: self.ID, Kind: contract.KindControl, Core: true, Address: self.Address})
 	}
@@ -104,4 +105,47 @@
 		}
 		Expect(counts).NotTo(HaveKey("foundings"))
 	})
+
+	founders := []string{"address0", "address1", "address2"}
+
+	for joiner := range 3 {
+		It(fmt.Sprintf("given set founders of which machine %d may not bootstrap, when the others may, then they bootstrap and it joins", joiner), func() {
+			mayBootstrap := []bool{true, true, true}
+			mayBootstrap[joiner] = false
+			replicas, _ := runCore(mayBootstrap, blank, 12*time.Second, founders...)
+			for _, replica := range replicas {
+				Expect(replica.View().Core).To(HaveLen(3))
+				Expect(replica.View()).To(Equal(replicas[0].View()))
+			}
+		})
+
+		It(fmt.Sprintf("given set founders of which machine %d alone may bootstrap, when it sees the others, then no view is created", joiner), func() {
+			mayBootstrap := []bool{false, false, false}
+			mayBootstrap[joiner] = true
+			replicas, counts := runCore(mayBootstrap, blank, 5*time.Minute, founders...)
+			for _, replica := range replicas {
+				Expect(replica.View().Number).To(BeZero())
+			}
+			Expect(counts).NotTo(HaveKey("foundings"))
+		})
+	}
+
+	It("given a single founder, when it starts, then it bootstraps", func() {
+		replicas, _ := runCore([]bool{true}, blank[:1], 12*time.Second, "address0")
+		Expect(replicas[0].View().Number).To(Equal(int64(1)))
+	})
+
+	It("given two of three set founders, when the third never comes, then they bootstrap", func() {
+		replicas, _ := runCore([]bool{true, true}, blank[:2], 12*time.Second, founders...)
+		for _, replica := range replicas {
+			Expect(replica.View().Core).To(HaveLen(2))
+		}
+	})
+
+	It("given a founder that was started first with other founders, when it starts again, then it keeps those", func() {
+		recovered := Recovered{Member: MemberRecord{ID: "first", Bootstrap: true, Founders: founders}}
+		replica := New(contract.CoreNode{Name: "m0-control", ID: "boot", Address: "address0"}, "start", 3, env.DefaultBounds(), recovered, rand.New(rand.NewPCG(1, 1)))
+		replica.SetFounders([]string{"address0", "elsewhere"})
+		Expect(replica.founders).To(Equal(founders))
+	})
 })
--- a/chain/founded.go
+++ b/chain/founded.go
@@ -9,15 +9,17 @@
 // BootstrapVoteQuery asks a member which bootstrap proposal it has synced. BootstrapVote answers with the view of the proposal.
 //
 // Members that restart after all of them accepted a first view, but before any of them recorded it as decided, would otherwise wait forever.
-// A majority that still holds the same vote suffices: a different first view would need the vote of each of these members.
+// A majority that still holds the same vote suffices: a different first view would need the vote of each of these members. Where a majority of
+// the founders decides, the votes have to be for one ballot.
 type BootstrapVoteQuery struct {
 	Node contract.CoreNode `json:"node"`
 }
 
 // BootstrapVote answers a BootstrapVoteQuery.
 type BootstrapVote struct {
-	Node contract.CoreNode `json:"node"`
-	View contract.View     `json:"view"`
+	Node   contract.CoreNode `json:"node"`
+	View   contract.View     `json:"view"`
+	Ballot Ballot            `json:"ballot"`
 }
 
 // queryBootstrapVotes asks the peers for their votes if this member has accepted a proposal and does not know whether it was decided.
@@ -44,7 +46,7 @@
 		return
 	}
 	if accepted := replica.syncedBootstrap(); accepted != nil {
-		replica.send(request.Node, MessageBootstrapVote, BootstrapVote{Node: replica.self, View: accepted.View})
+		replica.send(request.Node, MessageBootstrapVote, BootstrapVote{Node: replica.self, View: accepted.View, Ballot: accepted.Ballot})
 	}
 }
 
@@ -53,8 +55,15 @@
 	if accepted == nil || vote.View.Number != accepted.View.Number || !sameCore(vote.View, accepted.View) {
 		return
 	}
+	quorum := accepted.View.Majority()
+	if replica.foundsByMajority() {
+		if vote.Ballot != accepted.Ballot {
+			return
+		}
+		quorum = len(replica.founders)/2 + 1
+	}
 	replica.bootstrapVotes[vote.Node.Identity()] = true
-	if len(replica.bootstrapVotes) >= accepted.View.Majority() {
+	if len(replica.bootstrapVotes) >= quorum {
 		replica.installBootstrap(now, *accepted)
 	}
 }
--- a/chain/persist.go
+++ b/chain/persist.go
@@ -17,6 +17,10 @@
 	Accepted  *Proposal     `json:"accepted,omitempty"`
 	// Bootstrapping is the bootstrap proposal that this member accepted, until it has a view.
 	Bootstrapping *BootstrapProposal `json:"founding,omitempty"`
+	// BootstrapPromised is the highest ballot for a first view that this member has promised, and Founders are those of its first start. Both hold
+	// until it has a view.
+	BootstrapPromised Ballot   `json:"foundingPromised,omitzero"`
+	Founders          []string `json:"founders,omitempty"`
 }
 
 // persistJob is a queued update of the data folder. onSynced is called once it is synced.
@@ -41,16 +45,20 @@
 		}
 	}
 	record := recovered.Member
-	if record.ID == "" {
+	replica.recorded = record.ID != ""
+	if !replica.recorded {
 		record = MemberRecord{ID: replica.self.ID}
 	}
-	replica.self.ID, replica.recordedMayBootstrap = record.ID, record.Bootstrap
+	replica.self.ID, replica.recordedMayBootstrap, replica.recordedFounders = record.ID, record.Bootstrap, record.Founders
 	replica.view, replica.promised, replica.accepted = record.View, record.Promised, record.Accepted
 	replica.sealed = replica.promised.Round > 0
 	if attempt := record.Bootstrapping; attempt != nil && attempt.View.Number > replica.view.Number {
-		replica.bootstrapAccepted, replica.bootstrapSynced = attempt, attempt.Ballot
+		replica.bootstrapAccepted, replica.bootstrapSynced, replica.bootstrapPromised = attempt, attempt.Ballot, attempt.Ballot
 	}
 	if replica.view.Number == 0 {
+		if replica.bootstrapPromised.Before(record.BootstrapPromised) {
+			replica.bootstrapPromised = record.BootstrapPromised
+		}
 		replica.salvaged = newest
 		return
 	}
@@ -159,8 +167,19 @@
 	if !wanted {
 		return nil
 	}
-	return &MemberRecord{ID: replica.self.ID, Bootstrap: replica.mayBootstrap && replica.view.Number == 0, View: replica.view, Promised: replica.promised,
-		Accepted: replica.accepted, Bootstrapping: replica.bootstrapAccepted}
+	record := &MemberRecord{ID: replica.self.ID, View: replica.view, Promised: replica.promised, Accepted: replica.accepted, Bootstrapping: replica.bootstrapAccepted}
+	if replica.mayBootstrap && replica.view.Number == 0 {
+		record.Bootstrap, record.Founders, record.BootstrapPromised = true, replica.founders, replica.bootstrapPromised
+	}
+	return record
+}
+
+// FirstRecord returns the record of a member whose folder has none yet, and false if it has one.
+func (replica *Replica) FirstRecord() (MemberRecord, bool) {
+	if replica.recorded {
+		return MemberRecord{}, false
+	}
+	return *replica.currentRecord(true), true
 }
 
 func (replica *Replica) currentPastOperations(wanted bool) *[]contract.PastOperation {
--- a/modelcheck/cluster.go
+++ b/modelcheck/cluster.go
@@ -72,13 +72,19 @@
 	steps         int
 	newestVersion contract.Version
 	newestView    contract.View
+	// founders are the names of the members that found the first view; empty if all members do. lost are those of them that a walk of the
+	// founding has taken out of their first life.
+	founders []string
+	lost     map[string]bool
 	// deterministicGossip makes members learn the newest view and version at every tick instead of at random, for the systematic search.
 	deterministicGossip bool
 }
 
 // New returns a cluster of size members that start with empty disks. The seed determines all random draws.
-func New(seed uint64, size int, fault Fault) *Cluster {
-	cluster := &Cluster{seed: seed, size: size, random: rand.New(rand.NewPCG(seed, 7)), bounds: env.DefaultBounds(), blockedLinks: map[[2]string]bool{}, checker: newChecker(), fault: fault}
+func New(seed uint64, size int, fault Fault) *Cluster { return newCluster(seed, size, fault, nil) }
+
+func newCluster(seed uint64, size int, fault Fault, founders []string) *Cluster {
+	cluster := &Cluster{founders: founders, lost: map[string]bool{}, seed: seed, size: size, random: rand.New(rand.NewPCG(seed, 7)), bounds: env.DefaultBounds(), blockedLinks: map[[2]string]bool{}, checker: newChecker(), fault: fault}
 	for number := range size {
 		cluster.members = append(cluster.members, &member{name: fmt.Sprintf("m%d", number), disk: newDisk()})
 		cluster.members[number].disk.ignoresRemove = fault == FaultStaleVersionKept
@@ -97,6 +103,9 @@
 	if cluster.fault == FaultPromiseForgotten {
 		recovered.Member.Promised, recovered.Member.Accepted = chain.Ballot{}, nil
 	}
+	if cluster.fault == FaultFounderForgets {
+		recovered.Member.BootstrapPromised, recovered.Member.Bootstrapping = chain.Ballot{}, nil
+	}
 	member.incarnation++
 	start := fmt.Sprintf("s%d", member.incarnation)
 	if cluster.fault == FaultSameIncarnation {
@@ -105,7 +114,8 @@
 	random := rand.New(rand.NewPCG(cluster.seed, uint64(member.incarnation)<<8|uint64(len(member.name))))
 	self := contract.CoreNode{Name: member.name, ID: start, Address: member.name}
 	member.replica = chain.New(self, start, cluster.size, cluster.bounds, recovered, random)
-	member.replica.AllowBootstrap(bootstrap)
+	member.replica.AllowBootstrap(bootstrap || cluster.fault == FaultAmnesiacFounds)
+	member.replica.SetFounders(cluster.founders)
 	member.pendingWrite, member.unacknowledged, member.reads, member.misjudged = nil, map[string]bool{}, map[int64]*pendingRead{}, map[string]bool{}
 	if cluster.fault != FaultSameIncarnation {
 		member.lastToken = int64(member.incarnation) * 1000
--- a/modelcheck/fault.go
+++ b/modelcheck/fault.go
@@ -25,12 +25,15 @@
 	FaultStaleVersionKept      Fault = "a version that was left behind stays in the folder"
 	FaultSameIncarnation       Fault = "a start can't be told from the one before it"
 	FaultPromiseForgotten      Fault = "a member that starts again has forgotten its promise and its vote"
+	FaultFounderForgets        Fault = "a founder that starts again has forgotten its promise and its vote"
+	FaultAmnesiacFounds        Fault = "a founder that lost its disk votes again"
 )
 
 // Faults returns all faults that can be planted.
 func Faults() []Fault {
 	return []Fault{FaultVoteNotSynced, FaultVersionNotSynced, FaultReadWithoutQuorum, FaultAcknowledgedByHead, FaultStaleViewConfirmed, FaultJoinedBeforeCaughtUp,
-		FaultIdentityKeptAfterWipe, FaultVoteCountedTwice, FaultNoLogMatching, FaultStaleVersionKept, FaultSameIncarnation, FaultPromiseForgotten}
+		FaultIdentityKeptAfterWipe, FaultVoteCountedTwice, FaultNoLogMatching, FaultStaleVersionKept, FaultSameIncarnation, FaultPromiseForgotten,
+		FaultFounderForgets, FaultAmnesiacFounds}
 }
 
 // rewrite alters a message that a member sends, for the faults that show in messages; other messages pass unchanged.
--- a/serve/control.go
+++ b/serve/control.go
@@ -84,6 +84,12 @@
 			_ = process.Logger.Log("what", "damaged file set aside", "error", err)
 		}
 	}
+	if record, isNew := stateMachine.FirstRecord(); isNew {
+		// A first life that ends before this is written has no part in the founding of the fleet.
+		if err := image.Save(process.files, chain.Persist{Member: &record}); err != nil {
+			_ = process.Logger.Log("what", "first record not written", "why", err)
+		}
+	}
 	process.client = &http.Client{Timeout: settings.Bounds.PlatformPoll(), CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	process.Loop.SetExecutor(process.execute)
 	go process.writeLoop()
--- a/starts/starts_test.go
+++ b/starts/starts_test.go
@@ -33,6 +33,8 @@
 const (
 	machines       = 6
 	callsPerSecond = 20
+	// soakSpan is how long signals and changes go on in the soak.
+	soakSpan = 15 * time.Second
 	// readersSpan is long enough for each reader to have left and for a line of the log to follow.
 	readersSpan = 6 * time.Second
 )
@@ -57,3 +59,19 @@
 func TestSettingsThatAreEmptyAtFirstAreAwaited(t *testing.T) {
 	startFleet(t, 2, rig.StartTroubles{LateSettings: 100}, 0)
 }
+
+func TestAFounderKilledAtOnceDoesNotKeepTheSystemFromStarting(t *testing.T) {
+	startFleet(t, 4, rig.StartTroubles{CoreKills: 1, KillWithin: time.Millisecond}, 0)
+}
+
+func TestAFounderKilledInSeriesDoesNotKeepTheSystemFromStarting(t *testing.T) {
+	startFleet(t, 5, rig.StartTroubles{CoreKills: 3, KillWithin: time.Second}, 0)
+}
+
+func TestAFounderThatLosesItsDiskDoesNotKeepTheSystemFromStarting(t *testing.T) {
+	startFleet(t, 6, rig.StartTroubles{CoreKills: 1, LoseDisk: true, KillWithin: time.Second}, 0)
+}
+
+func TestSoakOfStarts(t *testing.T) {
+	startFleet(t, 7, rig.StartTroubles{AddressesInUse: 20, LateSettings: 10, LeavingReaders: 30, CoreKills: 2, LoseDisk: true, KillWithin: time.Second}, soakSpan)
+}
