A file that can't be read for now is not taken for a damaged one

Operators see: a core machine that starts while it is short of descriptors, or whose disk fails a read, sets its member record aside and comes back as a new member that has forgotten its votes. Cause: image.Load took each error of a read for damage. An error of the machine that passes is now returned, and the start waits for it; the list of such errors is in oserr. The test in image failed before: no error, and the record was renamed.

--- a/image/image.go
+++ b/image/image.go
@@ -15,6 +15,7 @@
 	"github.com/cedarreel/cedarreel/chain"
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/document"
+	"github.com/cedarreel/cedarreel/oserr"
 	"github.com/rotisserie/eris"
 )
 
@@ -127,7 +128,7 @@
 }
 
 // Load reads the content of a data folder. A file that does not match its digest or name, or is a delta to a version that is missing, is set
-// aside under another name and listed in Recovered.Damaged with the reason. The folder is synced before its content is relied on, since a
+// aside under another name and listed in Recovered.Damaged with the reason. One that the machine can't read for now is an error. The folder is synced before its content is relied on, since a
 // process that was killed may have renamed files without syncing the folder.
 func Load(files Files) (chain.Recovered, error) {
 	recovered := chain.Recovered{}
@@ -142,7 +143,11 @@
 			_ = files.Remove(name)
 			continue
 		}
-		if err := loadFile(files, name, &recovered); err != nil {
+		err := loadFile(files, name, &recovered)
+		if oserr.IsPassing(err) {
+			return chain.Recovered{}, eris.Wrap(err, "file not read")
+		}
+		if err != nil {
 			recovered.Damaged = append(recovered.Damaged, name+": "+err.Error())
 			_ = files.Rename(name, name+damagedSuffix)
 		}
--- a/image/image_test.go
+++ b/image/image_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"github.com/cedarreel/cedarreel/chain"
@@ -134,3 +135,28 @@
 		Expect(names).To(HaveLen(2))
 	})
 })
+
+// unreadable fails the reads of one file.
+type unreadable struct {
+	Folder
+	name string
+	err  error
+}
+
+func (files unreadable) Read(name string) ([]byte, error) {
+	if name == files.name {
+		return nil, &os.PathError{Op: "read", Path: name, Err: files.err}
+	}
+	return files.Folder.Read(name)
+}
+
+var _ = It("a file that can't be read for now is not taken for a damaged one, so that a member keeps its identity", func() {
+	folder, err := Open(filepath.Join(GinkgoT().TempDir(), "data"))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(Save(folder, chain.Persist{Member: &chain.MemberRecord{ID: "d1"}})).To(Succeed())
+	_, err = Load(unreadable{folder, memberFileName, syscall.EMFILE})
+	Expect(err).To(MatchError(syscall.EMFILE))
+	recovered, err := Load(folder)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(recovered.Member.ID).To(Equal("d1"))
+})
--- a/serve/control.go
+++ b/serve/control.go
@@ -18,6 +18,7 @@
 	"github.com/cedarreel/cedarreel/index"
 	"github.com/cedarreel/cedarreel/link"
 	"github.com/cedarreel/cedarreel/listing"
+	"github.com/cedarreel/cedarreel/oserr"
 	"github.com/cedarreel/cedarreel/retire"
 	"github.com/cedarreel/cedarreel/shard"
 	kithttp "github.com/go-kit/kit/transport/http"
@@ -60,12 +61,7 @@
 	var folder image.Folder
 	process := &controlProcess{adapter: adapter, writes: make(chan chain.Persist, diskQueueLength), readSlots: make(chan struct{}, maxConcurrentReads)}
 	if settings.Folder != "" {
-		var err error
-		folder, err = image.Open(settings.Folder)
-		if err != nil {
-			return err
-		}
-		loaded, err := image.Load(folder)
+		loaded, err := retryStart(newLogger(settings.Name), "data folder", oserr.IsPassing, func() (chain.Recovered, error) { return openFolder(settings.Folder, &folder) })
 		if err != nil {
 			return err
 		}
@@ -105,6 +101,14 @@
 	})
 }
 
+// openFolder opens a data folder and loads what it holds.
+func openFolder(path string, folder *image.Folder) (recovered chain.Recovered, err error) {
+	if *folder, err = image.Open(path); err != nil {
+		return recovered, err
+	}
+	return image.Load(*folder)
+}
+
 // execute carries out a command of the state machine. It reports whether it knows the command.
 func (process *controlProcess) execute(command contract.Command) bool {
 	switch command := command.(type) {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -18,6 +18,7 @@
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/link"
 	"github.com/cedarreel/cedarreel/neighbour"
+	"github.com/cedarreel/cedarreel/oserr"
 	"github.com/go-kit/log"
 )
 
@@ -79,7 +80,7 @@
 
 // listen opens a listening socket. It waits while the address is in use or not there yet.
 func (process *Process) listen(address string, class admission.Class) (net.Listener, error) {
-	return retryStart(process.Logger, "address "+address, isPassing, func() (net.Listener, error) { return process.admitter.listen(address, class) })
+	return retryStart(process.Logger, "address "+address, oserr.IsPassing, func() (net.Listener, error) { return process.admitter.listen(address, class) })
 }
 
 // listenAndRun opens the listening socket of the peers' port and runs the process.
