A SIGHUP in the first milliseconds of a start does not end the process

Operators see: a process that has just been started ends by SIGHUP when the platform tells all processes of changed settings. Cause: signals were caught at the beginning of main, 4 to 5 ms after the start and later on a busy machine, when all packages had been initialised. The test checks the order of initialisation, which was the other way round before.

--- a/cmd/cedarcp/main.go
+++ b/cmd/cedarcp/main.go
@@ -4,12 +4,14 @@
 import (
 	"github.com/cedarreel/cedarreel/platform"
 	"github.com/cedarreel/cedarreel/serve"
+	"github.com/cedarreel/cedarreel/signals"
 )
 
 func main() {
+	caught := serve.Signals{Stop: signals.Stop, Reload: signals.Reload}
 	if platform.StartedByPlatform() {
-		serve.MainWithAdapter("cedarcp", platform.Adapter{}, serve.ControlWithAdapter)
+		serve.MainWithAdapter("cedarcp", caught, platform.Adapter{}, serve.ControlWithAdapter)
 		return
 	}
-	serve.Main("cedarcp", serve.Control)
+	serve.Main("cedarcp", caught, serve.Control)
 }
--- a/cmd/cedardp/main.go
+++ b/cmd/cedardp/main.go
@@ -4,12 +4,14 @@
 import (
 	"github.com/cedarreel/cedarreel/platform"
 	"github.com/cedarreel/cedarreel/serve"
+	"github.com/cedarreel/cedarreel/signals"
 )
 
 func main() {
+	caught := serve.Signals{Stop: signals.Stop, Reload: signals.Reload}
 	if platform.StartedByPlatform() {
-		serve.MainWithAdapter("cedardp", platform.Adapter{}, serve.Gateway)
+		serve.MainWithAdapter("cedardp", caught, platform.Adapter{}, serve.Gateway)
 		return
 	}
-	serve.Main("cedardp", serve.Data)
+	serve.Main("cedardp", caught, serve.Data)
 }
--- a/serve/main.go
+++ b/serve/main.go
@@ -33,8 +33,8 @@
 )
 
 // Main reads the flags and settings of a program and calls run with the settings and the path of the faults file. It exits on errors.
-func Main(program string, run func(env.Env, string) error) {
-	catchSignals()
+func Main(program string, signals Signals, run func(env.Env, string) error) {
+	signals.use()
 	var given arguments
 	parser := flags.NewParser(&given, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = program
@@ -89,8 +89,8 @@
 }
 
 // MainWithAdapter runs a program that gets its settings from a platform through an adapter. It exits on errors.
-func MainWithAdapter(program string, adapter Adapter, run func(Adapter) error) {
-	catchSignals()
+func MainWithAdapter(program string, signals Signals, adapter Adapter, run func(Adapter) error) {
+	signals.use()
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(heapGrowthPercent)
 	}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -97,7 +97,6 @@
 	var err error
 	process.server = setUpServer(&http.Server{Handler: admitDocuments(process.Mux)})
 	go process.admitter.run(process.stop)
-	catchSignals()
 	go process.reloadSeeds(reloadSignals)
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- process.server.Serve(listener) }()
--- a/serve/signals.go
+++ b/serve/signals.go
@@ -1,22 +1,17 @@
 package serve
 
-import (
-	"os"
-	"os/signal"
-	"syscall"
-)
+import "os"
 
-// stopSignals and reloadSignals receive signals from the start of a program on, so that one during startup neither kills the process nor
-// is lost. Several pending signals of a kind count once.
-var (
-	stopSignals   = make(chan os.Signal, 1)
-	reloadSignals = make(chan os.Signal, 1)
-)
+// Signals are the channels on which a program receives requests to stop and to reload its settings. They are set up before the program starts, so
+// that a signal during the start neither kills the process nor is lost.
+type Signals struct {
+	Stop   <-chan os.Signal
+	Reload <-chan os.Signal
+}
+
+// stopSignals and reloadSignals are those of this program. Without them, as in tests, no signal arrives.
+var stopSignals, reloadSignals <-chan os.Signal
 
-// catchSignals treats SIGTERM and SIGINT as requests to stop, and SIGHUP as a request to reload the settings. SIGPIPE is ignored, since by default
-// the runtime ends a process whose standard output or error has no reader left.
-func catchSignals() {
-	signal.Ignore(syscall.SIGPIPE)
-	signal.Notify(stopSignals, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(reloadSignals, syscall.SIGHUP)
+func (signals Signals) use() {
+	stopSignals, reloadSignals = signals.Stop, signals.Reload
 }
--- a/starts/starts_test.go
+++ b/starts/starts_test.go
@@ -5,6 +5,8 @@
 import (
 	"os"
 	"os/exec"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,3 +77,18 @@
 func TestSoakOfStarts(t *testing.T) {
 	startFleet(t, 7, rig.StartTroubles{AddressesInUse: 20, LateSettings: 10, LeavingReaders: 30, CoreKills: 2, LoseDisk: true, KillWithin: time.Second}, soakSpan)
 }
+
+// TestSignalsAreCaughtBeforeLargePackagesAreInitialised guards against programs that a SIGHUP ends in the first milliseconds of their start.
+func TestSignalsAreCaughtBeforeLargePackagesAreInitialised(t *testing.T) {
+	for _, program := range []string{rig.DataProgram, rig.ControlProgram} {
+		command := exec.Command(filepath.Join(bin, program), "--version")
+		command.Env = append(os.Environ(), "GODEBUG=inittrace=1")
+		output, err := command.CombinedOutput()
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		caught := strings.Index(string(output), "init github.com/cedarreel/cedarreel/signals @")
+		NewWithT(t).Expect(caught).To(BeNumerically(">", 0), program+" does not import signals")
+		for _, larger := range []string{"init net/http @", "init github.com/prometheus/client_golang/prometheus @"} {
+			NewWithT(t).Expect(strings.Index(string(output), larger)).To(BeNumerically(">", caught), larger+" comes first in "+program)
+		}
+	}
+}
