--- a/rig/start_trouble.go
+++ b/rig/start_trouble.go
@@ -2,12 +2,13 @@
 
 import (
 	"errors"
-	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // startTrouble is what disturbs one start of a process.
@@ -82,19 +83,25 @@
 	return launch(role, command, path)
 }
 
-// occupy holds an address of the machine for a time, as another program on it may. It does nothing while a process of the machine has it.
+// occupy holds an address of the machine for a time, as the source port of another program's connection does: nobody listens there. It does nothing
+// while a process of the machine has the address.
 func (machine *gatewayMachine) occupy(port int, duration time.Duration) error {
-	listener, err := net.Listen("tcp", machine.at(port))
-	if errors.Is(err, syscall.EADDRINUSE) {
-		return nil
-	}
+	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return err
 	}
+	address := &unix.SockaddrInet4{Port: port, Addr: netip.MustParseAddr(machine.address).As4()}
+	if err = unix.Bind(socket, address); err != nil {
+		_ = unix.Close(socket)
+		if errors.Is(err, unix.EADDRINUSE) {
+			return nil
+		}
+		return err
+	}
 	machine.fleet.count("addresses in use")
 	machine.fleet.inBackground(func() {
 		time.Sleep(duration)
-		_ = listener.Close()
+		_ = unix.Close(socket)
 	})
 	return nil
 }
