--- a/rig/gateway_soak.go
+++ b/rig/gateway_soak.go
@@ -212,6 +212,9 @@
 		killed := !process.hasEnded()
 		if killed {
 			fleet.count("outlasted the grace period: " + role)
+			if !machine.troubledSince(stop.at) {
+				fleet.fail(fmt.Errorf("%s of %s outlasted its grace period:\n    %s", role, machine.name, process.lastLines()))
+			}
 			process.signal(syscall.SIGKILL)
 			<-process.ended
 		}
--- a/rig/start_trouble.go
+++ b/rig/start_trouble.go
@@ -2,13 +2,12 @@
 
 import (
 	"errors"
-	"net/netip"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // startTrouble is what disturbs one start of a process.
@@ -83,29 +82,37 @@
 	return launch(role, command, path)
 }
 
-// occupy holds an address of the machine for a time, as the source port of another program's connection does: nobody listens there. It does nothing
-// while a process of the machine has the address.
+// occupy holds an address of the machine for a time, as another program does that refuses all connections. It does nothing while a process of the
+// machine has the address.
 func (machine *gatewayMachine) occupy(port int, duration time.Duration) error {
-	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return err
+	listener, err := net.Listen("tcp", machine.at(port))
+	if errors.Is(err, syscall.EADDRINUSE) {
+		return nil
 	}
-	address := &unix.SockaddrInet4{Port: port, Addr: netip.MustParseAddr(machine.address).As4()}
-	if err = unix.Bind(socket, address); err != nil {
-		_ = unix.Close(socket)
-		if errors.Is(err, unix.EADDRINUSE) {
-			return nil
-		}
+	if err != nil {
 		return err
 	}
 	machine.fleet.count("addresses in use")
+	go refuseAll(listener)
 	machine.fleet.inBackground(func() {
 		time.Sleep(duration)
-		_ = unix.Close(socket)
+		_ = listener.Close()
 	})
 	return nil
 }
 
+// refuseAll resets all connections until the listener is closed.
+func refuseAll(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+}
+
 // ports returns the ports that the process of a role listens on.
 func ports(role string) []int {
 	if role == controlRole {
