A member with a malformed name ends no data node

Callers would see: every data node that hears of such a member ends by a panic (slice bounds out of range in machine.Name), again after each start, since gossip spreads the row; strangers and nodes of another make reach that port. Cause: the name was cut by the length of the kind without looking. TestANameWithoutItsKindEndsNoProcess panicked before.

--- a/machine/machine.go
+++ b/machine/machine.go
@@ -5,6 +5,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
@@ -156,5 +157,5 @@
 
 // Name returns the name of the machine that a member runs on.
 func Name(member contract.Member) string {
-	return member.Name[:len(member.Name)-len("-"+member.Kind)]
+	return strings.TrimSuffix(member.Name, "-"+member.Kind)
 }
