--- a/rig/gateway_fleet.go
+++ b/rig/gateway_fleet.go
@@ -1,7 +1,6 @@
 package rig
 
 import (
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -164,8 +163,12 @@
 	if err := fleet.operator.install(); err != nil {
 		return err
 	}
-	limit := gatewayStartLimit + time.Duration(len(fleet.machines))*startLimitPerMachine
-	for began := time.Now(); time.Since(began) < limit; time.Sleep(pollInterval) {
+	return fleet.awaitReady(fleet.now() + gatewayStartLimit + time.Duration(len(fleet.machines))*startLimitPerMachine)
+}
+
+// awaitReady waits until all machines are ready, at most until a time.
+func (fleet *gatewayFleet) awaitReady(until time.Duration) error {
+	for fleet.now() < until {
 		ready := 0
 		for _, machine := range fleet.machines {
 			if machine.isReady() {
@@ -175,8 +178,9 @@
 		if ready == len(fleet.machines) {
 			return nil
 		}
+		time.Sleep(pollInterval)
 	}
-	return errors.New("the fleet did not get ready")
+	return fmt.Errorf("not all machines are ready by %v", until.Round(time.Millisecond))
 }
 
 const (
--- a/rig/program.go
+++ b/rig/program.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // program is one process of a machine. ended is closed when the process has ended; lifetime and the state of command are valid only after
@@ -117,3 +119,13 @@
 	status, ok := program.command.ProcessState.Sys().(syscall.WaitStatus)
 	return ok && status.Signaled()
 }
+
+// BuildPrograms builds the programs of a machine into a folder.
+func BuildPrograms(folder string) error {
+	const commands = "github.com/cedarreel/cedarreel/cmd/"
+	output, err := exec.Command("go", "build", "-o", folder, commands+dataRole, commands+controlRole).CombinedOutput()
+	if err != nil {
+		return eris.Wrap(err, string(output))
+	}
+	return nil
+}
--- a/rig/start_soak.go
+++ b/rig/start_soak.go
@@ -98,23 +98,6 @@
 	return fleet.awaitReady(max(calm, configuredAt) + startBound)
 }
 
-// awaitReady waits until all machines are ready.
-func (fleet *gatewayFleet) awaitReady(until time.Duration) error {
-	for fleet.now() < until {
-		ready := 0
-		for _, machine := range fleet.machines {
-			if machine.isReady() {
-				ready++
-			}
-		}
-		if ready == len(fleet.machines) {
-			return nil
-		}
-		time.Sleep(pollInterval)
-	}
-	return fmt.Errorf("not all machines are ready %v after the last trouble", startBound)
-}
-
 // killCoreEarly kills the control process of one core machine in series, with or without the loss of its disk.
 func (fleet *gatewayFleet) killCoreEarly() {
 	machine := fleet.machines[fleet.below(len(gatewayZones))]
--- a/starts/starts_test.go
+++ b/starts/starts_test.go
@@ -22,9 +22,8 @@
 	if err != nil {
 		panic(err)
 	}
-	output, err := exec.Command("go", "build", "-o", folder, "../cmd/cedardp", "../cmd/cedarcp").CombinedOutput()
-	if err != nil {
-		panic(string(output))
+	if err = rig.BuildPrograms(folder); err != nil {
+		panic(err)
 	}
 	bin = folder
 	code := m.Run()
