Read again: logic of this change that stood twice is one piece

Behaviour and checks stay. Run: vet, staticcheck, format, image, serve, env, chain, control, docs, review, platform, starts, and the planted faults and foundings of modelcheck.

--- a/chain/chain.go
+++ b/chain/chain.go
@@ -189,7 +189,6 @@
 	commands      []contract.Command // output of the current event
 	selfMessages  []contract.Message // messages to this member, handled at the end of the event
 	mayBootstrap  bool
-	recorded      bool // the folder had a member record at the start
 	// recordedMayBootstrap is mayBootstrap as recorded in the folder by the first start.
 	recordedMayBootstrap bool
 	// founders are those that were set. recordedFounders are those of the first start, which hold as long as this member has no view.
--- a/chain/found.go
+++ b/chain/found.go
@@ -227,8 +227,8 @@
 
 func (replica *Replica) handleBootstrapPrepare(now time.Duration, request BootstrapPrepare) {
 	promise := BootstrapPromise{Ballot: request.Ballot, Node: replica.self, View: replica.view.Number, Blank: replica.isBlankFleet(), Newest: replica.newestKnown(), Accepted: replica.bootstrapAccepted}
-	amnesiac := replica.foundsByMajority() && !promise.Blank
-	if amnesiac || !replica.coreLost() || request.Ballot.Number != replica.view.Number+1 || request.Ballot.Before(replica.bootstrapPromised) {
+	hasNoVote := replica.foundsByMajority() && !promise.Blank
+	if hasNoVote || !replica.coreLost() || request.Ballot.Number != replica.view.Number+1 || request.Ballot.Before(replica.bootstrapPromised) {
 		promise.RejectedBy = replica.bootstrapPromised
 		replica.send(request.Node, MessageBootstrapPromise, promise)
 		return
--- a/chain/founded.go
+++ b/chain/founded.go
@@ -60,7 +60,7 @@
 		if vote.Ballot != accepted.Ballot {
 			return
 		}
-		quorum = len(replica.founders)/2 + 1
+		quorum = replica.founderMajority()
 	}
 	replica.bootstrapVotes[vote.Node.Identity()] = true
 	if len(replica.bootstrapVotes) >= quorum {
--- a/chain/founders.go
+++ b/chain/founders.go
@@ -17,10 +17,13 @@
 	return replica.view.Number == 0 && len(replica.founders) > 0
 }
 
+// founderMajority returns how many founders are a majority.
+func (replica *Replica) founderMajority() int { return len(replica.founders)/2 + 1 }
+
 // bootstrapQuorum returns how many members have to promise and to accept.
 func (replica *Replica) bootstrapQuorum(attempt *bootstrapAttempt) int {
 	if replica.foundsByMajority() {
-		return len(replica.founders)/2 + 1
+		return replica.founderMajority()
 	}
 	return len(attempt.peers)
 }
@@ -43,7 +46,7 @@
 // mayFound reports whether this founder starts an attempt to found the first view. Founders that come before it by name go first.
 func (replica *Replica) mayFound(now time.Duration, peers []contract.CoreNode) bool {
 	rank := slices.Index(peers, replica.self)
-	if rank < 0 || len(peers) <= len(replica.founders)/2 || !replica.isBlankFleet() {
+	if rank < 0 || len(peers) < replica.founderMajority() || !replica.isBlankFleet() {
 		return false
 	}
 	age := now - replica.startedAt
--- a/chain/persist.go
+++ b/chain/persist.go
@@ -45,8 +45,7 @@
 		}
 	}
 	record := recovered.Member
-	replica.recorded = record.ID != ""
-	if !replica.recorded {
+	if record.ID == "" {
 		record = MemberRecord{ID: replica.self.ID}
 	}
 	replica.self.ID, replica.recordedMayBootstrap, replica.recordedFounders = record.ID, record.Bootstrap, record.Founders
@@ -174,13 +173,8 @@
 	return record
 }
 
-// FirstRecord returns the record of a member whose folder has none yet, and false if it has one.
-func (replica *Replica) FirstRecord() (MemberRecord, bool) {
-	if replica.recorded {
-		return MemberRecord{}, false
-	}
-	return *replica.currentRecord(true), true
-}
+// Record returns the record of this member as its folder should hold it.
+func (replica *Replica) Record() MemberRecord { return *replica.currentRecord(true) }
 
 func (replica *Replica) currentPastOperations(wanted bool) *[]contract.PastOperation {
 	if !wanted {
--- a/control/control.go
+++ b/control/control.go
@@ -91,13 +91,8 @@
 	return controller
 }
 
-// FirstRecord returns the record of a core member whose folder has none yet, and false if it has one or if the node is no core member.
-func (controller *Controller) FirstRecord() (chain.MemberRecord, bool) {
-	if controller.chain == nil {
-		return chain.MemberRecord{}, false
-	}
-	return controller.chain.FirstRecord()
-}
+// MemberRecord returns the record of this core member as its folder should hold it. The node must be a core member.
+func (controller *Controller) MemberRecord() chain.MemberRecord { return controller.chain.Record() }
 
 // Handle processes an event and returns the commands to carry out. See contract.StateMachine.
 func (controller *Controller) Handle(now time.Duration, event contract.Event) []contract.Command {
--- a/env/env.go
+++ b/env/env.go
@@ -209,22 +209,12 @@
 
 // Validate returns an error that lists all settings that are missing or malformed, or nil.
 func (settings Env) Validate() error {
-	problems := []string{}
-	for _, field := range [][2]string{{"name", settings.Name}, {"zone", settings.Zone}, {"region", settings.Region}} {
-		if field[1] == "" {
-			problems = append(problems, field[0]+": is missing")
-		}
-	}
+	problems := settings.missingNames()
 	addresses := map[string]string{"control": settings.Control, "data": settings.Data}
 	for index, seed := range settings.Seeds {
 		addresses[fmt.Sprintf("seeds[%d]", index)] = seed
 	}
-	for _, path := range manifest.SortedKeys(addresses) {
-		host, _, err := net.SplitHostPort(addresses[path])
-		if err != nil || net.ParseIP(host) == nil {
-			problems = append(problems, fmt.Sprintf("%s: %q is not an IP number and port", path, addresses[path]))
-		}
-	}
+	problems = append(problems, badAddresses(addresses, isAddress)...)
 	if len(settings.Seeds) != 3 {
 		problems = append(problems, fmt.Sprintf("seeds: want 3, got %d", len(settings.Seeds)))
 	}
@@ -240,22 +230,13 @@
 // ValidateProcess returns an error that lists what the settings of one process lack, which a platform wrote, or nil. control says that it is a
 // control process. A file that is still being written lacks some of it.
 func (settings Env) ValidateProcess(control bool) error {
-	problems := []string{}
-	for _, field := range [][2]string{{"name", settings.Name}, {"zone", settings.Zone}, {"region", settings.Region}} {
-		if field[1] == "" {
-			problems = append(problems, field[0]+": is missing")
-		}
-	}
+	problems := settings.missingNames()
 	addresses := map[string]string{"internal address": settings.Data, "address of callers": settings.Gateway.Traffic, "address of the readiness check": settings.Gateway.Ready,
 		"address of the directory": settings.Gateway.Lookup}
 	if control {
 		addresses = map[string]string{"internal address": settings.Data, "control address": settings.Control}
 	}
-	for _, name := range manifest.SortedKeys(addresses) {
-		if !isAddress(addresses[name]) {
-			problems = append(problems, fmt.Sprintf("%s: %q is not an IP number and port", name, addresses[name]))
-		}
-	}
+	problems = append(problems, badAddresses(addresses, isFixedAddress)...)
 	if len(settings.Seeds) == 0 {
 		problems = append(problems, "seeds: there are none")
 	}
@@ -271,10 +252,37 @@
 	return nil
 }
 
-// isAddress reports whether text is an IP number and a port.
+// missingNames lists the names that the settings lack.
+func (settings Env) missingNames() []string {
+	problems := []string{}
+	for _, field := range [][2]string{{"name", settings.Name}, {"zone", settings.Zone}, {"region", settings.Region}} {
+		if field[1] == "" {
+			problems = append(problems, field[0]+": is missing")
+		}
+	}
+	return problems
+}
+
+// badAddresses lists the addresses, by name, that are not valid.
+func badAddresses(addresses map[string]string, isValid func(string) bool) []string {
+	problems := []string{}
+	for _, name := range manifest.SortedKeys(addresses) {
+		if !isValid(addresses[name]) {
+			problems = append(problems, fmt.Sprintf("%s: %q is not an IP number and port", name, addresses[name]))
+		}
+	}
+	return problems
+}
+
+// isAddress reports whether text is an IP number and a port, isFixedAddress whether the port is a number other than 0 too.
 func isAddress(text string) bool {
-	host, port, err := net.SplitHostPort(text)
-	return err == nil && net.ParseIP(host) != nil && port != "" && port != "0"
+	host, _, err := net.SplitHostPort(text)
+	return err == nil && net.ParseIP(host) != nil
+}
+
+func isFixedAddress(text string) bool {
+	_, port, _ := net.SplitHostPort(text)
+	return isAddress(text) && port != "" && port != "0"
 }
 
 // JSON writes the settings in the form that Parse reads.
--- a/image/image.go
+++ b/image/image.go
@@ -70,6 +70,21 @@
 	return json.Unmarshal(wrapped.Body, value)
 }
 
+// replaceFile writes a value under a temporary name and renames it. The folder is not synced.
+func replaceFile(files Files, name string, value any) error {
+	content, err := encodeEnvelope(value)
+	if err == nil {
+		err = files.WriteTemp(name+tempSuffix, content)
+	}
+	if err == nil {
+		err = files.Rename(name+tempSuffix, name)
+	}
+	if err != nil {
+		_ = files.Remove(name + tempSuffix)
+	}
+	return err
+}
+
 // Save carries out an update of the data folder. Removals are synced before anything else is written, since an abandoned version must never
 // be found next to the record of a newer view.
 func Save(files Files, work chain.Persist) error {
@@ -128,8 +143,8 @@
 }
 
 // Load reads the content of a data folder. A file that does not match its digest or name, or is a delta to a version that is missing, is set
-// aside under another name and listed in Recovered.Damaged with the reason. One that the machine can't read for now is an error. The folder is synced before its content is relied on, since a
-// process that was killed may have renamed files without syncing the folder.
+// aside under another name and listed in Recovered.Damaged with the reason. One that the machine can't read for now is an error. The folder is
+// synced before its content is relied on, since a process that was killed may have renamed files without syncing the folder.
 func Load(files Files) (chain.Recovered, error) {
 	recovered := chain.Recovered{}
 	names, err := files.List()
--- a/image/index.go
+++ b/image/index.go
@@ -42,15 +42,7 @@
 		next = numbers[len(numbers)-1] + 1
 	}
 	name := indexFileName(next)
-	content, err := encodeEnvelope(snapshot)
-	if err == nil {
-		err = files.WriteTemp(name+tempSuffix, content)
-	}
-	if err == nil {
-		err = files.Rename(name+tempSuffix, name)
-	}
-	if err != nil {
-		_ = files.Remove(name + tempSuffix)
+	if err := replaceFile(files, name, snapshot); err != nil {
 		return eris.Wrap(err, "index not written")
 	}
 	numbers = append(numbers, next)
--- a/image/life.go
+++ b/image/life.go
@@ -24,13 +24,7 @@
 
 // SaveLife replaces the record.
 func SaveLife(files Files, life Life) error {
-	content, err := encodeEnvelope(life)
-	if err == nil {
-		err = files.WriteTemp(lifeFileName+tempSuffix, content)
-	}
-	if err == nil {
-		err = files.Rename(lifeFileName+tempSuffix, lifeFileName)
-	}
+	err := replaceFile(files, lifeFileName, life)
 	if err == nil {
 		err = files.SyncFolder()
 	}
--- a/modelcheck/founding_test.go
+++ b/modelcheck/founding_test.go
@@ -27,16 +27,7 @@
 func TestPlantedFaultsOfAFoundingAreFound(t *testing.T) {
 	for fault, seed := range map[Fault]uint64{FaultFounderForgets: 486, FaultAmnesiacFounds: 568} {
 		t.Run(fmt.Sprint(fault), func(t *testing.T) {
-			options := Options{Seed: seed, Members: 3, Steps: foundingSteps}
-			if correct := WalkFounding(options); correct.Violation != "" {
-				t.Fatal("without the fault:", correct)
-			}
-			options.Fault = fault
-			found := WalkFounding(options)
-			if found.Violation == "" {
-				t.Fatal("not found")
-			}
-			t.Log(found.Violation)
+			walkPlanted(t, Options{Seed: seed, Members: 3, Steps: foundingSteps, Fault: fault}, WalkFounding)
 		})
 	}
 }
--- a/modelcheck/walk_test.go
+++ b/modelcheck/walk_test.go
@@ -35,19 +35,27 @@
 			continue
 		}
 		t.Run(fmt.Sprint(fault), func(t *testing.T) {
-			options := Options{Seed: seed, Members: 3, Steps: walkSteps}
-			if correct := Walk(options); correct.Violation != "" {
-				t.Fatal("without the fault:", correct)
-			}
-			options.Fault = fault
-			found := Walk(options)
-			if found.Violation == "" {
-				t.Fatal("not found")
-			}
-			t.Log(found.Violation)
+			options := Options{Seed: seed, Members: 3, Steps: walkSteps, Fault: fault}
+			found := walkPlanted(t, options, Walk)
 			if replayed := Replay(options, found.Actions, found.Start); replayed.Violation != found.Violation {
 				t.Fatal("the replay shows something else:", replayed.Violation)
 			}
 		})
 	}
 }
+
+// walkPlanted returns a walk with a planted fault, which has to be found, and which has to be without violation when the fault is left out.
+func walkPlanted(t *testing.T, options Options, walk func(Options) Result) Result {
+	t.Helper()
+	withoutFault := options
+	withoutFault.Fault = NoFault
+	if correct := walk(withoutFault); correct.Violation != "" {
+		t.Fatal("without the fault:", correct)
+	}
+	found := walk(options)
+	if found.Violation == "" {
+		t.Fatal("not found")
+	}
+	t.Log(found.Violation)
+	return found
+}
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -38,19 +38,7 @@
 // bin is the folder of the programs.
 var bin string
 
-func TestMain(m *testing.M) {
-	folder, err := os.MkdirTemp("", "overload")
-	if err != nil {
-		panic(err)
-	}
-	if err = rig.BuildPrograms(folder); err != nil {
-		panic(err)
-	}
-	bin = folder
-	code := m.Run()
-	_ = os.RemoveAll(folder)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(rig.RunWithPrograms(m.Run, &bin)) }
 
 // group is a part of a crowd: so many clients that send the same to one port. receiveBuffer is the size of their receive buffers in bytes, 0 for
 // the usual one.
--- a/rig/program.go
+++ b/rig/program.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"github.com/rotisserie/eris"
 )
 
 // program is one process of a machine. ended is closed when the process has ended; lifetime and the state of command are valid only after
@@ -32,9 +30,13 @@
 	return launch(name, command, filepath.Join(node.folder, name+".log"))
 }
 
+func openLog(path string) (*os.File, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+}
+
 // launch starts a command and appends its output to a log file.
 func launch(name string, command *exec.Cmd, logPath string) (*program, error) {
-	output, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	output, err := openLog(logPath)
 	if err != nil {
 		return nil, err
 	}
@@ -45,7 +47,7 @@
 
 // launchWithReader starts a command whose output goes to a log file through a pipe. The reader of the pipe goes away after a time.
 func launchWithReader(name string, command *exec.Cmd, logPath string, readFor time.Duration) (*program, error) {
-	output, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	output, err := openLog(logPath)
 	if err != nil {
 		return nil, err
 	}
@@ -120,12 +122,18 @@
 	return ok && status.Signaled()
 }
 
-// BuildPrograms builds the programs of a machine into a folder.
-func BuildPrograms(folder string) error {
+// RunWithPrograms builds the programs of a machine into a temporary folder, runs tests that find them in bin, and returns their exit code.
+func RunWithPrograms(run func() int, bin *string) int {
+	folder, err := os.MkdirTemp("", "programs")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(folder)
 	const commands = "github.com/cedarreel/cedarreel/cmd/"
 	output, err := exec.Command("go", "build", "-o", folder, commands+dataRole, commands+controlRole).CombinedOutput()
 	if err != nil {
-		return eris.Wrap(err, string(output))
+		panic(string(output))
 	}
-	return nil
+	*bin = folder
+	return run()
 }
--- a/rig/start_soak.go
+++ b/rig/start_soak.go
@@ -83,15 +83,10 @@
 		fleet.killCoreEarly()
 		calm = max(calm, fleet.now()+mostRestartPause)
 	}
-	installed, configuredAt := make(chan error, 1), time.Duration(0)
-	go func() {
-		err := fleet.operator.install()
-		configuredAt = fleet.now()
-		installed <- err
-	}()
-	if err := <-installed; err != nil {
+	if err := fleet.operator.install(); err != nil {
 		return err
 	}
+	configuredAt := fleet.now()
 	if configuredAt > calm+startBound {
 		fleet.fail(fmt.Errorf("the first configuration was taken %v after the last trouble", configuredAt-calm))
 	}
--- a/serve/control.go
+++ b/serve/control.go
@@ -79,11 +79,8 @@
 		for _, err := range recovered.Damaged {
 			_ = process.Logger.Log("what", "damaged file set aside", "error", err)
 		}
-	}
-	if record, isNew := stateMachine.FirstRecord(); isNew {
-		// A first life that ends before this is written has no part in the founding of the fleet.
-		if err := image.Save(process.files, chain.Persist{Member: &record}); err != nil {
-			_ = process.Logger.Log("what", "first record not written", "why", err)
+		if recovered.Member.ID == "" {
+			process.writeFirstRecord(stateMachine.MemberRecord())
 		}
 	}
 	process.client = &http.Client{Timeout: settings.Bounds.PlatformPoll(), CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
@@ -101,6 +98,13 @@
 	})
 }
 
+// writeFirstRecord writes the member record to a folder that has none. A first life that ends before that has no part in the founding of the fleet.
+func (process *controlProcess) writeFirstRecord(record chain.MemberRecord) {
+	if err := image.Save(process.files, chain.Persist{Member: &record}); err != nil {
+		_ = process.Logger.Log("what", "first record not written", "why", err)
+	}
+}
+
 // openFolder opens a data folder and loads what it holds.
 func openFolder(path string, folder *image.Folder) (recovered chain.Recovered, err error) {
 	if *folder, err = image.Open(path); err != nil {
--- a/serve/life.go
+++ b/serve/life.go
@@ -61,12 +61,13 @@
 	_ = image.SaveLife(recorder.files, recorder.life)
 }
 
-// endLife records why the process ends. It waits for a healthy disk, but not for one that is stalled.
-func (process *Process) endLife(reason string) {
+// endLife begins to record why the process ends, and closes the channel when that is done.
+func (process *Process) endLife(reason string) <-chan bool {
+	saved := make(chan bool)
 	if process.life == nil {
-		return
+		close(saved)
+		return saved
 	}
-	saved := make(chan bool)
 	go func() {
 		defer close(saved)
 		process.life.lock.Lock()
@@ -74,6 +75,11 @@
 		process.life.lock.Unlock()
 		process.life.save()
 	}()
+	return saved
+}
+
+// awaitSaved waits for a healthy disk, but not for one that is stalled.
+func awaitSaved(saved <-chan bool) {
 	select {
 	case <-saved:
 	case <-time.After(endingTimeout):
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -104,11 +104,11 @@
 	_ = process.Logger.Log("what", "started", "address", listener.Addr(), "version", Version)
 	select {
 	case err = <-serveErr:
-		process.endLife("serving failed: " + err.Error())
+		awaitSaved(process.endLife("serving failed: " + err.Error()))
 	case signal := <-stopSignals:
 		stopBy := time.Now().Add(process.stopLimit())
 		_ = process.Logger.Log("what", "stopping", "signal", signal)
-		go process.endLife("signal: " + signal.String())
+		process.endLife("signal: " + signal.String())
 		beforeShutdown()
 		shutdownCtx, cancel := context.WithDeadline(context.Background(), stopBy)
 		defer cancel()
@@ -144,8 +144,8 @@
 			if process.ReloadSettings == nil {
 				continue
 			}
-			settings, whole := process.reloadSettings()
-			if !whole {
+			settings, err := process.reloadSettings()
+			if err != nil {
 				return
 			}
 			process.Loop.Post(neighbour.Seeds{Addresses: settings.Seeds})
--- a/serve/settings.go
+++ b/serve/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/env"
+	"github.com/go-kit/log"
 )
 
 // settingsSettleTime is the time between the two reads of settings that have to agree, since their file may be written meanwhile.
@@ -33,26 +34,10 @@
 
 // awaitSettings reads the settings of a process that starts, and waits until they are whole.
 func awaitSettings(adapter Adapter, kind string) (env.Env, error) {
-	retryAlways := func(error) bool { return true }
-	return retryStart(newLogger(""), "settings", retryAlways, func() (env.Env, error) { return readSettings(adapter, kind) })
+	return retryStart(newLogger(""), "settings", always, func() (env.Env, error) { return readSettings(adapter, kind) })
 }
 
 // reloadSettings reads the settings again after a SIGHUP, and tries again while they are not whole, until the process stops.
-func (process *Process) reloadSettings() (env.Env, bool) {
-	reason := ""
-	for {
-		settings, err := process.ReloadSettings()
-		if err == nil {
-			return settings, true
-		}
-		if err.Error() != reason {
-			reason = err.Error()
-			_ = process.Logger.Log("what", "settings not reloaded", "why", reason)
-		}
-		select {
-		case <-process.stop:
-			return settings, false
-		case <-time.After(startRetryPause):
-		}
-	}
+func (process *Process) reloadSettings() (env.Env, error) {
+	return retryUntil(process.stop, log.With(process.Logger, "what", "settings not reloaded"), always, process.ReloadSettings)
 }
--- a/serve/start.go
+++ b/serve/start.go
@@ -11,12 +11,17 @@
 // errStopped is the error of a start that a signal ended before the process served.
 var errStopped = errors.New("stopped by a signal before the start was complete")
 
-// startRetryPause is the time between two tries of a step of the start.
-const startRetryPause = 50 * time.Millisecond
+// retryPause is the time between two tries of a step.
+const retryPause = 50 * time.Millisecond
 
 // retryStart carries out a step of the start, again and again while it fails with an error that retry accepts. It returns errStopped if a signal
 // asks the process to stop meanwhile.
 func retryStart[Result any](logger log.Logger, step string, retry func(error) bool, try func() (Result, error)) (Result, error) {
+	return retryUntil(stopSignals, log.With(logger, "what", "start waits", "for", step), retry, try)
+}
+
+// retryUntil tries again while it fails with an error that retry accepts, and logs each new reason. It returns errStopped once stopped delivers.
+func retryUntil[Result, Stop any](stopped <-chan Stop, logger log.Logger, retry func(error) bool, try func() (Result, error)) (Result, error) {
 	reason := ""
 	for {
 		result, err := try()
@@ -25,16 +30,19 @@
 		}
 		if err.Error() != reason {
 			reason = err.Error()
-			_ = logger.Log("what", "start waits", "for", step, "why", reason)
+			_ = logger.Log("why", reason)
 		}
 		select {
-		case <-stopSignals:
+		case <-stopped:
 			return result, errStopped
-		case <-time.After(startRetryPause):
+		case <-time.After(retryPause):
 		}
 	}
 }
 
+// always accepts any error.
+func always(error) bool { return true }
+
 // newLogger returns the logger of a process, which writes to its standard error.
 func newLogger(node string) log.Logger {
 	return log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "node", node, "time", log.DefaultTimestampUTC)
--- a/signals/signals.go
+++ b/signals/signals.go
@@ -1,6 +1,6 @@
 // Package signals catches the signals of a program as early as a Go program can. It is imported by main packages alone: the import changes what
 // signals do to the process. It imports next to nothing, so that the runtime initialises it before larger packages; a signal that comes before
-// that has its default action, and SIGHUP and SIGTERM end the process.
+// that has its default action, but for SIGHUP (early.go).
 package signals
 
 import (
--- a/starts/starts_test.go
+++ b/starts/starts_test.go
@@ -17,19 +17,7 @@
 // bin is the folder of the programs.
 var bin string
 
-func TestMain(m *testing.M) {
-	folder, err := os.MkdirTemp("", "starts")
-	if err != nil {
-		panic(err)
-	}
-	if err = rig.BuildPrograms(folder); err != nil {
-		panic(err)
-	}
-	bin = folder
-	code := m.Run()
-	_ = os.RemoveAll(folder)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(rig.RunWithPrograms(m.Run, &bin)) }
 
 const (
 	machines       = 6
