--- a/cmd/cedarrig/gateways.go
+++ b/cmd/cedarrig/gateways.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"time"
 
+	"github.com/cedarreel/cedarreel/emulator"
 	"github.com/cedarreel/cedarreel/rig"
 )
 
@@ -31,16 +32,19 @@
 		}
 		args.Bin = filepath.Dir(executable)
 	}
-	broken := []uint64{}
-	for seed := args.Seed; seed < args.Seed+uint64(args.GatewaySoaks+args.StartSoaks); seed++ {
+	plan, err := gatewayPlan(args, machines)
+	if err != nil {
+		return false, err
+	}
+	broken, seeds := []uint64{}, args.GatewaySoaks+args.StartSoaks+args.SiteSoaks
+	for seed := args.Seed; seed < args.Seed+uint64(seeds); seed++ {
 		folder, err := os.MkdirTemp(args.Folder, "cedarrig-gateways-")
 		if err != nil {
 			return false, err
 		}
 		fmt.Println("seed", seed, "folder", folder)
-		clean, err := rig.SoakGateways(rig.GatewayPlan{Bin: args.Bin, Folder: folder, Machines: machines, Span: time.Duration(args.Seconds) * time.Second, Seed: seed,
-			CallsPerSecond: gatewayCallsPerSecond * args.Rate, StayingCallers: stayingPerMachine * machines, Stops: max(1, machines/machinesPerStop), StartTroubles: startTroubles(args, seed),
-			Log: func(text string) { fmt.Println(text) }})
+		plan.Folder, plan.Seed, plan.StartTroubles = folder, seed, startTroubles(args, seed)
+		clean, err := rig.SoakGateways(plan)
 		if err != nil {
 			return false, fmt.Errorf("seed %d: %w", seed, err)
 		}
@@ -50,13 +54,36 @@
 		}
 		broken = append(broken, seed)
 	}
-	fmt.Printf("gateway soaks: %d seeds from %d, broken: %v\n", args.GatewaySoaks+args.StartSoaks, args.Seed, broken)
+	fmt.Printf("gateway soaks: %d seeds from %d, broken: %v\n", seeds, args.Seed, broken)
 	return len(broken) == 0, nil
 }
 
-// startTroubles returns what disturbs the starts of a seed's soak, nil without --starts.
+// Limits of a process in soaks of a site, as its platform grants them.
+const (
+	siteMemoryMB  = 284
+	siteOpenFiles = 4100
+)
+
+// gatewayPlan returns what the soaks of all seeds have in common.
+func gatewayPlan(args arguments, machines int) (rig.GatewayPlan, error) {
+	plan := rig.GatewayPlan{Bin: args.Bin, OtherBin: args.OtherBin, Machines: machines, Span: time.Duration(args.Seconds) * time.Second, CallsPerSecond: gatewayCallsPerSecond * args.Rate,
+		StayingCallers: stayingPerMachine * machines, Stops: max(1, machines/machinesPerStop), Log: func(text string) { fmt.Println(text) }}
+	if args.SiteSoaks == 0 {
+		return plan, nil
+	}
+	site, err := emulator.LoadSite(args.Site)
+	if err != nil {
+		return plan, err
+	}
+	plan.Site, plan.Limits = &site, rig.GatewayLimits{MemoryMB: siteMemoryMB, OpenFiles: siteOpenFiles}
+	played, left := rig.PlayedTroubles(site)
+	fmt.Println("troubles that are played:", played, "left out:", left)
+	return plan, nil
+}
+
+// startTroubles returns what disturbs the starts of a seed's soak: with --starts on each seed, with --processes on odd ones.
 func startTroubles(args arguments, seed uint64) *rig.StartTroubles {
-	if args.StartSoaks == 0 {
+	if args.StartSoaks == 0 && (args.SiteSoaks == 0 || seed%2 == 0) {
 		return nil
 	}
 	return rig.DrawStartTroubles(seed)
--- a/rig/gateway_record.go
+++ b/rig/gateway_record.go
@@ -38,12 +38,13 @@
 	Connected bool
 }
 
-// gatewayRun is one run of a request at a server. Whole says that the server wrote its whole answer.
+// gatewayRun is one run of a request at a server. Whole says that the server wrote its whole answer, BrokenOff that it crashed before that.
 type gatewayRun struct {
 	Server    string
 	StartedAt time.Duration
 	EndedAt   time.Duration
 	Whole     bool
+	BrokenOff bool
 }
 
 func newGatewayRecord() *gatewayRecord { return &gatewayRecord{runs: map[string][]*gatewayRun{}} }
@@ -56,10 +57,10 @@
 	return run
 }
 
-func (record *gatewayRecord) runEnded(run *gatewayRun, whole bool, at time.Duration) {
+func (record *gatewayRecord) runEnded(run *gatewayRun, whole, brokenOff bool, at time.Duration) {
 	record.lock.Lock()
 	defer record.lock.Unlock()
-	run.EndedAt, run.Whole = at, whole
+	run.EndedAt, run.Whole, run.BrokenOff = at, whole, brokenOff
 }
 
 // add keeps an attempt that has ended.
--- a/rig/gateway_single.go
+++ b/rig/gateway_single.go
@@ -38,7 +38,7 @@
 
 // StartSingleGateway starts a fleet of one machine a zone and waits until it serves. Close ends it.
 func StartSingleGateway(plan GatewayPlan) (*SingleGateway, error) {
-	plan.Machines = len(gatewayZones)
+	plan.Machines = len(usualZones)
 	fleet, err := newGatewayFleet(plan)
 	if err != nil {
 		return nil, err
