A start that waits says so again and again, at a status port and to cedarctl

Two fleets on the same loopback addresses: each process that found its address taken logged one line "start waits" and no more for as long as the other lived.

No change to what a start does. Tests: serve/start_status_test.go.

--- a/cmd/cedarctl/main.go
+++ b/cmd/cedarctl/main.go
@@ -115,6 +115,7 @@
 		"scale":       {[]string{"POOL", "N"}, "set how many servers a pool has", scalePool},
 		"operation":   {[]string{"KEY"}, "the outcome of a write", withArgument((*client.Client).Operation)},
 		"members":     {nil, "the live and the unreachable nodes", withoutArgument((*client.Client).Members)},
+		"start":       {nil, "what the start of the asked process waits for, at its own port or at the status port that its log names", withoutArgument((*client.Client).Start)},
 		"shards":      {nil, "owners, epochs and pick lists", withoutArgument((*client.Client).Shards)},
 		"retirements": {nil, "servers that are being retired or were", withoutArgument((*client.Client).Retirements)},
 		"cache":       {nil, "the servers' caches as calls have observed them", withoutArgument((*client.Client).Cache)},
--- a/env/env.go
+++ b/env/env.go
@@ -68,6 +68,8 @@
 	// Zones is the region of each zone, on a platform that tells it to its processes.
 	Zones   map[string]string
 	Gateway Gateway
+	// StatusAddresses are where a process whose start waits may tell that; it takes the first free one.
+	StatusAddresses []string
 	// MemoryBytes is the memory that the process may take, OpenFiles the number of descriptors that it may open.
 	MemoryBytes int64
 	OpenFiles   int64
--- a/link/metrics.go
+++ b/link/metrics.go
@@ -65,6 +65,7 @@
 	"index_losses_noticed":  "servers found to have lost their whole cache",
 	"accepts_failed":        "failed calls of accept, after each of which the process goes on accepting",
 	"ring_full":             "events refused because the event queue was full",
+	"start_waited_ms":       "how long the start of this process waited for what it needed, in milliseconds",
 	"starts_on_folder":      "starts of this process on its data folder, this one included",
 }
 
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -25,6 +25,9 @@
 // Version is the version of all programs.
 const Version = "0.1.0"
 
+// startPath is where a process tells about its start.
+const startPath = "GET /v1/start"
+
 // Process is what all programs share: the event loop, the links to other nodes, and an HTTP server for them and for operators.
 // ReloadSettings, if set, reads the settings again after a SIGHUP. Faults injects faults in tests.
 type Process struct {
@@ -75,6 +78,7 @@
 	process.operators.Register(process.Mux)
 	process.Mux.Handle("POST "+link.Path, link.Receive(process.Loop))
 	process.Mux.Handle("GET /metrics", link.Metrics(process.Loop))
+	process.Mux.HandleFunc(startPath, starting.serveReport)
 	return process
 }
 
@@ -101,6 +105,7 @@
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- process.server.Serve(listener) }()
 	go process.Loop.Run(process.stop)
+	process.Loop.Count("start_waited_ms", starting.report().WaitedMs)
 	_ = process.Logger.Log("what", "started", "address", listener.Addr(), "version", Version)
 	select {
 	case err = <-serveErr:
--- a/serve/settings.go
+++ b/serve/settings.go
@@ -7,7 +7,6 @@
 
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/env"
-	"github.com/go-kit/log"
 )
 
 // settingsSettleTime is the time between the two reads of settings that have to agree, since their file may be written meanwhile.
@@ -34,10 +33,18 @@
 
 // awaitSettings reads the settings of a process that starts, and waits until they are whole.
 func awaitSettings(adapter Adapter, kind string) (env.Env, error) {
-	return retryStart(newLogger(""), "settings", always, func() (env.Env, error) { return readSettings(adapter, kind) })
+	settings, err := retryStart(newLogger(""), "settings", always, func() (env.Env, error) { return readSettings(adapter, kind) })
+	starting.identify(settings.Name, settings.StatusAddresses)
+	return settings, err
 }
 
 // reloadSettings reads the settings again after a SIGHUP, and tries again while they are not whole, until the process stops.
 func (process *Process) reloadSettings() (env.Env, error) {
-	return retryUntil(process.stop, log.With(process.Logger, "what", "settings not reloaded"), always, process.ReloadSettings)
+	reason := ""
+	return retryUntil(process.stop, always, process.ReloadSettings, func(err error) {
+		if err.Error() != reason {
+			reason = err.Error()
+			_ = process.Logger.Log("what", "settings not reloaded", "why", reason)
+		}
+	})
 }
--- a/serve/start.go
+++ b/serve/start.go
@@ -17,21 +17,18 @@
 // retryStart carries out a step of the start, again and again while it fails with an error that retry accepts. It returns errStopped if a signal
 // asks the process to stop meanwhile.
 func retryStart[Result any](logger log.Logger, step string, retry func(error) bool, try func() (Result, error)) (Result, error) {
-	return retryUntil(stopSignals, log.With(logger, "what", "start waits", "for", step), retry, try)
+	defer starting.goesOn(logger)
+	return retryUntil(stopSignals, retry, try, func(err error) { starting.waits(logger, step, err) })
 }
 
-// retryUntil tries again while it fails with an error that retry accepts, and logs each new reason. It returns errStopped once stopped delivers.
-func retryUntil[Result, Stop any](stopped <-chan Stop, logger log.Logger, retry func(error) bool, try func() (Result, error)) (Result, error) {
-	reason := ""
+// retryUntil tries again while it fails with an error that retry accepts, and tells each such error. It returns errStopped once stopped delivers.
+func retryUntil[Result, Stop any](stopped <-chan Stop, retry func(error) bool, try func() (Result, error), tell func(error)) (Result, error) {
 	for {
 		result, err := try()
 		if err == nil || !retry(err) {
 			return result, err
 		}
-		if err.Error() != reason {
-			reason = err.Error()
-			_ = logger.Log("why", reason)
-		}
+		tell(err)
 		select {
 		case <-stopped:
 			return result, errStopped
