Rig: a fleet owns its network of loopback addresses for as long as it runs

Cause of the red entry TestStoppingGatewaysLoseNoRequest (no first configuration in 40 s): the rig took the network of a fleet from its process id modulo 200, and the tests of overload keep theirs for minutes. Shown on the untouched code: the tests of overload beside a fleet of 9 gateways whose process id agrees modulo 200: "the first configuration was not taken" after 40 s, 1 of 1: its operator spoke to the other fleet's core, which had a revision 1 of its own. Two fleets of gateways (5 of 5 pairs): both are ready, merged, with TWICE and "a valid change was answered 412".

A fleet now claims its network by a listening socket outside of its machines' addresses, and takes the next one where that is in use; the rig of the built-in interface, whose ports came from the process id modulo 17, too.

--- a/rig/gateway_fleet.go
+++ b/rig/gateway_fleet.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -71,10 +70,9 @@
 	record   *gatewayRecord
 	operator *gatewayOperator
 	client   *http.Client
-	// network is the second byte of the loopback addresses of this fleet.
-	network int
-	lock    sync.Mutex
-	random  *rand.Rand
+	network  *loopbackNetwork
+	lock     sync.Mutex
+	random   *rand.Rand
 	// busy holds the machines that a series of signals is stopping, killing or freezing; lostCores counts the core machines among them.
 	busy      map[*gatewayMachine]bool
 	lostCores int
@@ -94,10 +92,13 @@
 	if plan.Site != nil {
 		shape = shapeOfSite(*plan.Site)
 	}
+	network, err := claimAnyNetwork()
+	if err != nil {
+		return nil, err
+	}
 	fleet := &gatewayFleet{plan: plan, shape: shape, startedAt: time.Now(), random: rand.New(rand.NewPCG(plan.Seed, 7)), busy: map[*gatewayMachine]bool{}, counts: map[string]int{},
-		network: 16 + os.Getpid()%200, record: newGatewayRecord(),
+		network: network, record: newGatewayRecord(),
 		client: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
-	var err error
 	if fleet.platform, err = newGatewayPlatform(fleet); err != nil {
 		return nil, err
 	}
@@ -117,7 +118,7 @@
 	defer fleet.lock.Unlock()
 	index := len(fleet.machines)
 	machine := &gatewayMachine{fleet: fleet, zone: place.zone.name, region: place.zone.region, core: place.core,
-		address: fmt.Sprintf("127.%d.%d.%d", fleet.network, 1+index/machinesPerSubnet, 1+index%machinesPerSubnet)}
+		address: fmt.Sprintf("127.%d.%d.%d", fleet.network.number, 1+index/machinesPerSubnet, 1+index%machinesPerSubnet)}
 	machine.name = fmt.Sprintf("edge-%s-%d", place.zone.name, 1+index)
 	machine.folder = filepath.Join(fleet.plan.Folder, machine.name)
 	fleet.machines = append(slices.Clone(fleet.machines), machine)
@@ -237,4 +238,5 @@
 		machine.end()
 	}
 	fleet.platform.close()
+	fleet.network.release()
 }
--- a/rig/rig.go
+++ b/rig/rig.go
@@ -46,6 +46,7 @@
 	client       *http.Client
 	// metricsClient reads metrics pages. It has a timeout, since a frozen process doesn't answer.
 	metricsClient *http.Client
+	network       *loopbackNetwork
 	// usedAddresses are the addresses that were assigned. The kernel considers those of stopped nodes free.
 	usedAddresses map[string]bool
 }
@@ -80,7 +81,11 @@
 	if err != nil {
 		return nil, err
 	}
-	rig := &Rig{Site: description, folder: folder, bin: bin, startedAt: time.Now(), bounds: bounds, random: rand.New(rand.NewPCG(seed, 1)),
+	network, err := claimAnyNetwork()
+	if err != nil {
+		return nil, err
+	}
+	rig := &Rig{network: network, Site: description, folder: folder, bin: bin, startedAt: time.Now(), bounds: bounds, random: rand.New(rand.NewPCG(seed, 1)),
 		Ledger: ledger.New(ledger.BoundsFor(bounds, parsed, len(description.Machines))), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 		usedAddresses: map[string]bool{}, metricsClient: &http.Client{Timeout: metricsTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}}
 	if rig.Platform, err = newPlatform(rig); err != nil {
@@ -119,21 +124,19 @@
 }
 
 const (
-	// Addresses come from portRangeCount ranges of portsPerRange ports each, beginning at firstPort.
-	firstPort      = 15000
-	portsPerRange  = 1000
-	portRangeCount = 17
+	// Ports are drawn from portCount ports that begin at firstPort, below those that the kernel assigns to outgoing connections.
+	firstPort = 15000
+	portCount = 17000
 	// maxPortAttempts bounds the search for a free port.
 	maxPortAttempts = 200
 )
 
-// freeAddress finds a free port below the range that the kernel assigns to outgoing connections, so that none of these takes it, and in a
-// range chosen by this process's id, since another rig could otherwise take the port of a node that is down.
+// freeAddress finds a free port in the network of this rig, which no other rig uses: it could otherwise take the port of a node that is down.
 func (rig *Rig) freeAddress() (string, error) {
 	var err error
 	for range maxPortAttempts {
 		var listener net.Listener
-		listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+os.Getpid()%portRangeCount*portsPerRange+rand.IntN(portsPerRange)))
+		listener, err = net.Listen("tcp", fmt.Sprintf("127.%d.254.1:%d", rig.network.number, firstPort+rand.IntN(portCount)))
 		if err != nil {
 			continue
 		}
@@ -378,6 +381,7 @@
 	for _, server := range rig.servers {
 		server.Crash()
 	}
+	rig.network.release()
 }
 
 // Await polls a condition until it holds, or returns an error that names it when the limit is over.
--- a/rig/rig_test.go
+++ b/rig/rig_test.go
@@ -289,7 +289,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		number, err := strconv.Atoi(port)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(number).To(And(BeNumerically(">=", firstPort), BeNumerically("<", firstPort+portRangeCount*portsPerRange)), server.Spec.Name)
+		Expect(number).To(And(BeNumerically(">=", firstPort), BeNumerically("<", firstPort+portCount)), server.Spec.Name)
 		server.Crash()
 	}
 })
