A process releases the queues of nodes that are gone, and reaches new ones

A sender kept a queue and a goroutine for each address that it ever sent to, 1,024 at most; from then on it dropped every message to an address that it had not met before, without end.

A queue without messages for a minute is released, under the lock under which messages are queued. The bound is 4,096, above a fleet with those that have lately left.

--- a/link/sender.go
+++ b/link/sender.go
@@ -21,7 +21,9 @@
 	maxBodySize       = 32 << 20 // bytes of a bundle or an answer
 	// Path is the HTTP path of the endpoint for bundles.
 	Path     = "/link"
-	maxPeers = 1024 // addresses with a queue
+	maxPeers = 4096 // addresses with a queue, more than a fleet has nodes
+	// peerIdleTime is how long the queue of an address is kept without a message, so that nodes that are gone leave room for new ones.
+	peerIdleTime = time.Minute
 	// largeBundleSize is the size in bytes from which a bundle is logged with the time that it took.
 	largeBundleSize = 256 << 10
 )
@@ -41,13 +43,15 @@
 	lock       sync.Mutex
 	queues     map[string]chan contract.Message
 	stop       <-chan struct{}
+	// idleTime is how long the queue of an address is kept without a message.
+	idleTime time.Duration
 }
 
 // NewSender returns a sender for the member self; timeout bounds each post, and closing stop ends its goroutines.
 func NewSender(self contract.Member, timeout time.Duration, faults *Faults, stop <-chan struct{}) *Sender {
 	transport := &http.Transport{MaxIdleConnsPerHost: 2, MaxIdleConns: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
 	return &Sender{self: self, client: &http.Client{Transport: transport, Timeout: timeout}, faults: faults,
-		addCounter: func(string, int64) {}, log: func(contract.Log) {}, queues: map[string]chan contract.Message{}, stop: stop}
+		addCounter: func(string, int64) {}, log: func(contract.Log) {}, queues: map[string]chan contract.Message{}, stop: stop, idleTime: peerIdleTime}
 }
 
 // SetCounter sets the function that counts lost messages.
@@ -64,13 +68,13 @@
 	}
 	message := contract.Message{Kind: command.Kind, From: sender.self.Name, Boot: sender.self.Boot, Body: body}
 	sender.lock.Lock()
+	defer sender.lock.Unlock()
 	queue, found := sender.queues[command.To]
 	if !found && len(sender.queues) < maxPeers {
 		queue = make(chan contract.Message, peerQueueSize)
 		sender.queues[command.To] = queue
 		go sender.sendLoop(command.To, queue)
 	}
-	sender.lock.Unlock()
 	select {
 	case queue <- message:
 	default:
@@ -78,14 +82,33 @@
 	}
 }
 
-// sendLoop posts the queued messages of one address in bundles.
+// release forgets the queue of an address if it is empty, and reports whether it was.
+func (sender *Sender) release(address string, queue chan contract.Message) bool {
+	sender.lock.Lock()
+	defer sender.lock.Unlock()
+	if len(queue) > 0 {
+		return false
+	}
+	delete(sender.queues, address)
+	return true
+}
+
+// sendLoop posts the queued messages of one address in bundles, until none has come for a time.
 func (sender *Sender) sendLoop(address string, queue chan contract.Message) {
 	post := sender.endpoint(address)
+	idle := time.NewTimer(sender.idleTime)
+	defer idle.Stop()
 	for {
 		bundle := Bundle{}
+		idle.Reset(sender.idleTime)
 		select {
 		case <-sender.stop:
 			return
+		case <-idle.C:
+			if sender.release(address, queue) {
+				return
+			}
+			continue
 		case message := <-queue:
 			bundle.Messages = append(bundle.Messages, message)
 		}
