--- a/starts/starts_test.go
+++ b/starts/starts_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cedarreel/cedarreel/emulator"
 	"github.com/cedarreel/cedarreel/rig"
 	. "github.com/onsi/gomega"
 )
@@ -79,3 +80,20 @@
 		}
 	}
 }
+
+const (
+	siteFile     = "../deploy/emulated/seri.json"
+	siteSpan     = 20 * time.Second
+	siteMemoryMB = 284
+	siteFiles    = 4100
+)
+
+// TestProcessesOfASiteOutliveItsTroubles guards against own ends and systems that do not come back when a site's troubles overlap.
+func TestProcessesOfASiteOutliveItsTroubles(t *testing.T) {
+	site, err := emulator.LoadSite(siteFile)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	clean, err := rig.SoakGateways(rig.GatewayPlan{Bin: bin, Folder: t.TempDir(), Span: siteSpan, CallsPerSecond: callsPerSecond, StayingCallers: machines, Seed: 2, Site: &site,
+		Limits: rig.GatewayLimits{MemoryMB: siteMemoryMB, OpenFiles: siteFiles}, Log: func(line string) { t.Log(line) }})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	NewWithT(t).Expect(clean).To(BeTrue(), "the soak reports a breach, a process that ended by itself, or a fleet that has not recovered")
+}
