--- a/emulator/partition_test.go
+++ b/emulator/days/partition_test.go
@@ -1,8 +1,9 @@
-package emulator
+package days
 
 import (
 	"time"
 
+	"github.com/cedarreel/cedarreel/emulator"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -21,7 +22,7 @@
 				site.DayS = 15
 				for place, zone := range site.Zones {
 					for _, late := range []float64{-0.2, 0.4, 1.5} {
-						played := Play(site, uint64(place+1), Plan{Troubles: []Trouble{
+						played := emulator.Play(site, uint64(place+1), emulator.Plan{Troubles: []emulator.Trouble{
 							{Kind: "core_cut", How: how, AtS: cutAt, Zone: zone.Name, ForS: cutFor},
 							{Kind: "scale_in", AtS: cutAt + late, Share: 0.4, Service: "model"}}})
 						Expect(played.Violations).To(BeEmpty(), "%s of %s cut off %s, servers leave %v after the cut", zone.Name, name, how, time.Duration(late*float64(time.Second)))
@@ -41,7 +42,7 @@
 			site.DayS = 15
 			for place, zone := range site.Zones {
 				for _, late := range []float64{0.4, 1.5} {
-					played := Play(site, uint64(place+1), Plan{Troubles: []Trouble{
+					played := emulator.Play(site, uint64(place+1), emulator.Plan{Troubles: []emulator.Trouble{
 						{Kind: "core_cut", How: "alone", AtS: cutAt, Zone: zone.Name, ForS: cutFor},
 						{Kind: "relay_loss", AtS: cutAt, ForS: cutFor, X: 1},
 						{Kind: "scale_in", AtS: cutAt + late, Share: 0.4, Service: "model"}}})
@@ -57,7 +58,7 @@
 			site.DayS = 15
 			for _, zone := range site.Zones {
 				for _, emptied := range site.Zones {
-					played := Play(site, 1, Plan{Troubles: []Trouble{{Kind: "core_cut", How: "alone", AtS: cutAt, Zone: zone.Name, ForS: cutFor},
+					played := emulator.Play(site, 1, emulator.Plan{Troubles: []emulator.Trouble{{Kind: "core_cut", How: "alone", AtS: cutAt, Zone: zone.Name, ForS: cutFor},
 						{Kind: "evacuate", AtS: cutAt + 3, Zone: emptied.Name, ForS: 4}}})
 					Expect(played.Violations).To(BeEmpty())
 					order := played.Record.Evacuations[0]
