A core process reads its folder only once the former life on it has ended

If the former life was still at work meanwhile (stopping, or never told to end), the new one then served what the folder had held when it was started. Its start also removed files that the former life was still writing aside.

The class: state is read before the process has the right to be the one that has it. The folder is now locked (flock) before it is read, until the process has ended; who finds it locked waits as for an address. A file system without locks, or a former life of an older build, holds none.

--- a/rig/gateway_machine.go
+++ b/rig/gateway_machine.go
@@ -137,7 +137,7 @@
 	fleet.lock.Lock()
 	closing := fleet.closing
 	fleet.lock.Unlock()
-	if closing || machine.removed.Load() {
+	if closing || machine.removed.Load() || ended.superseded.Load() {
 		return
 	}
 	if !ended.told.Load() {
--- a/rig/program.go
+++ b/rig/program.go
@@ -22,6 +22,8 @@
 	logPath   string
 	// told says that a signal was sent that ends the process.
 	told atomic.Bool
+	// superseded says that another life was started beside this one, so that none is started when this one has ended.
+	superseded atomic.Bool
 }
 
 // startProgram starts a program of a node with its settings file and appends its output to a log file.
--- a/serve/control.go
+++ b/serve/control.go
@@ -58,19 +58,21 @@
 func runControl(settings env.Env, faultsPath string, adapter Adapter) error {
 	bootID := newBootID()
 	var recovered *chain.Recovered
-	var folder image.Folder
+	var opened openedFolder
 	process := &controlProcess{adapter: adapter, writes: make(chan chain.Persist, diskQueueLength), readSlots: make(chan struct{}, maxConcurrentReads)}
 	if settings.Folder != "" {
-		loaded, err := retryStart(newLogger(settings.Name), "data folder", oserr.IsPassing, func() (chain.Recovered, error) { return openFolder(settings.Folder, &folder) })
+		var err error
+		opened, err = retryStart(newLogger(settings.Name), "data folder", oserr.IsPassing, func() (openedFolder, error) { return openFolder(settings.Folder) })
 		if err != nil {
 			return err
 		}
-		recovered, process.files = &loaded, folder
+		defer opened.lock.Release()
+		recovered, process.files = &opened.recovered, opened.folder
 	}
 	stateMachine := control.New(settings, bootID, recovered, newRandom())
 	process.Process = newProcess(settings, stateMachine.Self(), stateMachine, admission.SinglePortBudget(settings.MemoryBytes, settings.OpenFiles), faultsPath)
 	if recovered != nil {
-		process.beginLife(folder)
+		process.beginLife(opened.folder)
 		snapshot, damaged := image.LoadIndex(process.files)
 		stateMachine.RestoreIndex(snapshot)
 		process.Loop.Count("index_snapshots_damaged", int64(damaged))
@@ -105,12 +107,25 @@
 	}
 }
 
-// openFolder opens a data folder and loads what it holds.
-func openFolder(path string, folder *image.Folder) (recovered chain.Recovered, err error) {
-	if *folder, err = image.Open(path); err != nil {
-		return recovered, err
+// openedFolder is a data folder that this process holds, and what was in it.
+type openedFolder struct {
+	folder    image.Folder
+	lock      *image.Lock
+	recovered chain.Recovered
+}
+
+// openFolder locks a data folder and loads what it holds. A former life that still runs has the lock: what it writes until its end must be loaded.
+func openFolder(path string) (opened openedFolder, err error) {
+	if opened.folder, err = image.Open(path); err != nil {
+		return opened, err
+	}
+	if opened.lock, err = opened.folder.TryLock(); err != nil {
+		return opened, err
+	}
+	if opened.recovered, err = image.Load(opened.folder); err != nil {
+		opened.lock.Release()
 	}
-	return image.Load(*folder)
+	return opened, err
 }
 
 // execute carries out a command of the state machine. It reports whether it knows the command.
--- a/starts/starts_test.go
+++ b/starts/starts_test.go
@@ -97,3 +97,11 @@
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	NewWithT(t).Expect(clean).To(BeTrue(), "the soak reports a breach, a process that ended by itself, or a fleet that has not recovered")
 }
+
+// TestALifeThatOverlapsTheFormerOneLosesNoAcknowledgedConfiguration guards against starts that read their folder while the former life still writes it.
+func TestALifeThatOverlapsTheFormerOneLosesNoAcknowledgedConfiguration(t *testing.T) {
+	machine, err := rig.StartSingleGateway(rig.GatewayPlan{Bin: bin, Folder: t.TempDir(), Seed: 1, Log: func(line string) { t.Log(line) }})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	defer machine.Close()
+	NewWithT(t).Expect(machine.OverlapLives()).To(Succeed())
+}
