--- a/rig/gateway_soak.go
+++ b/rig/gateway_soak.go
@@ -194,6 +194,9 @@
 	for _, process := range stopped {
 		process.signal(syscall.SIGTERM)
 	}
+	if fleet.plan.Site != nil && fleet.below(overlapEvery) == 0 {
+		fleet.overlapLives(machine, stopped)
+	}
 	if fleet.below(3) == 0 {
 		time.Sleep(fleet.between(0, time.Second))
 		for _, process := range stopped {
--- a/rig/overlap.go
+++ b/rig/overlap.go
@@ -47,6 +47,18 @@
 	return fleet.operator.readBack()
 }
 
+// overlapEvery is in how many stops of a site's soak the next lives are started at once, beside those that stop.
+const overlapEvery = 3
+
+// overlapLives starts the next lives of a machine's processes while the former ones still stop.
+func (fleet *gatewayFleet) overlapLives(machine *gatewayMachine, stopping map[string]*program) {
+	fleet.count("lives that overlap")
+	for role, former := range stopping {
+		former.superseded.Store(true)
+		fleet.failIf(machine.startRole(role, false))
+	}
+}
+
 // awaitWait waits until the newest life of a machine's control process has logged that its start waits.
 func (fleet *gatewayFleet) awaitWait(machine *gatewayMachine) error {
 	for began := fleet.now(); fleet.now() < began+restartLimit; time.Sleep(pollInterval) {
