--- a/rig/gateway_fleet.go
+++ b/rig/gateway_fleet.go
@@ -184,13 +184,16 @@
 	fleet.plan.Log(fmt.Sprintf("%v FAILED %v", time.Since(fleet.startedAt).Round(time.Millisecond), err))
 }
 
-// coreAddresses are the control addresses of the core machines.
+// seedCount is how many seeds the platform names.
+const seedCount = 3
+
+// coreAddresses are the control addresses of core machines that are told to processes as seeds.
 func (fleet *gatewayFleet) coreAddresses() []string {
 	addresses := []string{}
 	for _, machine := range fleet.core() {
 		addresses = append(addresses, machine.at(controlPort))
 	}
-	return addresses
+	return addresses[:min(seedCount, len(addresses))]
 }
 
 // start starts all machines for the first time and waits until they are configured and ready.
