The lock of a data folder lasts until the process has ended

Found by reading the change again; no run showed it. The lock is now a descriptor that only the end of the process closes; a start that can't read the folder lets it go.

--- a/serve/control.go
+++ b/serve/control.go
@@ -66,7 +66,6 @@
 		if err != nil {
 			return err
 		}
-		defer opened.lock.Release()
 		recovered, process.files = &opened.recovered, opened.folder
 	}
 	stateMachine := control.New(settings, bootID, recovered, newRandom())
@@ -107,10 +106,9 @@
 	}
 }
 
-// openedFolder is a data folder that this process holds, and what was in it.
+// openedFolder is a data folder that this process holds until it has ended, and what was in it.
 type openedFolder struct {
 	folder    image.Folder
-	lock      *image.Lock
 	recovered chain.Recovered
 }
 
@@ -119,11 +117,12 @@
 	if opened.folder, err = image.Open(path); err != nil {
 		return opened, err
 	}
-	if opened.lock, err = opened.folder.TryLock(); err != nil {
+	lock, err := opened.folder.TryLock()
+	if err != nil {
 		return opened, err
 	}
 	if opened.recovered, err = image.Load(opened.folder); err != nil {
-		opened.lock.Release()
+		lock.Release()
 	}
 	return opened, err
 }
