Reverted: a process uses no more processors than its settings grant

A failed try. On one processor the crowd's requests keep ordinary ones waiting; on several they do not.

--- a/env/env.go
+++ b/env/env.go
@@ -73,8 +73,6 @@
 	// MemoryBytes is the memory that the process may take, OpenFiles the number of descriptors that it may open.
 	MemoryBytes int64
 	OpenFiles   int64
-	// Cores is the number of processors that the process may use at once, 0 for those of the machine.
-	Cores int64
 }
 
 // Defaults of what a process may take, for settings that do not say.
--- a/serve/main.go
+++ b/serve/main.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"runtime"
 	"runtime/debug"
 
 	"github.com/cedarreel/cedarreel/env"
@@ -89,14 +88,6 @@
 	}
 }
 
-// limitProcessors makes the runtime use no more processors at once than a platform grants, unless GOMAXPROCS says how many. The runtime's threads and
-// the memory of its collector grow with them.
-func limitProcessors(cores int64) {
-	if cores > 0 && os.Getenv("GOMAXPROCS") == "" {
-		runtime.GOMAXPROCS(min(runtime.NumCPU(), int(cores)))
-	}
-}
-
 // MainWithAdapter runs a program that gets its settings from a platform through an adapter. It exits on errors.
 func MainWithAdapter(program string, signals Signals, adapter Adapter, run func(Adapter) error) {
 	signals.use()
--- a/serve/settings.go
+++ b/serve/settings.go
@@ -34,9 +34,6 @@
 // awaitSettings reads the settings of a process that starts, and waits until they are whole.
 func awaitSettings(adapter Adapter, kind string) (env.Env, error) {
 	settings, err := retryStart(newLogger(""), "settings", always, func() (env.Env, error) { return readSettings(adapter, kind) })
-	if err == nil {
-		limitProcessors(settings.Cores)
-	}
 	starting.identify(settings.Name, settings.StatusAddresses)
 	return settings, err
 }
