--- a/cmd/cedarrig/gateways.go
+++ b/cmd/cedarrig/gateways.go
@@ -62,11 +62,13 @@
 const (
 	siteMemoryMB  = 284
 	siteOpenFiles = 4100
+	// siteProcessorQuota is that of a machine without a disk.
+	siteProcessorQuota = 0.4
 )
 
 // gatewayPlan returns what the soaks of all seeds have in common.
 func gatewayPlan(args arguments, machines int) (rig.GatewayPlan, error) {
-	plan := rig.GatewayPlan{Bin: args.Bin, OtherBin: args.OtherBin, Machines: machines, Span: time.Duration(args.Seconds) * time.Second, CallsPerSecond: gatewayCallsPerSecond * args.Rate,
+	plan := rig.GatewayPlan{Bin: args.Bin, OtherBin: args.OtherBin, Floods: args.Floods, Machines: machines, Span: time.Duration(args.Seconds) * time.Second, CallsPerSecond: gatewayCallsPerSecond * args.Rate,
 		StayingCallers: stayingPerMachine * machines, Stops: max(1, machines/machinesPerStop), Log: func(text string) { fmt.Println(text) }}
 	if args.SiteSoaks == 0 {
 		return plan, nil
@@ -75,7 +77,7 @@
 	if err != nil {
 		return plan, err
 	}
-	plan.Site, plan.Limits = &site, rig.GatewayLimits{MemoryMB: siteMemoryMB, OpenFiles: siteOpenFiles}
+	plan.Site, plan.Limits = &site, rig.GatewayLimits{MemoryMB: siteMemoryMB, OpenFiles: siteOpenFiles, ProcessorQuota: siteProcessorQuota, EndsOverMemory: true}
 	played, left := rig.PlayedTroubles(site)
 	fmt.Println("troubles that are played:", played, "left out:", left)
 	return plan, nil
--- a/cmd/cedarrig/main.go
+++ b/cmd/cedarrig/main.go
@@ -45,6 +45,7 @@
 	SoakDays       int     `long:"soak" description:"instead of processes, emulate this many seeded soaks of overlapping series of faults on the site file in --site"`
 	GatewaySoaks   int     `long:"gateways" description:"soak real processes as the platform's gateway with this many seeds, each for --seconds"`
 	StartSoaks     int     `long:"starts" description:"like --gateways, with troubles at the first start of the fleet and at the starts of its processes"`
+	Floods         bool    `long:"floods" description:"with --gateways, --starts or --processes: servers and the list of servers send bytes without end now and then"`
 	SiteSoaks      int     `long:"processes" description:"like --gateways, with the shape and the troubles of the site file in --site; odd seeds add those of --starts"`
 	Tenants        int     `long:"tenants" description:"with --play and --soak, number of organisations in the configuration, whose keys are added and removed"`
 	CompareWith    string  `long:"vs" description:"with --play, compare with a changed setting over the same seeds, for example gateway.repeatRatio=0.1"`
--- /dev/null
+++ b/rig/flood.go
@@ -0,0 +1,135 @@
+package rig
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Services of the machines of a SingleGateway.
+const (
+	ModelService = "model"
+	PlainService = "sync"
+)
+
+// Flood lets the first servers of a service answer with a fault, until the function that it returns is called.
+func (single *SingleGateway) Flood(fault AnswerFault, service string, servers int) (end func()) {
+	faulty := single.fleet.platform.serversOf(service)
+	faulty = faulty[:min(servers, len(faulty))]
+	for _, server := range faulty {
+		server.fault.Store(&fault)
+	}
+	return func() {
+		for _, server := range faulty {
+			server.fault.Store(nil)
+		}
+	}
+}
+
+// FloodList lets the platform answer with a fault when it is asked for the list of servers, until the function that it returns is called.
+func (single *SingleGateway) FloodList(fault AnswerFault) (end func()) {
+	single.fleet.platform.listFault.Store(&fault)
+	return func() { single.fleet.platform.listFault.Store(nil) }
+}
+
+// serversOf returns the servers of a service that are not leaving, in the order of their starts.
+func (platform *gatewayPlatform) serversOf(service string) []*gatewayServer {
+	platform.lock.Lock()
+	defer platform.lock.Unlock()
+	return slices.DeleteFunc(slices.Clone(platform.servers), func(server *gatewayServer) bool {
+		return server.draining || server.ended || server.service.name != service
+	})
+}
+
+// CallSummary counts calls by what became of them.
+type CallSummary struct {
+	// Whole were answered whole by servers without a fault, Faulty were run by a faulty one.
+	Whole, Faulty int
+	// Failed tells of each other call.
+	Failed []string
+}
+
+// CallFor lets so many callers send calls to the machine for a span, and returns what became of the calls.
+func (single *SingleGateway) CallFor(span time.Duration, callers int) CallSummary {
+	fleet, summary, lock, group := single.fleet, CallSummary{}, sync.Mutex{}, sync.WaitGroup{}
+	round := fleet.below(1 << 30)
+	for index := range callers {
+		caller := fleet.newCaller(fmt.Sprintf("flood%d-%d", round, index), uint64(round+index))
+		caller.home, caller.thinkTime, caller.obeys = fleet.machines[0], shortThinkTime, true
+		group.Go(func() {
+			defer caller.drop()
+			for began := fleet.now(); fleet.now() < began+span; {
+				attempt := caller.call()
+				lock.Lock()
+				summary.add(attempt, fleet.record.faultyRun(attempt.ID))
+				lock.Unlock()
+				caller.pauseAfter(attempt)
+			}
+		})
+	}
+	group.Wait()
+	return summary
+}
+
+func (summary *CallSummary) add(attempt *gatewayAttempt, faulty bool) {
+	switch {
+	case attempt.Status == http.StatusOK && attempt.Complete && len(attempt.Pieces) == attempt.WantPieces:
+		summary.Whole++
+	case faulty:
+		summary.Faulty++
+	default:
+		summary.Failed = append(summary.Failed, fmt.Sprintf("%s %s: status %d, %d of %d pieces, %s", attempt.Kind, attempt.ID, attempt.Status, len(attempt.Pieces), attempt.WantPieces, attempt.Error))
+	}
+}
+
+// faultyRun reports whether a faulty server ran an attempt.
+func (record *gatewayRecord) faultyRun(id string) bool {
+	record.lock.Lock()
+	defer record.lock.Unlock()
+	return slices.ContainsFunc(record.runs[id], func(run *gatewayRun) bool { return run.Faulty })
+}
+
+// clockTicks is how many units of /proc/PID/stat a second of processor time has.
+const clockTicks = 100
+
+// ProcessorTime returns the processor time that a process has used.
+func ProcessorTime(pid int) time.Duration {
+	content, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	_, rest, _ := strings.Cut(string(content), ") ")
+	fields := strings.Fields(rest)
+	const userField, systemField = 11, 12
+	if len(fields) <= systemField {
+		return 0
+	}
+	user, _ := strconv.Atoi(fields[userField])
+	system, _ := strconv.Atoi(fields[systemField])
+	return time.Duration(user+system) * time.Second / clockTicks
+}
+
+// PeakMemoryKB returns the highest resident memory of a process since its start or the last ResetPeakMemory.
+func PeakMemoryKB(pid int) int { return readUsage(pid).residentKB }
+
+// ResetPeakMemory makes the present resident memory of a process its peak.
+func ResetPeakMemory(pid int) error {
+	const resetPeak = "5"
+	return os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", pid), []byte(resetPeak), 0)
+}
+
+// limitMemory limits the writable memory of a process, zero for no limit: beyond it, its requests for memory fail and it ends.
+func limitMemory(pid, megabytes int) error {
+	if megabytes == 0 {
+		return nil
+	}
+	limit := unix.Rlimit{Cur: uint64(megabytes) << 20, Max: uint64(megabytes) << 20}
+	if err := unix.Prlimit(pid, unix.RLIMIT_DATA, &limit, nil); err != nil && err != unix.ESRCH {
+		return fmt.Errorf("limit of memory: %w", err)
+	}
+	return nil
+}
--- a/rig/gateway_fleet.go
+++ b/rig/gateway_fleet.go
@@ -37,6 +37,8 @@
 	Log func(string)
 	// OtherBin, if set, is the folder of a second build; each start of a process takes one of the two at random.
 	OtherBin string
+	// Floods lets servers, and the list of servers, send bytes without end now and then.
+	Floods bool
 	// Site, if set, gives the zones, machines, services, kinds of calls, bounds and troubles. Machines is then not used.
 	Site *emulator.Site
 }
@@ -47,6 +49,10 @@
 	MemoryMB, OpenFiles int
 	// BodyBytes bounds a caller's body.
 	BodyBytes int
+	// ProcessorQuota is the share of one processor that a process is granted.
+	ProcessorQuota float64
+	// EndsOverMemory ends a process that asks for more writable memory than MemoryMB.
+	EndsOverMemory bool
 }
 
 // Ports of every machine; machines differ in their loopback address.
--- a/rig/gateway_machine.go
+++ b/rig/gateway_machine.go
@@ -74,7 +74,7 @@
 	settings := platform.ProcessSettings{Name: machine.name, Role: role, Address: machine.address, Zone: machine.zone, Region: machine.region, Seeds: machine.fleet.coreAddresses(), First: first, Zones: zones,
 		Frontend: machine.at(trafficPort), Readiness: machine.at(readyPort), ControlPlane: machine.at(controlPort), Registry: machine.at(lookupPort), InnerPorts: [2]int{firstInnerPort, lastInnerPort},
 		Platform: machine.fleet.platform.address, ListLag: shape.listLag, Contact: shape.contact, Drain: shape.drain, Grace: shape.grace, Propagate: shape.propagate, MaxTTL: shape.maxTTL,
-		MemoryMB: machine.fleet.plan.Limits.MemoryMB, MaxOpenFiles: machine.fleet.plan.Limits.OpenFiles}
+		MemoryMB: machine.fleet.plan.Limits.MemoryMB, MaxOpenFiles: machine.fleet.plan.Limits.OpenFiles, ProcessorQuota: machine.fleet.plan.Limits.ProcessorQuota}
 	if machine.core && role == controlRole {
 		settings.Member, settings.DataPath = true, filepath.Join(machine.folder, "data")
 	}
@@ -110,7 +110,11 @@
 	if err != nil {
 		return err
 	}
-	machine.fleet.failIf(limitOpenFiles(started.pid(), machine.fleet.plan.Limits.OpenFiles))
+	limits := machine.fleet.plan.Limits
+	machine.fleet.failIf(limitOpenFiles(started.pid(), limits.OpenFiles))
+	if limits.EndsOverMemory {
+		machine.fleet.failIf(limitMemory(started.pid(), limits.MemoryMB))
+	}
 	machine.lock.Lock()
 	if machine.running == nil {
 		machine.running = map[string]*program{}
--- a/rig/gateway_record.go
+++ b/rig/gateway_record.go
@@ -45,6 +45,9 @@
 	EndedAt   time.Duration
 	Whole     bool
 	BrokenOff bool
+	// Faulty says that the server sent bytes without end, NotRun that it claimed not to have run the request.
+	Faulty bool
+	NotRun bool
 }
 
 func newGatewayRecord() *gatewayRecord { return &gatewayRecord{runs: map[string][]*gatewayRun{}} }
--- a/rig/gateway_server.go
+++ b/rig/gateway_server.go
@@ -25,6 +25,8 @@
 	servers []*gatewayServer
 	started int
 	http    *http.Server
+	// listFault, if set, is how the list is answered.
+	listFault atomic.Pointer[AnswerFault]
 }
 
 func newGatewayPlatform(fleet *gatewayFleet) (*gatewayPlatform, error) {
@@ -71,7 +73,7 @@
 	mux.HandleFunc("GET /report", server.report)
 	mux.HandleFunc("GET /healthz", server.health)
 	mux.HandleFunc("/", server.serve)
-	server.http = &http.Server{Handler: mux}
+	server.http = &http.Server{Handler: server.faultyOr(mux)}
 	go func() { _ = server.http.Serve(listener) }()
 	platform.servers = append(platform.servers, server)
 	return nil
@@ -79,6 +81,10 @@
 
 // list answers with all servers on one page, leaving ones as draining. Ended ones are not listed.
 func (platform *gatewayPlatform) list(writer http.ResponseWriter, _ *http.Request) {
+	if fault := platform.listFault.Load(); fault != nil {
+		fault.answer(writer, "")
+		return
+	}
 	platform.lock.Lock()
 	instances := []wire.Instance{}
 	for _, server := range platform.servers {
@@ -150,6 +156,25 @@
 	ended    bool
 	// crashed says that the server broke off all its calls without notice.
 	crashed atomic.Bool
+	// fault, if set, is how the server answers in place of its usual answers.
+	fault atomic.Pointer[AnswerFault]
+}
+
+// faultyOr answers with the server's fault while it has one. Of a call it is recorded that it ran and that its server is at fault.
+func (server *gatewayServer) faultyOr(usual http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		fault := server.fault.Load()
+		if fault == nil {
+			usual.ServeHTTP(writer, request)
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		id, record := wire.AttemptID(request.Header), server.platform.fleet.record
+		run := record.runStarted(id, server.name, server.platform.fleet.now())
+		run.Faulty, run.NotRun = true, fault.notRun
+		record.runEnded(run, false, true, server.platform.fleet.now())
+		fault.answer(writer, id)
+	})
 }
 
 func (server *gatewayServer) report(writer http.ResponseWriter, _ *http.Request) {
--- a/rig/gateway_soak.go
+++ b/rig/gateway_soak.go
@@ -78,6 +78,9 @@
 	} else {
 		fleet.startUsualSeries(signalling)
 	}
+	if fleet.plan.Floods {
+		fleet.startFloods(signalling)
+	}
 	<-signalling.Done()
 	if fleet.plan.Site != nil {
 		if !awaitGroup(&fleet.series, callersEndLimit) {
