--- /dev/null
+++ b/flood/flood_test.go
@@ -0,0 +1,113 @@
+// Package flood has the tests in which servers answer the real processes of one machine with bytes without end. They check that no process ends,
+// that each stays within the memory and the processor time of its settings, and that the calls to other servers are answered whole.
+package flood
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/cedarreel/cedarreel/rig"
+	. "github.com/onsi/gomega"
+)
+
+// Limits of the machine's processes, as a site's platform grants them.
+const (
+	memoryMB       = 284
+	openFiles      = 4100
+	processorQuota = 0.4
+)
+
+const (
+	// floodSpan is how long callers go on while servers are faulty.
+	floodSpan = 2 * time.Second
+	callers   = 40
+	// answerLimit is how long an ordinary call is tried again after a flood, until it is answered.
+	answerLimit = 12 * time.Second
+	answerPause = 200 * time.Millisecond
+	allServers  = 1 << 10
+)
+
+// bin is the folder of the programs.
+var bin string
+
+func TestMain(m *testing.M) { os.Exit(rig.RunWithPrograms(m.Run, &bin)) }
+
+func startMachine(t *testing.T) *rig.SingleGateway {
+	t.Helper()
+	limits := rig.GatewayLimits{MemoryMB: memoryMB, OpenFiles: openFiles, ProcessorQuota: processorQuota, EndsOverMemory: true}
+	machine, err := rig.StartSingleGateway(rig.GatewayPlan{Bin: bin, Folder: t.TempDir(), Seed: 1, Log: func(line string) { t.Log(line) }, Limits: limits})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(machine.Close)
+	return machine
+}
+
+// programs are those of a machine.
+var programs = []string{rig.DataProgram, rig.ControlProgram}
+
+// press lets callers call while servers are faulty, and checks what has to hold. Calls to sound servers must all be answered whole unless all
+// servers of a service are faulty.
+func press(t *testing.T, machine *rig.SingleGateway, startFault func() (end func()), allFaulty bool) {
+	t.Helper()
+	expect, usedBefore := NewWithT(t), map[string]time.Duration{}
+	for _, program := range programs {
+		expect.Expect(rig.ResetPeakMemory(machine.PID(program))).To(Succeed())
+		usedBefore[program] = rig.ProcessorTime(machine.PID(program))
+	}
+	began, endFault := time.Now(), startFault()
+	summary := machine.CallFor(floodSpan, callers)
+	span := time.Since(began)
+	endFault()
+	t.Logf("calls answered whole %d, run by a faulty server %d, others %d", summary.Whole, summary.Faulty, len(summary.Failed))
+	for _, program := range programs {
+		peak := rig.PeakMemoryKB(machine.PID(program))
+		quota := float64(rig.ProcessorTime(machine.PID(program))-usedBefore[program]) / float64(span) / processorQuota
+		t.Logf("%s: peak %d MB, processor %.2f of its quota, ended %v", program, peak>>10, quota, machine.HasEnded(program))
+		expect.Expect(machine.HasEnded(program)).To(BeFalse(), program+" ended")
+		expect.Expect(peak).To(BeNumerically("<=", memoryMB<<10), program+": peak of resident memory in KB")
+		expect.Expect(quota).To(BeNumerically("<=", 1), program+": processor time as a share of its quota")
+	}
+	if !allFaulty {
+		expect.Expect(summary.Failed).To(BeEmpty(), "calls that no faulty server ran")
+	}
+	expect.Eventually(machine.Call, answerLimit, answerPause).Should(Succeed(), "an ordinary call after the flood")
+}
+
+// testEachFault plays each fault on a machine of its own.
+func testEachFault(t *testing.T, allFaulty bool, startFault func(machine *rig.SingleGateway, fault rig.AnswerFault) (end func())) {
+	t.Helper()
+	for _, fault := range rig.AnswerFaults() {
+		t.Run(fault.String(), func(t *testing.T) {
+			t.Parallel()
+			machine := startMachine(t)
+			press(t, machine, func() func() { return startFault(machine, fault) }, allFaulty)
+		})
+	}
+}
+
+func TestAModelServerSendsWithoutEnd(t *testing.T) {
+	testEachFault(t, false, func(machine *rig.SingleGateway, fault rig.AnswerFault) func() {
+		return machine.Flood(fault, rig.ModelService, 1)
+	})
+}
+
+func TestAPlainServerSendsWithoutEnd(t *testing.T) {
+	testEachFault(t, false, func(machine *rig.SingleGateway, fault rig.AnswerFault) func() {
+		return machine.Flood(fault, rig.PlainService, 1)
+	})
+}
+
+func TestAllModelServersSendWithoutEnd(t *testing.T) {
+	testEachFault(t, true, func(machine *rig.SingleGateway, fault rig.AnswerFault) func() {
+		return machine.Flood(fault, rig.ModelService, allServers)
+	})
+}
+
+func TestTheListOfServersIsSentWithoutEnd(t *testing.T) {
+	testEachFault(t, false, func(machine *rig.SingleGateway, fault rig.AnswerFault) func() { return machine.FloodList(fault) })
+}
+
+// TestWithoutAFault shows that the callers alone keep all bounds.
+func TestWithoutAFault(t *testing.T) {
+	press(t, startMachine(t), func() func() { return func() {} }, false)
+}
