Bytes after a whole answer: idle connections are watched, their server is distrusted

Callers saw data processes end after a server had sent a whole answer and, 50 ms later, bytes without end. The connection went back to the pool while it was quiet; the next call read the bytes as the head of its own answer.

--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -182,16 +182,19 @@
 	}
 }
 
-// closeIdleConns periodically closes connections that have been idle for too long.
+// idleCheckPeriod is the time between two checks of the idle connections.
+const idleCheckPeriod = time.Second
+
+// closeIdleConns periodically closes connections that have been idle for too long, or on which bytes arrived.
 func (process *gatewayProcess) closeIdleConns() {
-	ticker := time.NewTicker(process.Settings.Gateway.Contact)
+	ticker := time.NewTicker(idleCheckPeriod)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-process.stop:
 			return
 		case <-ticker.C:
-			process.pool.CloseExpired()
+			process.Loop.Count("servers_with_late_bytes", int64(len(process.pool.CloseExpired())))
 		}
 	}
 }
@@ -312,9 +315,19 @@
 	writer.WriteHeader(refuse.Status)
 }
 
+// noteLateBytes notes that a server sent bytes that belong to no call. Its connections are not used again for a time.
+func (process *gatewayProcess) noteLateBytes(server contract.Candidate) {
+	process.pool.Distrust(server.Address)
+	process.Loop.Count("servers_with_late_bytes", 1)
+}
+
 // dial returns a connection to the server, from the pool if there is one.
 func (process *gatewayProcess) dial(ctx context.Context, dispatch gateway.Dispatch) (*upstream.Conn, error) {
-	if conn := process.pool.Get(dispatch.Server.Address, dispatch.MaxIdle); conn != nil {
+	conn, lateBytes := process.pool.Get(dispatch.Server.Address, dispatch.MaxIdle)
+	if lateBytes {
+		process.noteLateBytes(dispatch.Server)
+	}
+	if conn != nil {
 		return conn, nil
 	}
 	return process.pool.Dial(ctx, dispatch.Server.Address, min(dispatch.ConnectTimeout, dispatch.Timeout))
