A server that sends more than an answer may have rests, whatever else it answers

Nothing took a faulty server out of the picks for long: each of its answers began with a well formed head, which counted as a sign of health and ended its rest of 250 ms. The end of a dispatch now says whether the server sent beyond a bound; such a server rests for a contact time, twice as long each time it does so again, up to eight. Only a whole answer ends the series.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -122,13 +122,14 @@
 )
 
 // DispatchEnded is the event that a dispatch ended. AnswerStarted says that bytes of the answer have reached the caller. ServerError says that the
-// complete answer reports an error of the server. Load is nil if it was not reported.
+// complete answer reports an error of the server, Misbehaved that the server sent more than an answer may have. Load is nil if it was not reported.
 type DispatchEnded struct {
 	Token         int64
 	Attempt       int
 	Outcome       Outcome
 	AnswerStarted bool
 	ServerError   bool
+	Misbehaved    bool
 	Load          *Load
 	Reason        string
 }
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -10,6 +10,9 @@
 // maxUnsentAttempts is how many dispatches of a call may fail before a byte is sent; they do not use up the attempts of its route.
 const maxUnsentAttempts = 4
 
+// maxShunning is the longest rest of a server that sends more than an answer may have, in contact times.
+const maxShunning = 8
+
 // handleArrival registers a new call and sends it on, or refuses it.
 func (router *Router) handleArrival(now time.Duration, event CallArrived) []contract.Command {
 	if !router.Ready(now) {
@@ -242,9 +245,16 @@
 	router.release(call)
 	call.answerStarted = call.answerStarted || event.AnswerStarted
 	mayRetry, noServer := event.Outcome.mayRetry(call.route.Repeatable()), false
+	if event.Misbehaved {
+		server.recordMisconduct(now, router.policy.Contact, router.policy.Contact*maxShunning)
+		if event.Outcome != OutcomeBroken {
+			router.tallyOf(now, server).Failed++
+		}
+	}
 	switch event.Outcome {
 	case OutcomeComplete:
 		router.serverAnswered(now, server)
+		server.misconducts = 0
 		if event.ServerError {
 			router.tallyOf(now, server).Failed++
 		} else {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -33,6 +33,9 @@
 	// backoffUntil is until when the server rests after failures; probing says that the one call that tries it then is under way.
 	backoffUntil time.Duration
 	probing      bool
+	// misconducts counts the answers in a row that had more than an answer may have, shunnedUntil is until when the server rests for that.
+	misconducts  int
+	shunnedUntil time.Duration
 	// nextProbe is when this node may probe again a server that is ill for all nodes.
 	nextProbe time.Duration
 	outcomes  recentOutcomes
@@ -73,6 +76,16 @@
 	server.backoffUntil, server.probing = now+rest, false
 }
 
+// recordMisconduct lets the server rest, whatever else it answers, for a time that doubles with each answer in a row that had more than an answer
+// may have, from base up to limit.
+func (server *serverState) recordMisconduct(now time.Duration, base, limit time.Duration) {
+	if now < server.shunnedUntil {
+		return
+	}
+	server.shunnedUntil = now + min(limit, base<<min(server.misconducts, 6))
+	server.misconducts++
+}
+
 // recordSuccess ends the server's rest.
 func (server *serverState) recordSuccess(now time.Duration) {
 	server.failures, server.backoffUntil, server.probing = 0, 0, false
