Rig: calls on a connection whose server already floods are recorded; steady callers

Two instrument faults of the flood tests. A call that is written on a kept connection while its server sends late bytes was not recorded as run by a faulty server, so its 502 counted as that of a sound one (2 of 147 calls, 'bytes after a whole answer').

--- a/rig/answer_fault.go
+++ b/rig/answer_fault.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net"
@@ -95,13 +96,14 @@
 	return text.String() + fault.lines
 }
 
-// answer takes over the connection of a request and sends until the caller closes it.
-func (fault AnswerFault) answer(writer http.ResponseWriter, attemptID string) {
-	conn, _, err := http.NewResponseController(writer).Hijack()
+// answer takes over the connection of a request and sends until the caller closes it. It tells onRequest of each later request on the connection.
+func (fault AnswerFault) answer(writer http.ResponseWriter, attemptID string, onRequest func(attemptID string)) {
+	conn, buffered, err := http.NewResponseController(writer).Hijack()
 	if err != nil {
 		return
 	}
 	defer conn.Close()
+	go readRequests(buffered.Reader, onRequest)
 	_ = conn.SetDeadline(time.Now().Add(endlessLimit))
 	if _, err = io.WriteString(conn, fault.head(attemptID)); err != nil {
 		return
@@ -110,6 +112,20 @@
 	fault.repeat(conn)
 }
 
+// readRequests reads the requests on a connection until it fails.
+func readRequests(reader *bufio.Reader, onRequest func(attemptID string)) {
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		onRequest(wire.AttemptID(request.Header))
+		if _, err = io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+	}
+}
+
 // repeat writes the unit until the connection fails.
 func (fault AnswerFault) repeat(conn net.Conn) {
 	block := bytes.Repeat([]byte(fault.unit), 1+endlessBlock/len(fault.unit))
--- a/rig/flood.go
+++ b/rig/flood.go
@@ -56,21 +56,25 @@
 	Failed []string
 }
 
-// CallFor lets so many callers send calls to the machine for a span, and returns what became of the calls.
+// callPeriod is the time from the start of a caller's call to the earliest start of its next one.
+const callPeriod = time.Second
+
+// CallFor lets so many callers send calls to the machine for a span, one in callPeriod each, and returns what became of the calls.
 func (single *SingleGateway) CallFor(span time.Duration, callers int) CallSummary {
 	fleet, summary, lock, group := single.fleet, CallSummary{}, sync.Mutex{}, sync.WaitGroup{}
 	round := fleet.below(1 << 30)
 	for index := range callers {
 		caller := fleet.newCaller(fmt.Sprintf("flood%d-%d", round, index), uint64(round+index))
-		caller.home, caller.thinkTime, caller.obeys = fleet.machines[0], shortThinkTime, true
+		caller.home = fleet.machines[0]
 		group.Go(func() {
 			defer caller.drop()
-			for began := fleet.now(); fleet.now() < began+span; {
+			began := fleet.now()
+			for next := began + callPeriod*time.Duration(index)/time.Duration(callers); next < began+span; next += callPeriod {
+				time.Sleep(next - fleet.now())
 				attempt := caller.call()
 				lock.Lock()
 				summary.add(attempt, fleet.record.faultyRun(attempt.ID))
 				lock.Unlock()
-				caller.pauseAfter(attempt)
 			}
 		})
 	}
--- a/rig/gateway_record.go
+++ b/rig/gateway_record.go
@@ -53,11 +53,16 @@
 func newGatewayRecord() *gatewayRecord { return &gatewayRecord{runs: map[string][]*gatewayRun{}} }
 
 func (record *gatewayRecord) runStarted(id, server string, at time.Duration) *gatewayRun {
+	run := &gatewayRun{Server: server, StartedAt: at}
+	record.addRun(id, run)
+	return run
+}
+
+// addRun keeps a run of a request.
+func (record *gatewayRecord) addRun(id string, run *gatewayRun) {
 	record.lock.Lock()
 	defer record.lock.Unlock()
-	run := &gatewayRun{Server: server, StartedAt: at}
 	record.runs[id] = append(record.runs[id], run)
-	return run
 }
 
 func (record *gatewayRecord) runEnded(run *gatewayRun, whole, brokenOff bool, at time.Duration) {
--- a/rig/gateway_server.go
+++ b/rig/gateway_server.go
@@ -82,7 +82,7 @@
 // list answers with all servers on one page, leaving ones as draining. Ended ones are not listed.
 func (platform *gatewayPlatform) list(writer http.ResponseWriter, _ *http.Request) {
 	if fault := platform.listFault.Load(); fault != nil {
-		fault.answer(writer, "")
+		fault.answer(writer, "", func(string) {})
 		return
 	}
 	platform.lock.Lock()
@@ -169,14 +169,19 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
-		id, record := wire.AttemptID(request.Header), server.platform.fleet.record
-		run := record.runStarted(id, server.name, server.platform.fleet.now())
-		run.Faulty, run.NotRun = true, fault.notRun
-		record.runEnded(run, false, true, server.platform.fleet.now())
-		fault.answer(writer, id)
+		id := wire.AttemptID(request.Header)
+		server.recordFaulty(id, fault)
+		fault.answer(writer, id, func(later string) { server.recordFaulty(later, fault) })
 	})
 }
 
+// recordFaulty records that a faulty server took a call.
+func (server *gatewayServer) recordFaulty(attemptID string, fault *AnswerFault) {
+	fleet := server.platform.fleet
+	at := fleet.now()
+	fleet.record.addRun(attemptID, &gatewayRun{Server: server.name, StartedAt: at, EndedAt: at, BrokenOff: true, Faulty: true, NotRun: fault.notRun})
+}
+
 func (server *gatewayServer) report(writer http.ResponseWriter, _ *http.Request) {
 	server.lock.Lock()
 	active := server.running
