Answers of servers have bounds in bytes, memory and processor time, each and in total

Callers saw data processes run out of memory or stand still after a server had sent without end: one header line, header lines, a status line (ReadResponse kept what came until the deadline), bodies behind a 500 (16 MiB for each of the calls that run), tiny chunks and whole events (bounded by nothing but time). The class: something read from a peer that isn't bounded in bytes, in number and in time before it is kept. What is over that is read more slowly, and ended after a second of pauses. A bound names its server in the log and a metric, and lets it rest. Parts of bodies and buffers of events are used again: garbage had doubled what is held. A body that goes on after what is discarded of a refusal no longer leaves its connection in the pool.

Specs beside each bound check that the largest sound answers pass.

--- a/env/env.go
+++ b/env/env.go
@@ -73,12 +73,15 @@
 	// MemoryBytes is the memory that the process may take, OpenFiles the number of descriptors that it may open.
 	MemoryBytes int64
 	OpenFiles   int64
+	// ProcessorQuota is the processor time that the process is granted, in processors; 0 stands for all of the machine.
+	ProcessorQuota float64
 }
 
 // Defaults of what a process may take, for settings that do not say.
 const (
 	DefaultMemoryBytes = 1 << 30
 	DefaultOpenFiles   = 4096
+	maxProcessors      = 1 << 12
 )
 
 // DefaultBounds returns the bounds that apply where the settings name no others.
@@ -170,7 +173,7 @@
 	}
 	reader := manifest.NewReader(tree)
 	settings := New()
-	known := []string{"name", "zone", "region", "control", "data", "seeds", "folder", "platform", "coreSize", "bounds", "memoryBytes", "openFiles"}
+	known := []string{"name", "zone", "region", "control", "data", "seeds", "folder", "platform", "coreSize", "bounds", "memoryBytes", "openFiles", "processorQuota"}
 	reader.AllowOnly("", known...)
 	settings.Name = reader.Text("name", "")
 	settings.Zone = reader.Text("zone", "")
@@ -182,6 +185,7 @@
 	settings.CoreSize = reader.Integer("coreSize", 3, 1, 9)
 	settings.MemoryBytes = reader.Integer("memoryBytes", DefaultMemoryBytes, 64<<20, 1<<40)
 	settings.OpenFiles = reader.Integer("openFiles", DefaultOpenFiles, 256, 1<<24)
+	settings.ProcessorQuota = reader.Float("processorQuota", 0, 0, maxProcessors)
 	settings.Seeds = reader.Texts("seeds")
 	settings.Bounds.parse(reader)
 	return settings, reader.Err()
@@ -293,7 +297,7 @@
 	content, _ := json.MarshalIndent(map[string]any{
 		"name": settings.Name, "zone": settings.Zone, "region": settings.Region, "control": settings.Control,
 		"data": settings.Data, "seeds": settings.Seeds, "folder": settings.Folder, "platform": settings.Platform,
-		"coreSize": settings.CoreSize, "memoryBytes": settings.MemoryBytes, "openFiles": settings.OpenFiles,
+		"coreSize": settings.CoreSize, "memoryBytes": settings.MemoryBytes, "openFiles": settings.OpenFiles, "processorQuota": settings.ProcessorQuota,
 		"bounds": map[string]any{"withdrawMs": bounds.WithdrawMs, "evacuateMs": bounds.EvacuateMs, "deliverMs": bounds.DeliverMs,
 			"returnMs": bounds.ReturnMs, "deadlineMs": bounds.DeadlineMs, "bodyBytes": bounds.BodyBytes, "replyBytes": bounds.ReplyBytes,
 			"reportBytes": bounds.ReportBytes, "calls": bounds.Calls, "records": bounds.Records, "history": bounds.History, "historyBytes": bounds.HistoryBytes},
--- a/link/metrics.go
+++ b/link/metrics.go
@@ -18,6 +18,8 @@
 	{"writes_refused_", "writes_refused", "status", "operators' writes that were refused, by status"},
 	{"writes_answered_", "writes_answered", "status", "operators' writes that were answered, by status"},
 	{"clients_ended_", "clients_ended", "reason", "connections and requests of clients that the admission ended, by reason"},
+	{"server_answers_ended_", "server_answers_ended", "bound", "answers of servers that met a bound, by bound"},
+	{"faulty_answers_", "faulty_answers", "server", "answers that met a bound, by server"},
 	{"passed_on_", "passed_on", "end", "calls forwarded to their home region, by whether it was reached"},
 }
 
--- a/serve/callbody.go
+++ b/serve/callbody.go
@@ -4,61 +4,81 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cedarreel/cedarreel/admission"
+	"github.com/cedarreel/cedarreel/answers"
 )
 
-// callBody is the body of a call in parts, so that no copy is needed while it grows.
-type callBody struct {
+// bodyParts is a body in parts, so that no copy is needed while it grows.
+type bodyParts struct {
 	parts [][]byte
 	size  int64
 }
 
 // first returns the first part, rest the others.
-func (body callBody) first() []byte {
+func (body bodyParts) first() []byte {
 	if len(body.parts) == 0 {
 		return nil
 	}
 	return body.parts[0]
 }
 
-func (body callBody) rest() [][]byte {
+func (body bodyParts) rest() [][]byte {
 	if len(body.parts) == 0 {
 		return nil
 	}
 	return body.parts[1:]
 }
 
-// discardTimeout is how long the rest of a refused body is read.
-const discardTimeout = time.Second
+// fullParts are parts of the largest size that are used again, since what is held counts when it is released and the garbage collector frees it later.
+var fullParts = sync.Pool{New: func() any { return new([admission.MaxBodyPart]byte) }}
 
-// discardBody reads a part of a refused body, so that the client gets the answer and not a reset of its connection.
-func discardBody(writer http.ResponseWriter, request *http.Request, limit int64) {
-	controller := http.NewResponseController(writer)
-	_ = controller.Flush()
-	_ = controller.SetReadDeadline(time.Now().Add(discardTimeout))
-	_, _ = io.CopyN(io.Discard, request.Body, limit)
+// newPart returns a part of a size.
+func newPart(size int64) []byte {
+	if size == admission.MaxBodyPart {
+		return fullParts.Get().(*[admission.MaxBodyPart]byte)[:]
+	}
+	return make([]byte, size)
 }
 
-// readCallBody reads a request body of at most limit bytes. The memory of each part is asked for before the part is read.
-func readCallBody(request *http.Request, limit int64) (callBody, error) {
-	conn, body := admittedConnOf(request), callBody{}
-	if request.ContentLength > limit {
-		return body, bodyRefused{http.StatusRequestEntityTooLarge}
+// release gives the memory of the parts back. The body must not be used any more.
+func (body *bodyParts) release() {
+	for _, part := range body.parts {
+		if cap(part) == admission.MaxBodyPart {
+			fullParts.Put((*[admission.MaxBodyPart]byte)(part[:admission.MaxBodyPart]))
+		}
 	}
-	if request.ContentLength == 0 {
+	*body = bodyParts{}
+}
+
+// errBodyTooLarge is the error of a body that is larger than its limit.
+var errBodyTooLarge = errors.New("the body is too large")
+
+// readParts reads a body of at most limit bytes, whose announced length is less than 0 if it is unknown. grant is asked before the memory of each
+// part is taken.
+func readParts(source io.Reader, announced, limit int64, grant func(size int64, isFirst bool) error) (bodyParts, error) {
+	body := bodyParts{}
+	if announced > limit {
+		return body, errBodyTooLarge
+	}
+	if announced == 0 {
 		return body, nil
 	}
 	for {
-		part, err := readBodyPart(request, conn, admission.NextBodyPart(request.ContentLength, body.size, limit), len(body.parts) == 0)
-		body.size += int64(len(part))
-		if body.size > limit {
-			return body, bodyRefused{http.StatusRequestEntityTooLarge}
+		size := admission.NextBodyPart(announced, body.size, limit)
+		if err := grant(size, len(body.parts) == 0); err != nil {
+			return body, err
 		}
+		part, err := readPart(source, size)
+		body.size += int64(len(part))
 		if len(part) > 0 {
 			body.parts = append(body.parts, part)
 		}
+		if body.size > limit {
+			return body, errBodyTooLarge
+		}
 		if errors.Is(err, io.EOF) {
 			return body, nil
 		}
@@ -68,21 +88,63 @@
 	}
 }
 
-// readBodyPart reads the next bytes of a body up to a size. io.EOF says that the body is complete.
-func readBodyPart(request *http.Request, conn *admittedConn, size int64, isFirst bool) ([]byte, error) {
-	if end := conn.wants(admission.BodyPartMemory(size, isFirst)); end != nil {
-		return nil, bodyRefused{end.Status}
-	}
-	part, filled := make([]byte, size), 0
+// readPart reads the next bytes of a body up to a size. io.EOF says that the body is complete.
+func readPart(source io.Reader, size int64) ([]byte, error) {
+	part, filled := newPart(size), 0
 	for filled < len(part) {
-		count, err := request.Body.Read(part[filled:])
+		count, err := source.Read(part[filled:])
 		filled += count
-		if end := conn.endedBy(); end != nil {
-			return nil, bodyRefused{end.Status}
-		}
 		if err != nil {
 			return part[:filled], err
 		}
 	}
 	return part, nil
 }
+
+// readCallBody reads a request body of at most limit bytes.
+func readCallBody(request *http.Request, limit int64) (bodyParts, error) {
+	conn := admittedConnOf(request)
+	body, err := readParts(request.Body, request.ContentLength, limit, func(size int64, isFirst bool) error {
+		if end := conn.wants(admission.BodyPartMemory(size, isFirst)); end != nil {
+			return bodyRefused{end.Status}
+		}
+		return nil
+	})
+	if end := conn.endedBy(); end != nil {
+		return body, bodyRefused{end.Status}
+	}
+	if errors.Is(err, errBodyTooLarge) {
+		return body, bodyRefused{http.StatusRequestEntityTooLarge}
+	}
+	return body, err
+}
+
+// maxReplyBytes bounds replies that are not streamed.
+const maxReplyBytes = 16 << 20
+
+// readReply reads the body of a server's answer that is kept until it is complete.
+func readReply(response *http.Response, answer *serverAnswer) (bodyParts, error) {
+	held := int64(0)
+	body, err := readParts(response.Body, response.ContentLength, maxReplyBytes, func(size int64, _ bool) error {
+		held += size
+		return answer.hold(held)
+	})
+	if err != nil {
+		body.release()
+	}
+	if errors.Is(err, errBodyTooLarge) {
+		return body, answer.exceeded(answers.ReasonReplySize)
+	}
+	return body, err
+}
+
+// discardTimeout is how long the rest of a refused body is read.
+const discardTimeout = time.Second
+
+// discardBody reads a part of a refused body, so that the client gets the answer and not a reset of its connection.
+func discardBody(writer http.ResponseWriter, request *http.Request, limit int64) {
+	controller := http.NewResponseController(writer)
+	_ = controller.Flush()
+	_ = controller.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.CopyN(io.Discard, request.Body, limit)
+}
--- a/serve/event_buffer.go
+++ b/serve/event_buffer.go
@@ -1,27 +1,45 @@
 package serve
 
-import "bytes"
+import (
+	"bytes"
+	"sync"
+)
+
+// readPartBytes is the size of the parts in which a stream is read.
+const readPartBytes = 4 << 10
 
 // eventBuffer collects the parts of a stream of events. Each byte is searched once for the end of an event.
 type eventBuffer struct {
+	part    [readPartBytes]byte
 	content []byte
 	// completeBytes is the length of the complete events at the start of content.
 	completeBytes int
 }
 
-// Separators of events: an empty line ends an event.
-var eventSeparators = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
+// eventBuffers are buffers of streams that have ended.
+var eventBuffers = sync.Pool{New: func() any { return new(eventBuffer) }}
+
+// newEventBuffer returns an empty buffer, which the caller releases.
+func newEventBuffer() *eventBuffer { return eventBuffers.Get().(*eventBuffer) }
 
-// separatorOverlap is how many bytes of a separator may have arrived before its last one.
-const separatorOverlap = 3
+// release gives the buffer's memory back.
+func (buffer *eventBuffer) release() {
+	buffer.content, buffer.completeBytes = buffer.content[:0], 0
+	eventBuffers.Put(buffer)
+}
 
-// add appends a part of the stream.
+// add appends a part of the stream. An empty line ends an event; lines end with a newline or a return and a newline.
 func (buffer *eventBuffer) add(part []byte) {
-	from := max(0, len(buffer.content)-separatorOverlap)
+	at := len(buffer.content)
 	buffer.content = append(buffer.content, part...)
-	for _, separator := range eventSeparators {
-		if index := bytes.LastIndex(buffer.content[from:], separator); index >= 0 {
-			buffer.completeBytes = max(buffer.completeBytes, from+index+len(separator))
+	for {
+		next := bytes.IndexByte(buffer.content[at:], newline)
+		if next < 0 {
+			return
+		}
+		at += next + 1
+		if read := buffer.content[:at]; bytes.HasSuffix(read, emptyLine) || bytes.HasSuffix(read, emptyLineWithReturn) {
+			buffer.completeBytes = at
 		}
 	}
 }
@@ -42,15 +60,18 @@
 func (buffer *eventBuffer) size() int     { return len(buffer.content) }
 func (buffer *eventBuffer) capacity() int { return cap(buffer.content) }
 
+const newline = '\n'
+
 var (
-	idField = []byte("id:")
-	newline = []byte("\n")
+	emptyLine           = []byte("\n\n")
+	emptyLineWithReturn = []byte("\r\n\r\n")
+	idField             = []byte("id:")
 )
 
 // lastID returns the ID of the last event that has one.
 func lastID(content []byte) string {
 	for len(content) > 0 {
-		start := bytes.LastIndex(content[:len(content)-1], newline) + 1
+		start := bytes.LastIndexByte(content[:len(content)-1], newline) + 1
 		if value, found := bytes.CutPrefix(content[start:], idField); found {
 			return string(bytes.TrimSpace(value))
 		}
--- a/serve/event_buffer_test.go
+++ b/serve/event_buffer_test.go
@@ -20,7 +20,7 @@
 			buffer.add(part)
 			held = append(held, part...)
 			complete := 0
-			for _, separator := range eventSeparators {
+			for _, separator := range [][]byte{emptyLine, emptyLineWithReturn} {
 				if index := bytes.LastIndex(held, separator); index >= 0 {
 					complete = max(complete, index+len(separator))
 				}
--- a/serve/exchange.go
+++ b/serve/exchange.go
@@ -2,14 +2,12 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net/http"
 	"net/textproto"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cedarreel/cedarreel/contract"
@@ -23,103 +21,177 @@
 	process       *gatewayProcess
 	writer        http.ResponseWriter
 	request       *http.Request
-	body          callBody
+	body          bodyParts
 	attemptID     string
 	lastEventID   string
 	answerStarted bool
 	description   *runningCall
 	replyStatus   int
 	replyHeader   http.Header
-	replyBody     []byte
+	replyBody     bodyParts
 }
 
 // sendAttempt sends the call to one server and returns the state machine's next command for the call.
 func (call *proxyCall) sendAttempt(dispatch gateway.Dispatch) contract.Command {
-	ctx, process := call.request.Context(), call.process
-	ended := gateway.DispatchEnded{Token: dispatch.Token, Attempt: dispatch.Attempt}
-	var watchdog *watchdog
-	finish := func(outcome gateway.Outcome, reason string) contract.Command {
-		if command := watchdog.nextCommand(); command != nil {
-			return command
-		}
-		ended.Outcome, ended.AnswerStarted, ended.Reason = outcome, call.answerStarted, reason
-		if ctx.Err() != nil && outcome != gateway.OutcomeComplete {
-			ended.Outcome = gateway.OutcomeCallerLeft
-			call.logCallerLeft()
-		}
-		return process.nextCommand(ended)
-	}
+	process := call.process
 	process.running.update(func() { call.description.server = dispatch.Server.Name })
 	deadline := time.Now().Add(dispatch.Timeout)
-	conn, err := process.dial(ctx, dispatch)
+	conn, err := process.dial(call.request.Context(), dispatch)
 	if err != nil {
-		return finish(gateway.OutcomeNotSent, "no connection")
+		return call.finishAttempt(gateway.DispatchEnded{Token: dispatch.Token, Attempt: dispatch.Attempt, Outcome: gateway.OutcomeNotSent, Reason: "no connection"})
 	}
-	watchdog = newWatchdog(call, conn, dispatch, deadline)
+	watchdog := newWatchdog(call, conn, dispatch, deadline)
 	defer watchdog.stop()
-	lost := func(err error, reason string) contract.Command {
-		_ = conn.Close()
-		if !time.Now().Before(deadline) {
-			return finish(gateway.OutcomeDeadlineExceeded, reason)
-		}
-		return finish(gateway.OutcomeBroken, reason+": "+err.Error())
+	answer := process.answers.begin(call.request.Context(), dispatch.Server.Name, watchdog.interrupt)
+	defer answer.end()
+	conn.Meter = answer
+	exchange := &exchange{call: call, conn: conn, dispatch: dispatch, deadline: deadline, watchdog: watchdog, answer: answer,
+		ended: gateway.DispatchEnded{Token: dispatch.Token, Attempt: dispatch.Attempt}}
+	exchange.run()
+	if command := watchdog.nextCommand(); command != nil {
+		return command
 	}
-	written, err := call.writeRequest(conn, dispatch)
-	if err != nil && written == 0 {
-		_ = conn.Close()
-		return finish(gateway.OutcomeNotSent, "nothing could be written")
+	return call.finishAttempt(exchange.ended)
+}
+
+// finishAttempt tells the state machine how an attempt ended and returns its next command.
+func (call *proxyCall) finishAttempt(ended gateway.DispatchEnded) contract.Command {
+	ended.AnswerStarted = call.answerStarted
+	if call.request.Context().Err() != nil && ended.Outcome != gateway.OutcomeComplete {
+		ended.Outcome = gateway.OutcomeCallerLeft
+		call.logCallerLeft()
 	}
-	if err != nil {
-		return lost(err, "not written")
+	return call.process.nextCommand(ended)
+}
+
+// exchange is one request to a server and its answer. ended is how it ended.
+type exchange struct {
+	call     *proxyCall
+	conn     *upstream.Conn
+	dispatch gateway.Dispatch
+	deadline time.Time
+	watchdog *watchdog
+	answer   *serverAnswer
+	ended    gateway.DispatchEnded
+}
+
+// run sends the request and reads the answer.
+func (exchange *exchange) run() {
+	written, err := exchange.call.writeRequest(exchange.conn, exchange.dispatch)
+	switch {
+	case err != nil && written == 0:
+		_ = exchange.conn.Close()
+		exchange.end(gateway.OutcomeNotSent, "nothing could be written")
+	case err != nil:
+		exchange.lost(err, "not written")
+	default:
+		exchange.readAnswer()
 	}
-	response, err := http.ReadResponse(conn.Reader, call.request)
+}
+
+func (exchange *exchange) end(outcome gateway.Outcome, reason string) {
+	exchange.ended.Outcome, exchange.ended.Reason = outcome, reason
+}
+
+// lost ends an exchange whose answer is not complete. The call may have run.
+func (exchange *exchange) lost(err error, reason string) {
+	_ = exchange.conn.Close()
+	if bound := exchange.answer.metBound(); bound != nil {
+		err, exchange.ended.Misbehaved = bound, bound.Reason.IsMisconduct()
+	}
+	if !time.Now().Before(exchange.deadline) {
+		exchange.end(gateway.OutcomeDeadlineExceeded, reason)
+		return
+	}
+	exchange.end(gateway.OutcomeBroken, reason+": "+err.Error())
+}
+
+// readAnswer reads the answer, and passes it on if it is a stream.
+func (exchange *exchange) readAnswer() {
+	call, process, dispatch := exchange.call, exchange.call.process, exchange.dispatch
+	response, err := http.ReadResponse(exchange.conn.Reader, call.request)
 	if err != nil {
-		return lost(err, "no answer")
+		exchange.lost(err, "no answer")
+		return
 	}
 	head := process.adapter.ReadServerHeaders(response)
-	ended.Load = head.Load
+	exchange.ended.Load = head.Load
 	if head.AttemptID != "" && head.AttemptID != call.attemptID {
-		return lost(errors.New("another identity"), "the answer is another call's")
+		process.noteLateBytes(dispatch.Server)
+		exchange.lost(errors.New("another identity"), "the answer is another call's")
+		return
 	}
-	watchdog.noteActivity()
+	exchange.watchdog.noteActivity()
 	if head.AddressReused || head.NotRun {
-		_, err = io.Copy(io.Discard, io.LimitReader(response.Body, 1<<16))
-		call.returnConn(conn, response, err, dispatch)
-		if head.AddressReused {
-			return finish(gateway.OutcomeWrongServer, "another server has the address")
-		}
-		return finish(gateway.OutcomeNotRun, "the server did not run it")
-	}
-	if response.StatusCode < 200 {
-		return lost(errors.New(response.Status), "not a final answer")
-	}
-	success := response.StatusCode/100 == 2
-	if success && (!head.FromServer || head.AttemptID == "") {
-		return lost(errors.New("no mark"), "not a server's answer")
+		exchange.notRun(response, head)
+		return
 	}
-	if success && response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-		return lost(errors.New("no length"), "nothing tells where the answer ends")
+	if err = checkHead(response, head); err != nil {
+		exchange.lost(err, "not a server's whole answer")
+		return
 	}
 	process.handle(gateway.HeadReceived{Token: dispatch.Token, Attempt: dispatch.Attempt, Load: head.Load})
-	ended.ServerError = response.StatusCode >= 500
-	if success && dispatch.Stream {
-		err = call.relayEvents(response, dispatch, watchdog)
-	} else if call.answerStarted {
-		return lost(errors.New(response.Status), "no going on")
-	} else {
-		call.replyBody, err = io.ReadAll(http.MaxBytesReader(nil, response.Body, maxReplyBytes))
+	exchange.ended.ServerError = response.StatusCode >= 500
+	switch success := response.StatusCode/100 == 2; {
+	case success && dispatch.Stream:
+		err = call.relayEvents(response, exchange.answer, dispatch, exchange.watchdog)
+	case call.answerStarted:
+		exchange.lost(errors.New(response.Status), "no going on")
+		return
+	default:
+		call.replyBody.release()
 		call.replyStatus, call.replyHeader = response.StatusCode, response.Header
+		call.replyBody, err = readReply(response, exchange.answer)
 	}
 	if err != nil {
-		return lost(err, "the answer broke off")
+		exchange.lost(err, "the answer broke off")
+		return
 	}
-	call.returnConn(conn, response, nil, dispatch)
-	return finish(gateway.OutcomeComplete, "")
+	call.returnConn(exchange.conn, response, dispatch)
+	exchange.end(gateway.OutcomeComplete, "")
 }
 
+// notRun ends an exchange whose server says that it did not run the call. The connection is used again if the answer is short.
+func (exchange *exchange) notRun(response *http.Response, head ServerReply) {
+	discarded, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardedBytes+1))
+	if err != nil || discarded > maxDiscardedBytes {
+		_ = exchange.conn.Close()
+	} else {
+		exchange.call.returnConn(exchange.conn, response, exchange.dispatch)
+	}
+	if bound := exchange.answer.metBound(); bound != nil {
+		exchange.ended.Misbehaved = bound.Reason.IsMisconduct()
+	}
+	if head.AddressReused {
+		exchange.end(gateway.OutcomeWrongServer, "another server has the address")
+		return
+	}
+	exchange.end(gateway.OutcomeNotRun, "the server did not run it")
+}
+
+// checkHead returns an error unless the head is that of a final answer, and of a success of the server itself whose end can be told.
+func checkHead(response *http.Response, head ServerReply) error {
+	if response.StatusCode < 200 {
+		return errors.New("not a final answer: " + response.Status)
+	}
+	if response.StatusCode/100 != 2 {
+		return nil
+	}
+	if !head.FromServer || head.AttemptID == "" {
+		return errors.New("no mark of the server")
+	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return errors.New("nothing tells where the answer ends")
+	}
+	return nil
+}
+
+// maxDiscardedBytes bounds the body of an answer that is read only to use its connection again.
+const maxDiscardedBytes = 64 << 10
+
 // returnConn gives a connection back to the pool, or closes it if it can't be used again.
-func (call *proxyCall) returnConn(conn *upstream.Conn, response *http.Response, err error, dispatch gateway.Dispatch) {
-	if err != nil || response.Close {
+func (call *proxyCall) returnConn(conn *upstream.Conn, response *http.Response, dispatch gateway.Dispatch) {
+	if response.Close {
 		_ = conn.Close()
 		return
 	}
@@ -205,9 +277,13 @@
 	if call.answerStarted {
 		return
 	}
-	call.setReplyHeader(call.replyHeader, len(call.replyBody))
+	call.setReplyHeader(call.replyHeader, int(call.replyBody.size))
 	call.writer.WriteHeader(call.replyStatus)
-	_, _ = call.writer.Write(call.replyBody)
+	for _, part := range call.replyBody.parts {
+		if _, err := call.writer.Write(part); err != nil {
+			return
+		}
+	}
 }
 
 // fail ends a call that may have run with an error. If its answer has started, the connection is aborted, so that it can't look complete.
@@ -219,80 +295,3 @@
 	call.process.markClosing(call.writer.Header())
 	call.writer.WriteHeader(fail.Status)
 }
-
-// watchdog interrupts an attempt when its deadline passes, its caller leaves, or the server is silent for timeout and the state machine
-// gives it up. command is what the state machine decided in that case.
-type watchdog struct {
-	call         *proxyCall
-	conn         *upstream.Conn
-	dispatch     gateway.Dispatch
-	lock         sync.Mutex
-	timer        *time.Timer
-	lastActivity time.Time
-	timeout      time.Duration
-	command      contract.Command
-	finished     bool
-	detach       func() bool
-}
-
-func newWatchdog(call *proxyCall, conn *upstream.Conn, dispatch gateway.Dispatch, deadline time.Time) *watchdog {
-	created := &watchdog{call: call, conn: conn, dispatch: dispatch, lastActivity: time.Now(), timeout: dispatch.SilenceTimeout}
-	_ = conn.SetDeadline(deadline)
-	created.lock.Lock()
-	created.timer = time.AfterFunc(dispatch.SilenceTimeout, created.expire)
-	created.lock.Unlock()
-	created.detach = context.AfterFunc(call.request.Context(), created.interrupt)
-	return created
-}
-
-// interrupt makes pending reads and writes of the connection fail.
-func (watchdog *watchdog) interrupt() { _ = watchdog.conn.SetDeadline(time.Now().Add(-time.Second)) }
-
-// noteActivity restarts the silence timeout.
-func (watchdog *watchdog) noteActivity() {
-	watchdog.lock.Lock()
-	watchdog.lastActivity = time.Now()
-	watchdog.lock.Unlock()
-}
-
-// expire runs when the timer fires. If the server was silent all the time, the state machine says whether to wait longer.
-func (watchdog *watchdog) expire() {
-	watchdog.lock.Lock()
-	defer watchdog.lock.Unlock()
-	if watchdog.finished {
-		return
-	}
-	if remaining := watchdog.timeout - time.Since(watchdog.lastActivity); remaining > 0 {
-		watchdog.timer.Reset(remaining)
-		return
-	}
-	command := watchdog.call.process.nextCommand(gateway.ServerSilent{Token: watchdog.dispatch.Token, Attempt: watchdog.dispatch.Attempt})
-	if wait, ok := command.(gateway.Wait); ok {
-		if watchdog.timeout = wait.SilenceTimeout; wait.SilenceTimeout > 0 {
-			watchdog.lastActivity = time.Now()
-			watchdog.timer.Reset(wait.SilenceTimeout)
-		}
-		return
-	}
-	watchdog.command, watchdog.finished = command, true
-	watchdog.interrupt()
-}
-
-// nextCommand ends the watch and returns the command that the state machine gave instead of more waiting, if it did.
-func (watchdog *watchdog) nextCommand() contract.Command {
-	if watchdog == nil {
-		return nil
-	}
-	watchdog.lock.Lock()
-	defer watchdog.lock.Unlock()
-	watchdog.finished = true
-	return watchdog.command
-}
-
-func (watchdog *watchdog) stop() {
-	watchdog.detach()
-	watchdog.lock.Lock()
-	watchdog.finished = true
-	watchdog.lock.Unlock()
-	watchdog.timer.Stop()
-}
--- a/serve/export_test.go
+++ b/serve/export_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cedarreel/cedarreel/admission"
+	"github.com/cedarreel/cedarreel/answers"
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/gateway"
@@ -24,6 +25,7 @@
 		traffic: gateway.NewRouter(settings, newRandom()), pool: upstream.NewPool(maxIdlePerServer, time.Minute), running: newCallRegistry()}
 	process.limits.Store(&manifest.Limits{})
 	process.admitter = newAdmitter(admission.GatewayBudget(settings.MemoryBytes, settings.OpenFiles), settings, process.Loop)
+	process.answers = newAnswerLimiter(answers.NewBudget(settings.MemoryBytes, settings.ProcessorQuota), process.Loop)
 	return &TestGateway{process}
 }
 
@@ -63,7 +65,10 @@
 
 func (test *TestGateway) Idle() int { return test.process.pool.Idle() }
 
-const MaxReplyBytes = maxReplyBytes
+const (
+	MaxReplyBytes = maxReplyBytes
+	MaxEventBytes = maxEventBytes
+)
 
 // Serve serves callers at a listener. It returns the functions that stop the gateway as a signal does, and that end it as the end of a process does.
 func (test *TestGateway) Serve(listener net.Listener) (stop, end func()) {
--- a/serve/gateway.go
+++ b/serve/gateway.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cedarreel/cedarreel/admission"
+	"github.com/cedarreel/cedarreel/answers"
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/env"
 	"github.com/cedarreel/cedarreel/gateway"
@@ -24,8 +25,6 @@
 	maxIdlePerServer = 64
 	// defaultMaxBodyBytes bounds request bodies if the configuration does not.
 	defaultMaxBodyBytes = 64 << 20
-	// maxReplyBytes bounds replies that are not streamed.
-	maxReplyBytes = 16 << 20
 )
 
 // gatewayProcess runs a data-plane node that proxies opaque calls for a platform. It has two state machines: the node, which the event
@@ -38,6 +37,7 @@
 	pool    *upstream.Pool
 	token   atomic.Int64
 	limits  atomic.Pointer[manifest.Limits]
+	answers *answerLimiter
 	// leaving says that the process stops, so that it is not ready and answers close their connections.
 	leaving atomic.Bool
 	running *callRegistry
@@ -55,6 +55,7 @@
 	process.limits.Store(&manifest.Limits{})
 	node := gateway.NewNode(settings, newBootID(), process, random)
 	process.Process = newProcess(settings, node.Self(), node, admission.GatewayBudget(settings.MemoryBytes, settings.OpenFiles), "")
+	process.answers = newAnswerLimiter(answers.NewBudget(settings.MemoryBytes, settings.ProcessorQuota), process.Loop)
 	process.Loop.SetExecutor(process.execute)
 	process.ReloadSettings = func() (env.Env, error) { return readSettings(adapter, contract.KindData) }
 	ready, lookup := adapter.Paths()
@@ -194,7 +195,9 @@
 		case <-process.stop:
 			return
 		case <-ticker.C:
-			process.Loop.Count("servers_with_late_bytes", int64(len(process.pool.CloseExpired())))
+			for _, address := range process.pool.CloseExpired() {
+				process.answers.handle(answers.LateBytes{Server: address})
+			}
 		}
 	}
 }
@@ -267,6 +270,7 @@
 		arrived.Timeout = max(time.Millisecond, arrived.Timeout-time.Since(arrivedAt))
 	}
 	call := &proxyCall{process: process, writer: writer, request: request, body: body, attemptID: attemptID, lastEventID: arrived.LastEventID}
+	defer func() { call.replyBody.release() }()
 	call.description = process.describeCall(call)
 	defer process.running.add(call.description)()
 	command := process.nextCommand(arrived)
@@ -318,7 +322,7 @@
 // noteLateBytes notes that a server sent bytes that belong to no call. Its connections are not used again for a time.
 func (process *gatewayProcess) noteLateBytes(server contract.Candidate) {
 	process.pool.Distrust(server.Address)
-	process.Loop.Count("servers_with_late_bytes", 1)
+	process.answers.handle(answers.LateBytes{Server: server.Name})
 }
 
 // dial returns a connection to the server, from the pool if there is one.
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -5,24 +5,26 @@
 	"io"
 	"net/http"
 
+	"github.com/cedarreel/cedarreel/answers"
 	"github.com/cedarreel/cedarreel/gateway"
 )
 
 var errCallerLeft = errors.New("the caller went away")
 
 // maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 256 << 10
 
 // relayEvents relays a stream in complete events, so that what the caller got always ends where another server can resume.
-func (call *proxyCall) relayEvents(response *http.Response, dispatch gateway.Dispatch, watchdog *watchdog) error {
+func (call *proxyCall) relayEvents(response *http.Response, answer *serverAnswer, dispatch gateway.Dispatch, watchdog *watchdog) error {
 	controller := http.NewResponseController(call.writer)
-	events, buffer := eventBuffer{}, make([]byte, 4096)
+	events := newEventBuffer()
+	defer events.release()
 	first := true
 	for {
-		count, err := response.Body.Read(buffer)
+		count, err := response.Body.Read(events.part[:])
 		if count > 0 {
 			watchdog.noteActivity()
-			events.add(buffer[:count])
+			events.add(events.part[:count])
 		}
 		if errors.Is(err, io.EOF) {
 			events.completeAll()
@@ -56,7 +58,10 @@
 			return err
 		}
 		if events.size() > maxEventBytes {
-			return errors.New("an event without an end")
+			return answer.exceeded(answers.ReasonEventSize)
+		}
+		if err = answer.hold(int64(events.capacity())); err != nil {
+			return err
 		}
 	}
 }
