--- a/client/client.go
+++ b/client/client.go
@@ -107,8 +107,20 @@
 			continue
 		}
 		defer response.Body.Close()
-		body, err := io.ReadAll(response.Body)
+		body, err := readBody(response.Body)
 		return Response{Status: response.StatusCode, Header: response.Header, Body: body}, eris.Wrap(err, "the answer broke off")
 	}
 	return Response{}, last
 }
+
+// maxBodyBytes bounds the body of an answer.
+const maxBodyBytes = 64 << 20
+
+// readBody reads the body of an answer.
+func readBody(body io.Reader) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(body, maxBodyBytes+1))
+	if err == nil && len(content) > maxBodyBytes {
+		err = fmt.Errorf("the body is larger than %d bytes", maxBodyBytes)
+	}
+	return content, err
+}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -33,6 +33,19 @@
 }
 
 var _ = Describe("a client", func() {
+	It("reads no answer whose body has no end", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			for block := make([]byte, 1<<20); ; {
+				if _, err := writer.Write(block); err != nil {
+					return
+				}
+			}
+		}))
+		DeferCleanup(server.Close)
+		_, err := New([]string{strings.TrimPrefix(server.URL, "http://")}).Drain(context.Background(), "zone a", "key")
+		Expect(err).To(MatchError(ContainSubstring("the body is larger than")))
+	})
+
 	It("asks the next node with the same operation key when one fails, and returns any answer as it is", func() {
 		var broken, healthy atomic.Int64
 		client := New([]string{node(true, &broken), node(false, &healthy)})
--- a/link/operators.go
+++ b/link/operators.go
@@ -32,7 +32,7 @@
 
 // NewOperatorAPI returns the operators' interface of a loop, with a bound of request bodies in bytes and a timeout for answers.
 func NewOperatorAPI(loop *Loop, maxBody int64, timeout time.Duration, faults *Faults) *OperatorAPI {
-	return &OperatorAPI{loop: loop, maxBody: maxBody, timeout: timeout, client: &http.Client{Timeout: timeout}, faults: faults}
+	return &OperatorAPI{loop: loop, maxBody: maxBody, timeout: timeout, client: &http.Client{Transport: NewTransport(), Timeout: timeout}, faults: faults}
 }
 
 // httpAnswer is an answer as it is written to the client.
--- a/link/sender.go
+++ b/link/sender.go
@@ -49,7 +49,8 @@
 
 // NewSender returns a sender for the member self; timeout bounds each post, and closing stop ends its goroutines.
 func NewSender(self contract.Member, timeout time.Duration, faults *Faults, stop <-chan struct{}) *Sender {
-	transport := &http.Transport{MaxIdleConnsPerHost: 2, MaxIdleConns: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
+	transport := &http.Transport{MaxIdleConnsPerHost: 2, MaxIdleConns: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+		MaxResponseHeaderBytes: MaxAnswerHeadBytes}
 	return &Sender{self: self, client: &http.Client{Transport: transport, Timeout: timeout}, faults: faults,
 		addCounter: func(string, int64) {}, log: func(contract.Log) {}, queues: map[string]chan contract.Message{}, stop: stop, idleTime: peerIdleTime}
 }
--- a/serve/control.go
+++ b/serve/control.go
@@ -84,7 +84,7 @@
 			process.writeFirstRecord(stateMachine.MemberRecord())
 		}
 	}
-	process.client = &http.Client{Timeout: settings.Bounds.PlatformPoll(), CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	process.client = &http.Client{Transport: link.NewTransport(), Timeout: settings.Bounds.PlatformPoll(), CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	process.Loop.SetExecutor(process.execute)
 	go process.writeLoop()
 	if adapter != nil {
--- a/serve/data.go
+++ b/serve/data.go
@@ -10,6 +10,7 @@
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/data"
 	"github.com/cedarreel/cedarreel/env"
+	"github.com/cedarreel/cedarreel/link"
 	kithttp "github.com/go-kit/kit/transport/http"
 )
 
@@ -41,7 +42,7 @@
 	process := &dataProcess{Process: newProcess(settings, router.Self(), router, admission.SinglePortBudget(settings.MemoryBytes, settings.OpenFiles), faultsPath), sessions: map[int64]*session{}, cancels: map[attemptKey]context.CancelFunc{}}
 	noRedirects := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	process.client = &http.Client{Transport: process.transport(), CheckRedirect: noRedirects}
-	process.recallClient = &http.Client{Timeout: settings.Bounds.Round(), CheckRedirect: noRedirects}
+	process.recallClient = &http.Client{Transport: link.NewTransport(), Timeout: settings.Bounds.Round(), CheckRedirect: noRedirects}
 	process.Loop.SetExecutor(process.execute)
 	options := []kithttp.ServerOption{kithttp.ServerErrorEncoder(encodeError)}
 	process.Mux.Handle("POST /v1/chat/completions", kithttp.NewServer(process.serveCall(), process.decodeCall, encodeCall, options...))
--- a/serve/dispatch.go
+++ b/serve/dispatch.go
@@ -14,6 +14,7 @@
 
 	"github.com/cedarreel/cedarreel/call"
 	"github.com/cedarreel/cedarreel/data"
+	"github.com/cedarreel/cedarreel/link"
 	"github.com/cedarreel/cedarreel/stream"
 	"github.com/rotisserie/eris"
 )
@@ -67,7 +68,7 @@
 		}
 		return leasedConn{conn, guard}, nil
 	}
-	return &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	return &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: link.MaxAnswerHeadBytes}
 }
 
 // dispatch runs one attempt in its own goroutine. It ends with exactly one data.AttemptEnded event.
