--- a/flood/flood_test.go
+++ b/flood/flood_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cedarreel/cedarreel/emulator"
 	"github.com/cedarreel/cedarreel/rig"
 	. "github.com/onsi/gomega"
 )
@@ -111,3 +112,25 @@
 func TestWithoutAFault(t *testing.T) {
 	press(t, startMachine(t), func() func() { return func() {} }, false)
 }
+
+// Settings of the soaks: a site's machines under its troubles, while servers and the list of servers send without end.
+const (
+	soakSpan       = 15 * time.Second
+	callsPerSecond = 60
+	stayingCallers = 36
+)
+
+func TestSoaksOfSitesWhoseServersSendWithoutEnd(t *testing.T) {
+	for name, seed := range map[string]uint64{"seri": 1, "brazos": 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			site, err := emulator.LoadSite("../deploy/emulated/" + name + ".json")
+			NewWithT(t).Expect(err).NotTo(HaveOccurred())
+			limits := rig.GatewayLimits{MemoryMB: memoryMB, OpenFiles: openFiles, ProcessorQuota: processorQuota, EndsOverMemory: true}
+			clean, err := rig.SoakGateways(rig.GatewayPlan{Bin: bin, Folder: t.TempDir(), Span: soakSpan, CallsPerSecond: callsPerSecond, StayingCallers: stayingCallers, Seed: seed,
+				Site: &site, Limits: limits, Floods: true, Log: func(line string) { t.Log(line) }})
+			NewWithT(t).Expect(err).NotTo(HaveOccurred())
+			NewWithT(t).Expect(clean).To(BeTrue(), "the soak reports a breach, a process that ended by itself, or one over its memory or its processor quota")
+		})
+	}
+}
