The built-in protocol's data plane keeps the same bounds of servers' answers

The same cause elsewhere: the data plane of our own protocol read answers over net/http's transport with a bound of the reply alone. Its connections are metered now as the gateway's are: heads, pace, and memory in total; kept replies are read in parts. The parser of streams searches each byte of a line once.

Tests: four answers without end.

--- a/serve/answer_limits.go
+++ b/serve/answer_limits.go
@@ -123,6 +123,14 @@
 // metBound returns the bound that the answer met, or nil.
 func (answer *serverAnswer) metBound() *answers.Error { return answer.endedBy.Load() }
 
+// boundText tells of the bound that the answer met, empty without one.
+func (answer *serverAnswer) boundText() string {
+	if bound := answer.metBound(); bound != nil {
+		return bound.Error()
+	}
+	return ""
+}
+
 // err returns the bound that the answer met as an error, or nil.
 func (answer *serverAnswer) err() error {
 	if bound := answer.metBound(); bound != nil {
--- a/serve/callbody.go
+++ b/serve/callbody.go
@@ -122,10 +122,10 @@
 // maxReplyBytes bounds replies that are not streamed.
 const maxReplyBytes = 16 << 20
 
-// readReply reads the body of a server's answer that is kept until it is complete.
-func readReply(response *http.Response, answer *serverAnswer) (bodyParts, error) {
+// readReply reads the body of a server's answer that is kept until it is complete, of at most limit bytes.
+func readReply(response *http.Response, answer *serverAnswer, limit int64) (bodyParts, error) {
 	held := int64(0)
-	body, err := readParts(response.Body, response.ContentLength, maxReplyBytes, func(size int64, _ bool) error {
+	body, err := readParts(response.Body, response.ContentLength, limit, func(size int64, _ bool) error {
 		held += size
 		return answer.hold(held)
 	})
--- a/serve/data.go
+++ b/serve/data.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/cedarreel/cedarreel/admission"
+	"github.com/cedarreel/cedarreel/answers"
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/data"
 	"github.com/cedarreel/cedarreel/env"
@@ -28,6 +29,7 @@
 	sessions      map[int64]*session
 	cancels       map[attemptKey]context.CancelFunc
 	bufferedBytes atomic.Int64
+	answers       *answerLimiter
 	client        *http.Client
 	recallClient  *http.Client
 }
@@ -40,6 +42,7 @@
 func Data(settings env.Env, faultsPath string) error {
 	router := data.New(settings, newBootID(), newRandom())
 	process := &dataProcess{Process: newProcess(settings, router.Self(), router, admission.SinglePortBudget(settings.MemoryBytes, settings.OpenFiles), faultsPath), sessions: map[int64]*session{}, cancels: map[attemptKey]context.CancelFunc{}}
+	process.answers = newAnswerLimiter(answers.NewBudget(settings.MemoryBytes, settings.ProcessorQuota), process.Loop)
 	noRedirects := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	process.client = &http.Client{Transport: process.transport(), CheckRedirect: noRedirects}
 	process.recallClient = &http.Client{Transport: link.NewTransport(), Timeout: settings.Bounds.Round(), CheckRedirect: noRedirects}
--- a/serve/dispatch.go
+++ b/serve/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -25,11 +26,13 @@
 // leaseGuardKey is the context key of an attempt's guard.
 type leaseGuardKey struct{}
 
-// leaseGuard allows an attempt to send its first byte only until sendBefore, when the lease expires, and notes whether a byte may have left.
+// leaseGuard allows an attempt to send its first byte only until sendBefore, when the lease expires, and notes whether a byte may have left. answer
+// is what the server answers on the connection.
 type leaseGuard struct {
 	process    *dataProcess
 	sendBefore time.Duration
 	sent       atomic.Bool
+	answer     *serverAnswer
 }
 
 func (guard *leaseGuard) expired() bool { return guard.process.Loop.Now() >= guard.sendBefore }
@@ -48,6 +51,18 @@
 	return conn.Conn.Write(content)
 }
 
+// Read reads bytes of the answer and tells its limits.
+func (conn leasedConn) Read(content []byte) (int, error) {
+	count, err := conn.Conn.Read(content)
+	if count == 0 {
+		return count, err
+	}
+	if boundErr := conn.answer.Received(content[:count]); boundErr != nil {
+		return 0, boundErr
+	}
+	return count, err
+}
+
 // transport returns an HTTP transport that dials a new connection for each call, with a short timeout, and closes one that was
 // established after the lease expired. A process that was paused between the choice of a server and the first byte thus sends nothing
 // when it resumes.
@@ -88,14 +103,19 @@
 }
 
 // runAttempt sends the call to the server and reads the reply.
-func (process *dataProcess) runAttempt(ctx context.Context, session *session, command data.Dispatch) data.AttemptEnded {
-	ended := data.AttemptEnded{Token: command.Token, Attempt: command.Attempt, Result: call.NotSent}
-	guard := &leaseGuard{process: process, sendBefore: command.SendBefore}
+func (process *dataProcess) runAttempt(ctx context.Context, session *session, command data.Dispatch) (ended data.AttemptEnded) {
+	ended = data.AttemptEnded{Token: command.Token, Attempt: command.Attempt, Result: call.NotSent}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answer := process.answers.begin(ctx, command.Server.Name, cancel)
+	defer answer.end()
+	guard := &leaseGuard{process: process, sendBefore: command.SendBefore, answer: answer}
 	request, err := session.request(context.WithValue(ctx, leaseGuardKey{}, guard), command)
 	if err != nil {
 		ended.Error = err.Error()
 		return ended
 	}
+	defer func() { ended.Error = cmp.Or(answer.boundText(), ended.Error) }()
 	response, err := process.client.Do(request)
 	if err != nil {
 		ended.Error = err.Error()
@@ -112,9 +132,9 @@
 	case response.StatusCode != http.StatusOK:
 		ended.Error = "the server answered " + response.Status
 	case session.callRequest.stream:
-		process.relayStream(ctx, session, response, command, &ended)
+		process.relayStream(ctx, session, response, answer, command, &ended)
 	default:
-		process.readReply(session, response, command, &ended)
+		process.readReply(session, response, answer, command, &ended)
 	}
 	return ended
 }
@@ -142,13 +162,13 @@
 }
 
 // relayStream passes a streamed reply to the caller, chunk by chunk, and sets the attempt's result.
-func (process *dataProcess) relayStream(ctx context.Context, session *session, response *http.Response, command data.Dispatch, ended *data.AttemptEnded) {
+func (process *dataProcess) relayStream(ctx context.Context, session *session, response *http.Response, answer *serverAnswer, command data.Dispatch, ended *data.AttemptEnded) {
 	if !strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		ended.Error = "the server did not stream"
 		return
 	}
 	parser := stream.NewParser(command.AttemptID, process.Settings.Bounds.ReplyBytes)
-	buffer := make([]byte, 16<<10)
+	buffer, held := make([]byte, 16<<10), int64(0)
 	for !parser.Finished() && parser.Err() == nil {
 		count, err := response.Body.Read(buffer)
 		for _, piece := range parser.Feed(buffer[:count]) {
@@ -156,11 +176,15 @@
 				process.Loop.Post(data.FirstChunk{Token: command.Token, Attempt: command.Attempt})
 			}
 			ended.Chunks = append(ended.Chunks, piece)
+			held += int64(len(piece))
 			if !session.pending.put(replyItem{chunk: piece}) {
 				ended.Error = "the caller reads too slowly, and too much waits for callers"
 				process.Loop.Count("readers_cut", 1)
 			}
 		}
+		if err == nil {
+			err = answer.hold(held + int64(parser.Unread()))
+		}
 		select {
 		case <-ctx.Done():
 			ended.Error = "cut at its deadline"
@@ -195,12 +219,10 @@
 }
 
 // readReply reads a reply that is not streamed and sets the attempt's result.
-func (process *dataProcess) readReply(session *session, response *http.Response, command data.Dispatch, ended *data.AttemptEnded) {
-	bound := process.Settings.Bounds.ReplyBytes
-	content, err := io.ReadAll(io.LimitReader(response.Body, bound+1))
-	if err == nil && int64(len(content)) > bound {
-		err = eris.New("the reply is larger than its bound")
-	}
+func (process *dataProcess) readReply(session *session, response *http.Response, answer *serverAnswer, command data.Dispatch, ended *data.AttemptEnded) {
+	body, err := readReply(response, answer, process.Settings.Bounds.ReplyBytes)
+	content := bytes.Join(body.parts, nil)
+	body.release()
 	if err == nil && session.callRequest.call.IsLookup {
 		err = checkLookupReply(content, command.AttemptID, session.callRequest.call.Key)
 		ended.Chunks = []string{string(content)}
--- a/serve/exchange.go
+++ b/serve/exchange.go
@@ -141,7 +141,7 @@
 	default:
 		call.replyBody.release()
 		call.replyStatus, call.replyHeader = response.StatusCode, response.Header
-		call.replyBody, err = readReply(response, exchange.answer)
+		call.replyBody, err = readReply(response, exchange.answer, maxReplyBytes)
 	}
 	if err != nil {
 		exchange.lost(err, "the answer broke off")
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/cedarreel/cedarreel/answers"
 	"github.com/cedarreel/cedarreel/call"
 	"github.com/cedarreel/cedarreel/contract"
 	"github.com/cedarreel/cedarreel/data"
@@ -32,6 +33,12 @@
 
 func (idleMachine) Handle(time.Duration, contract.Event) []contract.Command { return nil }
 
+// chunkOfThousand is a chunk of a body.
+var chunkOfThousand = "3e8\r\n" + strings.Repeat("x", 1000) + "\r\n"
+
+// testProcessors is the processor quota of the processes of these tests.
+const testProcessors = 0.4
+
 // runOneAttempt sends one call to a server with this handler, and returns the result and the number of requests that the server got.
 func runOneAttempt(handler http.HandlerFunc, until time.Duration) (data.AttemptEnded, int64) {
 	var seen atomic.Int64
@@ -44,6 +51,7 @@
 	settings := env.New()
 	base := &Process{Settings: settings, Loop: link.NewLoop(idleMachine{}, time.Hour, nil, log.NewNopLogger())}
 	process := &dataProcess{Process: base, sessions: map[int64]*session{}, cancels: map[attemptKey]context.CancelFunc{}}
+	process.answers = newAnswerLimiter(answers.NewBudget(env.DefaultMemoryBytes, testProcessors), process.Loop)
 	process.client = &http.Client{Transport: process.transport(), CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	open := &session{process: process, callRequest: callRequest{path: "/v1/chat/completions", body: []byte(`{"messages":[{}]}`)}, pending: newReplyBuffer(&process.bufferedBytes, 1<<20), callerGone: make(chan struct{})}
 	command := data.Dispatch{Token: 1, Attempt: 1, AttemptID: "identity", SendBefore: until, Timeout: time.Minute,
@@ -84,6 +92,29 @@
 	}), time.Hour, call.CompleteReply, int64(1)),
 )
 
+var _ = DescribeTable("an attempt at a server that sends without end ends at a bound, long before its time is over", func(head, unit, bound string) {
+	began := time.Now()
+	ended, _ := runOneAttempt(func(writer http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(writer).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, head)
+		for block := strings.Repeat(unit, 1+(32<<10)/len(unit)); err == nil; {
+			_, err = io.WriteString(conn, block)
+		}
+	}, time.Hour)
+	Expect(ended.Result).To(Equal(call.NoReply))
+	Expect(ended.Error).To(ContainSubstring(bound))
+	Expect(time.Since(began)).To(BeNumerically("<", 20*time.Second))
+},
+	Entry("a header line", "HTTP/1.1 200 OK\r\nX-Long: ", "x", "head"),
+	Entry("header lines", "HTTP/1.1 200 OK\r\n", "X-More: y\r\n", "head_size"),
+	Entry("chunks of one byte", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", "pace"),
+	Entry("a body", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunkOfThousand, "reply_size"),
+)
+
 var _ = It("a link that was made in time sends nothing when its first byte comes late", func() {
 	local, remote := net.Pipe()
 	process := &dataProcess{Process: &Process{Settings: env.New(), Loop: link.NewLoop(idleMachine{}, time.Hour, nil, log.NewNopLogger())}}
@@ -108,6 +139,7 @@
 var _ = It("a caller that reads nothing holds no server, and is cut when too much waits for callers", func() {
 	process := &dataProcess{Process: &Process{Settings: env.New(), Loop: link.NewLoop(idleMachine{}, time.Hour, nil, log.NewNopLogger())},
 		sessions: map[int64]*session{}, cancels: map[attemptKey]context.CancelFunc{}}
+	process.answers = newAnswerLimiter(answers.NewBudget(env.DefaultMemoryBytes, testProcessors), process.Loop)
 	process.client = &http.Client{Transport: process.transport()}
 	stream := func(writer http.ResponseWriter, _ *http.Request) {
 		writer.Header().Set("Content-Type", "text/event-stream")
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -15,11 +15,12 @@
 // completeFinishReasons are the finish reasons of a complete reply; an aborted generation has another one.
 var completeFinishReasons = map[string]bool{"stop": true, "length": true, "tool_calls": true, "content_filter": true}
 
-// Parser turns the bytes of one streamed reply into the contents of its chunks. The reply is complete only after a chunk with a finish
+// Parser turns the bytes of one streamed reply into the contents of its chunks. Of the unread bytes, searched ones hold no line end. The reply is complete only after a chunk with a finish
 // reason and the final [DONE] event. The first violation of the format ends parsing with an error.
 type Parser struct {
 	callID           string
 	unread           []byte
+	searched         int
 	data             []string
 	received         int64
 	limit            int64
@@ -53,13 +54,16 @@
 	}
 	parser.unread = append(parser.unread, content...)
 	for parser.err == nil {
-		lineEnd := bytes.IndexByte(parser.unread, '\n')
+		lineEnd := bytes.IndexByte(parser.unread[parser.searched:], '\n')
 		if lineEnd < 0 {
+			parser.searched = len(parser.unread)
 			if len(parser.unread) > maxLineBytes {
 				parser.fail("a line is longer than its bound")
 			}
 			break
 		}
+		lineEnd += parser.searched
+		parser.searched = 0
 		line := strings.TrimSuffix(string(parser.unread[:lineEnd]), "\r")
 		parser.unread = parser.unread[lineEnd+1:]
 		if line == "" {
@@ -73,6 +77,15 @@
 	return chunks
 }
 
+// Unread returns how many bytes of lines and events that are not complete the parser holds.
+func (parser *Parser) Unread() int {
+	held := len(parser.unread)
+	for _, line := range parser.data {
+		held += len(line)
+	}
+	return held
+}
+
 // event handles the event whose data lines have been read, and returns the content of its chunk, if any.
 func (parser *Parser) event() []string {
 	data := strings.Join(parser.data, "\n")
