--- a/overload/usage_test.go
+++ b/overload/usage_test.go
@@ -17,7 +17,8 @@
 
 // peakUsage is the highest use of a process. totalKB counts bytes that its sockets received and that it has not read.
 type peakUsage struct {
-	residentKB, totalKB, descriptors int
+	residentKB, totalKB int64
+	descriptors         int
 }
 
 // usageSampler samples the memory and the descriptors of a machine's processes.
@@ -66,7 +67,7 @@
 
 func (sampler *usageSampler) sample() {
 	for program, ports := range portsOf {
-		resident, highest := residentMemory(sampler.machine.PID(program))
+		resident, highest := rig.MemoryKB(sampler.machine.PID(program)), rig.PeakMemoryKB(sampler.machine.PID(program))
 		descriptors, _ := os.ReadDir(filepath.Join("/proc", strconv.Itoa(sampler.machine.PID(program)), "fd"))
 		unread := 0
 		for _, port := range ports {
@@ -74,29 +75,11 @@
 		}
 		sampler.lock.Lock()
 		peak := sampler.peaks[program]
-		sampler.peaks[program] = peakUsage{residentKB: max(peak.residentKB, highest), totalKB: max(peak.totalKB, resident+unread>>10), descriptors: max(peak.descriptors, len(descriptors))}
+		sampler.peaks[program] = peakUsage{residentKB: max(peak.residentKB, highest), totalKB: max(peak.totalKB, resident+int64(unread>>10)), descriptors: max(peak.descriptors, len(descriptors))}
 		sampler.lock.Unlock()
 	}
 }
 
-// residentMemory returns the resident memory of a process, now and at its highest, in KB.
-func residentMemory(pid int) (now, highest int) {
-	content, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	for _, line := range strings.Split(string(content), "\n") {
-		fields := strings.Fields(line)
-		if len(fields) < 2 {
-			continue
-		}
-		switch fields[0] {
-		case "VmRSS:":
-			now, _ = strconv.Atoi(fields[1])
-		case "VmHWM:":
-			highest, _ = strconv.Atoi(fields[1])
-		}
-	}
-	return now, highest
-}
-
 // listening is the state of a listening socket in /proc/net/tcp, whose queue counts connections and not bytes.
 const listening = "0A"
 
--- a/rig/flood.go
+++ b/rig/flood.go
@@ -3,10 +3,7 @@
 import (
 	"fmt"
 	"net/http"
-	"os"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -100,32 +97,6 @@
 	return slices.ContainsFunc(record.runs[id], func(run *gatewayRun) bool { return run.Faulty })
 }
 
-// clockTicks is how many units of /proc/PID/stat a second of processor time has.
-const clockTicks = 100
-
-// ProcessorTime returns the processor time that a process has used.
-func ProcessorTime(pid int) time.Duration {
-	content, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	_, rest, _ := strings.Cut(string(content), ") ")
-	fields := strings.Fields(rest)
-	const userField, systemField = 11, 12
-	if len(fields) <= systemField {
-		return 0
-	}
-	user, _ := strconv.Atoi(fields[userField])
-	system, _ := strconv.Atoi(fields[systemField])
-	return time.Duration(user+system) * time.Second / clockTicks
-}
-
-// PeakMemoryKB returns the highest resident memory of a process since its start or the last ResetPeakMemory.
-func PeakMemoryKB(pid int) int { return readUsage(pid).residentKB }
-
-// ResetPeakMemory makes the present resident memory of a process its peak.
-func ResetPeakMemory(pid int) error {
-	const resetPeak = "5"
-	return os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", pid), []byte(resetPeak), 0)
-}
-
 // limitMemory limits the writable memory of a process, zero for no limit: beyond it, its requests for memory fail and it ends.
 func limitMemory(pid, megabytes int) error {
 	if megabytes == 0 {
--- a/rig/gateway_check.go
+++ b/rig/gateway_check.go
@@ -44,7 +44,7 @@
 	defer record.lock.Unlock()
 	breaches := []gatewayBreach{}
 	report := func(rule string, attempt *gatewayAttempt, format string, values ...any) {
-		breaches = append(breaches, gatewayBreach{rule, attempt, fmt.Sprintf(format, values...), attempt.Machine.logLines("attempt=" + attempt.ID + " ")})
+		breaches = append(breaches, gatewayBreach{rule, attempt, fmt.Sprintf(format, values...), attempt.Machine.logLines(dataRole, "attempt="+attempt.ID+" ")})
 	}
 	lostInCalm := map[*gatewayMachine][]*gatewayAttempt{}
 	for _, attempt := range record.attempts {
--- a/rig/gateway_fleet.go
+++ b/rig/gateway_fleet.go
@@ -106,6 +106,7 @@
 		network: network, record: newGatewayRecord(),
 		client: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
 	if fleet.platform, err = newGatewayPlatform(fleet); err != nil {
+		network.release()
 		return nil, err
 	}
 	for _, place := range shape.machines {
--- a/rig/gateway_machine.go
+++ b/rig/gateway_machine.go
@@ -217,9 +217,9 @@
 	}
 }
 
-// logLines returns the lines of the data process's log that contain a text.
-func (machine *gatewayMachine) logLines(text string) []string {
-	content, _ := os.ReadFile(filepath.Join(machine.folder, dataRole+".log"))
+// logLines returns the lines of the log of a role's processes that contain a text.
+func (machine *gatewayMachine) logLines(role, text string) []string {
+	content, _ := os.ReadFile(filepath.Join(machine.folder, role+".log"))
 	lines := []string{}
 	for _, line := range strings.Split(string(content), "\n") {
 		if strings.Contains(line, text) {
--- a/rig/gateway_usage.go
+++ b/rig/gateway_usage.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"strconv"
-	"strings"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -25,7 +22,7 @@
 
 // processUsage is the highest use that was seen of the processes of a role. processor is the share of one processor over processorWindow.
 type processUsage struct {
-	residentKB, threads int
+	residentKB, threads int64
 	processor           float64
 }
 
@@ -51,13 +48,12 @@
 				if process == nil || process.hasEnded() {
 					continue
 				}
-				usage := readUsage(process.pid())
-				usage.processor = fleet.processorShare(process, meters)
+				usage := processUsage{PeakMemoryKB(process.pid()), threadCount(process.pid()), fleet.processorShare(process, meters)}
 				highest[role] = highest[role].highest(usage)
 				if quota := fleet.plan.Limits.ProcessorQuota; quota > 0 && usage.processor > quota {
 					fleet.fail(fmt.Errorf("%s of %s uses %.2f of a processor for %v, %.2f are granted", role, machine.name, usage.processor, processorWindow, quota))
 				}
-				if limit := fleet.plan.Limits.MemoryMB << 10; limit > 0 && usage.residentKB > limit && !reported[process] {
+				if limit := int64(fleet.plan.Limits.MemoryMB) << 10; limit > 0 && usage.residentKB > limit && !reported[process] {
 					reported[process] = true
 					fleet.fail(fmt.Errorf("%s of %s uses %d KB of memory, %d KB are allowed", role, machine.name, usage.residentKB, limit))
 				}
@@ -87,22 +83,3 @@
 	}
 	return float64(used-meter.used) / float64(now-meter.since)
 }
-
-// readUsage reads the peak of the resident memory and the threads of a process.
-func readUsage(pid int) processUsage {
-	usage := processUsage{}
-	content, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	for line := range strings.Lines(string(content)) {
-		fields := strings.Fields(line)
-		if len(fields) < 2 {
-			continue
-		}
-		switch fields[0] {
-		case "VmHWM:":
-			usage.residentKB, _ = strconv.Atoi(fields[1])
-		case "Threads:":
-			usage.threads, _ = strconv.Atoi(fields[1])
-		}
-	}
-	return usage
-}
--- a/rig/overlap.go
+++ b/rig/overlap.go
@@ -4,9 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
-	"path/filepath"
-	"strings"
 	"syscall"
 	"time"
 
@@ -62,11 +59,7 @@
 // awaitWait waits until the newest life of a machine's control process has logged that its start waits.
 func (fleet *gatewayFleet) awaitWait(machine *gatewayMachine) error {
 	for began := fleet.now(); fleet.now() < began+restartLimit; time.Sleep(pollInterval) {
-		content, err := os.ReadFile(filepath.Join(machine.folder, controlRole+".log"))
-		if err != nil {
-			return err
-		}
-		if strings.Contains(string(content), "start waits") {
+		if len(machine.logLines(controlRole, "start waits")) > 0 {
 			return nil
 		}
 	}
--- a/rig/soak_check.go
+++ b/rig/soak_check.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -90,7 +88,7 @@
 			}
 		}
 		node.forEachProgram(func(program *program) {
-			if memory := peakMemoryKB(program.pid()); memory > maxProcessMemoryKB {
+			if memory := PeakMemoryKB(program.pid()); memory > maxProcessMemoryKB {
 				failures = append(failures, fmt.Errorf("a process of %s used %d KB at its peak", node.Machine.Name, memory))
 			}
 		})
@@ -98,24 +96,6 @@
 	return errors.Join(failures...)
 }
 
-// peakMemoryKB returns the peak resident memory of a process in KB, or 0 if the process does not exist.
-func peakMemoryKB(pid int) int64 { return processStatusKB(pid, "VmHWM:") }
-
-// processStatusKB reads a value in KB from /proc/PID/status, or 0 if it is not there.
-func processStatusKB(pid int, name string) int64 {
-	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for _, line := range strings.Split(string(content), "\n") {
-		if text, ok := strings.CutPrefix(line, name); ok {
-			value, _ := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(text, "kB")), 10, 64)
-			return value
-		}
-	}
-	return 0
-}
-
 // ResourceUsage is what all processes of a fleet use together.
 type ResourceUsage struct {
 	// Processes is the number of processes, MemoryMB their resident memory together.
@@ -140,8 +120,8 @@
 			defer lock.Unlock()
 			files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", program.pid()))
 			usage.Processes++
-			usage.MemoryMB += processStatusKB(program.pid(), "VmRSS:") >> 10
-			usage.MaxMemoryMB = max(usage.MaxMemoryMB, peakMemoryKB(program.pid())>>10)
+			usage.MemoryMB += MemoryKB(program.pid()) >> 10
+			usage.MaxMemoryMB = max(usage.MaxMemoryMB, PeakMemoryKB(program.pid())>>10)
 			usage.MaxFiles = max(usage.MaxFiles, len(files))
 		})
 	}
