A server that sends more than can be read gets no further calls while it does

Whether a faulty server stays in the picks was not measured. A sound server whose answer is paused rests for a contact time where others are left.

Tests: flood, TestAServerThatMeetsABoundIsLeftAlone (red before); two specs of gateway/misconduct_test.go.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -95,6 +95,12 @@
 	Attempt int
 }
 
+// AnswerPaced is the event that a server sends more than this node can read of its answers, so that one is read more slowly.
+type AnswerPaced struct {
+	Token   int64
+	Attempt int
+}
+
 // ServerSilent is the event that nothing arrived within the silence timeout of a dispatch. The router answers it with Wait or with a new Dispatch.
 type ServerSilent struct {
 	Token   int64
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -149,6 +149,18 @@
 	}
 }
 
+// handlePaced lets a server rest that sends more than this node can read.
+func (router *Router) handlePaced(now time.Duration, event AnswerPaced) {
+	if call := router.currentCall(event.Token, event.Attempt); call != nil {
+		router.shun(now, call.server)
+	}
+}
+
+// shun lets a server rest that sends more than an answer may have.
+func (router *Router) shun(now time.Duration, server *serverState) {
+	server.recordMisconduct(now, router.policy.Contact, router.policy.Contact*maxShunning)
+}
+
 // serverAnswered marks a server as healthy. One that failed before may have restarted and is first treated as cold.
 func (router *Router) serverAnswered(now time.Duration, server *serverState) {
 	router.applySuspicion(now, server)
@@ -246,7 +258,7 @@
 	call.answerStarted = call.answerStarted || event.AnswerStarted
 	mayRetry, noServer := event.Outcome.mayRetry(call.route.Repeatable()), false
 	if event.Misbehaved {
-		server.recordMisconduct(now, router.policy.Contact, router.policy.Contact*maxShunning)
+		router.shun(now, server)
 		if event.Outcome != OutcomeBroken {
 			router.tallyOf(now, server).Failed++
 		}
--- a/gateway/misconduct_test.go
+++ b/gateway/misconduct_test.go
@@ -64,6 +64,33 @@
 		Expect(router.servers["a"].shunnedUntil - router.now).To(Equal(contact))
 	})
 
+	It("given its answer is still read, when more comes than can be read, then no further call goes there", func() {
+		router := startedRouter(nil, eastList("a", "b"))
+		dispatch, _ := router.dispatchTo("a")
+		Expect(router.Handle(router.now, AnswerPaced{Token: dispatch.Token, Attempt: dispatch.Attempt})).To(BeEmpty())
+		_, chosen := router.dispatchTo("a")
+		Expect(chosen).To(BeFalse())
+		router.misbehave(dispatch)
+		Expect(router.servers["a"].misconducts).To(Equal(1), "it is one and the same answer")
+	})
+
+	It("given it has rested, when calls come, then one at a time tries it, until it answers one whole", func() {
+		router := startedRouter(nil, eastList("a", "b"))
+		dispatch, _ := router.dispatchTo("a")
+		router.misbehave(dispatch)
+		router.now += router.policy.Contact + time.Millisecond
+		tries, chosen := router.dispatchTo("a")
+		Expect(chosen).To(BeTrue())
+		router.Handle(router.now, HeadReceived{Token: tries.Token, Attempt: tries.Attempt})
+		_, chosen = router.dispatchTo("a")
+		Expect(chosen).To(BeFalse())
+		router.endDispatch(tries, OutcomeComplete)
+		for range 2 {
+			_, chosen = router.dispatchTo("a")
+			Expect(chosen).To(BeTrue())
+		}
+	})
+
 	It("given no other server, when a call comes, then it gets the call", func() {
 		router := startedRouter(nil, eastList("a"))
 		router.misbehave(router.dispatchCall("/write/x"))
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -46,7 +46,7 @@
 		if len(call.route.AllowedRegions) > 0 && !slices.Contains(call.route.AllowedRegions, server.region) {
 			continue
 		}
-		if !includeResting && (now < server.backoffUntil || now < server.shunnedUntil || server.probing || router.isResting(now, server)) {
+		if !includeResting && (now < server.backoffUntil || server.isShunned(now) || server.probing || router.isResting(now, server)) {
 			continue
 		}
 		candidates = append(candidates, server)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -86,6 +86,11 @@
 	server.misconducts++
 }
 
+// isShunned reports whether the server rests after answers that had more than an answer may have, or works on the one call that tries it then.
+func (server *serverState) isShunned(now time.Duration) bool {
+	return now < server.shunnedUntil || server.misconducts > 0 && server.inFlight > 0
+}
+
 // recordSuccess ends the server's rest.
 func (server *serverState) recordSuccess(now time.Duration) {
 	server.failures, server.backoffUntil, server.probing = 0, 0, false
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -118,6 +118,8 @@
 		router.handleHead(now, event)
 	case StreamStarted:
 		router.handleStreamStart(now, event)
+	case AnswerPaced:
+		router.handlePaced(now, event)
 	case ServerSilent:
 		return router.handleSilence(now, event)
 	case DispatchEnded:
--- a/rig/answer_fault.go
+++ b/rig/answer_fault.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -76,6 +77,13 @@
 // String names the fault with its status.
 func (fault AnswerFault) String() string { return strconv.Itoa(fault.Status) + ", " + fault.Name }
 
+// MeetsABound reports whether the answer goes on in a well-formed way until it meets a bound of the reader. Others can be told to be malformed.
+func (fault AnswerFault) MeetsABound() bool {
+	malformed := []string{"junk for the size of a chunk", "trailers", "answers 100", "a body behind a claim not to have run"}
+	withoutLength := fault.Name == "a body without a length" && fault.Status == http.StatusOK
+	return !slices.Contains(malformed, fault.Name) && !withoutLength && fault.pause == 0
+}
+
 // head returns what comes before the repetition.
 func (fault AnswerFault) head(attemptID string) string {
 	if fault.Status == 0 {
--- a/rig/flood.go
+++ b/rig/flood.go
@@ -47,8 +47,10 @@
 
 // CallSummary counts calls by what became of them.
 type CallSummary struct {
-	// Whole were answered whole by servers without a fault, Faulty were run by a faulty one.
+	// Whole were answered whole by servers without a fault, Faulty were run by a faulty one and by no other.
 	Whole, Faulty int
+	// FaultyRuns counts the runs at faulty servers, also of calls that another server answered then.
+	FaultyRuns int
 	// Failed tells of each other call.
 	Failed []string
 }
@@ -70,7 +72,7 @@
 				time.Sleep(next - fleet.now())
 				attempt := caller.call()
 				lock.Lock()
-				summary.add(attempt, fleet.record.faultyRun(attempt.ID))
+				summary.add(attempt, fleet.record.faultyRuns(attempt.ID))
 				lock.Unlock()
 			}
 		})
@@ -79,22 +81,29 @@
 	return summary
 }
 
-func (summary *CallSummary) add(attempt *gatewayAttempt, faulty bool) {
+func (summary *CallSummary) add(attempt *gatewayAttempt, faultyRuns int) {
+	summary.FaultyRuns += faultyRuns
 	switch {
 	case attempt.Status == http.StatusOK && attempt.Complete && len(attempt.Pieces) == attempt.WantPieces:
 		summary.Whole++
-	case faulty:
+	case faultyRuns > 0:
 		summary.Faulty++
 	default:
 		summary.Failed = append(summary.Failed, fmt.Sprintf("%s %s: status %d, %d of %d pieces, %s", attempt.Kind, attempt.ID, attempt.Status, len(attempt.Pieces), attempt.WantPieces, attempt.Error))
 	}
 }
 
-// faultyRun reports whether a faulty server ran an attempt.
-func (record *gatewayRecord) faultyRun(id string) bool {
+// faultyRuns counts the runs of an attempt at faulty servers.
+func (record *gatewayRecord) faultyRuns(id string) int {
 	record.lock.Lock()
 	defer record.lock.Unlock()
-	return slices.ContainsFunc(record.runs[id], func(run *gatewayRun) bool { return run.Faulty })
+	count := 0
+	for _, run := range record.runs[id] {
+		if run.Faulty {
+			count++
+		}
+	}
+	return count
 }
 
 // limitMemory limits the writable memory of a process, zero for no limit: beyond it, its requests for memory fail and it ends.
--- a/serve/answer_limits.go
+++ b/serve/answer_limits.go
@@ -25,11 +25,12 @@
 	return &answerLimiter{state: answers.New(budget), running: map[answers.ID]*serverAnswer{}, loop: loop}
 }
 
-// begin registers an answer of a server that is about to be read. interrupt makes a pending read of it fail.
-func (limiter *answerLimiter) begin(ctx context.Context, server string, interrupt func()) *serverAnswer {
+// begin registers an answer of a server that is about to be read. interrupt makes a pending read of it fail, paced is called when it is paused for
+// the first time.
+func (limiter *answerLimiter) begin(ctx context.Context, server string, interrupt, paced func()) *serverAnswer {
 	limiter.lock.Lock()
 	limiter.last++
-	answer := &serverAnswer{limiter: limiter, id: limiter.last, ctx: ctx, interrupt: interrupt}
+	answer := &serverAnswer{limiter: limiter, id: limiter.last, ctx: ctx, interrupt: interrupt, paced: sync.OnceFunc(paced)}
 	limiter.running[answer.id] = answer
 	limiter.lock.Unlock()
 	limiter.handle(answers.Began{Answer: answer.id, Server: server})
@@ -71,6 +72,7 @@
 	id        answers.ID
 	ctx       context.Context
 	interrupt func()
+	paced     func()
 	endedBy   atomic.Pointer[answers.Error]
 	head      headScanner
 	held      int64
@@ -84,6 +86,7 @@
 	if err := answer.err(); err != nil || pause == 0 {
 		return err
 	}
+	answer.paced()
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
--- a/serve/dispatch.go
+++ b/serve/dispatch.go
@@ -107,7 +107,7 @@
 	ended = data.AttemptEnded{Token: command.Token, Attempt: command.Attempt, Result: call.NotSent}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answer := process.answers.begin(ctx, command.Server.Name, cancel)
+	answer := process.answers.begin(ctx, command.Server.Name, cancel, func() {})
 	defer answer.end()
 	guard := &leaseGuard{process: process, sendBefore: command.SendBefore, answer: answer}
 	request, err := session.request(context.WithValue(ctx, leaseGuardKey{}, guard), command)
--- a/serve/exchange.go
+++ b/serve/exchange.go
@@ -42,7 +42,8 @@
 	}
 	watchdog := newWatchdog(call, conn, dispatch, deadline)
 	defer watchdog.stop()
-	answer := process.answers.begin(call.request.Context(), dispatch.Server.Name, watchdog.interrupt)
+	paced := func() { process.handle(gateway.AnswerPaced{Token: dispatch.Token, Attempt: dispatch.Attempt}) }
+	answer := process.answers.begin(call.request.Context(), dispatch.Server.Name, watchdog.interrupt, paced)
 	defer answer.end()
 	conn.Meter = answer
 	exchange := &exchange{call: call, conn: conn, dispatch: dispatch, deadline: deadline, watchdog: watchdog, answer: answer,
