Pool of connections: its count is kept in one place, distrust under one lock

Read again: CloseExpired did the bookkeeping of keep a second time, and took the lock again for each server that it distrusts. No behaviour, bound or check changed; upstream and serve pass.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -104,6 +104,11 @@
 func (pool *Pool) Distrust(address string) {
 	pool.lock.Lock()
 	defer pool.lock.Unlock()
+	pool.distrust(address)
+}
+
+// distrust is Distrust for callers that hold the lock.
+func (pool *Pool) distrust(address string) {
 	pool.distrusted[address] = time.Now().Add(pool.maxIdle)
 	for _, conn := range pool.idle[address] {
 		_ = conn.Close()
@@ -155,6 +160,7 @@
 // addresses of the servers that sent such bytes, and distrusts them.
 func (pool *Pool) CloseExpired() (lateBytes []string) {
 	pool.lock.Lock()
+	defer pool.lock.Unlock()
 	for address, conns := range pool.idle {
 		remaining, late := conns[:0], false
 		for _, conn := range conns {
@@ -166,12 +172,9 @@
 			late = late || state == connHasBytes
 			_ = conn.Close()
 		}
-		pool.idleCount -= len(conns) - len(remaining)
-		pool.idle[address] = remaining
-		if len(remaining) == 0 {
-			delete(pool.idle, address)
-		}
+		pool.keep(address, remaining)
 		if late {
+			pool.distrust(address)
 			lateBytes = append(lateBytes, address)
 		}
 	}
@@ -180,10 +183,6 @@
 			delete(pool.distrusted, address)
 		}
 	}
-	pool.lock.Unlock()
-	for _, address := range lateBytes {
-		pool.Distrust(address)
-	}
 	return lateBytes
 }
 
