--- a/stream/stream.go
+++ b/stream/stream.go
@@ -15,13 +15,16 @@
 // completeFinishReasons are the finish reasons of a complete reply; an aborted generation has another one.
 var completeFinishReasons = map[string]bool{"stop": true, "length": true, "tool_calls": true, "content_filter": true}
 
-// Parser turns the bytes of one streamed reply into the contents of its chunks. Of the unread bytes, searched ones hold no line end. The reply is complete only after a chunk with a finish
+// Parser turns the bytes of one streamed reply into the contents of its chunks. The reply is complete only after a chunk with a finish
 // reason and the final [DONE] event. The first violation of the format ends parsing with an error.
 type Parser struct {
-	callID           string
-	unread           []byte
-	searched         int
+	callID string
+	// unread are bytes without a whole line, of which searched ones hold no line end.
+	unread   []byte
+	searched int
+	// data are the data lines of the event that has begun, with dataBytes in all.
 	data             []string
+	dataBytes        int
 	received         int64
 	limit            int64
 	chunks           int64
@@ -69,7 +72,9 @@
 		if line == "" {
 			chunks = append(chunks, parser.event()...)
 		} else if data, ok := strings.CutPrefix(line, "data:"); ok {
-			parser.data = append(parser.data, strings.TrimPrefix(data, " "))
+			data = strings.TrimPrefix(data, " ")
+			parser.data = append(parser.data, data)
+			parser.dataBytes += len(data)
 		} else if !strings.HasPrefix(line, ":") && !strings.HasPrefix(line, "event:") && !strings.HasPrefix(line, "id:") && !strings.HasPrefix(line, "retry:") {
 			parser.fail("a line is not of an event stream")
 		}
@@ -78,18 +83,12 @@
 }
 
 // Unread returns how many bytes of lines and events that are not complete the parser holds.
-func (parser *Parser) Unread() int {
-	held := len(parser.unread)
-	for _, line := range parser.data {
-		held += len(line)
-	}
-	return held
-}
+func (parser *Parser) Unread() int { return len(parser.unread) + parser.dataBytes }
 
 // event handles the event whose data lines have been read, and returns the content of its chunk, if any.
 func (parser *Parser) event() []string {
 	data := strings.Join(parser.data, "\n")
-	parser.data = nil
+	parser.data, parser.dataBytes = nil, 0
 	if data == "" {
 		return nil
 	}
