Rig: the ORDER check excuses a faulty server's own whole answer alone

Read again: an attempt that any faulty server had run was excused from looking whole with pieces missing; only the form that begins with a whole answer is a reason for that, and its run says so now. Forms say themselves whether they are malformed, in place of a list of their names; the limits of descriptors and memory are set by one function, those of flood's tests stand once.

--- a/flood/flood_test.go
+++ b/flood/flood_test.go
@@ -21,6 +21,9 @@
 	processorQuota = 0.4
 )
 
+// limits are those of each process. One that asks for more memory ends.
+var limits = rig.GatewayLimits{MemoryMB: memoryMB, OpenFiles: openFiles, ProcessorQuota: processorQuota, EndsOverMemory: true}
+
 const (
 	// floodSpan is how long callers go on while servers are faulty.
 	floodSpan = 2 * time.Second
@@ -38,7 +41,6 @@
 
 func startMachine(t *testing.T) *rig.SingleGateway {
 	t.Helper()
-	limits := rig.GatewayLimits{MemoryMB: memoryMB, OpenFiles: openFiles, ProcessorQuota: processorQuota, EndsOverMemory: true}
 	machine, err := rig.StartSingleGateway(rig.GatewayPlan{Bin: bin, Folder: t.TempDir(), Seed: 1, Log: func(line string) { t.Log(line) }, Limits: limits})
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(machine.Close)
@@ -167,7 +169,6 @@
 			t.Parallel()
 			site, err := emulator.LoadSite("../deploy/emulated/" + name + ".json")
 			NewWithT(t).Expect(err).NotTo(HaveOccurred())
-			limits := rig.GatewayLimits{MemoryMB: memoryMB, OpenFiles: openFiles, ProcessorQuota: processorQuota, EndsOverMemory: true}
 			clean, err := rig.SoakGateways(rig.GatewayPlan{Bin: bin, Folder: t.TempDir(), Span: soakSpan, CallsPerSecond: callsPerSecond, StayingCallers: stayingCallers, Seed: seed,
 				Site: &site, Limits: limits, Floods: true, Log: func(line string) { t.Log(line) }})
 			NewWithT(t).Expect(err).NotTo(HaveOccurred())
--- a/rig/answer_fault.go
+++ b/rig/answer_fault.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -26,7 +25,9 @@
 	statusOnly bool
 	// notRun says that the server claims that it did not run the call.
 	notRun bool
-	// pause is how long the server waits before the repetition.
+	// malformed says that a reader can tell from the form of the answer that it is none, before it meets a bound.
+	malformed bool
+	// pause is how long the server waits before the repetition, which comes after a whole answer then.
 	pause time.Duration
 }
 
@@ -45,26 +46,26 @@
 func AnswerFaults() []AnswerFault {
 	faults := []AnswerFault{
 		{Name: "a status line", statusOnly: true, Status: http.StatusOK, unit: "x"},
-		{Name: "answers 100", statusOnly: true, unit: "HTTP/1.1 100 Continue\r\n\r\n"},
+		{Name: "answers 100", malformed: true, statusOnly: true, unit: "HTTP/1.1 100 Continue\r\n\r\n"},
 		{Name: "bytes after a whole answer", Status: http.StatusOK, lines: "Content-Length: 5\r\n\r\nwhole", unit: "x", pause: lateBytesPause},
 		{Name: "a header line behind a claim not to have run", Status: http.StatusServiceUnavailable, notRun: true, lines: "X-Long: ", unit: "x"},
-		{Name: "a body behind a claim not to have run", Status: http.StatusServiceUnavailable, notRun: true, lines: chunkedHead, unit: chunkOf(strings.Repeat("x", 1<<10))},
+		{Name: "a body behind a claim not to have run", malformed: true, Status: http.StatusServiceUnavailable, notRun: true, lines: chunkedHead, unit: chunkOf(strings.Repeat("x", 1<<10))},
 	}
 	for _, status := range []int{http.StatusOK, http.StatusInternalServerError} {
 		faults = append(faults,
 			AnswerFault{Name: "a header line", Status: status, lines: "X-Long: ", unit: "x"},
 			AnswerFault{Name: "header lines", Status: status, unit: "X-More: y\r\n"},
 			AnswerFault{Name: "folded header lines", Status: status, lines: "X-Long: y\r\n", unit: " y\r\n"},
-			AnswerFault{Name: "junk for the size of a chunk", Status: status, lines: streamHead + chunkedHead, unit: "z"},
+			AnswerFault{Name: "junk for the size of a chunk", Status: status, malformed: true, lines: streamHead + chunkedHead, unit: "z"},
 			AnswerFault{Name: "a chunk", Status: status, lines: streamHead + chunkedHead + "FFFFFFFFFFFF\r\n", unit: "x"},
 			AnswerFault{Name: "chunks of one byte", Status: status, lines: streamHead + chunkedHead, unit: chunkOf("x")},
 			AnswerFault{Name: "chunks of a newline", Status: status, lines: streamHead + chunkedHead, unit: chunkOf("\n")},
 			AnswerFault{Name: "a huge length", Status: status, lines: streamHead + "Content-Length: 1099511627776\r\n\r\n", unit: "x"},
-			AnswerFault{Name: "a body without a length", Status: status, lines: "\r\n", unit: "x"},
+			AnswerFault{Name: "a body without a length", Status: status, malformed: status == http.StatusOK, lines: "\r\n", unit: "x"},
 			AnswerFault{Name: "pieces that complete no event", Status: status, lines: streamHead + chunkedHead, unit: chunkOf("data: piece\n")},
 			AnswerFault{Name: "whole events", Status: status, lines: streamHead + chunkedHead, unit: chunkOf("data: piece\n\n")},
 			AnswerFault{Name: "whole events behind a length", Status: status, lines: streamHead + "Content-Length: 1099511627776\r\n\r\n", unit: "data: piece\n\n"},
-			AnswerFault{Name: "trailers", Status: status, lines: streamHead + chunkedHead + "0\r\n", unit: "X-More: y\r\n"})
+			AnswerFault{Name: "trailers", Status: status, malformed: true, lines: streamHead + chunkedHead + "0\r\n", unit: "X-More: y\r\n"})
 	}
 	return faults
 }
@@ -77,12 +78,11 @@
 // String names the fault with its status.
 func (fault AnswerFault) String() string { return strconv.Itoa(fault.Status) + ", " + fault.Name }
 
-// MeetsABound reports whether the answer goes on in a well-formed way until it meets a bound of the reader. Others can be told to be malformed.
-func (fault AnswerFault) MeetsABound() bool {
-	malformed := []string{"junk for the size of a chunk", "trailers", "answers 100", "a body behind a claim not to have run"}
-	withoutLength := fault.Name == "a body without a length" && fault.Status == http.StatusOK
-	return !slices.Contains(malformed, fault.Name) && !withoutLength && fault.pause == 0
-}
+// MeetsABound reports whether the answer goes on in a well-formed way until it meets a bound of the reader.
+func (fault AnswerFault) MeetsABound() bool { return !fault.malformed && !fault.beginsWhole() }
+
+// beginsWhole reports whether the first bytes are a whole answer.
+func (fault AnswerFault) beginsWhole() bool { return fault.pause > 0 }
 
 // head returns what comes before the repetition.
 func (fault AnswerFault) head(attemptID string) string {
--- a/rig/flood.go
+++ b/rig/flood.go
@@ -6,8 +6,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // Services of the machines of a SingleGateway.
@@ -105,15 +103,3 @@
 	}
 	return count
 }
-
-// limitMemory limits the writable memory of a process, zero for no limit: beyond it, its requests for memory fail and it ends.
-func limitMemory(pid, megabytes int) error {
-	if megabytes == 0 {
-		return nil
-	}
-	limit := unix.Rlimit{Cur: uint64(megabytes) << 20, Max: uint64(megabytes) << 20}
-	if err := unix.Prlimit(pid, unix.RLIMIT_DATA, &limit, nil); err != nil && err != unix.ESRCH {
-		return fmt.Errorf("limit of memory: %w", err)
-	}
-	return nil
-}
--- a/rig/gateway_check.go
+++ b/rig/gateway_check.go
@@ -76,7 +76,9 @@
 
 // checkAnswer checks MIXED, ORDER, REFUSED and TWICE for one attempt.
 func (fleet *gatewayFleet) checkAnswer(attempt *gatewayAttempt, runs []*gatewayRun, report func(string, *gatewayAttempt, string, ...any)) {
-	success, faulty := attempt.Status/100 == 2, slices.ContainsFunc(runs, func(run *gatewayRun) bool { return run.Faulty })
+	success := attempt.Status/100 == 2
+	// A faulty server's own whole answer has no pieces.
+	shortByFault := slices.ContainsFunc(runs, func(run *gatewayRun) bool { return run.Faulty && run.Whole })
 	runs = slices.DeleteFunc(slices.Clone(runs), func(run *gatewayRun) bool { return run.NotRun })
 	if attempt.AnswerID != "" && attempt.AnswerID != attempt.ID || success && attempt.AnswerID == "" {
 		report("MIXED", attempt, "got the answer of %q", attempt.AnswerID)
@@ -87,7 +89,7 @@
 			break
 		}
 	}
-	if success && attempt.Complete && len(attempt.Pieces) != attempt.WantPieces && !faulty {
+	if success && attempt.Complete && len(attempt.Pieces) != attempt.WantPieces && !shortByFault {
 		report("ORDER", attempt, "looks whole")
 	}
 	if !attempt.Repeatable && len(runs) > 1 {
--- a/rig/gateway_server.go
+++ b/rig/gateway_server.go
@@ -170,16 +170,16 @@
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
 		id := wire.AttemptID(request.Header)
-		server.recordFaulty(id, fault)
-		fault.answer(writer, id, func(later string) { server.recordFaulty(later, fault) })
+		server.recordFaulty(id, fault, fault.beginsWhole())
+		fault.answer(writer, id, func(later string) { server.recordFaulty(later, fault, false) })
 	})
 }
 
-// recordFaulty records that a faulty server took a call.
-func (server *gatewayServer) recordFaulty(attemptID string, fault *AnswerFault) {
+// recordFaulty records that a faulty server took a call, and whether its answer is whole.
+func (server *gatewayServer) recordFaulty(attemptID string, fault *AnswerFault, whole bool) {
 	fleet := server.platform.fleet
 	at := fleet.now()
-	fleet.record.addRun(attemptID, &gatewayRun{Server: server.name, StartedAt: at, EndedAt: at, BrokenOff: true, Faulty: true, NotRun: fault.notRun})
+	fleet.record.addRun(attemptID, &gatewayRun{Server: server.name, StartedAt: at, EndedAt: at, Whole: whole, BrokenOff: true, Faulty: true, NotRun: fault.notRun})
 }
 
 func (server *gatewayServer) report(writer http.ResponseWriter, _ *http.Request) {
--- a/rig/gateway_usage.go
+++ b/rig/gateway_usage.go
@@ -10,12 +10,22 @@
 
 // limitOpenFiles limits the descriptors of a process, zero for no limit of its own.
 func limitOpenFiles(pid, count int) error {
-	if count == 0 {
+	return limitResource(pid, unix.RLIMIT_NOFILE, uint64(count))
+}
+
+// limitMemory limits the writable memory of a process, zero for no limit: beyond it, its requests for memory fail and it ends.
+func limitMemory(pid, megabytes int) error {
+	return limitResource(pid, unix.RLIMIT_DATA, uint64(megabytes)<<20)
+}
+
+// limitResource limits a resource of a process that may have ended, zero for no limit.
+func limitResource(pid, resource int, most uint64) error {
+	if most == 0 {
 		return nil
 	}
-	limit := unix.Rlimit{Cur: uint64(count), Max: uint64(count)}
-	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil && err != unix.ESRCH {
-		return fmt.Errorf("limit of descriptors: %w", err)
+	limit := unix.Rlimit{Cur: most, Max: most}
+	if err := unix.Prlimit(pid, resource, &limit, nil); err != nil && err != unix.ESRCH {
+		return fmt.Errorf("limit of resource %d: %w", resource, err)
 	}
 	return nil
 }
